Add the needs vector

Placement, the agent's queue and admission all compare what a task takes with what a target holds, so the amounts are one plain comparable type.

It is a struct of ints with the callers' key names as tags; a map by name was ruled out, as it allocates and lets an unknown need through. Lacks names the first need that doesn't fit, for refusals that say which.

--- /dev/null
+++ b/core/needs/vector.go
@@ -0,0 +1,95 @@
+package needs
+
+import "fmt"
+
+// Names of the dimensions, as callers and configuration write them.
+const (
+	slotsName        = "slots"
+	coresName        = "cores"
+	memoryName       = "memory-mb"
+	acceleratorsName = "accelerators"
+)
+
+// Vector is an amount of each thing that a task takes from a target; it is plain data, comparable, and zero is nothing.
+type Vector struct {
+	Slots        int `json:"slots" toml:"slots"`
+	Cores        int `json:"cores" toml:"cores"`
+	MemoryMB     int `json:"memory-mb" toml:"memory-mb"`
+	Accelerators int `json:"accelerators" toml:"accelerators"`
+}
+
+// Add returns the sum of v and w.
+func (v Vector) Add(w Vector) Vector {
+	v.Slots += w.Slots
+	v.Cores += w.Cores
+	v.MemoryMB += w.MemoryMB
+	v.Accelerators += w.Accelerators
+	return v
+}
+
+// Sub returns v less w; a dimension of the result may be negative.
+func (v Vector) Sub(w Vector) Vector {
+	v.Slots -= w.Slots
+	v.Cores -= w.Cores
+	v.MemoryMB -= w.MemoryMB
+	v.Accelerators -= w.Accelerators
+	return v
+}
+
+// Max returns the larger of v and w in each dimension.
+func (v Vector) Max(w Vector) Vector {
+	v.Slots = max(v.Slots, w.Slots)
+	v.Cores = max(v.Cores, w.Cores)
+	v.MemoryMB = max(v.MemoryMB, w.MemoryMB)
+	v.Accelerators = max(v.Accelerators, w.Accelerators)
+	return v
+}
+
+// Fits reports whether v can be taken from free in every dimension.
+func (v Vector) Fits(free Vector) bool {
+	return v.Slots <= free.Slots &&
+		v.Cores <= free.Cores &&
+		v.MemoryMB <= free.MemoryMB &&
+		v.Accelerators <= free.Accelerators
+}
+
+// Lacks names the first dimension of v that exceeds free, or returns "" when v fits.
+func (v Vector) Lacks(free Vector) string {
+	switch {
+	case v.Slots > free.Slots:
+		return slotsName
+	case v.Cores > free.Cores:
+		return coresName
+	case v.MemoryMB > free.MemoryMB:
+		return memoryName
+	case v.Accelerators > free.Accelerators:
+		return acceleratorsName
+	}
+	return ""
+}
+
+// Negative names the first dimension below zero, or returns "" when there is none.
+func (v Vector) Negative() string {
+	return Vector{}.Lacks(v)
+}
+
+// Amount returns the dimension called name, or zero for an unknown name.
+func (v Vector) Amount(name string) int {
+	switch name {
+	case slotsName:
+		return v.Slots
+	case coresName:
+		return v.Cores
+	case memoryName:
+		return v.MemoryMB
+	case acceleratorsName:
+		return v.Accelerators
+	}
+	return 0
+}
+
+// String lists the dimensions as a log line or an error shows them.
+func (v Vector) String() string {
+	return fmt.Sprintf("%s %d, %s %d, %s %d, %s %d", slotsName, v.Slots, coresName, v.Cores,
+		memoryName, v.MemoryMB, acceleratorsName, v.Accelerators)
+}
