Carry frames over gnet and messages over yamux

Cause: the processes need their real transports before anything can be served. Ruled out: one port for both, as gnet owns its sockets and yamux wants a net.Conn.

--- /dev/null
+++ b/core/job/doc.go
@@ -0,0 +1,2 @@
+// Package job describes a submission as its caller sent it.
+package job
--- /dev/null
+++ b/core/job/job.go
@@ -0,0 +1,51 @@
+package job
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"time"
+
+	"persimmonstage/core/jobkey"
+	"persimmonstage/core/task"
+)
+
+// DigestBytes is the length of a digest.
+const DigestBytes = 16
+
+// Job is a submission; it does not change after it was decoded.
+type Job struct {
+	Key      jobkey.Key
+	Kind     string
+	Issued   time.Time
+	Deadline time.Time
+	Tasks    []task.Task
+}
+
+// Digest gives a hash of everything that the caller sent but the key.
+//
+// The time of issue is part of it: a resubmission that restamps its time of issue could pass for a
+// job that was never accepted after a takeover, so it counts as different content.
+func (j *Job) Digest() [DigestBytes]byte {
+	h := sha256.New()
+	var num [8]byte
+	put := func(n int64) {
+		binary.BigEndian.PutUint64(num[:], uint64(n))
+		h.Write(num[:])
+	}
+	put(int64(len(j.Kind)))
+	h.Write([]byte(j.Kind))
+	put(j.Issued.UnixNano())
+	put(j.Deadline.UnixNano())
+	for i := range j.Tasks {
+		t := &j.Tasks[i]
+		put(int64(t.Needs.Slots))
+		put(int64(t.Needs.Cores))
+		put(int64(t.Needs.MemoryMB))
+		put(int64(t.Needs.Accelerators))
+		put(int64(len(t.Payload)))
+		h.Write(t.Payload)
+	}
+	var d [DigestBytes]byte
+	copy(d[:], h.Sum(nil))
+	return d
+}
--- /dev/null
+++ b/core/jobkey/doc.go
@@ -0,0 +1,2 @@
+// Package jobkey names a submission: the team and the id that its caller chose.
+package jobkey
--- /dev/null
+++ b/core/result/doc.go
@@ -0,0 +1,2 @@
+// Package result describes how a started task ended.
+package result
--- /dev/null
+++ b/core/result/result.go
@@ -0,0 +1,18 @@
+package result
+
+import (
+	"time"
+
+	"persimmonstage/core/jobkey"
+)
+
+// Result is the end of a started task: the target's output, or the reason of its failure.
+type Result struct {
+	Attempt uint64
+	Key     jobkey.Key
+	Index   int
+	OK      bool
+	Output  []byte
+	Reason  string
+	Ran     time.Duration
+}
--- /dev/null
+++ b/core/task/doc.go
@@ -0,0 +1,2 @@
+// Package task describes one task of a submission as its caller sent it.
+package task
--- /dev/null
+++ b/io/bulk/doc.go
@@ -0,0 +1,2 @@
+// Package bulk carries jobs, payloads, results and records between processes over yamux streams.
+package bulk
--- /dev/null
+++ b/io/bulk/mux.go
@@ -0,0 +1,176 @@
+package bulk
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/yamux"
+	"go.uber.org/zap"
+
+	"persimmonstage/io/frame"
+	"persimmonstage/io/wire"
+)
+
+const (
+	acceptBacklog  = 1024
+	keepAlive      = 10 * time.Second
+	writeTimeout   = 5 * time.Second
+	streamWindow   = 1 << 20
+	helloTimeout   = 5 * time.Second
+	streamsAtClose = time.Second
+)
+
+// serve takes an accepted stream with the message that opened it; it owns the stream.
+type serve func(m *Mux, first *wire.Bulk, s net.Conn)
+
+// Mux is one bulk connection to another process; either side opens streams on it.
+type Mux struct {
+	session *yamux.Session
+	log     *zap.Logger
+	serve   serve
+}
+
+func settings() *yamux.Config {
+	cfg := yamux.DefaultConfig()
+	cfg.AcceptBacklog = acceptBacklog
+	cfg.KeepAliveInterval = keepAlive
+	cfg.ConnectionWriteTimeout = writeTimeout
+	cfg.MaxStreamWindowSize = streamWindow
+	cfg.StreamCloseTimeout = streamsAtClose
+	cfg.LogOutput = io.Discard
+	return cfg
+}
+
+// Dial connects to the bulk port at addr; f takes the streams that the other side opens.
+func Dial(ctx context.Context, addr string, log *zap.Logger, f func(m *Mux, first *wire.Bulk, s net.Conn)) (*Mux, error) {
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	session, err := yamux.Client(conn, settings())
+	if err != nil {
+		return nil, errors.Wrapf(err, "bulk connection to %s", addr)
+	}
+	m := &Mux{session: session, log: log, serve: f}
+	go m.accept()
+	return m, nil
+}
+
+// Serve accepts connections from l until l is closed; f takes the streams that the other sides open.
+func Serve(l net.Listener, log *zap.Logger, f func(m *Mux, first *wire.Bulk, s net.Conn)) {
+	var mu sync.Mutex
+	open := make(map[*Mux]bool)
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			break
+		}
+		session, err := yamux.Server(conn, settings())
+		if err != nil {
+			_ = conn.Close()
+			continue
+		}
+		m := &Mux{session: session, log: log, serve: f}
+		mu.Lock()
+		open[m] = true
+		mu.Unlock()
+		go func() {
+			m.accept()
+			mu.Lock()
+			delete(open, m)
+			mu.Unlock()
+		}()
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	for m := range open {
+		m.Close()
+	}
+}
+
+func (m *Mux) accept() {
+	for {
+		s, err := m.session.Accept()
+		if err != nil {
+			_ = m.session.Close()
+			return
+		}
+		go m.first(s)
+	}
+}
+
+func (m *Mux) first(s net.Conn) {
+	_ = s.SetReadDeadline(time.Now().Add(helloTimeout))
+	var b wire.Bulk
+	err := frame.Read(s, frame.BulkLimit, &b)
+	if err == nil && b.Body == nil {
+		err = errors.New("unknown message")
+	}
+	if err != nil {
+		m.refuse(s, err)
+		return
+	}
+	_ = s.SetReadDeadline(time.Time{})
+	m.serve(m, &b, s)
+}
+
+func (m *Mux) refuse(s net.Conn, err error) {
+	var framing *frame.Error
+	_ = s.Close()
+	if m.session.IsClosed() {
+		return
+	}
+	m.log.Warn("bulk stream refused", zap.String("peer", m.session.RemoteAddr().String()), zap.Error(err))
+	if errors.As(err, &framing) {
+		_ = m.session.Close()
+	}
+}
+
+// Open opens a stream that starts with first.
+func (m *Mux) Open(first *wire.Bulk) (net.Conn, error) {
+	s, err := m.session.Open()
+	if err != nil {
+		return nil, err
+	}
+	if err := frame.Write(s, first); err != nil {
+		_ = s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// Ask sends question on a stream of its own and waits for the answer within the context.
+//
+// The second result tells whether the question may have reached the other side.
+func (m *Mux) Ask(ctx context.Context, question *wire.Bulk) (*wire.Bulk, bool, error) {
+	s, err := m.session.Open()
+	if err != nil {
+		return nil, false, err
+	}
+	defer s.Close()
+	stop := context.AfterFunc(ctx, func() { _ = s.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	if err := frame.Write(s, question); err != nil {
+		return nil, true, err
+	}
+	var answer wire.Bulk
+	if err := frame.Read(s, frame.BulkLimit, &answer); err != nil {
+		return nil, true, err
+	}
+	return &answer, true, nil
+}
+
+// Closed is closed when the connection has ended.
+func (m *Mux) Closed() <-chan struct{} {
+	return m.session.CloseChan()
+}
+
+// Close ends the connection and its streams.
+func (m *Mux) Close() {
+	_ = m.session.Close()
+}
--- /dev/null
+++ b/io/ctrl/doc.go
@@ -0,0 +1,2 @@
+// Package ctrl carries the small frequent frames between processes over gnet.
+package ctrl
--- /dev/null
+++ b/io/ctrl/engine.go
@@ -0,0 +1,244 @@
+package ctrl
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+	"github.com/panjf2000/gnet/v2"
+	"github.com/panjf2000/gnet/v2/pkg/logging"
+	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
+
+	"persimmonstage/io/frame"
+	"persimmonstage/io/wire"
+)
+
+const eventLoops = 2
+
+// handler takes what happens on the connections; its methods run on gnet's event loops.
+type handler interface {
+	Opened(conn uint64)
+	Framed(conn uint64, f *wire.Frame)
+	Closed(conn uint64, cause error)
+}
+
+// Engine holds the control connections of a process, those that it accepts and those that it dials.
+//
+// Both kinds share one event handler, so a frame is decoded, counted and refused in one place.
+// Connections are named by numbers, which stay valid as names after the connection has ended.
+type Engine struct {
+	gnet.BuiltinEventEngine
+	handler handler
+	log     *zap.Logger
+	next    atomic.Uint64
+	mu      sync.RWMutex
+	conns   map[uint64]gnet.Conn
+	server  gnet.Engine
+	client  *gnet.Client
+	booted  chan string
+	in      atomic.Uint64
+	out     atomic.Uint64
+}
+
+// New returns an engine that reports to h.
+func New(h handler, log *zap.Logger) *Engine {
+	return &Engine{handler: h, log: log, conns: make(map[uint64]gnet.Conn), booted: make(chan string, 1)}
+}
+
+// Listen accepts connections on addr (IP:port, port 0 for any) and returns the bound address.
+func (e *Engine) Listen(addr string) (string, error) {
+	failed := make(chan error, 1)
+	go func() {
+		failed <- gnet.Run(e, "tcp://"+addr, gnet.WithNumEventLoop(eventLoops), gnet.WithTCPNoDelay(gnet.TCPNoDelay),
+			gnet.WithLogger(quiet{e.log}), gnet.WithLogLevel(logging.ErrorLevel))
+	}()
+	select {
+	case bound := <-e.booted:
+		return bound, nil
+	case err := <-failed:
+		return "", errors.Wrapf(err, "control port %s", addr)
+	}
+}
+
+// Dial connects to addr within the context's deadline and returns the connection's number after Opened was called.
+func (e *Engine) Dial(ctx context.Context, addr string) (uint64, error) {
+	client, err := e.dialer()
+	if err != nil {
+		return 0, err
+	}
+	var d net.Dialer
+	raw, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return 0, err
+	}
+	id := e.next.Add(1)
+	if _, err := client.EnrollContext(raw, id); err != nil {
+		return 0, errors.Wrapf(err, "control connection to %s", addr)
+	}
+	return id, nil
+}
+
+func (e *Engine) dialer() (*gnet.Client, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.client != nil {
+		return e.client, nil
+	}
+	client, err := gnet.NewClient(e, gnet.WithNumEventLoop(1), gnet.WithTCPNoDelay(gnet.TCPNoDelay),
+		gnet.WithLogger(quiet{e.log}), gnet.WithLogLevel(logging.ErrorLevel))
+	if err != nil {
+		return nil, errors.Wrap(err, "control client")
+	}
+	if err := client.Start(); err != nil {
+		return nil, errors.Wrap(err, "control client")
+	}
+	e.client = client
+	return client, nil
+}
+
+// Send queues f on the connection; it reports false when the connection has ended.
+func (e *Engine) Send(conn uint64, f *wire.Frame) bool {
+	e.mu.RLock()
+	c, ok := e.conns[conn]
+	e.mu.RUnlock()
+	if !ok {
+		return false
+	}
+	buf, err := frame.Append(nil, f)
+	if err != nil {
+		e.log.Error("control frame not encoded", zap.Error(err))
+		return false
+	}
+	e.out.Add(uint64(len(buf)))
+	return c.AsyncWrite(buf, nil) == nil
+}
+
+// Drop closes the connection.
+func (e *Engine) Drop(conn uint64) {
+	e.mu.RLock()
+	c, ok := e.conns[conn]
+	e.mu.RUnlock()
+	if ok {
+		_ = c.Close()
+	}
+}
+
+// Bytes gives the number of bytes received and sent since the start.
+func (e *Engine) Bytes() (in, out uint64) {
+	return e.in.Load(), e.out.Load()
+}
+
+// Stop closes every connection and the listener.
+func (e *Engine) Stop(ctx context.Context) {
+	e.mu.Lock()
+	client, server := e.client, e.server
+	e.client = nil
+	e.mu.Unlock()
+	if client != nil {
+		_ = client.Stop()
+	}
+	if server.Validate() == nil {
+		_ = server.Stop(ctx)
+	}
+}
+
+// OnBoot is called by gnet when the listener is bound.
+func (e *Engine) OnBoot(eng gnet.Engine) gnet.Action {
+	e.mu.Lock()
+	e.server = eng
+	e.mu.Unlock()
+	bound, err := boundAddr(eng)
+	if err != nil {
+		return gnet.None // the client engine has no listener
+	}
+	e.booted <- bound
+	return gnet.None
+}
+
+func boundAddr(eng gnet.Engine) (string, error) {
+	fd, err := eng.Dup()
+	if err != nil {
+		return "", err
+	}
+	defer unix.Close(fd)
+	sa, err := unix.Getsockname(fd)
+	if err != nil {
+		return "", err
+	}
+	switch a := sa.(type) {
+	case *unix.SockaddrInet4:
+		return fmt.Sprintf("%s:%d", net.IP(a.Addr[:]), a.Port), nil
+	case *unix.SockaddrInet6:
+		return fmt.Sprintf("[%s]:%d", net.IP(a.Addr[:]), a.Port), nil
+	}
+	return "", errors.New("control port: unknown address family")
+}
+
+// OnOpen is called by gnet for every new connection.
+func (e *Engine) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
+	id, ok := c.Context().(uint64)
+	if !ok {
+		id = e.next.Add(1)
+		c.SetContext(id)
+	}
+	e.mu.Lock()
+	e.conns[id] = c
+	e.mu.Unlock()
+	e.handler.Opened(id)
+	return nil, gnet.None
+}
+
+// OnTraffic is called by gnet when bytes have arrived; a frame that cannot be decoded ends the connection.
+func (e *Engine) OnTraffic(c gnet.Conn) gnet.Action {
+	id := c.Context().(uint64)
+	for {
+		buf, _ := c.Peek(-1)
+		var f wire.Frame
+		n, err := frame.Decode(buf, frame.ControlLimit, &f)
+		if err != nil {
+			e.log.Warn("control connection refused", zap.String("peer", c.RemoteAddr().String()), zap.Error(err))
+			return gnet.Close
+		}
+		if n == 0 {
+			return gnet.None
+		}
+		_, _ = c.Discard(n)
+		e.in.Add(uint64(n))
+		if f.Body == nil {
+			e.log.Warn("control connection refused", zap.String("peer", c.RemoteAddr().String()), zap.String("reason", "unknown frame"))
+			return gnet.Close
+		}
+		e.handler.Framed(id, &f)
+	}
+}
+
+// OnClose is called by gnet when a connection has ended.
+func (e *Engine) OnClose(c gnet.Conn, err error) gnet.Action {
+	id, ok := c.Context().(uint64)
+	if !ok {
+		return gnet.None
+	}
+	e.mu.Lock()
+	delete(e.conns, id)
+	e.mu.Unlock()
+	e.handler.Closed(id, err)
+	return gnet.None
+}
+
+// quiet passes gnet's errors on as JSON lines and drops the rest.
+type quiet struct{ log *zap.Logger }
+
+func (q quiet) Debugf(string, ...any) {}
+func (q quiet) Infof(string, ...any)  {}
+func (q quiet) Warnf(string, ...any)  {}
+func (q quiet) Errorf(format string, args ...any) {
+	q.log.Warn("control transport", zap.String("detail", fmt.Sprintf(format, args...)))
+}
+
+func (q quiet) Fatalf(format string, args ...any) {
+	q.log.Error("control transport", zap.String("detail", fmt.Sprintf(format, args...)))
+}
--- /dev/null
+++ b/io/frame/frame.go
@@ -0,0 +1,94 @@
+package frame
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	// ControlLimit is the largest frame on a control connection, in bytes.
+	ControlLimit = 256 << 10
+	// BulkLimit is the largest message on a bulk stream, in bytes.
+	BulkLimit = 64 << 20
+
+	prefixBytes = 4
+)
+
+// Error tells why a frame was not accepted; the connection it came on has lost its framing.
+type Error struct {
+	reason string
+	size   int
+	limit  int
+}
+
+// Error names the reason with the size and the limit in bytes where they apply.
+func (e *Error) Error() string {
+	if e.limit == 0 {
+		return "frame: " + e.reason
+	}
+	return fmt.Sprintf("frame: %s: %d bytes, limit %d", e.reason, e.size, e.limit)
+}
+
+// Append writes m with its length prefix to dst and returns the extended slice.
+func Append(dst []byte, m proto.Message) ([]byte, error) {
+	start := len(dst)
+	dst = append(dst, 0, 0, 0, 0)
+	dst, err := proto.MarshalOptions{}.MarshalAppend(dst, m)
+	if err != nil {
+		return dst[:start], &Error{reason: err.Error()}
+	}
+	binary.BigEndian.PutUint32(dst[start:], uint32(len(dst)-start-prefixBytes))
+	return dst, nil
+}
+
+// Decode reads the first whole frame of buf into m and returns its length in bytes, 0 when more bytes are needed.
+func Decode(buf []byte, limit int, m proto.Message) (int, error) {
+	if len(buf) < prefixBytes {
+		return 0, nil
+	}
+	size := int(binary.BigEndian.Uint32(buf))
+	if size > limit {
+		return 0, &Error{reason: "too large", size: size, limit: limit}
+	}
+	end := prefixBytes + size
+	if len(buf) < end {
+		return 0, nil
+	}
+	if err := proto.Unmarshal(buf[prefixBytes:end], m); err != nil {
+		return 0, &Error{reason: "garbled: " + err.Error()}
+	}
+	return end, nil
+}
+
+// Read reads one frame of at most limit bytes from r into m; errors are those of r or an *Error.
+func Read(r io.Reader, limit int, m proto.Message) error {
+	var prefix [prefixBytes]byte
+	if _, err := io.ReadFull(r, prefix[:]); err != nil {
+		return err
+	}
+	size := int(binary.BigEndian.Uint32(prefix[:]))
+	if size > limit {
+		return &Error{reason: "too large", size: size, limit: limit}
+	}
+	body := make([]byte, size)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return err
+	}
+	if err := proto.Unmarshal(body, m); err != nil {
+		return &Error{reason: "garbled: " + err.Error()}
+	}
+	return nil
+}
+
+// Write writes m with its length prefix to w in one call.
+func Write(w io.Writer, m proto.Message) error {
+	buf, err := Append(nil, m)
+	if err != nil {
+		return err
+	}
+	_, err = w.Write(buf)
+	return err
+}
