--- /dev/null
+++ b/core/limits/doc.go
@@ -0,0 +1,2 @@
+// Package limits holds the bounds on what a caller may send.
+package limits
--- /dev/null
+++ b/io/submit/doc.go
@@ -0,0 +1,2 @@
+// Package submit decodes and checks a caller's submission.
+package submit
--- /dev/null
+++ b/io/target/client.go
@@ -0,0 +1,79 @@
+package target
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"persimmonstage/core/order"
+)
+
+const (
+	// maxOutputBytes bounds what one task may answer.
+	maxOutputBytes = 8 << 20
+	maxConns       = 4096
+	reasonBytes    = 256
+	probeTimeout   = time.Second
+)
+
+// Client starts tasks at one target over HTTP: POST /run with the payload as body, the output as the answer's body.
+//
+// It never sends a request twice: a start whose answer is lost is an error, and the caller of Run knows that it may have run.
+type Client struct {
+	base string
+	http *fasthttp.Client
+}
+
+// New returns a client of the target at base, such as http://127.0.0.1:9001.
+func New(base string) *Client {
+	return &Client{base: base, http: &fasthttp.Client{
+		MaxConnsPerHost:           maxConns,
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		MaxResponseBodySize:       maxOutputBytes,
+		NoDefaultUserAgentHeader:  true,
+	}}
+}
+
+// Run starts the task and waits for its end until the order's deadline; the error names why the task failed.
+func (c *Client) Run(o *order.Order) ([]byte, error) {
+	req := fasthttp.AcquireRequest()
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI(c.base + "/run")
+	req.Header.Set("Task", o.Key.String()+"/"+strconv.Itoa(o.Index))
+	req.Header.Set("Kind", o.Kind)
+	req.Header.Set("Deadline", o.Deadline.UTC().Format(time.RFC3339Nano))
+	req.SetBodyRaw(o.Payload)
+	if err := c.http.DoDeadline(req, resp, o.Deadline); err != nil {
+		return nil, errors.Wrap(err, "target gave no whole answer")
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return nil, errors.Newf("target answered %d: %s", resp.StatusCode(), short(resp.Body()))
+	}
+	return append([]byte(nil), resp.Body()...), nil
+}
+
+// Probe asks the target whether it is well; it starts nothing.
+func (c *Client) Probe() error {
+	status, _, err := c.http.GetTimeout(nil, c.base+"/healthz", probeTimeout)
+	if err != nil {
+		return err
+	}
+	if status != fasthttp.StatusOK {
+		return fmt.Errorf("target answered %d", status)
+	}
+	return nil
+}
+
+func short(b []byte) string {
+	if len(b) > reasonBytes {
+		b = b[:reasonBytes]
+	}
+	return string(b)
+}
--- /dev/null
+++ b/io/target/doc.go
@@ -0,0 +1,2 @@
+// Package target calls the back end that an agent stands beside.
+package target
