Queue waiting tasks by weighted shares of team and kind

Cause: an agent that serves in order of arrival or of urgency lets a flood of one kind of work starve all others. Change: core/queue serves two levels of start-time fair queueing (team, then kind); urgency and deadline order items only inside their share. Ruled out: container/heap (an index and a search per level by hand), eviction of waiting items when the queue is full (a refusal per eviction to send). Conclusion: a share is served by weight, keeps no credit while idle, and a large item is bypassed for at most its own cost.

--- /dev/null
+++ b/core/queue/errors.go
@@ -0,0 +1,30 @@
+package queue
+
+import "fmt"
+
+// Reasons of a FullError.
+const (
+	QueueFull    = "queue-full"
+	ShareFull    = "share-full"
+	DuplicateKey = "duplicate-key"
+	TooManyShare = "too-many-shares"
+)
+
+// FullError is the refusal of a push; the item was not taken.
+type FullError struct {
+	Reason string // one of the constants above
+	Team   string
+	Kind   string
+	Key    string
+	Unit   string // "items", "bytes" or "shares"
+	Held   int64  // units held already by the share, or by the queue when that is full
+	Limit  int64  // units that the whole queue may hold
+}
+
+// Error says what was full.
+func (e *FullError) Error() string {
+	if e.Reason == DuplicateKey {
+		return fmt.Sprintf("%s: key %q is already waiting", e.Reason, e.Key)
+	}
+	return fmt.Sprintf("%s: team %q kind %q holds %d of %d %s", e.Reason, e.Team, e.Kind, e.Held, e.Limit, e.Unit)
+}
--- /dev/null
+++ b/core/queue/item.go
@@ -0,0 +1,53 @@
+package queue
+
+import "time"
+
+// Item is a unit of waiting work.
+type Item[T any] struct {
+	Key      string        // unique in the queue
+	Team     string        // first level of the shares
+	Kind     string        // second level of the shares
+	Urgency  int           // higher goes first inside its share
+	Deadline time.Time     // earlier goes first among equal urgency; zero means none
+	Run      time.Duration // expected run time
+	Size     int64         // dominant part of the host's capacity, in thousandths; below 1 counts as 1
+	Bytes    int64         // memory that it holds while it waits
+	Value    T
+}
+
+// minRun is the least run time that is charged, so that no item is free.
+const minRun = time.Millisecond
+
+func (it *Item[T]) size() int64 { return max(it.Size, 1) }
+
+// cost returns the host-seconds of a run of the given length.
+func (it *Item[T]) cost(run time.Duration) float64 {
+	return max(run, minRun).Seconds() * float64(it.size()) / wholeHost
+}
+
+type entry[T any] struct {
+	item  Item[T]
+	kind  *kind[T]
+	seq   uint64
+	place int // in its share
+	due   int // in the heap of deadlines; -1 without deadline
+}
+
+func (e *entry[T]) before(o *entry[T]) bool {
+	a, b := &e.item, &o.item
+	if a.Urgency != b.Urgency {
+		return a.Urgency > b.Urgency
+	}
+	if !a.Deadline.Equal(b.Deadline) {
+		return sooner(a.Deadline, b.Deadline)
+	}
+	return e.seq < o.seq
+}
+
+// sooner orders deadlines; zero is after all others.
+func sooner(a, b time.Time) bool {
+	if a.IsZero() || b.IsZero() {
+		return b.IsZero() && !a.IsZero()
+	}
+	return a.Before(b)
+}
--- /dev/null
+++ b/core/queue/share.go
@@ -0,0 +1,86 @@
+package queue
+
+import "persimmonstage/core/heap"
+
+// maxDebt bounds, in host-seconds, how far corrections move a share behind the others, so that one straggler doesn't
+// shut its share out for long.
+const maxDebt = 30.0
+
+// share is what teams and kinds have in common: a weight and a start tag in the virtual time of their parent.
+type share struct {
+	name   string
+	weight int64
+	start  float64 // host-seconds per unit of weight
+	place  int     // in the parent's heap; -1 while nothing waits
+	queued int64
+	active bool // has waiting or running items
+	kept   bool // named by a setting
+}
+
+// enter puts the start tag of a share that was empty to the present.
+func (s *share) enter(now float64) { s.start = max(s.start, now) }
+
+// charge moves the tag on by a cost.
+func (s *share) charge(cost float64) { s.start += cost / float64(s.weight) }
+
+// correct applies a later correction of a cost; credit never takes the tag behind the present.
+func (s *share) correct(cost, now float64) {
+	floor := min(s.start, now)
+	ceiling := max(s.start, now+maxDebt/float64(s.weight))
+	s.charge(cost)
+	s.start = min(max(s.start, floor), ceiling)
+}
+
+func (s *share) before(o *share) bool {
+	if s.start != o.start {
+		return s.start < o.start
+	}
+	return s.name < o.name
+}
+
+type team[T any] struct {
+	share
+	kinds   map[string]*kind[T]
+	waiting *heap.Heap[*kind[T]]
+	now     float64 // virtual time of the kinds
+	weights weights
+	running int64 // thousandths of the host
+}
+
+type kind[T any] struct {
+	share
+	team    *team[T]
+	items   *heap.Heap[*entry[T]]
+	running int64 // thousandths of the host
+	bytes   int64
+	backlog float64 // host-seconds that wait
+	lastUse uint64  // sequence number of the last push
+}
+
+// weights sums the weights of a parent's shares.
+type weights struct {
+	known  int64
+	active int64
+}
+
+func newTeam[T any](name string, weight int64) *team[T] {
+	return &team[T]{
+		share: share{name: name, weight: weight, place: -1},
+		kinds: map[string]*kind[T]{},
+		waiting: heap.New(
+			func(a, b *kind[T]) bool { return a.before(&b.share) },
+			func(k *kind[T], i int) { k.place = i },
+		),
+	}
+}
+
+func newKind[T any](t *team[T], name string, weight int64) *kind[T] {
+	return &kind[T]{
+		share: share{name: name, weight: weight, place: -1},
+		team:  t,
+		items: heap.New(
+			func(a, b *entry[T]) bool { return a.before(b) },
+			func(e *entry[T], i int) { e.place = i },
+		),
+	}
+}
