--- /dev/null
+++ b/core/cfgerr/doc.go
@@ -0,0 +1,2 @@
+// Package cfgerr holds the error that every reader of TOML settings returns: file, line, key and reason.
+package cfgerr
--- /dev/null
+++ b/io/logcl/doc.go
@@ -0,0 +1,2 @@
+// Package logcl is the client of the platform's append-only log.
+package logcl
