Add the roster of targets and a first placer

Cause: an entry has to choose a target for each task out of up to 26,000, with load reports that are late and other entries that place as well. Change: core/roster keeps the entry's own work in flight exactly and takes from reports only the work of other entries, so no task is counted twice. Targets of like capacity, data centre and speed share a group with a list with room and a list without; events move a target between lists at a constant cost. core/place takes the best expected completion out of a sample of each list, the longest task first, with ways to compare by. core/target names one incarnation of a target, void once it is replaced. Ruled out: scanning all targets; one idle list, which hides the fast ones.

--- a/core/needs/vector.go
+++ b/core/needs/vector.go
@@ -73,6 +73,21 @@
 	return Vector{}.Lacks(v)
 }
 
+// Rank returns the place of a dimension in the order in which Lacks looks at them; "", which lacks nothing, comes last.
+func Rank(name string) int {
+	switch name {
+	case slotsName:
+		return 0
+	case coresName:
+		return 1
+	case memoryName:
+		return 2
+	case acceleratorsName:
+		return 3
+	}
+	return 4
+}
+
 // Amount returns the dimension called name, or zero for an unknown name.
 func (v Vector) Amount(name string) int {
 	switch name {
--- /dev/null
+++ b/core/place/ask.go
@@ -0,0 +1,48 @@
+package place
+
+import (
+	"time"
+
+	"persimmonstage/core/needs"
+	"persimmonstage/core/target"
+)
+
+// Task is what placement knows of one task: what it takes and the run time that its caller or kind declares.
+type Task struct {
+	Needs    needs.Vector
+	Declared time.Duration
+}
+
+// Ask is a job to place: its tasks are all of one kind and come from a caller in one data centre.
+type Ask struct {
+	Kind       string
+	DataCentre string
+	Tasks      []Task
+}
+
+// maxReserve is the most reservations that one task gets.
+const maxReserve = 4
+
+// Choice is where one task goes; the zero value means that it has to wait, as no target may get it now.
+type Choice struct {
+	id       target.ID
+	reserved [maxReserve]target.ID
+	reserves int
+	work     time.Duration
+	wait     time.Duration
+}
+
+// Target returns where the task is booked: the target to start at, or the first of those to reserve at; zero is wait.
+func (c *Choice) Target() target.ID { return c.id }
+
+// Reserve returns the targets to reserve at, or nothing if the task is to be started at Target.
+func (c *Choice) Reserve() []target.ID { return c.reserved[:c.reserves] }
+
+// Work returns the expected run time at Target; it is what the booking at the roster has to be ended with.
+func (c *Choice) Work() time.Duration { return c.work }
+
+// Wait returns the expected time until the task can start at Target.
+func (c *Choice) Wait() time.Duration { return c.wait }
+
+// Waits reports whether the task has to wait for a target.
+func (c *Choice) Waits() bool { return c.id == 0 }
--- /dev/null
+++ b/core/place/doc.go
@@ -0,0 +1,2 @@
+// Package place decides where the tasks of a job start.
+package place
--- /dev/null
+++ b/core/place/placer_test.go
@@ -0,0 +1,125 @@
+package place_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"persimmonstage/core/needs"
+	"persimmonstage/core/place"
+	"persimmonstage/core/roster"
+	"persimmonstage/core/target"
+)
+
+var (
+	start = time.Date(2026, 1, 5, 9, 0, 0, 0, time.UTC)
+	slot  = needs.Vector{Slots: 1}
+)
+
+// fixed expects the declared time, longer by the factor of the target's index.
+type fixed []float64
+
+func (fixed) Kind(string) int { return 0 }
+
+func (f fixed) Expect(id target.ID, _ int, declared time.Duration) time.Duration {
+	if id.Index() < len(f) {
+		return time.Duration(float64(declared) * f[id.Index()])
+	}
+	return declared
+}
+
+func known(n, slots int, dataCentres ...string) *roster.Roster {
+	r := &roster.Roster{}
+	for i := range n {
+		name := fmt.Sprintf("target-%05d", i)
+		r.Announce(name, "a", dataCentres[i%len(dataCentres)], fmt.Sprint("rack-", i%3), needs.Vector{Slots: slots}, start)
+	}
+	return r
+}
+
+func seeded() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+func ask(n int, declared time.Duration) *place.Ask {
+	a := &place.Ask{Kind: "renewal", DataCentre: "kl-1"}
+	for range n {
+		a.Tasks = append(a.Tasks, place.Task{Needs: slot, Declared: declared})
+	}
+	return a
+}
+
+func TestStartsAtTheFastestWithRoom(t *testing.T) {
+	r := known(4, 1, "kl-1")
+	p := place.New(place.IdleFirst, r, fixed{4, 1, 2, 4}, time.Millisecond)
+	for _, want := range []int{1, 2} {
+		c := p.Place(start, seeded(), ask(1, 100*time.Millisecond), nil)[0]
+		require.Equal(t, want, c.Target().Index())
+		require.Empty(t, c.Reserve())
+	}
+}
+
+func TestCrossesOnlyForMoreThanTheRoundTrip(t *testing.T) {
+	r := known(2, 1, "kl-1", "kl-2")
+	for declared, want := range map[time.Duration]int{time.Millisecond: 0, 50 * time.Millisecond: 1} {
+		p := place.New(place.IdleFirst, r, fixed{1, 0.9}, 2*time.Millisecond)
+		c := p.Place(start, seeded(), ask(1, declared), nil)[0]
+		require.Equal(t, want, c.Target().Index())
+		r.Ended(c.Target(), slot, c.Work())
+	}
+}
+
+func TestReservesWhenNothingHasRoom(t *testing.T) {
+	r := known(3, 1, "kl-1")
+	p := place.New(place.IdleFirst, r, fixed{}, time.Millisecond)
+	out := p.Place(start, seeded(), ask(4, 100*time.Millisecond), nil)
+	for i := range 3 {
+		require.Empty(t, out[i].Reserve())
+	}
+	require.Len(t, out[3].Reserve(), 2)
+	require.Equal(t, out[3].Target(), out[3].Reserve()[0])
+	require.Positive(t, out[3].Wait())
+}
+
+func TestSpreadsAJobOverRacks(t *testing.T) {
+	r := known(9, 8, "kl-1")
+	out := place.New(place.IdleFirst, r, fixed{}, 0).Place(start, seeded(), ask(9, time.Second), nil)
+	racks := map[string]int{}
+	for _, c := range out {
+		racks[r.Rack(c.Target())]++
+	}
+	require.Equal(t, map[string]int{"rack-0": 3, "rack-1": 3, "rack-2": 3}, racks)
+}
+
+func TestLongestGoesToTheFastest(t *testing.T) {
+	r := known(2, 1, "kl-1")
+	a := ask(2, 10*time.Millisecond)
+	a.Tasks[1].Declared = time.Second
+	out := place.New(place.IdleFirst, r, fixed{2, 1}, 0).Place(start, seeded(), a, nil)
+	require.Equal(t, 1, out[1].Target().Index())
+}
+
+func TestWaitsWhenNoTargetMayGetWork(t *testing.T) {
+	r := known(1, 1, "kl-1")
+	id, _ := r.Find("target-00000")
+	r.Leave(id)
+	out := place.New(place.IdleFirst, r, fixed{}, 0).Place(start, seeded(), ask(1, time.Second), nil)
+	require.True(t, out[0].Waits())
+}
+
+func BenchmarkPlaceOne(b *testing.B) {
+	for _, n := range []int{10, 260, 2600, 26000} {
+		b.Run(fmt.Sprint("targets=", n), func(b *testing.B) {
+			r := known(n, 8, "kl-1", "kl-2", "kl-3")
+			p := place.New(place.IdleFirst, r, fixed{}, time.Millisecond)
+			rng, a := seeded(), ask(1, 100*time.Millisecond)
+			var out []place.Choice
+			b.ReportAllocs()
+			for b.Loop() {
+				out = p.Place(start, rng, a, out[:0])
+				r.Ended(out[0].Target(), slot, out[0].Work())
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/roster/group.go
@@ -0,0 +1,169 @@
+package roster
+
+import (
+	"math"
+	"math/bits"
+
+	"persimmonstage/core/needs"
+	"persimmonstage/core/target"
+)
+
+// Speeds are grouped in steps of a quarter of a doubling, and a target changes its step only when it is clearly past the edge.
+const (
+	stepsPerDoubling = 4
+	stepMargin       = 0.75
+	maxStep          = 4 * stepsPerDoubling
+)
+
+// significantBits is how exactly the capacity of a target decides its group.
+const significantBits = 3
+
+// groupKey is what the targets of a group have in common.
+type groupKey struct {
+	dataCentre string
+	shape      needs.Vector
+	step       int
+}
+
+// group lists the usable targets of one key; those with room may be able to start a task at once.
+type group struct {
+	key     groupKey
+	largest needs.Vector
+	room    []uint32
+	full    []uint32
+}
+
+// Groups returns the number of groups; some may be empty.
+func (r *Roster) Groups() int {
+	return len(r.groups)
+}
+
+// GroupDataCentre returns the data centre of the targets of a group.
+func (r *Roster) GroupDataCentre(g int) string {
+	return r.groups[g].key.dataCentre
+}
+
+// GroupFactor returns about how many times longer than the mean the targets of a group take.
+func (r *Roster) GroupFactor(g int) float64 {
+	return math.Exp2(float64(r.groups[g].key.step) / stepsPerDoubling)
+}
+
+// GroupHolds reports whether some target of a group, empty, may hold v.
+func (r *Roster) GroupHolds(g int, v needs.Vector) bool {
+	return v.Fits(r.groups[g].largest)
+}
+
+// GroupRoom returns how many targets of a group have room, and GroupFull how many have none.
+func (r *Roster) GroupRoom(g int) int {
+	return len(r.groups[g].room)
+}
+
+// GroupFull returns how many targets of a group have no room.
+func (r *Roster) GroupFull(g int) int {
+	return len(r.groups[g].full)
+}
+
+// RoomAt returns the i-th target with room of a group.
+func (r *Roster) RoomAt(g, i int) target.ID {
+	return r.id(r.groups[g].room[i])
+}
+
+// FullAt returns the i-th target without room of a group.
+func (r *Roster) FullAt(g, i int) target.ID {
+	return r.id(r.groups[g].full[i])
+}
+
+// relist puts a target into the list that fits its state, at a constant cost.
+func (r *Roster) relist(i uint32) {
+	t := &r.rows[i]
+	if t.leaving || t.ejected {
+		r.unlist(i)
+		return
+	}
+	room := t.hasRoom()
+	step := t.step(r.groups)
+	if t.listed && t.inRoom == room && r.groups[t.groupIndex].key.step == step {
+		return
+	}
+	r.unlist(i)
+	t.groupIndex = r.groupIndex(groupKey{dataCentre: t.dataCentre, shape: shape(t.capacity), step: step})
+	g := &r.groups[t.groupIndex]
+	g.largest = g.largest.Max(t.capacity)
+	list := &g.full
+	if room {
+		list = &g.room
+	}
+	t.position = len(*list)
+	t.inRoom = room
+	t.listed = true
+	*list = append(*list, i)
+}
+
+// unlist takes a target out of its list; the last of the list takes its place.
+func (r *Roster) unlist(i uint32) {
+	t := &r.rows[i]
+	if !t.listed {
+		return
+	}
+	g := &r.groups[t.groupIndex]
+	list := &g.full
+	if t.inRoom {
+		list = &g.room
+	}
+	last := len(*list) - 1
+	moved := (*list)[last]
+	(*list)[t.position] = moved
+	r.rows[moved].position = t.position
+	*list = (*list)[:last]
+	t.listed = false
+}
+
+func (r *Roster) groupIndex(key groupKey) int {
+	if g, ok := r.groupOf[key]; ok {
+		return g
+	}
+	if r.groupOf == nil {
+		r.groupOf = map[groupKey]int{}
+	}
+	r.groups = append(r.groups, group{key: key})
+	r.groupOf[key] = len(r.groups) - 1
+	return len(r.groups) - 1
+}
+
+// hasRoom reports whether the smallest task could start now; accelerators are left out, as few tasks want one.
+func (t *row) hasRoom() bool {
+	free := t.free()
+	return (t.capacity.Slots == 0 || free.Slots > 0) &&
+		(t.capacity.Cores == 0 || free.Cores > 0) &&
+		(t.capacity.MemoryMB == 0 || free.MemoryMB > 0)
+}
+
+// step returns the step of speed of a target, which is its present one unless the speed is clearly past its edge.
+func (t *row) step(groups []group) int {
+	at := t.speed
+	if t.listed {
+		present := groups[t.groupIndex].key.step
+		if math.Abs(at-float64(present)) < stepMargin {
+			return present
+		}
+	}
+	return min(maxStep, max(-maxStep, int(math.Round(at))))
+}
+
+// shape rounds a capacity down so that targets of like size share a group.
+func shape(v needs.Vector) needs.Vector {
+	return needs.Vector{
+		Slots:        roundDown(v.Slots),
+		Cores:        roundDown(v.Cores),
+		MemoryMB:     roundDown(v.MemoryMB),
+		Accelerators: roundDown(v.Accelerators),
+	}
+}
+
+func roundDown(n int) int {
+	if n <= 0 {
+		return 0
+	}
+	drop := max(0, bits.Len(uint(n))-significantBits)
+	return n >> drop << drop
+}
--- /dev/null
+++ b/core/roster/roster.go
@@ -0,0 +1,184 @@
+package roster
+
+import (
+	"math"
+	"time"
+
+	"persimmonstage/core/needs"
+	"persimmonstage/core/target"
+)
+
+// defaultSilence is how long a target may be silent before it counts as gone, unless SetSilence says otherwise.
+const defaultSilence = 3 * time.Second
+
+// load is work at a target: what it holds, of how many tasks, and the sum of their expected run times there.
+type load struct {
+	held  needs.Vector
+	tasks int
+	work  time.Duration
+}
+
+// row is what the entry knows of one target.
+type row struct {
+	generation  uint32
+	known       bool
+	leaving     bool
+	ejected     bool
+	name        string
+	incarnation string
+	rack        string
+	dataCentre  string
+	capacity    needs.Vector
+	speed       float64 // in steps of speed from the mean
+	own         load
+	others      load
+	stamp       time.Duration
+	groupIndex  int
+	position    int
+	inRoom      bool
+	listed      bool
+}
+
+// Roster is the table of targets at one entry. The load of a target is kept in two parts: the entry's own work in
+// flight, which it knows exactly, and the work of all other entries as last reported. So a report never counts a task
+// twice, however late it comes. Targets of like capacity, data centre and speed share a group with a list of those that
+// have room and a list of those that have none: a pick looks at a few of each group and never at every target.
+// The zero value works. A Roster belongs to one goroutine.
+type Roster struct {
+	rows     []row
+	deadline []time.Time
+	spare    []uint32
+	byName   map[string]uint32
+	groups   []group
+	groupOf  map[groupKey]int
+	silence  time.Duration
+}
+
+// SetSilence sets how long a target may be silent before it counts as gone.
+func (r *Roster) SetSilence(d time.Duration) {
+	r.silence = d
+}
+
+// Len returns the number of known targets.
+func (r *Roster) Len() int {
+	return len(r.byName)
+}
+
+// Find returns the ID of the present incarnation of the target called name.
+func (r *Roster) Find(name string) (target.ID, bool) {
+	i, ok := r.byName[name]
+	if !ok {
+		return 0, false
+	}
+	return r.id(i), true
+}
+
+// Name returns the name of a target, or "" if the ID is of an earlier incarnation.
+func (r *Roster) Name(id target.ID) string {
+	if t := r.row(id); t != nil {
+		return t.name
+	}
+	return ""
+}
+
+// Incarnation returns the incarnation of a target, or "" if the ID is of an earlier one.
+func (r *Roster) Incarnation(id target.ID) string {
+	if t := r.row(id); t != nil {
+		return t.incarnation
+	}
+	return ""
+}
+
+// DataCentre returns the data centre of a target.
+func (r *Roster) DataCentre(id target.ID) string {
+	if t := r.row(id); t != nil {
+		return t.dataCentre
+	}
+	return ""
+}
+
+// Rack returns the rack of a target.
+func (r *Roster) Rack(id target.ID) string {
+	if t := r.row(id); t != nil {
+		return t.rack
+	}
+	return ""
+}
+
+// Usable reports whether a target may get work: known, not leaving and not ejected.
+func (r *Roster) Usable(id target.ID) bool {
+	t := r.row(id)
+	return t != nil && t.listed
+}
+
+// Free returns what is left of the capacity of a target; a dimension is negative where work waits for it.
+func (r *Roster) Free(id target.ID) needs.Vector {
+	if t := r.row(id); t != nil {
+		return t.free()
+	}
+	return needs.Vector{}
+}
+
+// InFlight returns how many of the entry's own tasks a target holds.
+func (r *Roster) InFlight(id target.ID) int {
+	if t := r.row(id); t != nil {
+		return t.own.tasks
+	}
+	return 0
+}
+
+// Wait returns the expected time until a task that takes v can start at a target: zero when v fits what is free,
+// else the time in which the target works off what is too much.
+func (r *Roster) Wait(id target.ID, v needs.Vector) time.Duration {
+	t := r.row(id)
+	if t == nil || !v.Fits(t.capacity) {
+		return math.MaxInt64
+	}
+	free := t.free()
+	if v.Fits(free) {
+		return 0
+	}
+	over := overbooked(v.Sub(free), t.capacity)
+	n := max(1, t.own.tasks+t.others.tasks)
+	mean := float64(t.own.work+t.others.work) / float64(n)
+	return time.Duration(over * mean)
+}
+
+// overbooked returns the largest share of the capacity that is wanted beyond it.
+func overbooked(over, capacity needs.Vector) float64 {
+	share := 0.0
+	if capacity.Slots > 0 {
+		share = max(share, float64(over.Slots)/float64(capacity.Slots))
+	}
+	if capacity.Cores > 0 {
+		share = max(share, float64(over.Cores)/float64(capacity.Cores))
+	}
+	if capacity.MemoryMB > 0 {
+		share = max(share, float64(over.MemoryMB)/float64(capacity.MemoryMB))
+	}
+	if capacity.Accelerators > 0 {
+		share = max(share, float64(over.Accelerators)/float64(capacity.Accelerators))
+	}
+	return share
+}
+
+func (t *row) free() needs.Vector {
+	return t.capacity.Sub(t.own.held).Sub(t.others.held)
+}
+
+func (r *Roster) id(i uint32) target.ID {
+	return target.New(i, r.rows[i].generation)
+}
+
+// row returns the row of a present ID, or nil.
+func (r *Roster) row(id target.ID) *row {
+	i := id.Index()
+	if i >= len(r.rows) {
+		return nil
+	}
+	t := &r.rows[i]
+	if !t.known || t.generation != id.Generation() {
+		return nil
+	}
+	return t
+}
--- /dev/null
+++ b/core/target/doc.go
@@ -0,0 +1,2 @@
+// Package target holds the identity of a target within one process.
+package target
