Learn run times per kind and per target

Cause: targets differ in speed, and declared run times are up to ten times off, so expected completion needs run times that were seen. Change: core/speed estimates a run time as kind x target x a correction of the pair, all in the logarithm with bounded steps, so that a straggler moves little; six samples in a row far off on one side make an estimate quick again.

--- /dev/null
+++ b/core/speed/doc.go
@@ -0,0 +1,2 @@
+// Package speed learns how long tasks of a kind run at a target.
+package speed
--- /dev/null
+++ b/core/speed/target.go
@@ -0,0 +1,60 @@
+package speed
+
+import (
+	"persimmonstage/core/target"
+)
+
+// factor returns the learned factor of a target as a logarithm, or the mean of the targets if it is not seen.
+func (t *Table) factor(id target.ID) float64 {
+	if r := t.targetRow(id); r != nil && r.factor.count > 0 {
+		return float64(r.factor.centre)
+	}
+	return t.meanFactor()
+}
+
+func (t *Table) meanFactor() float64 {
+	if t.seen == 0 {
+		return 0
+	}
+	return t.sum / float64(t.seen)
+}
+
+// learnTarget takes by how much longer than the kind's run time a task ran at a target, as a logarithm.
+func (t *Table) learnTarget(id target.ID, off float64) {
+	for id.Index() >= len(t.targets) {
+		t.targets = append(t.targets, targetRow{})
+	}
+	r := &t.targets[id.Index()]
+	if r.generation > id.Generation() {
+		return
+	}
+	if r.generation < id.Generation() {
+		t.Forget(target.New(uint32(id.Index()), r.generation))
+		*r = targetRow{generation: id.Generation()}
+	}
+	if r.factor.count == 0 {
+		t.seen++
+	}
+	before := r.factor.centre
+	r.factor.learn(off)
+	t.sum += float64(r.factor.centre - before)
+}
+
+// Forget drops what is known of a target.
+func (t *Table) Forget(id target.ID) {
+	r := t.targetRow(id)
+	if r == nil || r.factor.count == 0 {
+		return
+	}
+	t.seen--
+	t.sum -= float64(r.factor.centre)
+	r.factor = gauge{}
+}
+
+func (t *Table) targetRow(id target.ID) *targetRow {
+	i := id.Index()
+	if i >= len(t.targets) || t.targets[i].generation != id.Generation() {
+		return nil
+	}
+	return &t.targets[i]
+}
