--- a/core/bound/bound.go
+++ b/core/bound/bound.go
@@ -1,6 +1,9 @@
 package bound
 
-// overshoot is the multiple of the free common room that one share may hold.
+// parts is the number of equal parts of the room: for teams, for kinds, and common.
+const parts = 3
+
+// overshoot is the multiple of the free common room that one team may hold.
 const overshoot = 2
 
 // Bound is a limit on items or bytes that is divided among shares; zero means no limit.
@@ -8,6 +11,16 @@
 	limit int64
 }
 
+// Ask describes a share that wants to grow.
+type Ask struct {
+	Total    int64   // units held by all
+	Team     int64   // units held by the team
+	Kind     int64   // units held by the kind in the team
+	Add      int64   // units asked for
+	TeamPart float64 // the team's weight over all known weights, 0 to 1
+	KindPart float64 // the kind's weight over the known weights of its team, 0 to 1
+}
+
 // New returns a bound of limit units.
 func New(limit int64) Bound { return Bound{limit: limit} }
 
@@ -19,23 +32,25 @@
 	return b.limit > 0 && total+add > b.limit
 }
 
-// Guarantee returns the units that a share with this fraction of the weights (0 to 1) can always hold.
-func (b Bound) Guarantee(fraction float64) int64 {
-	return int64(float64(b.limit) / 2 * fraction)
+// Guarantee returns the units that a share with this part of the weights can always hold.
+func (b Bound) Guarantee(part float64) int64 {
+	return int64(float64(b.limit) / parts * part)
 }
 
-// Admits reports whether a share that holds share of the total units may add more; an empty share may always have one
-// addition while the room lasts.
-func (b Bound) Admits(total, share, add int64, fraction float64) bool {
+// Admits reports whether a share may grow; a kind that holds nothing may always grow once while the room lasts.
+func (b Bound) Admits(a Ask) bool {
 	if b.limit <= 0 {
 		return true
 	}
-	if b.Full(total, add) {
+	if b.Full(a.Total, a.Add) {
 		return false
 	}
-	if share == 0 || share+add <= b.Guarantee(fraction) {
+	if a.Kind == 0 || a.Kind+a.Add <= b.Guarantee(a.TeamPart*a.KindPart) {
+		return true
+	}
+	if a.Team+a.Add <= b.Guarantee(a.TeamPart) {
 		return true
 	}
-	free := b.limit/2 - total - add
-	return free >= 0 && share+add <= overshoot*(free+add)
+	free := b.limit/parts - a.Total
+	return a.Add <= free && a.Team+a.Add <= overshoot*free
 }
--- /dev/null
+++ b/core/bound/bound_test.go
@@ -0,0 +1,46 @@
+package bound
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func TestZeroBoundAdmitsEverything(t *testing.T) {
+	require.True(t, Bound{}.Admits(Ask{Total: 1 << 40, Kind: 1 << 40, Add: 1 << 40}))
+}
+
+// The promise: whatever the others did before, growth within a guarantee of fixed weights finds room.
+func TestGrowthWithinAGuaranteeIsNeverRefused(t *testing.T) {
+	const kinds = 3
+	rapid.Check(t, func(t *rapid.T) {
+		b := New(rapid.Int64Range(100, 5000).Draw(t, "limit"))
+		teams := rapid.IntRange(1, 8).Draw(t, "teams")
+		held := make([][kinds]int64, teams)
+		var total int64
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			i := rapid.IntRange(0, teams-1).Draw(t, "team")
+			k := rapid.IntRange(0, kinds-1).Draw(t, "kind")
+			ask := Ask{
+				Total: total, Team: held[i][0] + held[i][1] + held[i][2], Kind: held[i][k],
+				Add:      rapid.Int64Range(1, 200).Draw(t, "add"),
+				TeamPart: 1 / float64(teams), KindPart: 1.0 / kinds,
+			}
+			firstOfKind := ask.Kind == 0
+			within := ask.Team+ask.Add <= b.Guarantee(ask.TeamPart) ||
+				ask.Kind+ask.Add <= b.Guarantee(ask.TeamPart*ask.KindPart)
+			admitted := b.Admits(ask)
+			if within && !admitted {
+				t.Fatalf("refused within the guarantee: %+v", ask)
+			}
+			if admitted && !(firstOfKind && !within) {
+				held[i][k] += ask.Add
+				total += ask.Add
+			}
+			if total > b.Limit() {
+				t.Fatalf("holds %d of %d", total, b.Limit())
+			}
+		}
+	})
+}
--- a/core/bound/doc.go
+++ b/core/bound/doc.go
@@ -1,6 +1,6 @@
-// Package bound divides a limited amount of room among weighted shares.
+// Package bound divides a limited amount of room among teams by weight, and a team's part among its kinds.
 //
-// Half of the room is guaranteed to the shares by weight; the other half goes to whoever asks first, but no share
-// takes more than two thirds of it. Growth beyond a guarantee stops when half of the room is in use, so that growth
-// within a guarantee always finds room. Nothing has to be evicted to keep that promise.
+// A third of the room is guaranteed to the teams, a third to the kinds, and a third is common: growth beyond the
+// guarantees stops when a third of the whole room is in use, so growth within a guarantee always finds room as long as
+// the weights stay the same. Nothing has to be evicted to keep that promise.
 package bound
--- a/core/queue/pop.go
+++ b/core/queue/pop.go
@@ -92,5 +92,5 @@
 
 // within reports whether a share runs less than its part of the host.
 func (q *Queue[T]) within(k *kind[T]) bool {
-	return float64(k.running) < q.knownFraction(k)*wholeHost
+	return float64(k.running) < q.teamPart(k.team)*k.part()*wholeHost
 }
--- a/core/queue/push.go
+++ b/core/queue/push.go
@@ -1,5 +1,7 @@
 package queue
 
+import "persimmonstage/core/bound"
+
 // Push adds an item, or returns a *FullError and leaves the queue as it was.
 func (q *Queue[T]) Push(item Item[T]) error {
 	q.init()
@@ -28,22 +30,30 @@
 		}
 		k = q.kind(q.team(item.Team), item.Kind)
 	}
-	fraction := q.knownFraction(k)
-	if q.items.Full(int64(len(q.entries)), 1) {
-		return nil, q.refuse(item, QueueFull, "items", int64(len(q.entries)), q.items.Limit())
+	n := int64(len(q.entries))
+	if q.items.Full(n, 1) {
+		return nil, q.refuse(item, QueueFull, "items", n, q.items.Limit())
 	}
 	if q.memory.Full(q.bytes, item.Bytes) {
 		return nil, q.refuse(item, QueueFull, "bytes", q.bytes, q.memory.Limit())
 	}
-	if !q.items.Admits(int64(len(q.entries)), k.queued, 1, fraction) {
+	if !q.items.Admits(q.ask(k, n, k.team.queued, k.queued, 1)) {
 		return nil, q.refuse(item, ShareFull, "items", k.queued, q.items.Limit())
 	}
-	if !q.memory.Admits(q.bytes, k.bytes, item.Bytes, fraction) {
+	if !q.memory.Admits(q.ask(k, q.bytes, k.team.bytes, k.bytes, item.Bytes)) {
 		return nil, q.refuse(item, ShareFull, "bytes", k.bytes, q.memory.Limit())
 	}
 	return k, nil
 }
 
+func (q *Queue[T]) ask(k *kind[T], total, teamHeld, kindHeld, add int64) bound.Ask {
+	return bound.Ask{
+		Total: total, Team: teamHeld, Kind: kindHeld, Add: add,
+		TeamPart: q.teamPart(k.team),
+		KindPart: k.part(),
+	}
+}
+
 func (q *Queue[T]) refuse(item *Item[T], reason, unit string, held, limit int64) error {
 	return &FullError{
 		Reason: reason, Team: item.Team, Kind: item.Kind, Key: item.Key,
@@ -72,6 +82,7 @@
 	k.queued++
 	t.queued++
 	k.bytes += e.item.Bytes
+	t.bytes += e.item.Bytes
 	q.bytes += e.item.Bytes
 	k.backlog += e.item.cost(e.item.Run)
 	k.lastUse = q.seq
@@ -98,6 +109,7 @@
 	k.queued--
 	t.queued--
 	k.bytes -= e.item.Bytes
+	t.bytes -= e.item.Bytes
 	q.bytes -= e.item.Bytes
 	k.backlog -= e.item.cost(e.item.Run)
 	if k.queued == 0 {
--- a/core/queue/share.go
+++ b/core/queue/share.go
@@ -13,6 +13,7 @@
 	start  float64 // host-seconds per unit of weight
 	place  int     // in the parent's heap; -1 while nothing waits
 	queued int64
+	bytes  int64
 	active bool // has waiting or running items
 	kept   bool // named by a setting
 }
@@ -51,8 +52,7 @@
 	share
 	team    *team[T]
 	items   *heap.Heap[*entry[T]]
-	running int64 // thousandths of the host
-	bytes   int64
+	running int64   // thousandths of the host
 	backlog float64 // host-seconds that wait
 	lastUse uint64  // sequence number of the last push
 }
--- a/core/queue/wait.go
+++ b/core/queue/wait.go
@@ -2,15 +2,27 @@
 
 import "time"
 
-// Wait returns the expected wait of a new item at the end of a share: the share's backlog and debt over the part of
-// the host that it gets among the shares that are busy now. It leaves out the rest of the tasks that run now.
+// Wait returns the expected wait of a new item of a share: the share's backlog and debt over the part of the host that
+// it gets among the shares that are busy now. It leaves out the rest of the tasks that run now.
 func (q *Queue[T]) Wait(teamName, kindName string) time.Duration {
 	k := q.find(teamName, kindName)
 	if k == nil || k.queued == 0 {
 		return 0
 	}
+	return seconds((k.backlog + k.debt()) / q.rate(k))
+}
+
+// rate returns the host-seconds a second that a busy share gets while the present set of shares stays busy.
+func (q *Queue[T]) rate(k *kind[T]) float64 {
 	t := k.team
-	fraction := float64(t.weight) / float64(q.weights.active) * float64(k.weight) / float64(t.weights.active)
-	debt := max(k.start-t.now, 0) * float64(k.weight)
-	return time.Duration((k.backlog + debt) / fraction * float64(time.Second))
+	return float64(t.weight) / float64(q.weights.active) * float64(k.weight) / float64(t.weights.active)
+}
+
+// debt returns the host-seconds that the others of the team are served first.
+func (k *kind[T]) debt() float64 {
+	return max(k.start-k.team.now, 0) * float64(k.weight)
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second))
 }
--- a/core/queue/weight.go
+++ b/core/queue/weight.go
@@ -54,10 +54,14 @@
 	return t.kinds[kindName]
 }
 
-// knownFraction returns the part of the host that is the share's when every known share is busy, 0 to 1.
-func (q *Queue[T]) knownFraction(k *kind[T]) float64 {
-	t := k.team
-	return float64(t.weight) / float64(q.weights.known) * float64(k.weight) / float64(t.weights.known)
+// teamPart returns the team's weight over the weights of all known teams, 0 to 1.
+func (q *Queue[T]) teamPart(t *team[T]) float64 {
+	return float64(t.weight) / float64(q.weights.known)
+}
+
+// part returns the kind's weight over the known weights of its team, 0 to 1.
+func (k *kind[T]) part() float64 {
+	return float64(k.weight) / float64(k.team.weights.known)
 }
 
 // setActive keeps the sums of the active weights after a change of what waits or runs.
