Merge, check and read the operators' configuration

Cause: operators keep TOML files in a folder; a later file refines an earlier one, and every fault must name file, line, key and limit. Change: core/fold merges documents key by key into flat leaves with the file and line of each, renders them in one canonical form, and gives the difference of two documents as core/delta changes. core/schema declares every key with type, limits and default, checks each file, and renders the reference. core/rules reads a document into what the daemons ask: weights, quotas, limits, drains and tokens compared in constant time. Ruled out: readers that validate. An older program that refused a document would fall behind the others, so the publisher checks and a reader gives an unusable value its default. Figures: none yet; the 15 KB is arithmetic, not a measurement. Conclusion: the flat form carries merge, diff and change records alike.

--- /dev/null
+++ b/core/fold/document.go
@@ -0,0 +1,117 @@
+package fold
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"persimmonstage/core/cfgerr"
+	"persimmonstage/core/delta"
+	"persimmonstage/core/lines"
+)
+
+// A document is kept flat, one leaf per key, so that two of them differ by keys and a change record is small however
+// large the whole is: at the size aimed at, whole documents would cost every process more than its bytes a second.
+
+// EmptyTable is the literal of a table without keys.
+const EmptyTable = "{}"
+
+type leaf struct {
+	key     []string
+	name    string
+	literal string
+	value   any
+	file    string
+	line    int
+}
+
+// Document is an immutable configuration document; the zero value is the empty one.
+type Document struct {
+	leaves []leaf
+}
+
+// Len returns the number of keys.
+func (d Document) Len() int { return len(d.leaves) }
+
+// Each visits the keys in order with their parts, their value in TOML and in Go, and the file and line that set them.
+func (d Document) Each(visit func(key []string, literal string, value any, file string, line int)) {
+	for _, l := range d.leaves {
+		visit(l.key, l.literal, l.value, l.file, l.line)
+	}
+}
+
+// Origin returns the file and the line that set key, or "" and 0.
+func (d Document) Origin(key ...string) (string, int) {
+	if i, ok := d.find(lines.Dotted(key)); ok {
+		return d.leaves[i].file, d.leaves[i].line
+	}
+	return "", 0
+}
+
+// Value returns the value of key: a bool, int64, float64, string or []any.
+func (d Document) Value(key ...string) (any, bool) {
+	i, ok := d.find(lines.Dotted(key))
+	if !ok {
+		return nil, false
+	}
+	return d.leaves[i].value, true
+}
+
+// Sum returns a checksum over keys and values, equal for documents that mean the same.
+func (d Document) Sum() uint64 {
+	h := xxhash.New()
+	for _, l := range d.leaves {
+		_, _ = h.WriteString(l.name + " = " + l.literal + "\n")
+	}
+	return h.Sum64()
+}
+
+// Diff returns the changes that turn d into to, in the order of keys.
+func (d Document) Diff(to Document) []delta.Change {
+	var changes []delta.Change
+	for _, l := range d.leaves {
+		if _, ok := to.find(l.name); !ok {
+			changes = append(changes, delta.Remove(l.key))
+		}
+	}
+	for _, l := range to.leaves {
+		if i, ok := d.find(l.name); !ok || d.leaves[i].literal != l.literal {
+			changes = append(changes, delta.Set(l.key, l.literal))
+		}
+	}
+	return delta.Join(changes)
+}
+
+// Apply returns the document with the changes made; a literal that is not TOML is an error.
+func (d Document) Apply(changes []delta.Change) (Document, error) {
+	byName := make(map[string]leaf, len(d.leaves)+len(changes))
+	for _, l := range d.leaves {
+		byName[l.name] = l
+	}
+	for _, c := range changes {
+		if c.Removed() {
+			delete(byName, c.Name())
+			continue
+		}
+		value, err := parseLiteral(c.Literal())
+		if err != nil {
+			return Document{}, cfgerr.New("", 0, c.Name(), err.Error())
+		}
+		byName[c.Name()] = leaf{key: c.Key(), name: c.Name(), literal: c.Literal(), value: value}
+	}
+	return sorted(byName), nil
+}
+
+func (d Document) find(name string) (int, bool) {
+	return slices.BinarySearchFunc(d.leaves, name, func(l leaf, name string) int { return strings.Compare(l.name, name) })
+}
+
+func sorted(byName map[string]leaf) Document {
+	leaves := make([]leaf, 0, len(byName))
+	for _, l := range byName {
+		leaves = append(leaves, l)
+	}
+	slices.SortFunc(leaves, func(a, b leaf) int { return strings.Compare(a.name, b.name) })
+	return Document{leaves: leaves}
+}
--- /dev/null
+++ b/core/fold/merge.go
@@ -0,0 +1,102 @@
+package fold
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/pelletier/go-toml/v2"
+
+	"persimmonstage/core/cfgerr"
+	"persimmonstage/core/lines"
+)
+
+// Merge folds the named TOML documents in the order of their names: tables key by key, later values win. A file that
+// isn't TOML, or that sets a value where an earlier one has a table, is a *cfgerr.Error.
+func Merge(files map[string][]byte) (Document, error) {
+	m := merger{leaves: make(map[string]leaf), tables: make(map[string]leaf)}
+	for _, name := range slices.Sorted(maps.Keys(files)) {
+		d, err := Parse(name, files[name])
+		if err != nil {
+			return Document{}, err
+		}
+		for _, l := range d.leaves {
+			if err := m.add(l); err != nil {
+				return Document{}, err
+			}
+		}
+	}
+	return sorted(m.leaves), nil
+}
+
+// Parse reads one TOML document; one that isn't TOML is a *cfgerr.Error.
+func Parse(file string, data []byte) (Document, error) {
+	var tree map[string]any
+	if err := toml.Unmarshal(data, &tree); err != nil {
+		return Document{}, syntax(file, err)
+	}
+	byName := make(map[string]leaf)
+	index := lines.Of(data)
+	flatten(nil, tree, func(key []string, value any) {
+		name := lines.Dotted(key)
+		line := index.Line(key...)
+		byName[name] = leaf{key: key, name: name, literal: literal(value), value: value, file: file, line: line}
+	})
+	return sorted(byName), nil
+}
+
+func syntax(file string, err error) error {
+	var decode *toml.DecodeError
+	if !errors.As(err, &decode) {
+		return cfgerr.New(file, 0, "", strings.TrimPrefix(err.Error(), "toml: "))
+	}
+	line, _ := decode.Position()
+	return cfgerr.New(file, line, lines.Dotted(decode.Key()), strings.TrimPrefix(decode.Error(), "toml: "))
+}
+
+// flatten visits each value, and each empty table but the document itself.
+func flatten(prefix []string, tree map[string]any, visit func(key []string, value any)) {
+	for part, value := range tree {
+		key := append(slices.Clone(prefix), part)
+		if table, ok := value.(map[string]any); ok && len(table) > 0 {
+			flatten(key, table, visit)
+			continue
+		}
+		visit(key, value)
+	}
+}
+
+// merger holds the leaves so far, and for each table one leaf inside it.
+type merger struct {
+	leaves map[string]leaf
+	tables map[string]leaf
+}
+
+// add refuses a value where an earlier file has a table and the reverse, and otherwise lets the later leaf win.
+func (m *merger) add(l leaf) error {
+	if l.literal == EmptyTable {
+		if _, ok := m.tables[l.name]; ok {
+			return nil
+		}
+	} else if earlier, ok := m.tables[l.name]; ok {
+		return conflict(l, earlier)
+	}
+	for n := 1; n < len(l.key); n++ {
+		table := lines.Dotted(l.key[:n])
+		if earlier, ok := m.leaves[table]; ok && earlier.literal != EmptyTable {
+			return conflict(l, earlier)
+		}
+		delete(m.leaves, table)
+		m.tables[table] = l
+	}
+	if earlier, ok := m.leaves[l.name]; ok && (earlier.literal == EmptyTable) != (l.literal == EmptyTable) {
+		return conflict(l, earlier)
+	}
+	m.leaves[l.name] = l
+	return nil
+}
+
+func conflict(l, earlier leaf) error {
+	return cfgerr.New(l.file, l.line, l.name, "wrong type: a table and a value under one key; see "+place(earlier))
+}
--- /dev/null
+++ b/core/rules/rules.go
@@ -0,0 +1,275 @@
+package rules
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"time"
+
+	"persimmonstage/core/fold"
+)
+
+// A daemon never refuses a document: the publisher checked it, perhaps with a newer program, and a reader that stopped
+// at a key it doesn't know would fall behind the others. What it can't use has its default.
+
+// Defaults of the keys that a document leaves out; package schema states the same in the reference.
+const (
+	DefaultWeight       = 1
+	DefaultUrgency      = 5
+	DefaultBodyBytes    = 16 << 20
+	DefaultHeaderBytes  = 8 << 10
+	DefaultPayloadBytes = 64 << 10
+	DefaultTasksPerJob  = 160
+	DefaultMaxDeadline  = 10 * time.Minute
+	DefaultIssuedSkew   = 2 * time.Second
+	DefaultRetryShare   = 0.1
+)
+
+const (
+	accessOpen    = "open"
+	maxTokenBytes = 4096
+	hashBytes     = sha256.Size
+
+	keyTeams     = "teams"
+	keyKinds     = "kinds"
+	keyLimits    = "limits"
+	keyAccess    = "access"
+	keyOperators = "operators"
+	keyDrain     = "drain"
+)
+
+type kind struct {
+	weight     int
+	urgency    int
+	expected   time.Duration
+	idempotent bool
+}
+
+type team struct {
+	weight       int
+	startsPerSec int
+	running      int
+	hashes       [][hashBytes]byte
+	kinds        map[string]kind
+}
+
+type operator struct {
+	name string
+	hash [hashBytes]byte
+}
+
+// Rules is what one configuration version asks of the daemons; it is immutable, and the zero value refuses all tokens.
+type Rules struct {
+	doc       fold.Document
+	teams     map[string]team
+	operators []operator
+	drained   map[drain]bool
+}
+
+// drain is one item of a list under [drain].
+type drain struct{ list, name string }
+
+// Of reads a document.
+func Of(d fold.Document) *Rules {
+	r := &Rules{doc: d, teams: make(map[string]team), drained: make(map[drain]bool)}
+	d.Each(func(key []string, _ string, value any, _ string, _ int) {
+		switch {
+		case len(key) > 1 && key[0] == keyTeams:
+			r.readTeam(key[1], key[2:], value)
+		case len(key) == 3 && key[0] == keyOperators && key[2] == "token-hash":
+			if hash, ok := parseHash(value); ok {
+				r.operators = append(r.operators, operator{name: key[1], hash: hash})
+			}
+		case len(key) == 2 && key[0] == keyDrain:
+			items, _ := value.([]any)
+			for _, item := range items {
+				name, _ := item.(string)
+				r.drained[drain{list: key[1], name: name}] = true
+			}
+		}
+	})
+	return r
+}
+
+func (r *Rules) readTeam(name string, key []string, value any) {
+	t, ok := r.teams[name]
+	if !ok {
+		t = team{weight: DefaultWeight, kinds: make(map[string]kind)}
+	}
+	switch {
+	case len(key) == 1:
+		t.set(key[0], value)
+	case len(key) >= 2 && key[0] == keyKinds:
+		k, ok := t.kinds[key[1]]
+		if !ok {
+			k = kind{weight: DefaultWeight, urgency: DefaultUrgency}
+		}
+		if len(key) == 3 {
+			k.set(key[2], value)
+		}
+		t.kinds[key[1]] = k
+	}
+	r.teams[name] = t
+}
+
+func (t *team) set(key string, value any) {
+	switch key {
+	case "weight":
+		t.weight = whole(value, t.weight)
+	case "quota-starts-per-second":
+		t.startsPerSec = whole(value, 0)
+	case "quota-running":
+		t.running = whole(value, 0)
+	case "token-hashes":
+		items, _ := value.([]any)
+		for _, item := range items {
+			if hash, ok := parseHash(item); ok {
+				t.hashes = append(t.hashes, hash)
+			}
+		}
+	}
+}
+
+func (k *kind) set(key string, value any) {
+	switch key {
+	case "weight":
+		k.weight = whole(value, k.weight)
+	case "urgency":
+		k.urgency = whole(value, k.urgency)
+	case "expected-ms":
+		k.expected = time.Duration(whole(value, 0)) * time.Millisecond
+	case "idempotent":
+		k.idempotent, _ = value.(bool)
+	}
+}
+
+func whole(value any, fallback int) int {
+	n, ok := value.(int64)
+	if !ok || n < 0 {
+		return fallback
+	}
+	return int(n)
+}
+
+func parseHash(value any) ([hashBytes]byte, bool) {
+	var hash [hashBytes]byte
+	s, _ := value.(string)
+	raw, err := hex.DecodeString(s)
+	if err != nil || len(raw) != hashBytes {
+		return hash, false
+	}
+	copy(hash[:], raw)
+	return hash, true
+}
+
+// Document returns what the rules were read from.
+func (r *Rules) Document() fold.Document { return r.doc }
+
+// Teams returns the names of the configured teams in order.
+func (r *Rules) Teams() []string {
+	names := make([]string, 0, len(r.teams))
+	for name := range r.teams {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// TeamWeight returns the team's share of capacity against the other teams' (1 for a team that isn't configured).
+func (r *Rules) TeamWeight(name string) int { return r.team(name).weight }
+
+// QuotaStarts returns the most task starts a second of the team, and false when it has no quota.
+func (r *Rules) QuotaStarts(name string) (int, bool) {
+	n := r.team(name).startsPerSec
+	return n, n > 0
+}
+
+// QuotaRunning returns the most tasks of the team that run at once, and false when it has no quota.
+func (r *Rules) QuotaRunning(name string) (int, bool) {
+	n := r.team(name).running
+	return n, n > 0
+}
+
+// KindWeight returns the kind's share of its team's share (1 for a kind that isn't configured).
+func (r *Rules) KindWeight(teamName, kindName string) int { return r.kind(teamName, kindName).weight }
+
+// Urgency returns the kind's place inside its team's share: 0 to 9, 9 goes first.
+func (r *Rules) Urgency(teamName, kindName string) int { return r.kind(teamName, kindName).urgency }
+
+// Expected returns the run time expected of a task of the kind, and false when it is to be learned.
+func (r *Rules) Expected(teamName, kindName string) (time.Duration, bool) {
+	d := r.kind(teamName, kindName).expected
+	return d, d > 0
+}
+
+// Idempotent tells whether running a task of the kind twice does no harm.
+func (r *Rules) Idempotent(teamName, kindName string) bool {
+	return r.kind(teamName, kindName).idempotent
+}
+
+func (r *Rules) team(name string) team {
+	if t, ok := r.teams[name]; ok {
+		return t
+	}
+	return team{weight: DefaultWeight}
+}
+
+func (r *Rules) kind(teamName, kindName string) kind {
+	if k, ok := r.team(teamName).kinds[kindName]; ok {
+		return k
+	}
+	return kind{weight: DefaultWeight, urgency: DefaultUrgency}
+}
+
+// BodyBytes returns the largest request body.
+func (r *Rules) BodyBytes() int { return r.limit("body-bytes", DefaultBodyBytes) }
+
+// HeaderBytes returns the largest request header.
+func (r *Rules) HeaderBytes() int { return r.limit("header-bytes", DefaultHeaderBytes) }
+
+// PayloadBytes returns the largest payload of one task.
+func (r *Rules) PayloadBytes() int { return r.limit("payload-bytes", DefaultPayloadBytes) }
+
+// TasksPerJob returns the most tasks of one job.
+func (r *Rules) TasksPerJob() int {
+	return min(r.limit("tasks-per-job", DefaultTasksPerJob), DefaultTasksPerJob)
+}
+
+// LatestDeadline returns the last deadline that a job issued at the given time may have.
+func (r *Rules) LatestDeadline(issued time.Time) time.Time {
+	return issued.Add(r.millis("max-deadline-ms", DefaultMaxDeadline))
+}
+
+// LatestIssued returns the last time of issue that an entry accepts now.
+func (r *Rules) LatestIssued(now time.Time) time.Time {
+	return now.Add(r.millis("issued-skew-ms", DefaultIssuedSkew))
+}
+
+// RetryShare returns the retries allowed as a share of starts, 0 to 1.
+func (r *Rules) RetryShare() float64 {
+	value, _ := r.doc.Value("retries", "share")
+	switch v := value.(type) {
+	case float64:
+		return min(max(v, 0), 1)
+	case int64:
+		return min(max(float64(v), 0), 1)
+	}
+	return DefaultRetryShare
+}
+
+// Drained tells whether a target of this name on this host gets no new work.
+func (r *Rules) Drained(target, host string) bool {
+	return r.drained[drain{"targets", target}] || r.drained[drain{"hosts", host}]
+}
+
+func (r *Rules) limit(key string, fallback int) int {
+	value, ok := r.doc.Value(keyLimits, key)
+	if !ok {
+		return fallback
+	}
+	return whole(value, fallback)
+}
+
+func (r *Rules) millis(key string, fallback time.Duration) time.Duration {
+	return time.Duration(r.limit(key, int(fallback.Milliseconds()))) * time.Millisecond
+}
--- /dev/null
+++ b/core/rules/rules_test.go
@@ -0,0 +1,104 @@
+package rules
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"persimmonstage/core/fold"
+	"persimmonstage/core/schema"
+)
+
+func read(t *testing.T, text string) *Rules {
+	t.Helper()
+	d, err := fold.Parse("a.toml", []byte(text))
+	require.NoError(t, err)
+	return Of(d)
+}
+
+func TestRulesOfAFullDocument(t *testing.T) {
+	text := fmt.Sprintf(`
+[access]
+callers = "tokens"
+[drain]
+hosts = ["10.0.0.7"]
+targets = ["saw-2"]
+[limits]
+body-bytes = 2048
+max-deadline-ms = 5000
+issued-skew-ms = 100
+[operators.ana]
+token-hash = "%s"
+[retries]
+share = 1
+[teams.kits]
+weight = 3
+quota-running = 7
+token-hashes = ["%s", "%s"]
+[teams.kits.kinds.label]
+weight = 2
+urgency = 9
+expected-ms = 250
+idempotent = true
+[teams.kits.kinds.cut]
+[teams.strings]
+`, HashToken("ana's"), HashToken("old"), HashToken("new"))
+	r := read(t, text)
+	require.Empty(t, schema.Operators().Check(r.Document()))
+	require.Equal(t, []string{"kits", "strings"}, r.Teams())
+	require.Equal(t, 3, r.TeamWeight("kits"))
+	require.Equal(t, 1, r.TeamWeight("nobody"))
+	n, ok := r.QuotaRunning("kits")
+	require.True(t, ok)
+	require.Equal(t, 7, n)
+	_, ok = r.QuotaStarts("kits")
+	require.False(t, ok)
+	require.Equal(t, []int{2, 9, 1, 5}, []int{
+		r.KindWeight("kits", "label"), r.Urgency("kits", "label"), r.KindWeight("kits", "cut"), r.Urgency("kits", "cut"),
+	})
+	d, ok := r.Expected("kits", "label")
+	require.True(t, ok)
+	require.Equal(t, 250*time.Millisecond, d)
+	require.True(t, r.Idempotent("kits", "label"))
+	require.False(t, r.Idempotent("kits", "cut"))
+
+	require.True(t, r.CallerAllowed("kits", "old"))
+	require.True(t, r.CallerAllowed("kits", "new"))
+	require.False(t, r.CallerAllowed("strings", "new"))
+	require.False(t, r.CallerAllowed("kits", ""))
+	require.False(t, r.CallerAllowed("kits", HashToken("new")))
+	name, ok := r.Operator("ana's")
+	require.True(t, ok)
+	require.Equal(t, "ana", name)
+	_, ok = r.Operator("new")
+	require.False(t, ok)
+
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	require.Equal(t, now.Add(5*time.Second), r.LatestDeadline(now))
+	require.Equal(t, now.Add(100*time.Millisecond), r.LatestIssued(now))
+	require.Equal(t, []int{2048, DefaultHeaderBytes, DefaultPayloadBytes, 160}, []int{
+		r.BodyBytes(), r.HeaderBytes(), r.PayloadBytes(), r.TasksPerJob(),
+	})
+	require.InDelta(t, 1, r.RetryShare(), 0)
+	require.True(t, r.Drained("saw-2", "10.0.0.9"))
+	require.True(t, r.Drained("saw-3", "10.0.0.7"))
+	require.False(t, r.Drained("10.0.0.7", "saw-2"))
+}
+
+func TestUnknownAndWrongValuesHaveDefaults(t *testing.T) {
+	r := read(t, "new = 1\n[teams.a]\nweight = \"x\"\nlater = 2\n[teams.a.kinds]\nb = 3\n[limits]\nbody-bytes = -1\n[retries]\nshare = 7\n")
+	require.Equal(t, 1, r.TeamWeight("a"))
+	require.Equal(t, DefaultBodyBytes, r.BodyBytes())
+	require.InDelta(t, 1, r.RetryShare(), 0)
+}
+
+func TestZeroRulesRefuseTokens(t *testing.T) {
+	var r Rules
+	require.False(t, r.CallerAllowed("a", ""))
+	_, ok := r.Operator("")
+	require.False(t, ok)
+	require.Equal(t, DefaultBodyBytes, r.BodyBytes())
+	require.True(t, read(t, "access = {callers = \"open\", operators = \"open\"}").CallersOpen())
+}
--- /dev/null
+++ b/core/rules/tokens.go
@@ -0,0 +1,51 @@
+package rules
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+)
+
+// CallerAllowed tells whether token lets a caller act for the team; the time taken doesn't depend on the token.
+func (r *Rules) CallerAllowed(teamName, token string) bool {
+	if r.access("callers") == accessOpen {
+		return true
+	}
+	hash := sha256.Sum256([]byte(token[:min(len(token), maxTokenBytes)]))
+	match := 0
+	for _, h := range r.team(teamName).hashes {
+		match |= subtle.ConstantTimeCompare(h[:], hash[:])
+	}
+	return match == 1 && len(token) <= maxTokenBytes
+}
+
+// Operator returns the name of the operator whose token it is; with open access that is "anyone" for any token.
+func (r *Rules) Operator(token string) (string, bool) {
+	hash := sha256.Sum256([]byte(token[:min(len(token), maxTokenBytes)]))
+	found := -1
+	for i, o := range r.operators {
+		found = subtle.ConstantTimeSelect(subtle.ConstantTimeCompare(o.hash[:], hash[:]), i, found)
+	}
+	switch {
+	case found >= 0 && len(token) <= maxTokenBytes:
+		return r.operators[found].name, true
+	case r.access("operators") == accessOpen:
+		return "anyone", true
+	}
+	return "", false
+}
+
+// CallersOpen tells whether callers need no token.
+func (r *Rules) CallersOpen() bool { return r.access("callers") == accessOpen }
+
+func (r *Rules) access(key string) string {
+	value, _ := r.doc.Value(keyAccess, key)
+	s, _ := value.(string)
+	return s
+}
+
+// HashToken returns the form in which a token stands in the configuration.
+func HashToken(token string) string {
+	hash := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(hash[:])
+}
