Add causes and the minute roll-ups of an entry

The owner's page needs to know which work suffered and why, from every entry, without a store of our own and without counting twice.

core/cause names each thing that work can suffer from, with the sentence for an owner. core/series counts a (team, kind), core/rollup is the record of a stretch, core/tally closes minutes and holds them in bounded memory until they are written: resolution of old minutes is given up first, then their response times, then counts, and a loss of counts is stated in the next record. A record that was handed out for writing is frozen, so that an append whose answer was lost can't be counted twice.

Ruled out: an id made of the minute, as a clock set back would give two records one id; a sequence number per incarnation does not. Dense histograms, as a minute fills few buckets; the library's sparse form is used. Blocks coarser than a quarter of an hour, as local midnights lie on quarters.

Tests: a property over random outages, lost answers and clock steps finds the sum of the records and stated losses equal to what went in; 36 hours of outage stay within the bound.

--- /dev/null
+++ b/core/series/json.go
@@ -0,0 +1,124 @@
+package series
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"time"
+
+	hdr "github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+
+	"persimmonstage/core/cause"
+	"persimmonstage/core/ended"
+)
+
+// record form of a Series; histograms are in the library's own text encoding.
+type wire struct {
+	Team        string     `json:"team"`
+	Kind        string     `json:"kind"`
+	Complete    int64      `json:"complete,omitempty"`
+	Failed      int64      `json:"failed,omitempty"`
+	Refused     int64      `json:"refused,omitempty"`
+	Unknown     int64      `json:"unknown,omitempty"`
+	Tasks       int64      `json:"tasks,omitempty"`
+	Late        int64      `json:"late,omitempty"`
+	WorstLateUS int64      `json:"worst-late-us,omitempty"`
+	Suffered    []wireHarm `json:"suffered,omitempty"`
+	Untimed     int64      `json:"untimed,omitempty"`
+	Response    string     `json:"response,omitempty"`
+	OverIdeal   string     `json:"over-ideal,omitempty"`
+}
+
+type wireHarm struct {
+	Outcome ended.Outcome `json:"outcome"`
+	Cause   cause.Cause   `json:"cause,omitempty"`
+	Late    bool          `json:"late,omitempty"`
+	Jobs    int64         `json:"jobs"`
+}
+
+// MarshalJSON writes s in a fixed order, so that equal accounts give equal bytes.
+func (s *Series) MarshalJSON() ([]byte, error) {
+	w := wire{
+		Team: s.team, Kind: s.kind, Tasks: s.tasks, Late: s.late, Untimed: s.untimed,
+		Complete: s.jobs[ended.Complete], Failed: s.jobs[ended.Failed],
+		Refused: s.jobs[ended.Refused], Unknown: s.jobs[ended.Unknown],
+		WorstLateUS: s.worstLate.Microseconds(),
+	}
+	for h, n := range s.suffered {
+		w.Suffered = append(w.Suffered, wireHarm{Outcome: h.Outcome, Cause: h.Cause, Late: h.Late, Jobs: n})
+	}
+	slices.SortFunc(w.Suffered, compareHarm)
+	var err error
+	if w.Response, err = encode(s.response); err != nil {
+		return nil, err
+	}
+	if w.OverIdeal, err = encode(s.ratio); err != nil {
+		return nil, err
+	}
+	return json.Marshal(w)
+}
+
+// UnmarshalJSON reads what MarshalJSON wrote; it fails on a negative count or a histogram that doesn't decode.
+func (s *Series) UnmarshalJSON(data []byte) error {
+	var w wire
+	if err := json.Unmarshal(data, &w); err != nil {
+		return errors.Wrap(err, "series")
+	}
+	if min(w.Complete, w.Failed, w.Refused, w.Unknown, w.Tasks, w.Late, w.WorstLateUS, w.Untimed) < 0 {
+		return errors.Newf("series %q %q: negative count", w.Team, w.Kind)
+	}
+	*s = Series{team: w.Team, kind: w.Kind, tasks: w.Tasks, late: w.Late, untimed: w.Untimed}
+	s.worstLate = time.Duration(w.WorstLateUS) * time.Microsecond
+	s.jobs = map[ended.Outcome]int64{
+		ended.Complete: w.Complete, ended.Failed: w.Failed, ended.Refused: w.Refused, ended.Unknown: w.Unknown,
+	}
+	for _, h := range w.Suffered {
+		if h.Jobs < 0 {
+			return errors.Newf("series %q %q: negative count", w.Team, w.Kind)
+		}
+		s.suffer(Harm{Outcome: h.Outcome, Cause: h.Cause, Late: h.Late}, h.Jobs)
+	}
+	var err error
+	if s.response, err = decode(w.Response, highestMicros, responseDigits); err != nil {
+		return errors.Wrapf(err, "series %q %q: response", w.Team, w.Kind)
+	}
+	if s.ratio, err = decode(w.OverIdeal, highestRatio, ratioDigits); err != nil {
+		return errors.Wrapf(err, "series %q %q: over-ideal", w.Team, w.Kind)
+	}
+	return nil
+}
+
+func compareHarm(a, b wireHarm) int {
+	late := func(h wireHarm) int {
+		if h.Late {
+			return 1
+		}
+		return 0
+	}
+	return cmp.Or(cmp.Compare(a.Outcome, b.Outcome), cmp.Compare(a.Cause, b.Cause), cmp.Compare(late(a), late(b)))
+}
+
+func encode(h *hdr.PackedHistogram) (string, error) {
+	if h == nil || h.TotalCount() == 0 {
+		return "", nil
+	}
+	b, err := h.Encode()
+	return string(b), errors.Wrap(err, "encode histogram")
+}
+
+// decode copies the stream into a histogram of this version's geometry, so that a record of another one still merges.
+func decode(text string, highest int64, digits int) (*hdr.PackedHistogram, error) {
+	if text == "" {
+		return nil, nil
+	}
+	from, err := hdr.DecodePacked([]byte(text))
+	if err != nil {
+		return nil, errors.Wrap(err, "decode histogram")
+	}
+	h := hdr.NewPacked(1, highest, digits)
+	if dropped := h.Merge(from); dropped > 0 {
+		return nil, errors.Newf("histogram holds %d values beyond %d", dropped, highest)
+	}
+	return h, nil
+}
--- /dev/null
+++ b/core/tally/tally.go
@@ -0,0 +1,266 @@
+package tally
+
+import (
+	"strings"
+	"time"
+
+	"persimmonstage/core/cause"
+	"persimmonstage/core/ended"
+	"persimmonstage/core/event"
+	"persimmonstage/core/rollup"
+	"persimmonstage/core/series"
+)
+
+const (
+	// Minute is the length of a record while the log takes them.
+	Minute = time.Minute
+	// DefaultBound is the memory in bytes that closed minutes may take while the log takes none.
+	DefaultBound = 16 << 20
+	// maxSeries bounds the pairs of team and kind in one minute; further ones share an account.
+	maxSeries = 1024
+	// maxSpans bounds the spans that last at once; further ones are counted as lost events.
+	maxSpans = rollup.MaxEvents
+	// Others is the team and the kind of the shared account.
+	Others = "(others)"
+)
+
+// Tally is the account of one incarnation of an entry; the zero value counts for an entry without a name.
+// It is stepped by the goroutine that owns the control state, and is not safe for concurrent use.
+type Tally struct {
+	entry, incarnation string
+	bound              int
+
+	seq     uint64
+	current *rollup.Rollup
+	index   map[key]*series.Series
+	spans   []event.Event
+	closed  []*closed
+	held    int // estimated bytes of closed
+}
+
+type key struct{ team, kind string }
+
+// closed is a record that waits to be written; once tried it may stand in the log, so it is never changed again.
+type closed struct {
+	rollup *rollup.Rollup
+	bytes  int
+	tried  bool
+}
+
+// New returns the account of an entry's process; incarnation must be unique to the process.
+func New(entry, incarnation string) *Tally {
+	return &Tally{entry: entry, incarnation: incarnation}
+}
+
+// SetBound sets the memory in bytes that closed minutes may take; zero means DefaultBound.
+func (t *Tally) SetBound(bytes int) { t.bound = bytes }
+
+// JobEnded counts one job: lateBy is the time from its deadline to its answer, zero or less when in time;
+// ideal is the time that it would have taken alone on the fastest target, zero when not known.
+func (t *Tally) JobEnded(now time.Time, team, kind string, o ended.Outcome, c cause.Cause, response, ideal, lateBy time.Duration, tasks int) {
+	s := t.account(now, team, kind)
+	s.Job(o, c, lateBy, 1)
+	s.Started(int64(tasks))
+	if o == ended.Complete {
+		s.Time(response, ideal)
+	}
+}
+
+// Refused counts one job of which nothing was run.
+func (t *Tally) Refused(now time.Time, team, kind string, c cause.Cause) {
+	t.account(now, team, kind).Job(ended.Refused, c, 0, 1)
+}
+
+// Event notes that e happened; a zero time of e means now.
+func (t *Tally) Event(now time.Time, e event.Event) {
+	t.advance(now)
+	if e.At.IsZero() {
+		e.At = now.UTC()
+	}
+	t.current.AddEvent(e)
+}
+
+// Begin notes that e lasts from now on; a span of the same name that already lasts is kept.
+func (t *Tally) Begin(now time.Time, e event.Event) {
+	t.advance(now)
+	if t.span(e) >= 0 {
+		return
+	}
+	if len(t.spans) >= maxSpans {
+		t.current.EventsLost++
+		return
+	}
+	e.At = now.UTC()
+	t.spans = append(t.spans, e)
+}
+
+// End notes that e, begun before, ended now; without a beginning it does nothing.
+func (t *Tally) End(now time.Time, e event.Event) {
+	t.advance(now)
+	i := t.span(e)
+	if i < 0 {
+		return
+	}
+	over := t.spans[i]
+	over.Until = now.UTC()
+	t.spans = append(t.spans[:i], t.spans[i+1:]...)
+	t.current.AddEvent(over)
+}
+
+// Overdue notes that n jobs are open past their deadline now.
+func (t *Tally) Overdue(now time.Time, n int) {
+	t.advance(now)
+	t.current.Overdue = max(t.current.Overdue, int64(n))
+}
+
+// Advance closes the minute that now has left; call it at least every few seconds.
+func (t *Tally) Advance(now time.Time) { t.advance(now) }
+
+// Close ends the account at a graceful stop, with the part of the minute that has passed.
+func (t *Tally) Close(now time.Time) {
+	t.advance(now)
+	t.current.Final = true
+	t.finish(later(now.UTC(), t.current.From))
+	t.current = nil
+}
+
+// Next returns the oldest closed record and freezes it, as it may stand in the log from now on.
+func (t *Tally) Next() (r *rollup.Rollup, ok bool) {
+	if len(t.closed) == 0 {
+		return nil, false
+	}
+	t.closed[0].tried = true
+	return t.closed[0].rollup, true
+}
+
+// Written drops the record of that id, which stands in the log.
+func (t *Tally) Written(id string) {
+	for i, c := range t.closed {
+		if c.rollup.ID() != id {
+			continue
+		}
+		t.held -= c.bytes
+		t.closed = append(t.closed[:i], t.closed[i+1:]...)
+		return
+	}
+}
+
+// Waiting returns how many closed records wait to be written, and their estimated memory in bytes.
+func (t *Tally) Waiting() (records, bytes int) { return len(t.closed), t.held }
+
+// Open returns a copy of the minute in progress, for a page that shows the present.
+func (t *Tally) Open(now time.Time) *rollup.Rollup {
+	t.advance(now)
+	c := *t.current
+	c.To = later(now.UTC(), c.From)
+	c.Series = nil
+	for _, s := range t.current.Series {
+		own := series.New(s.Team(), s.Kind())
+		own.Merge(s)
+		c.Series = append(c.Series, own)
+	}
+	c.Events = append([]event.Event(nil), c.Events...)
+	t.tellSpans(&c)
+	c.Sort()
+	return &c
+}
+
+func (t *Tally) account(now time.Time, team, kind string) *series.Series {
+	t.advance(now)
+	s, ok := t.index[key{team, kind}]
+	if ok {
+		return s
+	}
+	if len(t.index) >= maxSeries && team != Others {
+		return t.account(now, Others, Others)
+	}
+	// The names may point into a buffer of the request.
+	team, kind = strings.Clone(team), strings.Clone(kind)
+	s = series.New(team, kind)
+	t.index[key{team, kind}] = s
+	t.current.Series = append(t.current.Series, s)
+	return s
+}
+
+// advance closes the current minute once now lies outside it, also when the clock was set back.
+func (t *Tally) advance(now time.Time) {
+	now = now.UTC()
+	if t.current == nil {
+		t.begin(now)
+		return
+	}
+	end := t.current.From.Truncate(Minute).Add(Minute)
+	back := now.Before(t.current.From.Truncate(Minute))
+	if !back && now.Before(end) {
+		return
+	}
+	t.finish(end)
+	if !back && now.Sub(end) >= Minute {
+		// Nothing was called in between: one record covers the quiet time, so that no gap is read as a loss.
+		t.quiet(end, now.Truncate(Minute))
+	}
+	t.begin(t.start(now, end, back))
+}
+
+func (t *Tally) start(now, end time.Time, back bool) time.Time {
+	if back {
+		return now
+	}
+	return later(end, now.Truncate(Minute))
+}
+
+func (t *Tally) begin(from time.Time) {
+	t.seq++
+	t.current = &rollup.Rollup{Entry: t.entry, Incarnation: t.incarnation, Seq: t.seq, From: from}
+	t.index = make(map[key]*series.Series)
+}
+
+// quiet closes the stretch from..to block by block, so that no record reaches beyond the border of a block.
+func (t *Tally) quiet(from, to time.Time) {
+	if to.Sub(from) > maxQuiet {
+		from = to.Add(-maxQuiet)
+	}
+	for from.Before(to) {
+		end := from.Truncate(coarsest).Add(coarsest)
+		if end.After(to) {
+			end = to
+		}
+		t.begin(from)
+		t.finish(end)
+		from = end
+	}
+}
+
+func (t *Tally) finish(to time.Time) {
+	t.current.To = to
+	t.tellSpans(t.current)
+	t.current.Sort()
+	c := &closed{rollup: t.current, bytes: t.current.Footprint()}
+	t.closed = append(t.closed, c)
+	t.held += c.bytes
+	t.shrink()
+}
+
+// tellSpans adds the spans that still last to r.
+func (t *Tally) tellSpans(r *rollup.Rollup) {
+	for _, e := range t.spans {
+		e.Until, e.Open = later(r.To, e.At), true
+		r.AddEvent(e)
+	}
+}
+
+func (t *Tally) span(e event.Event) int {
+	for i, s := range t.spans {
+		if s.Same(e) {
+			return i
+		}
+	}
+	return -1
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/core/tally/tally_test.go
@@ -0,0 +1,211 @@
+package tally_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"persimmonstage/core/cause"
+	"persimmonstage/core/ended"
+	"persimmonstage/core/event"
+	"persimmonstage/core/rollup"
+	"persimmonstage/core/tally"
+)
+
+var start = time.Date(2026, 3, 2, 8, 59, 30, 0, time.UTC)
+
+// drain takes every closed record as if the log had written each at once.
+func drain(t *tally.Tally) []*rollup.Rollup {
+	var all []*rollup.Rollup
+	for {
+		r, ok := t.Next()
+		if !ok {
+			return all
+		}
+		t.Written(r.ID())
+		all = append(all, r)
+	}
+}
+
+func complete(t *tally.Tally, now time.Time, kind string) {
+	t.JobEnded(now, "senandung", kind, ended.Complete, "", 120*time.Millisecond, 100*time.Millisecond, 0, 4)
+}
+
+func TestMinutesAreClosedOnTheirBorders(t *testing.T) {
+	var a tally.Tally
+	complete(&a, start, "swap")
+	complete(&a, start.Add(20*time.Second), "swap")
+	complete(&a, start.Add(31*time.Second), "renewal")
+	a.Advance(start.Add(95 * time.Second))
+	got := drain(&a)
+	require.Len(t, got, 2)
+	require.Equal(t, start, got[0].From)
+	require.Equal(t, start.Add(30*time.Second), got[0].To)
+	require.EqualValues(t, 2, got[0].Count(ended.Complete))
+	require.EqualValues(t, 1, got[1].Count(ended.Complete))
+	require.EqualValues(t, 4, got[1].Series[0].Tasks())
+	require.Equal(t, got[0].To, got[1].From)
+}
+
+func TestQuietTimeLeavesNoGapAndNoRecordSpansAQuarter(t *testing.T) {
+	a := tally.New("e1", "i1")
+	a.Advance(start)
+	a.Advance(start.Add(3 * time.Hour))
+	got := drain(a)
+	for i, r := range got {
+		quarter := r.From.Truncate(15 * time.Minute)
+		require.False(t, r.To.After(quarter.Add(15*time.Minute)))
+		if i > 0 {
+			require.Equal(t, got[i-1].To, r.From)
+		}
+	}
+	require.Equal(t, start.Add(3*time.Hour).Truncate(time.Minute), got[len(got)-1].To)
+}
+
+func TestClockSetBackGivesNewIDs(t *testing.T) {
+	a := tally.New("e1", "i1")
+	complete(a, start, "swap")
+	complete(a, start.Add(-time.Hour), "swap")
+	a.Advance(start.Add(2 * time.Minute))
+	ids := map[string]bool{}
+	var jobs int64
+	for _, r := range drain(a) {
+		require.False(t, ids[r.ID()])
+		ids[r.ID()] = true
+		jobs += r.Jobs()
+	}
+	require.EqualValues(t, 2, jobs)
+}
+
+func TestSpansAreToldEachMinuteUntilTheyEnd(t *testing.T) {
+	a := tally.New("e1", "i1")
+	down := event.Event{Cause: cause.LogDown}
+	a.Begin(start, down)
+	a.Begin(start.Add(time.Second), down)
+	a.Advance(start.Add(time.Minute))
+	a.End(start.Add(70*time.Second), down)
+	a.End(start.Add(71*time.Second), down)
+	a.Advance(start.Add(3 * time.Minute))
+	got := drain(a)
+	require.Equal(t, []event.Event{{At: start, Until: start.Add(30 * time.Second), Open: true, Cause: cause.LogDown}}, got[0].Events)
+	require.Equal(t, []event.Event{{At: start, Until: start.Add(70 * time.Second), Cause: cause.LogDown}}, got[1].Events)
+	require.Empty(t, got[2].Events)
+}
+
+func TestTriedRecordIsNeverChanged(t *testing.T) {
+	a := tally.New("e1", "i1")
+	a.SetBound(1)
+	complete(a, start, "swap")
+	a.Advance(start.Add(time.Minute))
+	r, ok := a.Next()
+	require.True(t, ok)
+	before, err := json.Marshal(r)
+	require.NoError(t, err)
+	for i := range 100 {
+		complete(a, start.Add(time.Duration(i)*time.Minute), "swap")
+	}
+	again, _ := a.Next()
+	after, err := json.Marshal(again)
+	require.NoError(t, err)
+	require.Equal(t, string(before), string(after))
+}
+
+// The sum over the records that a reader would count, the losses that they state and the open minute
+// equals what went in, whatever the order of outage, lost answers and clock steps.
+func TestNothingIsCountedTwiceOrLostInSilence(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := tally.New("e1", "i1")
+		a.SetBound(rapid.IntRange(2_000, 200_000).Draw(t, "bound"))
+		now := start
+		seen := map[string]*rollup.Rollup{}
+		var in int64
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(-90, 400).Draw(t, "seconds")) * time.Second)
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			case 0:
+				if r, ok := a.Next(); ok {
+					seen[r.ID()] = r
+					a.Written(r.ID())
+				}
+			case 1:
+				// The append took effect and its answer was lost.
+				if r, ok := a.Next(); ok {
+					seen[r.ID()] = r
+				}
+			default:
+				in++
+				complete(a, now, fmt.Sprint("kind-", rapid.IntRange(0, 5).Draw(t, "kind")))
+			}
+		}
+		a.Close(now)
+		for _, r := range drain(a) {
+			seen[r.ID()] = r
+		}
+		var out int64
+		for _, r := range seen {
+			out += r.Jobs() + r.LostJobs
+		}
+		require.Equal(t, in, out)
+	})
+}
+
+func TestMemoryIsBoundedInALongOutage(t *testing.T) {
+	a := tally.New("e1", "i1")
+	const bound = 1 << 20
+	a.SetBound(bound)
+	var in int64
+	for m := range 36 * 60 {
+		for team := range 20 {
+			now := start.Add(time.Duration(m) * time.Minute)
+			a.JobEnded(now, fmt.Sprint("team-", team), "label", ended.Complete, "", time.Duration(100+m%50)*time.Millisecond, 90*time.Millisecond, 0, 1)
+			in++
+		}
+		_, held := a.Waiting()
+		require.LessOrEqual(t, held, bound)
+	}
+	a.Close(start.Add(36 * time.Hour))
+	var out, lost int64
+	for _, r := range drain(a) {
+		out += r.Jobs()
+		lost += r.LostJobs
+	}
+	require.Equal(t, in, out+lost)
+	require.Positive(t, out)
+}
+
+func TestTeamsBeyondTheBoundShareAnAccount(t *testing.T) {
+	a := tally.New("e1", "i1")
+	for i := range 3000 {
+		a.Refused(start, fmt.Sprint("team-", i), "label", cause.OverQuota)
+	}
+	a.Close(start)
+	got := drain(a)
+	require.EqualValues(t, 3000, got[0].Count(ended.Refused))
+	require.LessOrEqual(t, len(got[0].Series), 1025)
+}
+
+func TestSplitIsTheSameEachTimeAndLosesNothing(t *testing.T) {
+	a := tally.New("e1", "i1")
+	for i := range 10 {
+		a.Refused(start, fmt.Sprint("team-", i), "label", cause.OverQuota)
+	}
+	a.Event(start, event.Event{Cause: cause.TargetLost, Subject: "runner-1"})
+	a.Close(start)
+	r, _ := a.Next()
+	first, second := r.Split(4), r.Split(4)
+	require.Equal(t, first, second)
+	require.Len(t, first, 3)
+	var jobs int64
+	ids := map[string]bool{}
+	for i, part := range first {
+		jobs += part.Jobs()
+		ids[part.ID()] = true
+		require.Equal(t, i == 0, len(part.Events) == 1)
+	}
+	require.EqualValues(t, 10, jobs)
+	require.Len(t, ids, 3)
+}
