--- /dev/null
+++ b/core/member/member.go
@@ -0,0 +1,23 @@
+package member
+
+import "persimmonstage/core/ident"
+
+// Member is an entry process: who it is, where it stands and on which IP:PORT addresses it listens; it is comparable.
+type Member struct {
+	Name        string `json:"name"`
+	Incarnation string `json:"incarnation"`
+	DataCentre  string `json:"data-centre"`
+	Control     string `json:"control"`
+	Bulk        string `json:"bulk"`
+	HTTP        string `json:"http"`
+}
+
+// Ident returns the member's name and incarnation.
+func (m Member) Ident() ident.Ident { return ident.Ident{Name: m.Name, Incarnation: m.Incarnation} }
+
+// Replaces reports whether the two are different incarnations of one name on the same listen addresses, so that only one of
+// them can be alive at any moment.
+func (m Member) Replaces(o Member) bool {
+	return m.Name == o.Name && m.Incarnation != o.Incarnation &&
+		m.Control == o.Control && m.Bulk == o.Bulk && m.HTTP == o.HTTP
+}
