Decide for submissions at the owner and for attempts at the agent

Cause: the two halves of a start need rules that can be stepped without I/O. Change: the owner joins, places, retries and answers; the agent queues, fences, records and starts; an attempt stays remembered past its end, so that a withdrawal or a query of one that has run repeats its result and never says refused. Ruled out: forgetting ended attempts, which lets a late withdrawal claim not-run falsely.

--- /dev/null
+++ b/core/agent/agent.go
@@ -0,0 +1,333 @@
+package agent
+
+import (
+	"strconv"
+	"time"
+
+	"persimmonstage/core/needs"
+	"persimmonstage/core/order"
+	"persimmonstage/core/queue"
+	"persimmonstage/core/result"
+	"persimmonstage/core/timers"
+)
+
+const (
+	// grantTimeout is how long capacity is held for an owner that was granted it.
+	grantTimeout = 250 * time.Millisecond
+	// voidLifetime is how long a withdrawn attempt that never arrived is kept out.
+	voidLifetime = 11 * time.Minute
+	// recordMargin is how long an attempt is remembered after its deadline.
+	recordMargin = 30 * time.Second
+	// wholeHost is the queue's size of an item that takes all of a target.
+	wholeHost = 1000
+)
+
+// Reasons of a refusal.
+const (
+	Withdrawn = "withdrawn"
+	Leaving   = "leaving"
+	Expired   = "expired"
+	TooLarge  = "too-large"
+	Unclaimed = "grant-timeout"
+)
+
+type attemptKey struct {
+	owner string
+	id    uint64
+}
+
+// attempt is an order or reservation; it is kept after its end until the deadline has passed, so that a late or
+// doubled message about it is never taken for a new one.
+type attempt struct {
+	key    attemptKey
+	state  int
+	order  *order.Order
+	item   queue.Item[*attempt]
+	popped time.Time
+	until  time.Time
+	reason string
+	result *result.Result
+}
+
+// Agent holds what waits and runs beside a target.
+type Agent struct {
+	out      effects
+	fence    fence
+	ledger   ledger
+	capacity needs.Vector
+
+	queue    queue.Queue[*attempt]
+	attempts map[attemptKey]*attempt
+	running  map[string]*attempt
+	voids    map[attemptKey]bool
+	grants   timers.Timers[*attempt]
+	expiry   timers.Timers[attemptKey]
+	held     needs.Vector
+	work     time.Duration
+	byOwner  map[string]*share
+	leaving  bool
+}
+
+// share is what one owner has at the agent, running and queued.
+type share struct {
+	held  needs.Vector
+	tasks int
+	work  time.Duration
+}
+
+// New returns an agent of a target with the given capacity.
+func New(out effects, f fence, l ledger, capacity needs.Vector) *Agent {
+	return &Agent{
+		out: out, fence: f, ledger: l, capacity: capacity,
+		attempts: make(map[attemptKey]*attempt),
+		running:  make(map[string]*attempt),
+		voids:    make(map[attemptKey]bool),
+		byOwner:  make(map[string]*share),
+	}
+}
+
+// SetWeight sets the weight of a kind inside its team, or of the team when kind is empty.
+func (a *Agent) SetWeight(team, kind string, weight int64) {
+	a.queue.SetWeight(team, kind, weight)
+}
+
+// Leave refuses everything that has not started, from now on.
+func (a *Agent) Leave(now time.Time) {
+	a.leaving = true
+	for _, at := range a.attempts {
+		a.bar(now, at, Leaving)
+	}
+}
+
+// Leaving reports whether the agent refuses new work.
+func (a *Agent) Leaving() bool { return a.leaving }
+
+// Running gives the number of tasks in the target.
+func (a *Agent) Running() int { return len(a.running) }
+
+// Queued gives the number of waiting orders and reservations.
+func (a *Agent) Queued() int { return a.queue.Len() }
+
+// Others gives what every owner but one has here, running and queued: what it holds, how many tasks, expected work.
+func (a *Agent) Others(owner string) (held needs.Vector, tasks int, work time.Duration) {
+	for name, s := range a.byOwner {
+		if name == owner {
+			continue
+		}
+		held = held.Add(s.held)
+		tasks += s.tasks
+		work += s.work
+	}
+	return held, tasks, work
+}
+
+// Order takes an owner's order to start a task, or the payload of a granted reservation.
+func (a *Agent) Order(now time.Time, owner string, o *order.Order) {
+	key := attemptKey{owner, o.Attempt}
+	if at := a.attempts[key]; at != nil {
+		if at.state == stateGranted {
+			at.order = o
+			a.startGranted(now, at)
+		}
+		return
+	}
+	a.arrive(now, a.enter(key, o), onOrder)
+}
+
+// Reserve takes an owner's wish for a grant when the attempt's turn has come.
+func (a *Agent) Reserve(now time.Time, owner string, o *order.Order) {
+	key := attemptKey{owner, o.Attempt}
+	if a.attempts[key] == nil {
+		a.arrive(now, a.enter(key, o), onReserve)
+	}
+}
+
+func (a *Agent) enter(key attemptKey, o *order.Order) *attempt {
+	at := &attempt{key: key, state: attemptChart.InitialID(), order: o}
+	a.attempts[key] = at
+	a.expiry.Add(o.Deadline.Add(recordMargin), key)
+	return at
+}
+
+func (a *Agent) arrive(now time.Time, at *attempt, event int) {
+	if _, started := a.ledger.Recorded(at.order.Key, at.order.Index); started {
+		a.step(now, at, onKnown)
+		return
+	}
+	if reason := a.barred(now, at); reason != "" {
+		a.bar(now, at, reason)
+		return
+	}
+	a.step(now, at, event)
+	a.Pump(now)
+}
+
+// barred gives the reason why an attempt may not wait or start here, if there is one.
+func (a *Agent) barred(now time.Time, at *attempt) string {
+	if a.voids[at.key] {
+		delete(a.voids, at.key)
+		return Withdrawn
+	}
+	if a.leaving {
+		return Leaving
+	}
+	if need := at.order.Needs.Lacks(a.capacity); need != "" {
+		return TooLarge
+	}
+	return a.late(now, at)
+}
+
+// Withdraw refuses an owner's attempts that have not started, also those that have not arrived yet.
+func (a *Agent) Withdraw(now time.Time, owner string, ids []uint64) {
+	for _, id := range ids {
+		a.void(now, attemptKey{owner, id})
+	}
+	a.Pump(now)
+}
+
+// Query settles attempts whose answers may be lost: one that never arrived is refused for good, one that has ended is
+// answered again, one that waits or runs stays.
+func (a *Agent) Query(now time.Time, owner string, ids []uint64) {
+	for _, id := range ids {
+		key := attemptKey{owner, id}
+		at := a.attempts[key]
+		switch {
+		case at == nil:
+			a.void(now, key)
+		case attemptChart.FinalID(at.state):
+			a.again(at)
+		}
+	}
+}
+
+// void refuses an attempt unless it has started; one that has ended is answered again.
+func (a *Agent) void(now time.Time, key attemptKey) {
+	at := a.attempts[key]
+	switch {
+	case at == nil:
+		a.voids[key] = true
+		a.expiry.Add(now.Add(voidLifetime), key)
+		a.out.Refuse(key.owner, key.id, Withdrawn)
+	case attemptChart.FinalID(at.state):
+		a.again(at)
+	default:
+		a.bar(now, at, Withdrawn)
+	}
+}
+
+// again repeats the answer of an attempt that has ended or was refused.
+func (a *Agent) again(at *attempt) {
+	if at.state == stateEnded {
+		a.repeat(at)
+		return
+	}
+	a.out.Refuse(at.key.owner, at.key.id, at.reason)
+}
+
+func (a *Agent) bar(now time.Time, at *attempt, reason string) {
+	at.reason = reason
+	a.step(now, at, onBar)
+}
+
+// Ended takes the end of a running task from the target.
+func (a *Agent) Ended(now time.Time, r *result.Result) {
+	at := a.running[taskName(r)]
+	if at == nil {
+		return
+	}
+	r.Attempt = at.key.id
+	at.result = r
+	a.step(now, at, onEnd)
+	a.Pump(now)
+}
+
+// Tick refuses what has expired and frees capacity that was granted in vain.
+func (a *Agent) Tick(now time.Time) {
+	for _, item := range a.queue.Expire(now) {
+		a.bar(now, item.Value, Expired)
+	}
+	for {
+		at, ok := a.grants.Due(now)
+		if !ok {
+			break
+		}
+		if at.state == stateGranted {
+			a.bar(now, at, Unclaimed)
+		}
+	}
+	for {
+		key, ok := a.expiry.Due(now)
+		if !ok {
+			break
+		}
+		a.forget(key)
+	}
+	a.Pump(now)
+}
+
+// forget drops an attempt past its time; one that still runs stays until it has ended.
+func (a *Agent) forget(key attemptKey) {
+	delete(a.voids, key)
+	if at := a.attempts[key]; at != nil && at.state != stateStarted {
+		delete(a.attempts, key)
+	}
+}
+
+// Pump gives free capacity to what waits, by the queue's order.
+func (a *Agent) Pump(now time.Time) {
+	for {
+		item, ok := a.queue.Pop(a.fits)
+		if !ok {
+			return
+		}
+		at := item.Value
+		at.item, at.popped = item, now
+		a.turn(now, at)
+	}
+}
+
+func (a *Agent) turn(now time.Time, at *attempt) {
+	if _, started := a.ledger.Recorded(at.order.Key, at.order.Index); started {
+		a.step(now, at, onKnown)
+		return
+	}
+	if reason := a.late(now, at); reason != "" {
+		a.bar(now, at, reason)
+		return
+	}
+	a.step(now, at, onTurn)
+}
+
+func (a *Agent) fits(item *queue.Item[*attempt], _ bool) bool {
+	return item.Value.order.Needs.Fits(a.capacity.Sub(a.held))
+}
+
+// late gives the reason why an attempt whose turn has come may not start any more.
+func (a *Agent) late(now time.Time, at *attempt) string {
+	if !now.Before(at.order.Deadline) {
+		return Expired
+	}
+	if err := a.fence.Admit(now, at.order.Shard, at.order.Epoch); err != nil {
+		return err.Error()
+	}
+	return ""
+}
+
+func (a *Agent) startGranted(now time.Time, at *attempt) {
+	if _, started := a.ledger.Recorded(at.order.Key, at.order.Index); started {
+		a.step(now, at, onKnown)
+	} else if reason := a.late(now, at); reason != "" {
+		a.bar(now, at, reason)
+	} else {
+		a.step(now, at, onOrder)
+	}
+	a.Pump(now)
+}
+
+func orderName(o *order.Order) string {
+	return o.Key.String() + "/" + strconv.Itoa(o.Index)
+}
+
+func taskName(r *result.Result) string {
+	return r.Key.String() + "/" + strconv.Itoa(r.Index)
+}
--- /dev/null
+++ b/core/agent/chart.go
@@ -0,0 +1,54 @@
+package agent
+
+import (
+	_ "embed"
+
+	"persimmonstage/core/chart"
+)
+
+//go:embed attempt.chart.toml
+var chartFile []byte
+
+// Actions of the chart.
+const (
+	enqueue = "enqueue"
+	dequeue = "dequeue"
+	hold    = "hold"
+	free    = "free"
+	start   = "start"
+	grant   = "grant"
+	refuse  = "refuse"
+	report  = "report"
+	repeat  = "repeat"
+)
+
+var (
+	attemptChart = mustLoad()
+
+	onReserve = mustEvent("reserve")
+	onOrder   = mustEvent("order")
+	onTurn    = mustEvent("turn")
+	onBar     = mustEvent("bar")
+	onKnown   = mustEvent("known")
+	onEnd     = mustEvent("end")
+
+	stateGranted = attemptChart.StateID("granted")
+	stateStarted = attemptChart.StateID("started")
+	stateEnded   = attemptChart.StateID("ended")
+)
+
+func mustLoad() *chart.Chart {
+	c, err := chart.Load(chartFile, enqueue, dequeue, hold, free, start, grant, refuse, report, repeat)
+	if err != nil {
+		panic(err)
+	}
+	return c
+}
+
+func mustEvent(name string) int {
+	id := attemptChart.EventID(name)
+	if id < 0 {
+		panic("attempt chart has no event " + name)
+	}
+	return id
+}
--- /dev/null
+++ b/core/agent/step.go
@@ -0,0 +1,142 @@
+package agent
+
+import (
+	"strconv"
+	"time"
+
+	"persimmonstage/core/needs"
+	"persimmonstage/core/queue"
+	"persimmonstage/core/result"
+)
+
+// step moves an attempt along the chart and carries out the actions.
+func (a *Agent) step(now time.Time, at *attempt, event int) {
+	next, actions := attemptChart.Step(at.state, event)
+	at.state = next
+	for _, act := range actions {
+		a.act(now, at, act)
+	}
+}
+
+func (a *Agent) act(now time.Time, at *attempt, action string) {
+	switch action {
+	case enqueue:
+		a.enqueue(now, at)
+	case dequeue:
+		a.dequeue(at)
+	case hold:
+		a.held = a.held.Add(at.order.Needs)
+	case free:
+		a.free(at)
+	case grant:
+		a.grants.Add(now.Add(grantTimeout), at)
+		a.out.Grant(at.key.owner, at.key.id)
+	case start:
+		a.start(now, at)
+	case refuse:
+		at.order.Payload = nil
+		a.out.Refuse(at.key.owner, at.key.id, at.reason)
+	case report:
+		a.report(now, at)
+	case repeat:
+		at.order.Payload = nil
+		a.repeat(at)
+	}
+}
+
+func (a *Agent) enqueue(now time.Time, at *attempt) {
+	at.item = queue.Item[*attempt]{
+		Key: at.key.owner + "/" + strconv.FormatUint(at.key.id, 10), Team: at.order.Key.Team, Kind: at.order.Kind,
+		Deadline: at.order.Deadline, Run: at.order.Expected, Size: a.size(at.order.Needs),
+		Bytes: int64(len(at.order.Payload)), Value: at,
+	}
+	a.count(at, 1)
+	if err := a.queue.Push(at.item); err != nil {
+		a.bar(now, at, err.Error())
+	}
+}
+
+// size gives the dominant share of the target that the needs take, in thousandths.
+func (a *Agent) size(n needs.Vector) int64 {
+	part := func(need, capacity int) int64 {
+		if capacity == 0 {
+			return 0
+		}
+		return int64(need) * wholeHost / int64(capacity)
+	}
+	return max(part(n.Slots, a.capacity.Slots), part(n.Cores, a.capacity.Cores),
+		part(n.MemoryMB, a.capacity.MemoryMB), part(n.Accelerators, a.capacity.Accelerators), 1)
+}
+
+// dequeue takes an attempt out of the queue, or gives back its charge when it was popped already.
+func (a *Agent) dequeue(at *attempt) {
+	a.count(at, -1)
+	if at.popped.IsZero() {
+		a.queue.Remove(at.item.Key)
+		return
+	}
+	a.queue.Done(at.item, 0)
+}
+
+func (a *Agent) free(at *attempt) {
+	a.held = a.held.Sub(at.order.Needs)
+	a.count(at, -1)
+	ran := time.Duration(0)
+	if at.result != nil {
+		ran = at.result.Ran
+	}
+	a.queue.Done(at.item, ran)
+}
+
+// count keeps what each owner has here.
+func (a *Agent) count(at *attempt, sign int) {
+	s := a.byOwner[at.key.owner]
+	if s == nil {
+		s = &share{}
+		a.byOwner[at.key.owner] = s
+	}
+	if sign > 0 {
+		s.held = s.held.Add(at.order.Needs)
+		s.work += at.order.Expected
+	} else {
+		s.held = s.held.Sub(at.order.Needs)
+		s.work -= at.order.Expected
+	}
+	s.tasks += sign
+	if s.tasks == 0 {
+		delete(a.byOwner, at.key.owner)
+	}
+}
+
+// start records the start before the task is sent; a task that turns out to be recorded is not sent.
+func (a *Agent) start(now time.Time, at *attempt) {
+	if !a.ledger.Claim(now, at.order) {
+		at.state = stateEnded
+		a.free(at)
+		a.repeat(at)
+		return
+	}
+	a.running[orderName(at.order)] = at
+	a.out.Run(at.order)
+}
+
+func (a *Agent) report(now time.Time, at *attempt) {
+	delete(a.running, orderName(at.order))
+	at.order.Payload = nil
+	a.ledger.End(now, at.result)
+	a.out.End(at.key.owner, at.order.Shard, at.result)
+	if !now.Before(at.order.Deadline.Add(recordMargin)) {
+		delete(a.attempts, at.key)
+	}
+}
+
+// repeat tells again how a task ended; of one that still runs the end will be told when it comes.
+func (a *Agent) repeat(at *attempt) {
+	p, ok := a.ledger.Recorded(at.order.Key, at.order.Index)
+	if !ok || !p.Ended {
+		return
+	}
+	a.out.End(at.key.owner, at.order.Shard, &result.Result{
+		Attempt: at.key.id, Key: at.order.Key, Index: at.order.Index, OK: p.OK, Output: p.Output, Reason: p.Reason,
+	})
+}
--- a/core/job/job.go
+++ b/core/job/job.go
@@ -19,6 +19,8 @@
 	Issued   time.Time
 	Deadline time.Time
 	Tasks    []task.Task
+	// DataCentre is that of the entry which the caller reached; it is no part of the content.
+	DataCentre string
 }
 
 // Digest gives a hash of everything that the caller sent but the key.
--- /dev/null
+++ b/core/owner/owner.go
@@ -0,0 +1,433 @@
+package owner
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"persimmonstage/core/answer"
+	"persimmonstage/core/job"
+	"persimmonstage/core/jobkey"
+	"persimmonstage/core/order"
+	"persimmonstage/core/past"
+	"persimmonstage/core/place"
+	"persimmonstage/core/result"
+	"persimmonstage/core/target"
+	"persimmonstage/core/timers"
+)
+
+const (
+	digestBytes = job.DigestBytes
+	// recordMargin is how long a record outlives its job's deadline, for resubmissions under way.
+	recordMargin = 30 * time.Second
+)
+
+// Owner holds the records of the submissions whose shards this entry owns.
+type Owner struct {
+	out      effects
+	placer   placer
+	bookings bookings
+	retries  retries
+	history  history
+	rng      *rand.Rand
+
+	records  map[jobkey.Key]*record
+	attempts map[uint64]ref
+	next     uint64
+	timers   timers.Timers[ref]
+	waiting  []ref
+	running  int
+	choices  []place.Choice
+	asks     []place.Task
+	declared map[string]time.Duration
+}
+
+// New returns an owner that acts through its arguments; rng makes its random choices repeatable.
+func New(out effects, p placer, b bookings, r retries, h history, rng *rand.Rand) *Owner {
+	return &Owner{
+		out: out, placer: p, bookings: b, retries: r, history: h, rng: rng,
+		records:  make(map[jobkey.Key]*record),
+		attempts: make(map[uint64]ref),
+		declared: make(map[string]time.Duration),
+	}
+}
+
+// Declare sets the run time that the configuration expects of a kind of a team.
+func (o *Owner) Declare(team, kind string, d time.Duration) {
+	o.declared[team+"/"+kind] = d
+}
+
+// Known reports whether a record of the submission exists.
+func (o *Owner) Known(key jobkey.Key) bool {
+	return o.records[key] != nil
+}
+
+// Running gives the number of jobs without an answer.
+func (o *Owner) Running() int { return o.running }
+
+// Remembered gives the number of records.
+func (o *Owner) Remembered() int { return len(o.records) }
+
+// Overdue counts the running jobs whose deadline has passed at now.
+func (o *Owner) Overdue(now time.Time) int {
+	n := 0
+	for _, r := range o.records {
+		if r.running() && now.After(r.job.Deadline) {
+			n++
+		}
+	}
+	return n
+}
+
+// Submit accepts a job of a shard, joins it to its record, or answers from the record; w is called exactly once.
+func (o *Owner) Submit(now time.Time, j *job.Job, shard int, epoch uint64, w func(answer.Answer)) {
+	digest := j.Digest()
+	if r := o.records[j.Key]; r != nil {
+		o.join(r, digest, w)
+		return
+	}
+	r := &record{
+		job: j, digest: digest, shard: shard, epoch: epoch, state: stateRunning,
+		open: len(j.Tasks), tasks: make([]taskRow, len(j.Tasks)),
+		waiters: []func(answer.Answer){w}, accepted: now, forget: j.Deadline.Add(recordMargin),
+	}
+	for i := range r.tasks {
+		r.tasks[i].state = stateWaiting
+	}
+	past := o.history.Found(shard, j.Key)
+	for i := range past {
+		if past[i].Digest != digest {
+			w(answer.Conflict(j.Key.ID))
+			return
+		}
+	}
+	o.records[j.Key] = r
+	o.running++
+	o.timers.Add(j.Deadline, ref{rec: r, index: deadlineTimer})
+	o.timers.Add(r.forget, ref{rec: r, index: forgetTimer})
+	for i := range past {
+		o.resume(now, r, &past[i])
+	}
+	if !r.running() {
+		return
+	}
+	if r.open > 0 && !o.history.Fresh(shard, j.Key, j.Issued) && o.missing(r) {
+		o.jobEvent(now, r, onUnsure)
+		return
+	}
+	o.placeJob(now, r)
+}
+
+func (o *Owner) join(r *record, digest [digestBytes]byte, w func(answer.Answer)) {
+	switch {
+	case r.digest != digest:
+		w(answer.Conflict(r.key().ID))
+	case r.running():
+		r.waiters = append(r.waiters, w)
+	default:
+		w(r.answer)
+	}
+}
+
+// resume takes over a start that an earlier owner ordered.
+func (o *Owner) resume(now time.Time, r *record, p *past.Past) {
+	if p.Index < 0 || p.Index >= len(r.tasks) || taskChart.FinalID(r.tasks[p.Index].state) {
+		return
+	}
+	t := &r.tasks[p.Index]
+	t.state = stateStartSent
+	o.next++
+	t.attempts = []attempt{{id: o.next, agent: p.Agent}}
+	o.attempts[o.next] = ref{rec: r, index: p.Index}
+	switch {
+	case !p.Ended:
+		return
+	case p.OK && p.Dropped:
+		t.reason = "output no longer held"
+		o.taskEvent(now, r, p.Index, onVanished)
+	case p.OK:
+		t.output = p.Output
+		o.taskEvent(now, r, p.Index, onSucceeded)
+	default:
+		t.reason = p.Reason
+		o.taskEvent(now, r, p.Index, onBroke)
+	}
+}
+
+// missing reports whether a task of the job has no record with any agent.
+func (o *Owner) missing(r *record) bool {
+	for i := range r.tasks {
+		if r.tasks[i].state == stateWaiting {
+			return true
+		}
+	}
+	return false
+}
+
+// Lookup answers for a submission without submitting it; w is called exactly once.
+func (o *Owner) Lookup(key jobkey.Key, w func(answer.Answer)) {
+	r := o.records[key]
+	switch {
+	case r == nil:
+		w(answer.Uncertain(key.ID, "no record of this id here", ""))
+	case r.running():
+		r.waiters = append(r.waiters, w)
+	default:
+		w(r.answer)
+	}
+}
+
+// Result takes the end of a started task from its agent.
+func (o *Owner) Result(now time.Time, res *result.Result) {
+	r := o.records[res.Key]
+	if r == nil || res.Index < 0 || res.Index >= len(r.tasks) {
+		return
+	}
+	t := &r.tasks[res.Index]
+	if taskChart.FinalID(t.state) {
+		return
+	}
+	if t.booked != 0 {
+		o.out.Ended(now, t.booked, r.job.Kind, t.work, res.Ran, res.OK)
+	}
+	r.longest = max(r.longest, res.Ran)
+	t.output, t.reason = res.Output, res.Reason
+	if res.OK {
+		o.taskEvent(now, r, res.Index, onSucceeded)
+	} else {
+		o.taskEvent(now, r, res.Index, onBroke)
+	}
+	o.Pump(now)
+}
+
+// Refused takes an agent's proof that an attempt was not and will not be started.
+func (o *Owner) Refused(now time.Time, id uint64, reason string) {
+	at, ok := o.attempts[id]
+	if !ok {
+		return
+	}
+	delete(o.attempts, id)
+	t := &at.rec.tasks[at.index]
+	t.drop(id)
+	if len(t.attempts) > 0 {
+		return
+	}
+	t.reason = reason
+	o.taskEvent(now, at.rec, at.index, onRefused)
+}
+
+// Granted takes an agent's word that a reservation's turn has come; one that is no longer wanted is withdrawn.
+func (o *Owner) Granted(now time.Time, agent string, id uint64) {
+	at, ok := o.attempts[id]
+	if !ok || at.rec.tasks[at.index].state != stateReserving {
+		o.out.Withdraw(agent, []uint64{id})
+		return
+	}
+	t := &at.rec.tasks[at.index]
+	t.first(id)
+	o.taskEvent(now, at.rec, at.index, onGranted)
+}
+
+// Vanished ends every attempt at an agent's incarnation whose ledger is lost.
+func (o *Owner) Vanished(now time.Time, agent string) {
+	for _, id := range o.AttemptsAt(agent) {
+		at, ok := o.attempts[id]
+		if !ok {
+			continue
+		}
+		delete(o.attempts, id)
+		t := &at.rec.tasks[at.index]
+		t.drop(id)
+		if len(t.attempts) > 0 {
+			continue
+		}
+		t.reason = "target lost"
+		o.taskEvent(now, at.rec, at.index, onVanished)
+	}
+	o.Pump(now)
+}
+
+// AttemptsAt lists the attempts at an agent's incarnation whose end is not known.
+func (o *Owner) AttemptsAt(agent string) []uint64 {
+	var ids []uint64
+	for id, at := range o.attempts {
+		for _, a := range at.rec.tasks[at.index].attempts {
+			if a.id == id && a.agent == agent {
+				ids = append(ids, id)
+			}
+		}
+	}
+	return ids
+}
+
+// Disown drops the records of a shard that another entry owns now; their callers are told to ask there.
+func (o *Owner) Disown(shard int) {
+	for key, r := range o.records {
+		if r.shard != shard {
+			continue
+		}
+		if r.running() {
+			o.running--
+		}
+		for i := range r.tasks {
+			o.forgetAttempts(r, i)
+		}
+		waiters := r.waiters
+		r.waiters = nil
+		r.state = disowned
+		delete(o.records, key)
+		for _, w := range waiters {
+			w(answer.Elsewhere())
+		}
+	}
+}
+
+// Tick does what is due at now: deadlines, retries, forgetting.
+func (o *Owner) Tick(now time.Time) {
+	for {
+		at, ok := o.timers.Due(now)
+		if !ok {
+			break
+		}
+		o.fire(now, at)
+	}
+	o.Pump(now)
+}
+
+func (o *Owner) fire(now time.Time, at ref) {
+	r := at.rec
+	switch {
+	case r.state == disowned:
+	case at.index == forgetTimer:
+		o.forget(r)
+	case at.index == deadlineTimer:
+		if r.running() {
+			o.jobEvent(now, r, onDeadline)
+		}
+	case r.running() && r.tasks[at.index].state == stateWaiting:
+		o.waiting = append(o.waiting, at)
+	}
+}
+
+func (o *Owner) forget(r *record) {
+	for i := range r.tasks {
+		o.unbook(r, i)
+		o.forgetAttempts(r, i)
+	}
+	r.state = disowned
+	delete(o.records, r.key())
+}
+
+func (o *Owner) forgetAttempts(r *record, i int) {
+	for _, a := range r.tasks[i].attempts {
+		delete(o.attempts, a.id)
+	}
+	r.tasks[i].attempts = nil
+}
+
+// Pump places waiting tasks for which there is room now, in the order of their arrival.
+func (o *Owner) Pump(now time.Time) {
+	n := len(o.waiting)
+	for i := 0; i < n; i++ {
+		at := o.waiting[i]
+		if !at.rec.running() || at.rec.tasks[at.index].state != stateWaiting {
+			continue
+		}
+		if !o.placeTask(now, at) {
+			o.waiting = append(o.waiting[:0], o.waiting[i:]...)
+			return
+		}
+	}
+	o.waiting = append(o.waiting[:0], o.waiting[n:]...)
+}
+
+func (o *Owner) ask(r *record) place.Ask {
+	return place.Ask{Kind: r.job.Kind, DataCentre: r.job.DataCentre}
+}
+
+func (o *Owner) declaredRun(r *record) time.Duration {
+	return o.declared[r.job.Key.Team+"/"+r.job.Kind]
+}
+
+func (o *Owner) placeJob(now time.Time, r *record) {
+	ask := o.ask(r)
+	o.asks = o.asks[:0]
+	var index []int
+	for i := range r.tasks {
+		if r.tasks[i].state == stateWaiting {
+			index = append(index, i)
+			o.asks = append(o.asks, place.Task{Needs: r.job.Tasks[i].Needs, Declared: o.declaredRun(r)})
+		}
+	}
+	ask.Tasks = o.asks
+	o.choices = o.placer.Place(now, o.rng, &ask, o.choices[:0])
+	for n, i := range index {
+		o.retries.Started(now)
+		c := &o.choices[n]
+		if c.Waits() {
+			o.waiting = append(o.waiting, ref{rec: r, index: i})
+			continue
+		}
+		o.send(now, r, i, c)
+	}
+}
+
+func (o *Owner) placeTask(now time.Time, at ref) bool {
+	ask := o.ask(at.rec)
+	o.asks = append(o.asks[:0], place.Task{Needs: at.rec.job.Tasks[at.index].Needs, Declared: o.declaredRun(at.rec)})
+	ask.Tasks = o.asks
+	o.choices = o.placer.Place(now, o.rng, &ask, o.choices[:0])
+	if o.choices[0].Waits() {
+		return false
+	}
+	o.send(now, at.rec, at.index, &o.choices[0])
+	return true
+}
+
+func (o *Owner) send(now time.Time, r *record, i int, c *place.Choice) {
+	t := &r.tasks[i]
+	t.booked, t.work = c.Target(), c.Work()
+	for _, id := range c.Reserve() {
+		o.attempt(r, i, id)
+	}
+	if len(c.Reserve()) > 0 {
+		o.taskEvent(now, r, i, onReserve)
+		return
+	}
+	o.attempt(r, i, c.Target())
+	o.taskEvent(now, r, i, onStart)
+}
+
+func (o *Owner) attempt(r *record, i int, to target.ID) {
+	o.next++
+	t := &r.tasks[i]
+	t.attempts = append(t.attempts, attempt{id: o.next, to: to, agent: o.bookings.Incarnation(to)})
+	o.attempts[o.next] = ref{rec: r, index: i}
+}
+
+func (o *Owner) order(r *record, i int, a *attempt) *order.Order {
+	t := &r.job.Tasks[i]
+	return &order.Order{
+		Attempt: a.id, Key: r.key(), Index: i, Shard: r.shard, Epoch: r.epoch, Kind: r.job.Kind,
+		Needs: t.Needs, Deadline: r.job.Deadline, Expected: r.tasks[i].work, Payload: t.Payload, Digest: r.digest,
+	}
+}
+
+// drop takes one attempt out of the row.
+func (t *taskRow) drop(id uint64) {
+	for i := range t.attempts {
+		if t.attempts[i].id == id {
+			t.attempts = append(t.attempts[:i], t.attempts[i+1:]...)
+			return
+		}
+	}
+}
+
+// first moves one attempt to the front of the row.
+func (t *taskRow) first(id uint64) {
+	for i := range t.attempts {
+		if t.attempts[i].id == id {
+			t.attempts[0], t.attempts[i] = t.attempts[i], t.attempts[0]
+			return
+		}
+	}
+}
--- /dev/null
+++ b/core/owner/record.go
@@ -0,0 +1,89 @@
+package owner
+
+import (
+	"time"
+
+	"persimmonstage/core/answer"
+	"persimmonstage/core/job"
+	"persimmonstage/core/jobkey"
+	"persimmonstage/core/target"
+)
+
+// record is the owner's memory of a submission, from its first arrival until it is forgotten.
+type record struct {
+	job      *job.Job
+	digest   [job.DigestBytes]byte
+	shard    int
+	epoch    uint64
+	state    int
+	open     int
+	tasks    []taskRow
+	waiters  []func(answer.Answer)
+	answer   answer.Answer
+	accepted time.Time
+	forget   time.Time
+	longest  time.Duration
+	cause    string
+}
+
+// taskRow is one task of a record.
+type taskRow struct {
+	state    int
+	attempts []attempt
+	booked   target.ID
+	work     time.Duration
+	output   []byte
+	reason   string
+}
+
+// attempt is one order or reservation that was sent for a task.
+type attempt struct {
+	id    uint64
+	to    target.ID
+	agent string
+}
+
+// ref names a task of a record.
+type ref struct {
+	rec   *record
+	index int
+}
+
+func (r *record) key() jobkey.Key { return r.job.Key }
+
+func (r *record) running() bool { return r.state == stateRunning }
+
+// notRun reports whether no task of the job can have started.
+func (r *record) notRun() bool {
+	for i := range r.tasks {
+		if !notRun(r.tasks[i].state) {
+			return false
+		}
+	}
+	return true
+}
+
+// release frees what only a running job needs.
+func (r *record) release() {
+	r.waiters = nil
+	for i := range r.job.Tasks {
+		r.job.Tasks[i].Payload = nil
+	}
+}
+
+func (r *record) results() [][]byte {
+	out := make([][]byte, len(r.tasks))
+	for i := range r.tasks {
+		out[i] = r.tasks[i].output
+	}
+	return out
+}
+
+const (
+	// disowned marks a record that is no longer this entry's; no chart has this state.
+	disowned = -1
+
+	// A ref with one of these in place of a task's index is a timer of the whole record.
+	deadlineTimer = -1
+	forgetTimer   = -2
+)
--- /dev/null
+++ b/core/owner/step.go
@@ -0,0 +1,175 @@
+package owner
+
+import (
+	"time"
+
+	"persimmonstage/core/answer"
+)
+
+// taskEvent moves one task along its chart and carries out the actions.
+func (o *Owner) taskEvent(now time.Time, r *record, i, event int) {
+	t := &r.tasks[i]
+	next, actions := taskChart.Step(t.state, event)
+	t.state = next
+	for _, a := range actions {
+		o.taskAction(now, r, i, a)
+	}
+	if next == stateWaiting || !taskChart.FinalID(next) {
+		return
+	}
+	o.forgetAttempts(r, i)
+	if r.running() {
+		o.afterTask(now, r, event)
+	}
+}
+
+func (o *Owner) taskAction(now time.Time, r *record, i int, action string) {
+	t := &r.tasks[i]
+	switch action {
+	case sendReserves:
+		for k := range t.attempts {
+			o.out.Reserve(t.attempts[k].agent, o.order(r, i, &t.attempts[k]))
+		}
+	case sendStart:
+		o.rebook(r, i)
+		o.out.Start(t.attempts[0].agent, o.order(r, i, &t.attempts[0]))
+	case withdrawOthers:
+		o.withdrawOthers(r, i)
+	case withdrawStart:
+		for k := range t.attempts {
+			o.out.Withdraw(t.attempts[k].agent, []uint64{t.attempts[k].id})
+		}
+	case unbook:
+		o.unbook(r, i)
+	case tryLater:
+		if r.running() {
+			o.timers.Add(o.retries.Next(now, o.rng, r.job.Deadline), ref{rec: r, index: i})
+		}
+	case countEnd:
+		r.open--
+	}
+}
+
+// rebook moves the booking to the target that granted first.
+func (o *Owner) rebook(r *record, i int) {
+	t := &r.tasks[i]
+	if t.booked == t.attempts[0].to {
+		return
+	}
+	o.unbook(r, i)
+	t.booked = t.attempts[0].to
+	o.bookings.Sent(t.booked, r.job.Tasks[i].Needs, t.work)
+}
+
+func (o *Owner) unbook(r *record, i int) {
+	t := &r.tasks[i]
+	if t.booked == 0 {
+		return
+	}
+	o.bookings.Ended(t.booked, r.job.Tasks[i].Needs, t.work)
+	t.booked = 0
+}
+
+// withdrawOthers takes back every reservation but the one that the order went to.
+func (o *Owner) withdrawOthers(r *record, i int) {
+	t := &r.tasks[i]
+	keep := 0
+	if t.state == stateStartSent {
+		keep = 1
+	}
+	for _, a := range t.attempts[keep:] {
+		o.out.Withdraw(a.agent, []uint64{a.id})
+		delete(o.attempts, a.id)
+	}
+	t.attempts = t.attempts[:keep]
+}
+
+// afterTask tells the job that one of its tasks has ended by event.
+func (o *Owner) afterTask(now time.Time, r *record, event int) {
+	switch event {
+	case onBroke:
+		r.cause = failedAtTarget
+		o.jobEvent(now, r, onTaskFailed)
+	case onVanished:
+		r.cause = targetLost
+		o.jobEvent(now, r, onTaskLost)
+	default:
+		if r.open == 0 {
+			o.jobEvent(now, r, onAllDone)
+		}
+	}
+}
+
+// Causes that an answer gives.
+const (
+	failedAtTarget = "task-failed"
+	targetLost     = "target-lost"
+	deadlineShort  = "deadline"
+	neverPlaced    = "no-room"
+	ownerChanged   = "owner-changed"
+)
+
+// jobEvent moves a job along its chart, answers its callers and cancels what is left of it.
+func (o *Owner) jobEvent(now time.Time, r *record, event int) {
+	next, actions := jobChart.Step(r.state, event)
+	if next == r.state {
+		return
+	}
+	r.state = next
+	o.running--
+	for _, a := range actions {
+		o.jobAction(now, r, a)
+	}
+}
+
+func (o *Owner) jobAction(now time.Time, r *record, action string) {
+	id := r.key().ID
+	switch action {
+	case answerComplete:
+		o.reply(now, r, answer.Success(id, r.results()))
+	case answerFailed, answerLost:
+		o.reply(now, r, answer.Failure(id, r.firstReason(), r.cause, false))
+	case answerLate:
+		o.reply(now, r, r.late())
+	case answerUncertain:
+		o.reply(now, r, answer.Uncertain(id, "an earlier owner of the shard may have run it", ownerChanged))
+	case cancelRest:
+		for i := range r.tasks {
+			if !taskChart.FinalID(r.tasks[i].state) {
+				o.taskEvent(now, r, i, onCancel)
+			}
+		}
+		r.release()
+	}
+}
+
+// late gives the answer of a job whose deadline has passed.
+func (r *record) late() answer.Answer {
+	if r.notRun() {
+		return answer.Failure(r.key().ID, "deadline passed before a target had room", neverPlaced, true)
+	}
+	return answer.Failure(r.key().ID, "deadline passed before every task had ended", deadlineShort, false)
+}
+
+func (r *record) firstReason() string {
+	for i := range r.tasks {
+		t := &r.tasks[i]
+		if t.reason != "" && taskChart.FinalID(t.state) && t.state != stateDone && t.state != stateNotRun {
+			return t.reason
+		}
+	}
+	return "a task failed"
+}
+
+func (o *Owner) reply(now time.Time, r *record, a answer.Answer) {
+	r.answer = a
+	waiters := r.waiters
+	r.waiters = nil
+	for _, w := range waiters {
+		w(a)
+	}
+	o.out.Closed(now, r.key(), r.job.Kind, len(r.tasks), r.accepted, r.longest, &r.answer)
+	if a.Outcome == answer.Complete {
+		r.release()
+	}
+}
--- /dev/null
+++ b/core/timers/doc.go
@@ -0,0 +1,2 @@
+// Package timers orders what is due by its time.
+package timers
