--- /dev/null
+++ b/io/agtset/doc.go
@@ -0,0 +1,2 @@
+// Package agtset holds an agent's settings.
+package agtset
--- /dev/null
+++ b/io/logger/doc.go
@@ -0,0 +1,2 @@
+// Package logger makes the processes' logs, which are JSON lines.
+package logger
