--- /dev/null
+++ b/core/ledger/key.go
@@ -0,0 +1,37 @@
+package ledger
+
+// Key names a task of a submission.
+type Key struct {
+	Team  string
+	ID    string
+	Index uint32 // the task's place in its job, from 0
+}
+
+// Digest is a digest of a submission's whole content.
+type Digest [16]byte
+
+// State is what the ledger knows of a task; what was never started has no state.
+type State uint8
+
+// The states.
+const (
+	Started  State = iota + 1 // sent to the target, no result yet
+	Finished                  // the result is kept
+	Dropped                   // finished, but the result was given up for want of room
+)
+
+// Task is the record of one started task.
+type Task struct {
+	Index  uint32
+	State  State
+	Failed bool   // the target answered with an error
+	Result []byte // nil unless Finished; not to be changed
+}
+
+// Job is the record of the tasks of one submission that this agent has started.
+type Job struct {
+	Team   string
+	ID     string
+	Digest Digest
+	Tasks  []Task // in the order of their starts
+}
--- /dev/null
+++ b/core/ledger/ledger.go
@@ -0,0 +1,190 @@
+package ledger
+
+// Records are kept per job, since most jobs have several tasks at an agent, and in one table per shard, since a new owner asks
+// for a whole shard. Expiry uses one bucket per second of deadline, which costs a list entry for a job instead of a heap.
+// Results are dropped oldest first when they exceed their bound; the fact of a start is kept until the record expires, because
+// it is what holds a second start back.
+
+import "time"
+
+const (
+	defaultMargin  = 30 * time.Second
+	defaultResults = 256 << 20 // bytes
+	defaultStarts  = 2_000_000 // tasks
+)
+
+// Config bounds a ledger; zero fields take the defaults.
+type Config struct {
+	Since   time.Time     // the start of this incarnation: nothing that it started is missing
+	Margin  time.Duration // how long a record outlives its job's deadline
+	Results int           // bytes of results kept
+	Starts  int           // tasks remembered
+}
+
+// Ledger records each start before it is made and refuses a second one; the zero value works.
+//
+// The caller calls Start immediately before it sends a task to the target, and sends it only on nil; Finish when the target has
+// answered; Expire about once a second.
+type Ledger struct {
+	cfg     Config
+	shards  map[int]map[name]*record
+	buckets map[int64][]*record
+	low     int64 // no bucket below this second
+	starts  int
+	bytes   int
+	results queue
+}
+
+type name struct{ team, id string }
+
+type record struct {
+	name   name
+	digest Digest
+	shard  int32
+	tasks  []Task
+}
+
+// New returns an empty ledger.
+func New(cfg Config) *Ledger { return &Ledger{cfg: cfg} }
+
+// Since returns the moment from which the record is complete.
+func (l *Ledger) Since() time.Time { return l.cfg.Since }
+
+// Starts returns how many started tasks are remembered.
+func (l *Ledger) Starts() int { return l.starts }
+
+// Bytes returns how many bytes of results are kept.
+func (l *Ledger) Bytes() int { return l.bytes }
+
+// Start records that a task is about to be sent to the target, or returns a *Refusal, and then it must not be sent.
+func (l *Ledger) Start(now time.Time, key Key, shard int, digest Digest, deadline time.Time) error {
+	if !deadline.After(now) {
+		return &Refusal{Reason: Expired, Key: key}
+	}
+	at := name{key.Team, key.ID}
+	rec := l.shards[shard][at]
+	switch {
+	case rec != nil && rec.digest != digest:
+		return &Refusal{Reason: Different, Key: key}
+	case rec != nil && rec.find(key.Index) != nil:
+		return &Refusal{Reason: Duplicate, Key: key}
+	case l.starts >= l.maxStarts():
+		return &Refusal{Reason: Full, Key: key}
+	}
+	if rec == nil {
+		rec = &record{name: at, digest: digest, shard: int32(shard)}
+		l.insert(rec, deadline)
+	}
+	rec.tasks = append(rec.tasks, Task{Index: key.Index, State: Started})
+	l.starts++
+	return nil
+}
+
+// Finish records the result of a started task, which the caller must not change afterwards, and reports whether the task was
+// waiting for one.
+func (l *Ledger) Finish(key Key, shard int, result []byte, failed bool) bool {
+	rec := l.shards[shard][name{key.Team, key.ID}]
+	if rec == nil {
+		return false
+	}
+	task := rec.find(key.Index)
+	if task == nil || task.State != Started {
+		return false
+	}
+	task.State, task.Failed, task.Result = Finished, failed, result
+	if len(result) > 0 {
+		l.bytes += len(result)
+		l.results.push(kept{rec, key.Index})
+		l.shrink()
+	}
+	return true
+}
+
+// Task returns the record of one task, and whether it was started here.
+func (l *Ledger) Task(key Key, shard int) (Task, bool) {
+	rec := l.shards[shard][name{key.Team, key.ID}]
+	if rec == nil {
+		return Task{}, false
+	}
+	task := rec.find(key.Index)
+	if task == nil {
+		return Task{}, false
+	}
+	return *task, true
+}
+
+// Job returns what was started of a submission, with results, and whether anything was.
+func (l *Ledger) Job(team, id string, shard int) (Job, bool) {
+	rec := l.shards[shard][name{team, id}]
+	if rec == nil {
+		return Job{}, false
+	}
+	return rec.job(true), true
+}
+
+// Shard returns what was started of a shard, without results, in no particular order.
+func (l *Ledger) Shard(shard int) []Job {
+	jobs := make([]Job, 0, len(l.shards[shard]))
+	for _, rec := range l.shards[shard] {
+		jobs = append(jobs, rec.job(false))
+	}
+	return jobs
+}
+
+func (l *Ledger) maxStarts() int {
+	if l.cfg.Starts > 0 {
+		return l.cfg.Starts
+	}
+	return defaultStarts
+}
+
+func (l *Ledger) maxResults() int {
+	if l.cfg.Results > 0 {
+		return l.cfg.Results
+	}
+	return defaultResults
+}
+
+func (l *Ledger) margin() time.Duration {
+	if l.cfg.Margin > 0 {
+		return l.cfg.Margin
+	}
+	return defaultMargin
+}
+
+func (l *Ledger) insert(rec *record, deadline time.Time) {
+	if l.shards == nil {
+		l.shards = make(map[int]map[name]*record)
+		l.buckets = make(map[int64][]*record)
+	}
+	shard := int(rec.shard)
+	if l.shards[shard] == nil {
+		l.shards[shard] = make(map[name]*record)
+	}
+	l.shards[shard][rec.name] = rec
+	second := deadline.Add(l.margin()).Unix() + 1
+	if len(l.buckets) == 0 || second < l.low {
+		l.low = second
+	}
+	l.buckets[second] = append(l.buckets[second], rec)
+}
+
+func (r *record) find(index uint32) *Task {
+	for i := range r.tasks {
+		if r.tasks[i].Index == index {
+			return &r.tasks[i]
+		}
+	}
+	return nil
+}
+
+func (r *record) job(results bool) Job {
+	job := Job{Team: r.name.team, ID: r.name.id, Digest: r.digest, Tasks: make([]Task, len(r.tasks))}
+	copy(job.Tasks, r.tasks)
+	if !results {
+		for i := range job.Tasks {
+			job.Tasks[i].Result = nil
+		}
+	}
+	return job
+}
