Run an agent beside its target

Cause: targets need the process that announces them and starts their tasks. Change: links to every member of the shard map, heartbeats, work stream, records for a recovery, drain, state dump, metrics. Ruled out: one stream per start; a stream per entry keeps the order of messages and writes what waits together in one call.

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -4,6 +4,9 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"persimmonstage/core/ledger"
 	"persimmonstage/core/needs"
 	"persimmonstage/core/order"
 	"persimmonstage/core/queue"
@@ -29,6 +32,8 @@
 	Expired   = "expired"
 	TooLarge  = "too-large"
 	Unclaimed = "grant-timeout"
+	// OutputDropped is the reason of a result whose output the ledger gave up for want of room.
+	OutputDropped = "output-dropped"
 )
 
 type attemptKey struct {
@@ -53,7 +58,7 @@
 type Agent struct {
 	out      effects
 	fence    fence
-	ledger   ledger
+	starts   starts
 	capacity needs.Vector
 
 	queue    queue.Queue[*attempt]
@@ -76,9 +81,9 @@
 }
 
 // New returns an agent of a target with the given capacity.
-func New(out effects, f fence, l ledger, capacity needs.Vector) *Agent {
+func New(out effects, f fence, s starts, capacity needs.Vector) *Agent {
 	return &Agent{
-		out: out, fence: f, ledger: l, capacity: capacity,
+		out: out, fence: f, starts: s, capacity: capacity,
 		attempts: make(map[attemptKey]*attempt),
 		running:  make(map[string]*attempt),
 		voids:    make(map[attemptKey]bool),
@@ -150,7 +155,7 @@
 }
 
 func (a *Agent) arrive(now time.Time, at *attempt, event int) {
-	if _, started := a.ledger.Recorded(at.order.Key, at.order.Index); started {
+	if _, started := a.starts.Task(at.ledgerKey(), at.order.Shard); started {
 		a.step(now, at, onKnown)
 		return
 	}
@@ -286,16 +291,36 @@
 	}
 }
 
+// turn gives an attempt its capacity; an order is recorded as started first, and is not started if it can't be.
 func (a *Agent) turn(now time.Time, at *attempt) {
-	if _, started := a.ledger.Recorded(at.order.Key, at.order.Index); started {
+	switch reason, known := a.claim(now, at); {
+	case known:
 		a.step(now, at, onKnown)
-		return
+	case reason != "":
+		a.bar(now, at, reason)
+	default:
+		a.step(now, at, onTurn)
 	}
+}
+
+// claim records the start of an order; it gives the reason why it may not start, or that it has started before.
+func (a *Agent) claim(now time.Time, at *attempt) (reason string, known bool) {
 	if reason := a.late(now, at); reason != "" {
-		a.bar(now, at, reason)
-		return
+		return reason, false
+	}
+	if at.state == stateReserved {
+		return "", false
+	}
+	o := at.order
+	err := a.starts.Start(now, at.ledgerKey(), o.Shard, ledger.Digest(o.Digest), o.Deadline)
+	var refusal *ledger.Refusal
+	switch {
+	case err == nil:
+		return "", false
+	case errors.As(err, &refusal) && refusal.Reason == ledger.Duplicate:
+		return "", true
 	}
-	a.step(now, at, onTurn)
+	return err.Error(), false
 }
 
 func (a *Agent) fits(item *queue.Item[*attempt], _ bool) bool {
@@ -307,23 +332,28 @@
 	if !now.Before(at.order.Deadline) {
 		return Expired
 	}
-	if err := a.fence.Admit(now, at.order.Shard, at.order.Epoch); err != nil {
+	if err := a.fence.Admit(now, at.order.Shard, at.order.Epoch, at.key.owner); err != nil {
 		return err.Error()
 	}
 	return ""
 }
 
 func (a *Agent) startGranted(now time.Time, at *attempt) {
-	if _, started := a.ledger.Recorded(at.order.Key, at.order.Index); started {
+	switch reason, known := a.claim(now, at); {
+	case known:
 		a.step(now, at, onKnown)
-	} else if reason := a.late(now, at); reason != "" {
+	case reason != "":
 		a.bar(now, at, reason)
-	} else {
+	default:
 		a.step(now, at, onOrder)
 	}
 	a.Pump(now)
 }
 
+func (at *attempt) ledgerKey() ledger.Key {
+	return ledger.Key{Team: at.order.Key.Team, ID: at.order.Key.ID, Index: uint32(at.order.Index)}
+}
+
 func orderName(o *order.Order) string {
 	return o.Key.String() + "/" + strconv.Itoa(o.Index)
 }
--- a/core/agent/chart.go
+++ b/core/agent/chart.go
@@ -32,9 +32,10 @@
 	onKnown   = mustEvent("known")
 	onEnd     = mustEvent("end")
 
-	stateGranted = attemptChart.StateID("granted")
-	stateStarted = attemptChart.StateID("started")
-	stateEnded   = attemptChart.StateID("ended")
+	stateReserved = attemptChart.StateID("reserved")
+	stateGranted  = attemptChart.StateID("granted")
+	stateStarted  = attemptChart.StateID("started")
+	stateEnded    = attemptChart.StateID("ended")
 )
 
 func mustLoad() *chart.Chart {
--- a/core/agent/effects.go
+++ b/core/agent/effects.go
@@ -3,25 +3,21 @@
 import (
 	"time"
 
-	"persimmonstage/core/jobkey"
+	"persimmonstage/core/ledger"
 	"persimmonstage/core/order"
-	"persimmonstage/core/past"
 	"persimmonstage/core/result"
 )
 
-// fence says whether an order's epoch may still be obeyed.
+// fence says whether the owner that sent an order may still be obeyed.
 type fence interface {
-	Admit(now time.Time, shard int, epoch uint64) error
+	Admit(now time.Time, shard int, epoch uint64, owner string) error
 }
 
-// ledger is the record of starts; a claim is made before the task is sent to the target.
-type ledger interface {
-	// Claim records the start of a task and reports false when the task was started before.
-	Claim(now time.Time, o *order.Order) bool
-	// End records how a claimed task ended.
-	End(now time.Time, r *result.Result)
-	// Recorded gives the record of a task, if it was started.
-	Recorded(key jobkey.Key, index int) (past.Past, bool)
+// starts is the record of starts; Start is called before the task is sent to the target.
+type starts interface {
+	Start(now time.Time, key ledger.Key, shard int, digest ledger.Digest, deadline time.Time) error
+	Finish(key ledger.Key, shard int, output []byte, failed bool) bool
+	Task(key ledger.Key, shard int) (ledger.Task, bool)
 }
 
 // effects is what the agent makes happen; the calls return at once.
--- a/core/agent/step.go
+++ b/core/agent/step.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	"persimmonstage/core/ledger"
 	"persimmonstage/core/needs"
 	"persimmonstage/core/queue"
 	"persimmonstage/core/result"
@@ -32,7 +33,7 @@
 		a.grants.Add(now.Add(grantTimeout), at)
 		a.out.Grant(at.key.owner, at.key.id)
 	case start:
-		a.start(now, at)
+		a.start(at)
 	case refuse:
 		at.order.Payload = nil
 		a.out.Refuse(at.key.owner, at.key.id, at.reason)
@@ -108,14 +109,7 @@
 	}
 }
 
-// start records the start before the task is sent; a task that turns out to be recorded is not sent.
-func (a *Agent) start(now time.Time, at *attempt) {
-	if !a.ledger.Claim(now, at.order) {
-		at.state = stateEnded
-		a.free(at)
-		a.repeat(at)
-		return
-	}
+func (a *Agent) start(at *attempt) {
 	a.running[orderName(at.order)] = at
 	a.out.Run(at.order)
 }
@@ -123,20 +117,35 @@
 func (a *Agent) report(now time.Time, at *attempt) {
 	delete(a.running, orderName(at.order))
 	at.order.Payload = nil
-	a.ledger.End(now, at.result)
+	a.starts.Finish(at.ledgerKey(), at.order.Shard, recorded(at.result), !at.result.OK)
 	a.out.End(at.key.owner, at.order.Shard, at.result)
 	if !now.Before(at.order.Deadline.Add(recordMargin)) {
 		delete(a.attempts, at.key)
 	}
 }
 
+// recorded gives what the ledger keeps of a result: the output, or the reason of the failure.
+func recorded(r *result.Result) []byte {
+	if r.OK {
+		return r.Output
+	}
+	return []byte(r.Reason)
+}
+
 // repeat tells again how a task ended; of one that still runs the end will be told when it comes.
 func (a *Agent) repeat(at *attempt) {
-	p, ok := a.ledger.Recorded(at.order.Key, at.order.Index)
-	if !ok || !p.Ended {
+	t, ok := a.starts.Task(at.ledgerKey(), at.order.Shard)
+	if !ok || t.State == ledger.Started {
 		return
 	}
-	a.out.End(at.key.owner, at.order.Shard, &result.Result{
-		Attempt: at.key.id, Key: at.order.Key, Index: at.order.Index, OK: p.OK, Output: p.Output, Reason: p.Reason,
-	})
+	r := &result.Result{Attempt: at.key.id, Key: at.order.Key, Index: at.order.Index}
+	switch {
+	case t.State == ledger.Dropped:
+		r.Reason = OutputDropped
+	case t.Failed:
+		r.Reason = string(t.Result)
+	default:
+		r.OK, r.Output = true, t.Result
+	}
+	a.out.End(at.key.owner, at.order.Shard, r)
 }
--- /dev/null
+++ b/io/agentd/daemon.go
@@ -0,0 +1,148 @@
+package agentd
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"persimmonstage/core/agent"
+	"persimmonstage/core/fence"
+	"persimmonstage/core/ident"
+	"persimmonstage/core/ledger"
+	"persimmonstage/io/agtset"
+	"persimmonstage/io/ctrl"
+	"persimmonstage/io/loop"
+	"persimmonstage/io/target"
+	"persimmonstage/io/uptime"
+)
+
+const (
+	tickPeriod   = 20 * time.Millisecond
+	expirePeriod = time.Second
+)
+
+// Daemon is a running agent.
+type Daemon struct {
+	set     *agtset.Settings
+	log     *zap.Logger
+	self    ident.Ident
+	loop    *loop.Loop
+	control *ctrl.Engine
+	target  *target.Client
+	metrics *metrics
+	web     net.Listener
+
+	// Only the loop touches these.
+	core     *agent.Agent
+	fence    *fence.Fence
+	ledger   *ledger.Ledger
+	links    map[string]*link
+	conns    map[uint64]*link
+	nextBeat time.Time
+	nextKeep time.Time
+	config   int64
+
+	draining atomic.Bool
+	ready    atomic.Bool
+	work     sync.WaitGroup
+}
+
+// New returns an agent that Run starts; it binds the HTTP address so that Addr is known before.
+func New(set *agtset.Settings, log *zap.Logger) (*Daemon, error) {
+	web, err := net.Listen("tcp", set.HTTP)
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{
+		set: set, log: log, web: web,
+		self:   ident.Ident{Name: set.Name, Incarnation: uuid.NewString()},
+		loop:   loop.New(),
+		target: target.New(set.Target),
+		fence:  fence.New(time.Duration(set.Timing.GraceMS) * time.Millisecond),
+		ledger: ledger.New(ledger.Config{Since: time.Now()}),
+		links:  make(map[string]*link),
+		conns:  make(map[uint64]*link),
+	}
+	d.core = agent.New(effects{d}, bootFence{d.fence}, d.ledger, set.Capacity)
+	d.control = ctrl.New(frames{d}, log)
+	d.metrics = newMetrics(d, prometheus.NewRegistry())
+	return d, nil
+}
+
+// Addr gives the address of the agent's own HTTP port.
+func (d *Daemon) Addr() string { return d.web.Addr().String() }
+
+// Run serves until ctx ends, then refuses new work, lets running tasks end, and returns; tasks that run on past the
+// drain time are given up and logged.
+func (d *Daemon) Run(ctx context.Context) error {
+	inner, stop := context.WithCancel(context.Background())
+	defer stop()
+	go d.loop.Run(inner, tickPeriod, d.tick)
+	for _, addr := range d.set.Entries {
+		d.seed(inner, addr)
+	}
+	go d.serveHTTP()
+	d.log.Info("agent started", zap.String("incarnation", d.self.Incarnation), zap.String("http", d.Addr()))
+	<-ctx.Done()
+	d.drain()
+	_ = d.web.Close()
+	stop()
+	d.control.Stop(context.Background())
+	d.log.Info("agent stopped")
+	return nil
+}
+
+func (d *Daemon) drain() {
+	deadline := time.Now().Add(time.Duration(d.set.Timing.DrainMS) * time.Millisecond)
+	d.draining.Store(true)
+	d.loop.Call(context.Background(), func(now time.Time) {
+		d.core.Leave(now)
+		d.beat(now)
+	})
+	for time.Now().Before(deadline) {
+		running, unsent := 0, 0
+		d.loop.Call(context.Background(), func(time.Time) {
+			running = d.core.Running()
+			for _, l := range d.links {
+				unsent += l.unsent()
+			}
+		})
+		if running == 0 && unsent == 0 {
+			d.loop.Call(context.Background(), func(time.Time) { d.goodbye() })
+			time.Sleep(drainPoll)
+			return
+		}
+		time.Sleep(drainPoll)
+	}
+	d.loop.Call(context.Background(), func(time.Time) {
+		d.log.Warn("drain time over", zap.Int("tasks-given-up", d.core.Running()))
+	})
+}
+
+const drainPoll = 20 * time.Millisecond
+
+// bootFence judges the fence's times by the clock that made the stamps.
+type bootFence struct{ *fence.Fence }
+
+// Admit is the fence's, at the present uptime.
+func (f bootFence) Admit(_ time.Time, shard int, epoch uint64, owner string) error {
+	return f.Fence.Admit(uptime.Now(), shard, epoch, owner)
+}
+
+func (d *Daemon) tick(now time.Time) {
+	d.core.Tick(now)
+	if !now.Before(d.nextBeat) {
+		d.nextBeat = now.Add(time.Duration(d.set.Timing.HeartbeatMS) * time.Millisecond)
+		d.beat(now)
+	}
+	if !now.Before(d.nextKeep) {
+		d.nextKeep = now.Add(expirePeriod)
+		d.ledger.Expire(now)
+	}
+}
--- /dev/null
+++ b/io/agentd/link.go
@@ -0,0 +1,222 @@
+package agentd
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"go.uber.org/zap"
+
+	"persimmonstage/core/ident"
+	"persimmonstage/core/member"
+	"persimmonstage/core/shards"
+	"persimmonstage/io/bulk"
+	"persimmonstage/io/codec"
+	"persimmonstage/io/frame"
+	"persimmonstage/io/outbox"
+	"persimmonstage/io/wire"
+)
+
+const (
+	wireVersion  = 1
+	dialTimeout  = 2 * time.Second
+	redialPause  = 200 * time.Millisecond
+	fetchTimeout = 2 * time.Second
+
+	fetchMap    = "map"
+	fetchConfig = "config"
+)
+
+// link is the agent's pair of connections to one member of the shard map; the loop owns its fields.
+type link struct {
+	member member.Member
+	stop   context.CancelFunc
+	conn   uint64
+	mux    *bulk.Mux
+	box    *outbox.Outbox
+}
+
+func (l *link) unsent() int {
+	if l.box == nil {
+		return 0
+	}
+	return l.box.Pending()
+}
+
+// seed asks the bulk address of the settings for the shard map until a map is known.
+func (d *Daemon) seed(ctx context.Context, addr string) {
+	go func() {
+		for ctx.Err() == nil {
+			mux, err := d.dial(ctx, addr)
+			if err == nil {
+				err = d.fetch(ctx, mux, fetchMap)
+				mux.Close()
+			}
+			if err == nil {
+				return
+			}
+			sleep(ctx, redialPause)
+		}
+	}()
+}
+
+func (d *Daemon) dial(ctx context.Context, addr string) (*bulk.Mux, error) {
+	bounded, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	return bulk.Dial(bounded, addr, d.log, d.serve)
+}
+
+// fetch asks an entry for its map or configuration and adopts what is newer.
+func (d *Daemon) fetch(ctx context.Context, mux *bulk.Mux, what string) error {
+	bounded, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	reply, _, err := mux.Ask(bounded, &wire.Bulk{Body: &wire.Bulk_Fetch{Fetch: &wire.Fetch{What: what}}})
+	if err != nil {
+		return err
+	}
+	got := reply.GetFetched()
+	if got.GetVersion() == 0 {
+		return errNothingYet
+	}
+	if what == fetchMap {
+		return d.gotMap(got)
+	}
+	return d.gotConfig(got)
+}
+
+func (d *Daemon) gotMap(got *wire.Fetched) error {
+	m := &shards.Map{}
+	if err := m.UnmarshalJSON(got.Data); err != nil {
+		return err
+	}
+	d.loop.Post(func(time.Time) { d.adopt(m.At(got.Version)) })
+	return nil
+}
+
+// adopt takes a newer map, connects to its new members and leaves the ones that are gone.
+func (d *Daemon) adopt(m *shards.Map) {
+	if !d.fence.Adopt(m) {
+		return
+	}
+	d.ready.Store(true)
+	d.log.Info("shard map adopted", zap.Int64("version", m.Version()), zap.Int("members", m.Size()))
+	for inc, l := range d.links {
+		if !m.Has(l.member.Ident()) {
+			l.stop()
+			delete(d.links, inc)
+		}
+	}
+	for _, who := range m.Members() {
+		if d.links[who.Incarnation] == nil {
+			d.connect(who)
+		}
+	}
+}
+
+func (d *Daemon) connect(who member.Member) {
+	ctx, stop := context.WithCancel(context.Background())
+	l := &link{member: who, stop: stop}
+	d.links[who.Incarnation] = l
+	go d.keep(ctx, l)
+}
+
+// keep holds both connections of a link until ctx ends; if either fails, both are made anew.
+func (d *Daemon) keep(ctx context.Context, l *link) {
+	for ctx.Err() == nil {
+		if err := d.session(ctx, l); err != nil && ctx.Err() == nil {
+			d.log.Info("entry not connected", zap.String("entry", l.member.Name), zap.Error(err))
+		}
+		sleep(ctx, redialPause)
+	}
+}
+
+func (d *Daemon) session(ctx context.Context, l *link) error {
+	mux, err := d.dial(ctx, l.member.Bulk)
+	if err != nil {
+		return err
+	}
+	defer mux.Close()
+	stop := context.AfterFunc(ctx, mux.Close)
+	defer stop()
+	bounded, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := d.control.Dial(bounded, l.member.Control)
+	if err != nil {
+		return err
+	}
+	defer d.control.Drop(conn)
+	stream, err := mux.Open(&wire.Bulk{Body: &wire.Bulk_Hello{Hello: d.hello()}})
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	box := outbox.New()
+	defer box.Close()
+	go func() {
+		if err := box.Run(stream); err != nil {
+			mux.Close()
+		}
+	}()
+	d.control.Send(conn, &wire.Frame{Body: &wire.Frame_Hello{Hello: d.hello()}})
+	d.loop.Post(func(now time.Time) {
+		l.conn, l.mux, l.box = conn, mux, box
+		d.conns[conn] = l
+		d.beat(now)
+	})
+	err = d.receive(stream, l)
+	d.loop.Post(func(time.Time) {
+		delete(d.conns, conn)
+		if l.box == box {
+			l.conn, l.mux, l.box = 0, nil, nil
+		}
+	})
+	return err
+}
+
+func (d *Daemon) hello() *wire.Hello {
+	return &wire.Hello{
+		Version: wireVersion, Role: wire.Role_ROLE_AGENT, Name: d.self.Name, Incarnation: d.self.Incarnation,
+		DataCentre: d.set.DataCentre, Rack: d.set.Rack, Capacity: codec.NeedsOut(d.set.Capacity),
+		Leaving: d.draining.Load(),
+	}
+}
+
+// receive posts what the owner sends on the work stream to the loop.
+func (d *Daemon) receive(stream net.Conn, l *link) error {
+	for {
+		var b wire.Bulk
+		if err := frame.Read(stream, frame.BulkLimit, &b); err != nil {
+			return err
+		}
+		owner := l.member.Incarnation
+		switch m := b.Body.(type) {
+		case *wire.Bulk_Start:
+			o := codec.StartIn(m.Start)
+			d.loop.Post(func(now time.Time) { d.core.Order(now, owner, o) })
+		case *wire.Bulk_Query:
+			d.loop.Post(func(now time.Time) { d.core.Query(now, owner, m.Query.Attempts) })
+		default:
+			d.log.Warn("work stream refused", zap.String("entry", l.member.Name), zap.String("reason", "unexpected message"))
+			return errUnexpected
+		}
+	}
+}
+
+// byIncarnation gives the link to an entry's incarnation, if it is connected.
+func (d *Daemon) byIncarnation(owner string) *link {
+	if l := d.links[owner]; l != nil && l.box != nil {
+		return l
+	}
+	return nil
+}
+
+func (l *link) ident() ident.Ident { return l.member.Ident() }
+
+func sleep(ctx context.Context, dur time.Duration) {
+	t := time.NewTimer(dur)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/io/agentd/serve.go
@@ -0,0 +1,75 @@
+package agentd
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"time"
+
+	"go.uber.org/zap"
+
+	"persimmonstage/core/ledger"
+	"persimmonstage/core/shards"
+	"persimmonstage/io/bulk"
+	"persimmonstage/io/frame"
+	"persimmonstage/io/wire"
+)
+
+const recordsTimeout = 5 * time.Second
+
+// serve answers what an entry asks on a stream of its own.
+func (d *Daemon) serve(_ *bulk.Mux, first *wire.Bulk, s net.Conn) {
+	defer s.Close()
+	ask, ok := first.Body.(*wire.Bulk_Records)
+	if !ok {
+		d.log.Warn("bulk stream refused", zap.String("reason", "unexpected message"))
+		return
+	}
+	answer, err := d.records(ask.Records)
+	if err != nil {
+		d.log.Warn("records not given", zap.Error(err))
+		return
+	}
+	_ = frame.Write(s, &wire.Bulk{Body: &wire.Bulk_RecordsAnswer{RecordsAnswer: answer}})
+}
+
+// records adopts the asker's map first, so that nothing starts for an earlier owner after the answer.
+func (d *Daemon) records(ask *wire.Records) (*wire.RecordsAnswer, error) {
+	var m shards.Map
+	if err := json.Unmarshal(ask.Map, &m); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), recordsTimeout)
+	defer cancel()
+	answer := &wire.RecordsAnswer{Incarnation: d.self.Incarnation}
+	ran := d.loop.Call(ctx, func(time.Time) {
+		d.adopt(m.At(ask.MapVersion))
+		answer.MapVersion = d.fence.Version()
+		for _, j := range d.ledger.Shard(int(ask.Shard)) {
+			whole, _ := d.ledger.Job(j.Team, j.ID, int(ask.Shard))
+			answer.Records = append(answer.Records, jobRecords(&whole)...)
+		}
+	})
+	if !ran {
+		return nil, context.DeadlineExceeded
+	}
+	return answer, nil
+}
+
+func jobRecords(j *ledger.Job) []*wire.Record {
+	out := make([]*wire.Record, 0, len(j.Tasks))
+	for i := range j.Tasks {
+		t := &j.Tasks[i]
+		r := &wire.Record{
+			Team: j.Team, Id: j.ID, Index: t.Index, Digest: append([]byte(nil), j.Digest[:]...),
+			Ended: t.State != ledger.Started, Ok: !t.Failed, OutputDropped: t.State == ledger.Dropped,
+		}
+		if t.Failed {
+			r.Reason = string(t.Result)
+		} else {
+			r.Output = t.Result
+		}
+		out = append(out, r)
+	}
+	return out
+}
--- /dev/null
+++ b/io/agentd/state.go
@@ -0,0 +1,132 @@
+package agentd
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+	"go.uber.org/zap"
+
+	"persimmonstage/core/agent"
+	"persimmonstage/io/uptime"
+)
+
+const stateTimeout = 2 * time.Second
+
+// metrics are what the agent counts.
+type metrics struct {
+	registry *prometheus.Registry
+	starts   prometheus.Counter
+	refusals prometheus.Counter
+}
+
+func newMetrics(d *Daemon, r *prometheus.Registry) *metrics {
+	m := &metrics{
+		registry: r,
+		starts: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "persimmonstage_agent_starts_total", Help: "Tasks sent to the target.",
+		}),
+		refusals: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "persimmonstage_agent_refusals_total", Help: "Attempts refused before their start.",
+		}),
+	}
+	r.MustRegister(m.starts, m.refusals,
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "persimmonstage_control_bytes_total", Help: "Bytes on control connections, both ways.",
+		}, func() float64 {
+			in, out := d.control.Bytes()
+			return float64(in + out)
+		}))
+	return m
+}
+
+// state is the dump of everything that the agent holds.
+type state struct {
+	Name        string          `json:"name"`
+	Incarnation string          `json:"incarnation"`
+	DataCentre  string          `json:"data-centre"`
+	Leaving     bool            `json:"leaving"`
+	MapVersion  int64           `json:"map-version"`
+	Config      int64           `json:"config-version"`
+	Heard       int             `json:"members-heard"`
+	Entries     []entryState    `json:"entries"`
+	Ledger      ledgerState     `json:"ledger"`
+	Agent       *agent.Snapshot `json:"tasks"`
+}
+
+type entryState struct {
+	Name      string `json:"name"`
+	Connected bool   `json:"connected"`
+}
+
+type ledgerState struct {
+	Starts int       `json:"starts"`
+	Bytes  int       `json:"result-bytes"`
+	Since  time.Time `json:"since"`
+}
+
+// State gives the whole state as JSON.
+func (d *Daemon) State(ctx context.Context) ([]byte, error) {
+	s := state{
+		Name: d.self.Name, Incarnation: d.self.Incarnation, DataCentre: d.set.DataCentre,
+		Leaving: d.draining.Load(),
+	}
+	ran := d.loop.Call(ctx, func(now time.Time) {
+		s.MapVersion, s.Config = d.fence.Version(), d.config
+		s.Heard = d.fence.Heard(uptime.Now())
+		for _, l := range d.links {
+			s.Entries = append(s.Entries, entryState{Name: l.member.Name, Connected: l.box != nil})
+		}
+		s.Ledger = ledgerState{Starts: d.ledger.Starts(), Bytes: d.ledger.Bytes(), Since: d.ledger.Since()}
+		s.Agent = d.core.Snapshot(now)
+	})
+	if !ran {
+		return nil, context.DeadlineExceeded
+	}
+	return json.MarshalIndent(s, "", "  ")
+}
+
+func (d *Daemon) serveHTTP() {
+	prom := fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(d.metrics.registry, promhttp.HandlerOpts{}))
+	server := &fasthttp.Server{NoDefaultServerHeader: true, Handler: func(ctx *fasthttp.RequestCtx) {
+		switch string(ctx.Path()) {
+		case "/healthz":
+			ctx.SetBodyString("ok\n")
+		case "/readyz":
+			d.readyz(ctx)
+		case "/metrics":
+			prom(ctx)
+		case "/v1/admin/state":
+			d.stateHTTP(ctx)
+		default:
+			ctx.Error("no such path\n", fasthttp.StatusNotFound)
+		}
+	}}
+	if err := server.Serve(d.web); err != nil {
+		d.log.Info("http ended", zap.Error(err))
+	}
+}
+
+func (d *Daemon) readyz(ctx *fasthttp.RequestCtx) {
+	if d.draining.Load() || !d.ready.Load() {
+		ctx.Error("not ready\n", fasthttp.StatusServiceUnavailable)
+		return
+	}
+	ctx.SetBodyString("ready\n")
+}
+
+func (d *Daemon) stateHTTP(ctx *fasthttp.RequestCtx) {
+	bounded, cancel := context.WithTimeout(context.Background(), stateTimeout)
+	defer cancel()
+	body, err := d.State(bounded)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusServiceUnavailable)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
--- a/io/outbox/outbox.go
+++ b/io/outbox/outbox.go
@@ -41,6 +41,13 @@
 	return true
 }
 
+// Pending gives the number of bytes that wait.
+func (o *Outbox) Pending() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.pending)
+}
+
 func (o *Outbox) signal() {
 	select {
 	case o.wake <- struct{}{}:
