--- /dev/null
+++ b/core/day/day.go
@@ -0,0 +1,146 @@
+package day
+
+import (
+	"time"
+
+	"persimmonstage/core/digest"
+	"persimmonstage/core/rollup"
+	"persimmonstage/core/series"
+)
+
+const (
+	// SlotLength is the resolution of the timeline.
+	SlotLength = 15 * time.Minute
+	// maxSeries bounds the distinct pairs of team and kind of a day; further ones share an account.
+	maxSeries = 4096
+	others    = "(others)"
+)
+
+// Day is the account of a local day, merged from the records of all entries in any order.
+// A record counts once, however often it is read. It is not safe for concurrent use.
+type Day struct {
+	from, to time.Time
+	seen     map[recordKey]struct{}
+	total    map[workKey]*series.Series
+	slots    []slot
+	harms    harms
+	events   events
+	entries  map[string]*coverage
+	worst    int64
+}
+
+type recordKey struct {
+	incarnation string
+	seq         uint64
+	part        int
+}
+
+type workKey struct{ team, kind string }
+
+type slot struct {
+	from, to                            time.Time
+	fine, late, failed, refused, unknow int64
+}
+
+// Of returns the empty account of the day in loc that holds t; days of 23 and 25 hours are taken as they are.
+func Of(t time.Time, loc *time.Location) *Day {
+	y, m, date := t.In(loc).Date()
+	d := &Day{
+		from:    time.Date(y, m, date, 0, 0, 0, 0, loc),
+		to:      time.Date(y, m, date+1, 0, 0, 0, 0, loc),
+		seen:    make(map[recordKey]struct{}),
+		total:   make(map[workKey]*series.Series),
+		entries: make(map[string]*coverage),
+	}
+	for at := d.from; at.Before(d.to); at = at.Add(SlotLength) {
+		end := at.Add(SlotLength)
+		if end.After(d.to) {
+			end = d.to
+		}
+		d.slots = append(d.slots, slot{from: at, to: end})
+	}
+	return d
+}
+
+// From returns the start of the day.
+func (d *Day) From() time.Time { return d.from }
+
+// To returns the end of the day.
+func (d *Day) To() time.Time { return d.to }
+
+// Holds reports whether t lies in the day.
+func (d *Day) Holds(t time.Time) bool { return !t.Before(d.from) && t.Before(d.to) }
+
+// Records returns how many distinct records were added.
+func (d *Day) Records() int { return len(d.seen) }
+
+// Add counts r and reports whether it was new and of this day; a record belongs to the day in which it begins.
+func (d *Day) Add(r *rollup.Rollup) bool {
+	key := recordKey{r.Incarnation, r.Seq, r.Part}
+	if _, again := d.seen[key]; again {
+		return false
+	}
+	if !d.Holds(r.From) {
+		if d.coverLoss(r) {
+			d.seen[key] = struct{}{}
+		}
+		return false
+	}
+	d.seen[key] = struct{}{}
+	for _, s := range r.Series {
+		d.addSeries(r, s)
+	}
+	for _, e := range r.Events {
+		d.events.add(r.Incarnation, e)
+	}
+	d.events.lost += r.EventsLost
+	d.worst = max(d.worst, r.Overdue)
+	d.cover(r)
+	return true
+}
+
+func (d *Day) addSeries(r *rollup.Rollup, s *series.Series) {
+	key := workKey{s.Team(), s.Kind()}
+	t, ok := d.total[key]
+	if !ok && len(d.total) >= maxSeries {
+		key = workKey{others, others}
+		t, ok = d.total[key]
+	}
+	if !ok {
+		t = series.New(key.team, key.kind)
+		d.total[key] = t
+	}
+	t.Merge(s)
+	bad := d.harms.add(key, r.From, r.To, s)
+	d.slotOf(r.From).add(s, bad)
+}
+
+func (d *Day) slotOf(t time.Time) *slot {
+	i := int(t.Sub(d.from) / SlotLength)
+	return &d.slots[min(i, len(d.slots)-1)]
+}
+
+// Digest returns what the owner is told of the day at the time now.
+func (d *Day) Digest(now time.Time) *digest.Digest {
+	g := digest.New(d.from, d.to, now)
+	spans := d.events.merged()
+	for _, h := range d.harms.explained(spans) {
+		if h.Cause.Chosen() && !h.Late {
+			g.AddTurned(h)
+			continue
+		}
+		g.AddHarm(h)
+	}
+	for _, s := range d.total {
+		g.AddSeries(s)
+	}
+	for _, s := range d.slots {
+		g.AddSlot(s.from, s.to, s.fine, s.late, s.failed, s.refused, s.unknow)
+	}
+	d.moments(g, spans)
+	d.gaps(g, spans, now)
+	g.OverdueWorst = d.worst
+	g.Overdue = d.overdue(now)
+	g.Finish()
+	return g
+}
--- /dev/null
+++ b/core/day/gaps.go
@@ -0,0 +1,157 @@
+package day
+
+import (
+	"slices"
+	"time"
+
+	"persimmonstage/core/cause"
+	"persimmonstage/core/digest"
+	"persimmonstage/core/event"
+	"persimmonstage/core/rollup"
+)
+
+const (
+	// silence is how long after its last record an entry that has not stopped is taken as missing:
+	// a minute to fill a record, and time for it to be written and read.
+	silence = 3 * time.Minute
+	// minuteLost bounds what an entry that died without a word had not yet written.
+	minuteLost = time.Minute
+)
+
+// coverage is the time that the records of one incarnation cover.
+type coverage struct {
+	entry   string
+	done    []stretch // sorted and apart from each other
+	lost    []loss
+	final   bool
+	overdue int64 // of the latest record
+}
+
+type stretch struct{ from, to time.Time }
+
+type loss struct {
+	stretch
+	jobs int64
+}
+
+// cover notes the time that r covers, and the loss that it states.
+func (d *Day) cover(r *rollup.Rollup) {
+	c := d.coverage(r)
+	d.coverLoss(r)
+	if r.Part > 0 {
+		return
+	}
+	if len(c.done) == 0 || !r.From.Before(c.done[len(c.done)-1].to) {
+		c.overdue = r.Overdue
+	}
+	c.final = c.final || r.Final
+	c.add(stretch{r.From, r.To})
+}
+
+// coverLoss notes the loss that r states, as far as it lies in the day; r itself may be of a later day.
+func (d *Day) coverLoss(r *rollup.Rollup) bool {
+	lost, ok := d.clip(stretch{r.LostFrom, r.LostTo})
+	if r.LostFrom.IsZero() || !ok {
+		return false
+	}
+	c := d.coverage(r)
+	c.lost = append(c.lost, loss{lost, r.LostJobs})
+	c.add(lost)
+	return true
+}
+
+func (d *Day) coverage(r *rollup.Rollup) *coverage {
+	c, ok := d.entries[r.Incarnation]
+	if !ok {
+		c = &coverage{entry: r.Entry}
+		d.entries[r.Incarnation] = c
+	}
+	return c
+}
+
+// add merges s into the stretches covered.
+func (c *coverage) add(s stretch) {
+	i, _ := slices.BinarySearchFunc(c.done, s, func(a, b stretch) int { return a.from.Compare(b.from) })
+	apart := slices.Insert(c.done, i, s)
+	c.done = nil
+	for _, next := range apart {
+		last := len(c.done) - 1
+		if last < 0 || next.from.After(c.done[last].to) {
+			c.done = append(c.done, next)
+			continue
+		}
+		c.done[last].to = later(c.done[last].to, next.to)
+	}
+}
+
+// clip returns the part of s that lies in the day.
+func (d *Day) clip(s stretch) (part stretch, ok bool) {
+	part = stretch{later(s.from, d.from), earlier(s.to, d.to)}
+	return part, part.from.Before(part.to)
+}
+
+// gaps tells what the accounts lack: minutes between records, minutes dropped, and entries that fell silent.
+func (d *Day) gaps(g *digest.Digest, spans []event.Event, now time.Time) {
+	for _, c := range d.entries {
+		for i := 1; i < len(c.done); i++ {
+			g.AddGap(c.entry, c.done[i-1].to, c.done[i].from, 0, "No record of "+c.entry+" has come for these minutes.")
+		}
+		for _, l := range c.lost {
+			g.AddGap(c.entry, l.from, l.to, l.jobs, c.entry+" could not write these minutes for so long that it had to drop them.")
+		}
+		d.silent(g, c, spans, now)
+	}
+}
+
+// silent tells of an entry that stopped without a word before the day's end.
+func (d *Day) silent(g *digest.Digest, c *coverage, spans []event.Event, now time.Time) {
+	if c.final || len(c.done) == 0 {
+		return
+	}
+	last := c.done[len(c.done)-1].to
+	end := earlier(d.to, now)
+	if end.Sub(last) <= silence {
+		return
+	}
+	if takenOver(c.entry, last, spans) {
+		g.AddGap(c.entry, last, last.Add(minuteLost), 0, c.entry+" died and another entry took over; up to a minute of its account is missing.")
+		return
+	}
+	if d.alive(c, last) {
+		g.AddGap(c.entry, last, last.Add(minuteLost), 0, c.entry+" was replaced without a graceful stop; up to a minute of its account is missing.")
+		return
+	}
+	g.AddGap(c.entry, last, end, 0, c.entry+" has written nothing since: it died, was cut off, or the log took no records.")
+}
+
+// takenOver reports whether another entry told of the death of this one after its last record.
+func takenOver(entry string, last time.Time, spans []event.Event) bool {
+	for _, e := range spans {
+		if e.Cause == cause.EntryLost && e.Subject == entry && !e.End().Before(last) {
+			return true
+		}
+	}
+	return false
+}
+
+// alive reports whether a later incarnation of the same entry wrote records.
+func (d *Day) alive(c *coverage, since time.Time) bool {
+	for _, o := range d.entries {
+		if o != c && o.entry == c.entry && len(o.done) > 0 && o.done[len(o.done)-1].to.After(since) {
+			return true
+		}
+	}
+	return false
+}
+
+// overdue sums the jobs open past their deadline in the latest record of each entry that still writes.
+func (d *Day) overdue(now time.Time) int64 {
+	var n int64
+	for _, c := range d.entries {
+		if c.final || len(c.done) == 0 || now.Sub(c.done[len(c.done)-1].to) > silence {
+			continue
+		}
+		n += c.overdue
+	}
+	return n
+}
--- /dev/null
+++ b/core/day/harms.go
@@ -0,0 +1,177 @@
+package day
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"persimmonstage/core/cause"
+	"persimmonstage/core/digest"
+	"persimmonstage/core/ended"
+	"persimmonstage/core/event"
+	"persimmonstage/core/series"
+)
+
+const (
+	// maxHarms bounds the harms that are told apart by time; beyond it their resolution is made coarser.
+	maxHarms = 20_000
+	// waveJobs and half the work of a record are what makes cancellations a wave.
+	waveJobs  = 20
+	waveShare = 2
+)
+
+// steps are the resolutions of harms, from what records have down to the whole day.
+var steps = [...]time.Duration{time.Minute, 5 * time.Minute, 15 * time.Minute, time.Hour, 6 * time.Hour, 48 * time.Hour}
+
+// harms counts the jobs that suffered by when they did, so that they can be laid beside what happened then.
+type harms struct {
+	step int
+	jobs map[harmKey]*harm
+}
+
+type harmKey struct {
+	at   time.Time
+	work workKey
+	series.Harm
+}
+
+type harm struct {
+	from, to time.Time
+	jobs     int64
+	worst    time.Duration
+}
+
+// add counts what s suffered in from..to and returns how many of its jobs count against the day, by outcome and late.
+func (h *harms) add(work workKey, from, to time.Time, s *series.Series) map[series.Harm]int64 {
+	suffered := asWave(s)
+	for what, n := range suffered {
+		key := harmKey{at: from.UTC().Truncate(steps[h.step]), work: work, Harm: what}
+		h.put(key, harm{from: from, to: to, jobs: n, worst: s.WorstLate()})
+	}
+	for len(h.jobs) > maxHarms && h.step+1 < len(steps) {
+		h.coarsen()
+	}
+	return suffered
+}
+
+func (h *harms) put(key harmKey, more harm) {
+	if h.jobs == nil {
+		h.jobs = make(map[harmKey]*harm)
+	}
+	known, ok := h.jobs[key]
+	if !ok {
+		h.jobs[key] = &more
+		return
+	}
+	known.jobs += more.jobs
+	known.worst = max(known.worst, more.worst)
+	if more.from.Before(known.from) {
+		known.from = more.from
+	}
+	if more.to.After(known.to) {
+		known.to = more.to
+	}
+}
+
+func (h *harms) coarsen() {
+	h.step++
+	old := h.jobs
+	h.jobs = nil
+	for key, n := range old {
+		key.at = key.at.Truncate(steps[h.step])
+		h.put(key, *n)
+	}
+}
+
+// asWave returns what s suffered, with cancellations named a wave where they were many and most of its work.
+func asWave(s *series.Series) map[series.Harm]int64 {
+	suffered := s.Suffered()
+	var cancelled int64
+	for what, n := range suffered {
+		if what.Cause == cause.Cancelled {
+			cancelled += n
+		}
+	}
+	if cancelled < waveJobs || cancelled*waveShare < s.Ended() {
+		return suffered
+	}
+	wave := make(map[series.Harm]int64, len(suffered))
+	for what, n := range suffered {
+		if what.Cause == cause.Cancelled {
+			what.Cause = cause.CancelWave
+		}
+		wave[what] += n
+	}
+	return wave
+}
+
+// explained returns the harms of the day with the sentence that names the reason of each.
+func (h *harms) explained(spans []event.Event) []digest.Harm {
+	type key struct {
+		work     workKey
+		what     series.Harm
+		sentence string
+	}
+	sums := make(map[key]*digest.Harm)
+	for k, n := range h.jobs {
+		c, sentence := explain(k.Harm, k.work, n.from, n.to, spans)
+		id := key{k.work, k.Harm, sentence}
+		sum, ok := sums[id]
+		if !ok {
+			sum = &digest.Harm{
+				Team: k.work.team, Kind: k.work.kind, Outcome: k.Outcome, Late: k.Late,
+				Cause: c, Sentence: sentence, First: n.from, Last: n.to,
+			}
+			sums[id] = sum
+		}
+		sum.Jobs += n.jobs
+		sum.WorstLate = max(sum.WorstLate, n.worst)
+		sum.First = earlier(sum.First, n.from)
+		sum.Last = later(sum.Last, n.to)
+	}
+	all := make([]digest.Harm, 0, len(sums))
+	for _, sum := range sums {
+		all = append(all, *sum)
+	}
+	slices.SortFunc(all, func(a, b digest.Harm) int {
+		return cmp.Or(
+			a.First.Compare(b.First), cmp.Compare(a.Team, b.Team), cmp.Compare(a.Kind, b.Kind),
+			cmp.Compare(a.Sentence, b.Sentence), cmp.Compare(a.Outcome, b.Outcome))
+	})
+	return all
+}
+
+// add counts s; suffered is what it suffered, with waves named.
+func (s *slot) add(of *series.Series, suffered map[series.Harm]int64) {
+	s.fine += of.Ended()
+	for what, n := range suffered {
+		if what.Cause.Chosen() && !what.Late {
+			continue
+		}
+		s.fine -= n
+		switch {
+		case what.Outcome == ended.Failed:
+			s.failed += n
+		case what.Outcome == ended.Refused:
+			s.refused += n
+		case what.Outcome == ended.Unknown:
+			s.unknow += n
+		default:
+			s.late += n
+		}
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/core/digest/build.go
@@ -0,0 +1,192 @@
+package digest
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"persimmonstage/core/ended"
+	"persimmonstage/core/event"
+	"persimmonstage/core/series"
+)
+
+// The percentiles that the page shows.
+const (
+	median = 50
+	tail   = 99
+)
+
+// New returns the empty account of the day from..to, made at asked; the location of from is the zone of the day.
+func New(from, to, asked time.Time) *Digest {
+	loc := from.Location()
+	return &Digest{
+		Day: from.Format(time.DateOnly), Zone: loc.String(),
+		From: from, To: to.In(loc), Asked: asked.In(loc),
+		Suffered: []*work{}, Reasons: []*reason{}, Turned: []*reason{}, Kinds: []kind{},
+		Moments: []moment{}, Slots: []slot{}, Gaps: []gap{},
+	}
+}
+
+// AddSeries adds the account of one team and kind over the whole day.
+func (d *Digest) AddSeries(s *series.Series) {
+	t := &d.Totals
+	t.Jobs += s.Ended()
+	t.Complete += s.Jobs(ended.Complete)
+	t.Failed += s.Jobs(ended.Failed)
+	t.Refused += s.Jobs(ended.Refused)
+	t.Unknown += s.Jobs(ended.Unknown)
+	t.Late += s.Late()
+	t.Tasks += s.Tasks()
+	t.WorstLateMS = max(t.WorstLateMS, ceilMS(s.WorstLate()))
+	d.Kinds = append(d.Kinds, kind{
+		Team: s.Team(), Kind: s.Kind(), Jobs: s.Ended(), Complete: s.Jobs(ended.Complete), Tasks: s.Tasks(),
+		P50US: s.Response(median).Microseconds(), P99US: s.Response(tail).Microseconds(),
+		Ideal50: s.OverIdeal(median), Ideal99: s.OverIdeal(tail), Untimed: s.Untimed(),
+	})
+}
+
+// AddHarm adds jobs that suffered.
+func (d *Digest) AddHarm(h Harm) {
+	d.Totals.Suffered += h.Jobs
+	w := d.find(h.Team, h.Kind)
+	if w == nil {
+		w = &work{Team: h.Team, Kind: h.Kind}
+		d.Suffered = append(d.Suffered, w)
+	}
+	w.count(h)
+	w.Reasons = d.because(w.Reasons, h)
+	d.Reasons = d.because(d.Reasons, h)
+}
+
+// AddTurned adds jobs that ended early by the caller's own choice or mistake.
+func (d *Digest) AddTurned(h Harm) { d.Turned = d.because(d.Turned, h) }
+
+// AddMoment adds something that happened.
+func (d *Digest) AddMoment(e event.Event) {
+	m := moment{
+		At: d.local(e.At), Open: e.Open, Cause: e.Cause,
+		Sentence: e.Sentence(), Harmful: e.Cause.Harmful(),
+	}
+	if e.Span() {
+		m.Until = d.local(e.Until)
+	}
+	d.Moments = append(d.Moments, m)
+}
+
+// AddSlot adds the counts of the quarter of an hour from..to.
+func (d *Digest) AddSlot(from, to time.Time, fine, late, failed, refused, unknown int64) {
+	d.Slots = append(d.Slots, slot{
+		From: d.local(from), To: d.local(to),
+		Fine: fine, Late: late, Failed: failed, Refused: refused, Unknown: unknown,
+	})
+}
+
+// AddGap adds a stretch that the account of an entry lacks, with the number of jobs when it is known.
+func (d *Digest) AddGap(entry string, from, to time.Time, jobs int64, sentence string) {
+	d.Gaps = append(d.Gaps, gap{Entry: entry, From: d.local(from), To: d.local(to), Jobs: jobs, Sentence: sentence})
+}
+
+// Finish ranks what was added and gives the verdict.
+func (d *Digest) Finish() {
+	for _, k := range d.Kinds {
+		if w := d.find(k.Team, k.Kind); w != nil {
+			w.Of = k.Jobs
+		}
+	}
+	slices.SortStableFunc(d.Suffered, func(a, b *work) int {
+		return cmp.Or(cmp.Compare(b.Jobs, a.Jobs), cmp.Compare(a.Team, b.Team), cmp.Compare(a.Kind, b.Kind))
+	})
+	for _, w := range d.Suffered {
+		rank(w.Reasons)
+	}
+	rank(d.Reasons)
+	rank(d.Turned)
+	slices.SortStableFunc(d.Kinds, func(a, b kind) int {
+		return cmp.Or(cmp.Compare(a.Team, b.Team), cmp.Compare(a.Kind, b.Kind))
+	})
+	slices.SortStableFunc(d.Moments, func(a, b moment) int {
+		return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Sentence, b.Sentence))
+	})
+	slices.SortStableFunc(d.Gaps, func(a, b gap) int {
+		return cmp.Or(a.From.Compare(b.From), cmp.Compare(a.Entry, b.Entry))
+	})
+	d.judge()
+}
+
+func (d *Digest) local(t time.Time) time.Time { return t.In(d.From.Location()) }
+
+func (d *Digest) find(team, kind string) *work {
+	for _, w := range d.Suffered {
+		if w.Team == team && w.Kind == kind {
+			return w
+		}
+	}
+	return nil
+}
+
+func (w *work) count(h Harm) {
+	w.Jobs += h.Jobs
+	switch h.Outcome {
+	case ended.Failed:
+		w.Failed += h.Jobs
+	case ended.Refused:
+		w.Refused += h.Jobs
+	case ended.Unknown:
+		w.Unknown += h.Jobs
+	}
+	if h.Late {
+		w.Late += h.Jobs
+		w.WorstLateMS = max(w.WorstLateMS, ceilMS(h.WorstLate))
+	}
+}
+
+// because adds h to the reason of its cause and sentence.
+func (d *Digest) because(list []*reason, h Harm) []*reason {
+	var r *reason
+	for _, known := range list {
+		if known.Cause == h.Cause && known.Sentence == h.Sentence {
+			r = known
+		}
+	}
+	if r == nil {
+		r = &reason{Cause: h.Cause, Sentence: h.Sentence, First: d.local(h.First), Last: d.local(h.Last)}
+		list = append(list, r)
+	}
+	r.Jobs += h.Jobs
+	if h.First.Before(r.First) {
+		r.First = d.local(h.First)
+	}
+	if h.Last.After(r.Last) {
+		r.Last = d.local(h.Last)
+	}
+	if name := Name(h.Team, h.Kind); !slices.Contains(r.Works, name) {
+		r.Works = append(r.Works, name)
+		slices.Sort(r.Works)
+	}
+	return list
+}
+
+func rank(list []*reason) {
+	slices.SortStableFunc(list, func(a, b *reason) int {
+		return cmp.Or(cmp.Compare(b.Jobs, a.Jobs), a.First.Compare(b.First), cmp.Compare(a.Sentence, b.Sentence))
+	})
+}
+
+// Name names the work of a team for an owner.
+func Name(team, kind string) string {
+	switch {
+	case kind == "" && team == "":
+		return "unnamed work"
+	case kind == "":
+		return "work of " + team
+	case team == "":
+		return kind
+	default:
+		return kind + " of " + team
+	}
+}
+
+// ceilMS rounds up, so that no late answer shows as late by nothing.
+func ceilMS(d time.Duration) int64 {
+	return int64((d + time.Millisecond - 1) / time.Millisecond)
+}
--- /dev/null
+++ b/core/digest/digest_test.go
@@ -0,0 +1,30 @@
+package digest_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"persimmonstage/core/digest"
+)
+
+func TestNumbersAsAPersonReadsThem(t *testing.T) {
+	require.Equal(t, "0", digest.Count(0))
+	require.Equal(t, "999", digest.Count(999))
+	require.Equal(t, "1,000", digest.Count(1000))
+	require.Equal(t, "12,345,678", digest.Count(12_345_678))
+	require.Equal(t, "1 job", digest.Jobs(1))
+	require.Equal(t, "250 ms", digest.Span(250*time.Millisecond))
+	require.Equal(t, "1.5 s", digest.Span(1500*time.Millisecond))
+	require.Equal(t, "2 min 5 s", digest.Span(125*time.Second))
+	require.Equal(t, "3 h 7 min", digest.Span(3*time.Hour+7*time.Minute))
+}
+
+func TestDayWithoutWorkWentWell(t *testing.T) {
+	from := time.Date(2026, 3, 2, 0, 0, 0, 0, time.UTC)
+	g := digest.New(from, from.Add(24*time.Hour), from.Add(48*time.Hour))
+	g.Finish()
+	require.Equal(t, digest.Well, g.Went)
+	require.Equal(t, "Yes. The day went well: no work came, and nothing went wrong.", g.Headline)
+}
--- /dev/null
+++ b/core/digest/doc.go
@@ -0,0 +1,2 @@
+// Package digest holds what an owner is told of a day, ready to be rendered.
+package digest
--- /dev/null
+++ b/core/digest/judge.go
@@ -0,0 +1,137 @@
+package digest
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// smallGap is how much of the accounts may be missing before a day without known harm counts as unsure:
+// the death of an entry costs up to a minute of its counts, and that happens on ordinary days.
+const smallGap = 5 * time.Minute
+
+// judge sets the verdict: any job that suffered makes the day bad, as one lost order is one too many for its customer.
+func (d *Digest) judge() {
+	switch {
+	case d.Totals.Suffered > 0 || d.OverdueWorst > 0:
+		d.Went = Badly
+		d.Headline = d.badly()
+	case d.missing() > smallGap || d.jobsLost() > 0:
+		d.Went = Unsure
+		d.Headline = "Can't say: no job is known to have suffered, but part of the account is missing."
+	case d.Totals.Jobs == 0:
+		d.Went = Well
+		d.Headline = "Yes. " + d.subject() + " went well: no work came, and nothing went wrong."
+	default:
+		d.Went = Well
+		d.Headline = d.well()
+	}
+}
+
+// SoFar reports whether the day was still going on when the account was made.
+func (d *Digest) SoFar() bool { return d.Asked.Before(d.To) }
+
+func (d *Digest) subject() string {
+	if d.SoFar() {
+		return "Today"
+	}
+	return "The day"
+}
+
+func (d *Digest) well() string {
+	s := "Yes. " + d.subject() + " went well: "
+	turned := d.Totals.Jobs - d.Totals.Complete
+	if turned == 0 {
+		return s + Jobs(d.Totals.Jobs) + " ended, every one of them answered whole and in time."
+	}
+	return s + Jobs(d.Totals.Complete) + " answered whole and in time; " + Jobs(turned) + " withdrawn or sent wrongly by callers."
+}
+
+func (d *Digest) badly() string {
+	if d.Totals.Suffered == 0 {
+		return "No. " + Jobs(d.OverdueWorst) + " stood open past the deadline."
+	}
+	return fmt.Sprintf("No. %s of %s suffered: %s.", Count(d.Totals.Suffered), Jobs(d.Totals.Jobs), d.parts())
+}
+
+// parts says in which ways the jobs that suffered ended; those turned away by the caller's choice are left out.
+func (d *Digest) parts() string {
+	var sum work
+	for _, w := range d.Suffered {
+		sum.Failed += w.Failed
+		sum.Refused += w.Refused
+		sum.Unknown += w.Unknown
+		sum.Late += w.Late
+		sum.WorstLateMS = max(sum.WorstLateMS, w.WorstLateMS)
+	}
+	return sum.Parts()
+}
+
+// Parts says in which ways the jobs of the work suffered.
+func (w *work) Parts() string {
+	var parts []string
+	add := func(n int64, text string) {
+		if n > 0 {
+			parts = append(parts, Count(n)+" "+text)
+		}
+	}
+	add(w.Failed, "failed")
+	add(w.Refused, "refused (not run)")
+	add(w.Unknown, "with an answer that is not known")
+	add(w.Late, "late, the worst by "+Span(time.Duration(w.WorstLateMS)*time.Millisecond))
+	return strings.Join(parts, ", ")
+}
+
+// Name names the work for an owner.
+func (w *work) Name() string { return Name(w.Team, w.Kind) }
+
+// Name names the work for an owner.
+func (k kind) Name() string { return Name(k.Team, k.Kind) }
+
+func (d *Digest) missing() time.Duration {
+	var sum time.Duration
+	for _, g := range d.Gaps {
+		sum += g.To.Sub(g.From)
+	}
+	return sum
+}
+
+func (d *Digest) jobsLost() int64 {
+	var n int64
+	for _, g := range d.Gaps {
+		n += g.Jobs
+	}
+	return n
+}
+
+// Jobs writes a number of jobs.
+func Jobs(n int64) string {
+	if n == 1 {
+		return "1 job"
+	}
+	return Count(n) + " jobs"
+}
+
+// Count writes n with commas between thousands.
+func Count(n int64) string {
+	s := strconv.FormatInt(n, 10)
+	for i := len(s) - 3; i > 0 && s[i-1] != '-'; i -= 3 {
+		s = s[:i] + "," + s[i:]
+	}
+	return s
+}
+
+// Span writes a duration to a precision that a person reads: ms below a second, tenths below a minute.
+func Span(d time.Duration) string {
+	switch {
+	case d < time.Second:
+		return fmt.Sprintf("%d ms", d.Milliseconds())
+	case d < time.Minute:
+		return fmt.Sprintf("%.1f s", d.Seconds())
+	case d < time.Hour:
+		return fmt.Sprintf("%d min %d s", int(d.Minutes()), int(d.Seconds())%60)
+	default:
+		return fmt.Sprintf("%d h %d min", int(d.Hours()), int(d.Minutes())%60)
+	}
+}
--- a/core/tally/tally.go
+++ b/core/tally/tally.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// Minute is the length of a record while the log takes them.
-	Minute = time.Minute
+	// RecordLength is the length of a record while the log takes them.
+	RecordLength = time.Minute
 	// DefaultBound is the memory in bytes that closed minutes may take while the log takes none.
 	DefaultBound = 16 << 20
 	// maxSeries bounds the pairs of team and kind in one minute; further ones share an account.
@@ -189,15 +189,15 @@
 		t.begin(now)
 		return
 	}
-	end := t.current.From.Truncate(Minute).Add(Minute)
-	back := now.Before(t.current.From.Truncate(Minute))
+	end := t.current.From.Truncate(RecordLength).Add(RecordLength)
+	back := now.Before(t.current.From.Truncate(RecordLength))
 	if !back && now.Before(end) {
 		return
 	}
 	t.finish(end)
-	if !back && now.Sub(end) >= Minute {
+	if !back && now.Sub(end) >= RecordLength {
 		// Nothing was called in between: one record covers the quiet time, so that no gap is read as a loss.
-		t.quiet(end, now.Truncate(Minute))
+		t.quiet(end, now.Truncate(RecordLength))
 	}
 	t.begin(t.start(now, end, back))
 }
@@ -206,7 +206,7 @@
 	if back {
 		return now
 	}
-	return later(end, now.Truncate(Minute))
+	return later(end, now.Truncate(RecordLength))
 }
 
 func (t *Tally) begin(from time.Time) {
