--- /dev/null
+++ b/core/admit/gate.go
@@ -0,0 +1,143 @@
+package admit
+
+import (
+	"time"
+
+	"persimmonstage/core/bound"
+)
+
+const (
+	defaultTasks  = 100_000   // tasks
+	defaultBytes  = 512 << 20 // bytes
+	defaultWeight = 1
+	maxShares     = 4096 // team and kind pairs
+)
+
+type random interface{ Float64() float64 }
+
+// Gate decides which jobs an entry takes; the zero value is ready, with default bounds, no quotas and unspread retries.
+type Gate struct {
+	teams     map[string]*team
+	weights   weights
+	shares    int
+	tasks     int64
+	bytes     int64
+	taskBound bound.Bound
+	byteBound bound.Bound
+	fleet     float64 // host-seconds a second
+	rng       random
+}
+
+// New returns a gate that spreads the retries of refused callers with rng.
+func New(rng interface{ Float64() float64 }) *Gate {
+	return &Gate{rng: rng}
+}
+
+// SetBounds limits the tasks and bytes of jobs that have not ended; what was taken stays.
+func (g *Gate) SetBounds(tasks, bytes int64) {
+	g.init()
+	g.taskBound = bound.New(tasks)
+	g.byteBound = bound.New(bytes)
+}
+
+// SetWeight sets the weight of a kind in its team, or of the team when kind is empty; below 1 counts as 1.
+func (g *Gate) SetWeight(teamName, kindName string, weight int64) {
+	g.init()
+	t := g.team(teamName)
+	t.kept = true
+	if kindName == "" {
+		t.reweigh(&g.weights, max(weight, 1))
+		return
+	}
+	k := g.kind(t, kindName)
+	k.kept = true
+	k.reweigh(&t.weights, max(weight, 1))
+}
+
+// Tasks returns the number of tasks of jobs that have not ended.
+func (g *Gate) Tasks() int64 { return g.tasks }
+
+func (g *Gate) init() {
+	if g.teams != nil {
+		return
+	}
+	g.teams = map[string]*team{}
+	g.taskBound = bound.New(defaultTasks)
+	g.byteBound = bound.New(defaultBytes)
+}
+
+func (g *Gate) team(name string) *team {
+	t, ok := g.teams[name]
+	if !ok {
+		t = &team{share: share{name: name, weight: defaultWeight}, kinds: map[string]*kind{}}
+		g.teams[name] = t
+		g.weights.known += t.weight
+	}
+	return t
+}
+
+func (g *Gate) kind(t *team, name string) *kind {
+	k, ok := t.kinds[name]
+	if !ok {
+		k = &kind{share: share{name: name, weight: defaultWeight}, team: t}
+		t.kinds[name] = k
+		t.weights.known += k.weight
+		g.shares++
+	}
+	return k
+}
+
+// share returns the share of a request, or nil when there are too many.
+func (g *Gate) share(teamName, kindName string, now time.Time) *kind {
+	g.init()
+	if t, ok := g.teams[teamName]; ok {
+		if k, ok := t.kinds[kindName]; ok {
+			k.seen = now
+			return k
+		}
+	}
+	if g.shares >= maxShares && !g.forgetIdle() {
+		return nil
+	}
+	k := g.kind(g.team(teamName), kindName)
+	k.seen = now
+	return k
+}
+
+// forgetIdle drops the share that was idle longest and that no setting names.
+func (g *Gate) forgetIdle() bool {
+	var oldest *kind
+	for _, t := range g.teams {
+		for _, k := range t.kinds {
+			if k.kept || k.active {
+				continue
+			}
+			if oldest == nil || k.seen.Before(oldest.seen) {
+				oldest = k
+			}
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	g.forget(oldest)
+	return true
+}
+
+func (g *Gate) forget(k *kind) {
+	t := k.team
+	delete(t.kinds, k.name)
+	t.weights.known -= k.weight
+	g.shares--
+	if len(t.kinds) == 0 && !t.kept {
+		delete(g.teams, t.name)
+		g.weights.known -= t.weight
+	}
+}
+
+// setActive keeps the sums of the active weights after a change of what a share holds.
+func (g *Gate) setActive(k *kind) {
+	t := k.team
+	k.mark(&t.weights, k.tasks > 0 || k.waiting > 0)
+	t.mark(&g.weights, t.weights.active > 0)
+}
--- a/core/queue/done.go
+++ b/core/queue/done.go
@@ -10,6 +10,7 @@
 		return
 	}
 	t := k.team
+	q.loan.end(item.size(), item.borrows)
 	change := -item.cost(item.Run)
 	if run > 0 {
 		change += item.cost(run)
--- a/core/queue/item.go
+++ b/core/queue/item.go
@@ -13,6 +13,8 @@
 	Size     int64         // dominant part of the host's capacity, in thousandths; below 1 counts as 1
 	Bytes    int64         // memory that it holds while it waits
 	Value    T
+
+	borrows bool // runs on capacity that is lent
 }
 
 // minRun is the least run time that is charged, so that no item is free.
--- /dev/null
+++ b/core/queue/lend_test.go
@@ -0,0 +1,69 @@
+package queue
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// lendingQueue has a team "a" that lately used three quarters of the host and is idle now, and a flood of runs.
+func lendingQueue(t *testing.T, run time.Duration) *Queue[int] {
+	t.Helper()
+	q := &Queue[int]{}
+	q.SetWeight("a", "x", 1)
+	q.SetWeight("flood", "x", 1)
+	q.SetWeight("a", "", 7)
+	q.Expire(time.Unix(1000, 0))
+	for i := range 6 {
+		push(t, q, work(fmt.Sprint("a", i), "a", "x"))
+	}
+	for range 6 {
+		it, ok := q.Pop(always)
+		require.True(t, ok)
+		defer q.Done(it, it.Run)
+	}
+	for i := range 400 {
+		it := work(fmt.Sprint("flood", i), "flood", "x")
+		it.Run = run
+		push(t, q, it)
+	}
+	return q
+}
+
+// fill starts what the queue gives on the free ones of eight slots, and returns the teams of what started.
+func fill(q *Queue[int], free int) []string {
+	var started []string
+	slots := func(*Item[int], bool) bool { return len(started) < free }
+	for {
+		it, ok := q.Pop(slots)
+		if !ok {
+			return started
+		}
+		started = append(started, it.Team)
+	}
+}
+
+// The first task of the flood is its own part; then five eighths of the host are unused of the peak.
+func TestLongTasksBorrowLessThanShortOnes(t *testing.T) {
+	require.Len(t, fill(lendingQueue(t, 100*time.Millisecond), 8), 7, "a sixth of the unused peak is kept")
+	require.Len(t, fill(lendingQueue(t, 500*time.Millisecond), 8), 5, "half is kept")
+	require.Len(t, fill(lendingQueue(t, 5*time.Second), 8), 3, "ten elevenths are kept")
+}
+
+func TestAFloodAloneGetsTheWholeHostAfterTheWindow(t *testing.T) {
+	q := lendingQueue(t, 5*time.Second)
+	q.Expire(time.Unix(1005, 0))
+	q.Expire(time.Unix(1010, 0))
+	require.Len(t, fill(q, 8), 8)
+}
+
+func TestTheLenderStartsOnWhatWasKept(t *testing.T) {
+	q := lendingQueue(t, 5*time.Second)
+	require.Len(t, fill(q, 8), 3)
+	for i := range 6 {
+		push(t, q, work(fmt.Sprint("again", i), "a", "x"))
+	}
+	require.Equal(t, []string{"a", "a", "a", "a", "a"}, fill(q, 5))
+}
--- a/core/queue/pop.go
+++ b/core/queue/pop.go
@@ -2,9 +2,8 @@
 
 import "math"
 
-// Pop takes out the next item that fits. The function fits says whether an item can start now; within is true when the
-// item's share runs less than its part of the host, so that it may use capacity that is held back from the others.
-// Call Done when the item has ended.
+// Pop takes out the next item that fits. The function fits says whether an item can start now; within is false when
+// the item would run on capacity that its share borrows from others. Call Done with the item when it has ended.
 func (q *Queue[T]) Pop(fits func(item *Item[T], within bool) bool) (Item[T], bool) {
 	q.init()
 	e := q.pickTeam(fits)
@@ -54,13 +53,14 @@
 			break
 		}
 		e := k.items.Min()
-		within := q.within(k)
-		if fits(&e.item, within) {
+		e.item.borrows = q.greedy(k)
+		lent := !e.item.borrows || q.loan.lends(e.item.size(), e.item.Run)
+		if lent && fits(&e.item, !e.item.borrows) {
 			found = e
 			break
 		}
-		// An item that is only kept from the spare capacity waits for its own share to shrink and holds up nobody.
-		if within || !fits(&e.item, true) {
+		// An item that only isn't lent the capacity waits for its own share to shrink and holds up nobody.
+		if !e.item.borrows || lent && !fits(&e.item, true) {
 			cost := e.item.cost(e.item.Run)
 			held = min(held, cost)
 			limit = min(limit, k.start+cost/float64(k.weight))
@@ -86,11 +86,13 @@
 	k.charge(cost)
 	q.waiting.Fix(t.place)
 	t.waiting.Fix(k.place)
+	q.loan.start(e.item.size(), e.item.borrows)
 	k.running += e.item.size()
 	t.running += e.item.size()
 }
 
-// within reports whether a share runs less than its part of the host.
-func (q *Queue[T]) within(k *kind[T]) bool {
-	return float64(k.running) < q.teamPart(k.team)*k.part()*wholeHost
+// greedy reports whether a share runs its part of the host and has a backlog besides.
+func (q *Queue[T]) greedy(k *kind[T]) bool {
+	return float64(k.running) >= q.teamPart(k.team)*k.part()*wholeHost &&
+		k.backlog >= q.rate(k)*greedyBacklog.Seconds()
 }
--- a/core/queue/push.go
+++ b/core/queue/push.go
@@ -87,11 +87,11 @@
 	k.backlog += e.item.cost(e.item.Run)
 	k.lastUse = q.seq
 	if k.place < 0 {
-		k.enter(t.now)
+		k.enter(t.now, idleCredit*q.teamPart(t)/float64(t.weights.known))
 		t.waiting.Push(k)
 	}
 	if t.place < 0 {
-		t.enter(q.now)
+		t.enter(q.now, idleCredit/float64(q.weights.known))
 		q.waiting.Push(t)
 	}
 	q.setActive(k)
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -23,6 +23,7 @@
 	now     float64 // virtual time of the teams
 	seq     uint64
 	weights weights
+	loan    loan
 	shares  int
 	bytes   int64
 	items   bound.Bound
--- a/core/queue/remove.go
+++ b/core/queue/remove.go
@@ -13,9 +13,11 @@
 	return q.recycle(e), true
 }
 
-// Expire takes out every item whose deadline is not after now, earliest first.
+// Expire takes out every item whose deadline is not after now, earliest first; call it about once a second, because the
+// queue learns the time from it.
 func (q *Queue[T]) Expire(now time.Time) []Item[T] {
 	q.init()
+	q.loan.advance(now)
 	var expired []Item[T]
 	for q.due.Len() > 0 {
 		e := q.due.Min()
--- a/core/queue/share.go
+++ b/core/queue/share.go
@@ -6,6 +6,10 @@
 // shut its share out for long.
 const maxDebt = 30.0
 
+// idleCredit bounds, in seconds of service at its own part, what a share may catch up after a pause. It lets a burst
+// of a share that uses less than its part go ahead of a flood.
+const idleCredit = 1.0
+
 // share is what teams and kinds have in common: a weight and a start tag in the virtual time of their parent.
 type share struct {
 	name   string
@@ -18,8 +22,8 @@
 	kept   bool // named by a setting
 }
 
-// enter puts the start tag of a share that was empty to the present.
-func (s *share) enter(now float64) { s.start = max(s.start, now) }
+// enter puts the start tag of a share that was empty to the present, less a credit.
+func (s *share) enter(now, credit float64) { s.start = max(s.start, now-credit) }
 
 // charge moves the tag on by a cost.
 func (s *share) charge(cost float64) { s.start += cost / float64(s.weight) }
