Prove the gate's refusals, quotas and returns of room

Cause: a job with a near deadline was refused for the backlog of patient jobs of its own share, which agents would serve after it. Change: the expected wait counts only work whose jobs are as impatient or more, by 16 classes of patience from issue to deadline. Tests of each reason of a refusal, of the spread of retries, and a rapid property that all room returns. Ruled out: buckets by absolute deadline (a job's bucket changes as the grid gets finer, so what it added can't be taken out exactly).

--- a/core/admit/check.go
+++ b/core/admit/check.go
@@ -31,6 +31,7 @@
 	ready = k.team.ready(now)
 	k.team.pay(r.Tasks, now)
 	k.unsent += r.work()
+	k.held.add(&r, 1)
 	g.hold(k, r.Tasks, r.Bytes)
 	return ready, nil
 }
--- /dev/null
+++ b/core/admit/gate_test.go
@@ -0,0 +1,255 @@
+package admit
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+// job has tasks of a second on a whole host each, and a deadline ten seconds after the epoch.
+func job(team string, tasks int64) Request {
+	return Request{
+		Team: team, Kind: "x", Tasks: tasks, Bytes: 100, Run: time.Second, Size: 1000,
+		Issued: epoch, Deadline: epoch.Add(10 * time.Second),
+	}
+}
+
+func requireRefused(t *testing.T, err error, reason string) *RefusedError {
+	t.Helper()
+	var refused *RefusedError
+	require.True(t, errors.As(err, &refused), "%v", err)
+	require.Equal(t, reason, refused.Reason, "%v", err)
+	return refused
+}
+
+func admit(t *testing.T, g *Gate, r Request) {
+	t.Helper()
+	_, err := g.Admit(r, epoch)
+	require.NoError(t, err)
+}
+
+func TestJobWhoseWaitPassesItsDeadlineIsRefusedNow(t *testing.T) {
+	var g Gate
+	g.SetFleet(1)
+	admit(t, &g, job("a", 6))
+	refused := requireRefused(t, g.Check(job("a", 5), epoch), Late)
+	require.Equal(t, 10*time.Second, refused.Wait, "six tasks of the first job and four of its own go before the last")
+	require.True(t, refused.Retry.After(epoch))
+	require.NoError(t, g.Check(job("a", 4), epoch))
+}
+
+func TestWaitDependsOnTheShareAlone(t *testing.T) {
+	var g Gate
+	g.SetFleet(4)
+	for range 4 {
+		admit(t, &g, job("a", 8))
+	}
+	requireRefused(t, g.Check(job("a", 8), epoch), Late)
+	require.NoError(t, g.Check(job("b", 8), epoch), "half of the fleet is b's")
+}
+
+func TestReportedRateAndBacklogCountUntilTheyExpire(t *testing.T) {
+	var g Gate
+	g.SetFleet(1)
+	g.Report("a", "x", 20, 1, epoch, epoch.Add(3*time.Second))
+	requireRefused(t, g.Check(job("a", 1), epoch), Late)
+	g.Report("a", "x", 20, 4, epoch, epoch.Add(3*time.Second))
+	require.NoError(t, g.Check(job("a", 1), epoch))
+	g.Report("a", "x", 20, 1, epoch, epoch.Add(3*time.Second))
+	g.Expire(epoch.Add(3 * time.Second))
+	require.NoError(t, g.Check(job("a", 1), epoch.Add(3*time.Second)))
+}
+
+func TestAnImpatientJobDoesNotWaitForPatientOnes(t *testing.T) {
+	var g Gate
+	g.SetFleet(1)
+	patient := job("a", 60)
+	patient.Deadline = epoch.Add(time.Hour)
+	admit(t, &g, patient)
+	require.NoError(t, g.Check(job("a", 2), epoch))
+	for range 4 {
+		admit(t, &g, job("a", 2))
+	}
+	requireRefused(t, g.Check(job("a", 3), epoch), Late)
+}
+
+func TestExpiredAndTooLargeJobsGetNoRetry(t *testing.T) {
+	var g Gate
+	g.SetBounds(100, 1000)
+	refused := requireRefused(t, g.Check(job("a", 1), epoch.Add(time.Minute)), Expired)
+	require.Zero(t, refused.Retry)
+	refused = requireRefused(t, g.Check(job("a", 101), epoch), TooLarge)
+	require.Zero(t, refused.Retry)
+}
+
+func TestQuotaOfStartsLooksAtTheDeadline(t *testing.T) {
+	var g Gate
+	g.SetQuota("a", Quota{Starts: 10, Burst: 20})
+	admit(t, &g, job("a", 20))
+	ready, err := g.Admit(job("a", 50), epoch)
+	require.NoError(t, err)
+	require.Equal(t, epoch, ready, "the burst covers what was admitted before")
+	ready, err = g.Admit(job("a", 50), epoch)
+	require.NoError(t, err)
+	require.Equal(t, 5*time.Second, ready.Sub(epoch))
+	refused := requireRefused(t, g.Check(job("a", 1), epoch), OverQuota)
+	require.Equal(t, 10*time.Second, refused.Wait)
+	later := job("a", 1)
+	later.Deadline = epoch.Add(15 * time.Second)
+	ready, err = g.Admit(later, epoch.Add(5*time.Second))
+	require.NoError(t, err, "tokens come back")
+	require.Equal(t, 10*time.Second, ready.Sub(epoch))
+	require.NoError(t, g.Check(job("b", 50), epoch), "another team has its own")
+}
+
+func TestQuotaOfRunningTasks(t *testing.T) {
+	var g Gate
+	g.SetFleet(100)
+	g.SetQuota("a", Quota{Running: 2})
+	r := job("a", 4)
+	admit(t, &g, r)
+	g.Sent(r)
+	require.True(t, g.MayStart("a"))
+	g.Sent(r)
+	require.False(t, g.MayStart("a"))
+	require.True(t, g.MayStart("b"))
+	requireRefused(t, g.Check(job("a", 20), epoch), Late)
+	g.Back(r)
+	require.True(t, g.MayStart("a"))
+	g.Sent(r)
+	g.Done(r)
+	require.True(t, g.MayStart("a"))
+}
+
+func TestATeamWithinItsWeightIsNotRefusedInAFlood(t *testing.T) {
+	var g Gate
+	g.SetBounds(1200, 0)
+	g.SetFleet(10)
+	g.SetWeight("b", "x", 1)
+	g.SetWeight("flood", "x", 1)
+	var err error
+	for err == nil {
+		r := job("flood", 1)
+		r.Deadline = epoch.Add(time.Hour)
+		_, err = g.Admit(r, epoch)
+	}
+	requireRefused(t, err, ShareFull)
+	for range 4 {
+		admit(t, &g, job("b", 10))
+	}
+	patient := job("b", 160)
+	patient.Deadline = epoch.Add(time.Hour)
+	admit(t, &g, patient)
+}
+
+func TestCallersThatJoinFillOnlyTheirOwnShare(t *testing.T) {
+	var g Gate
+	g.SetBounds(300, 0)
+	g.SetWeight("a", "x", 1)
+	g.SetWeight("b", "x", 1)
+	var err error
+	joined := 0
+	for ; err == nil; joined++ {
+		err = g.Join(job("a", 1), epoch)
+	}
+	requireRefused(t, err, ShareFull)
+	require.NoError(t, g.Join(job("b", 1), epoch))
+	for range joined - 1 {
+		g.Leave(job("a", 1))
+	}
+	g.Leave(job("b", 1))
+	require.Zero(t, g.Tasks())
+}
+
+// Refused callers come back at the rate at which their share is served, not together.
+func TestRetriesAreSpread(t *testing.T) {
+	g := New(rand.New(rand.NewPCG(1, 2)))
+	g.SetFleet(10)
+	for range 10 {
+		admit(t, g, job("a", 8))
+	}
+	perSecond := map[int]int{}
+	const callers = 2000
+	for range callers {
+		refused := requireRefused(t, g.Check(job("a", 20), epoch), Late)
+		wait := refused.Retry.Sub(epoch)
+		require.Positive(t, wait)
+		require.LessOrEqual(t, wait, maxRetry+time.Second)
+		perSecond[int(wait/time.Second)]++
+	}
+	for second, n := range perSecond {
+		require.LessOrEqual(t, n, callers/10, "second %d", second)
+	}
+	require.GreaterOrEqual(t, len(perSecond), 25)
+}
+
+// Whatever happens to jobs, what they held is given back, and the bounds hold at every step.
+func TestRoomIsGivenBack(t *testing.T) {
+	type taken struct {
+		r    Request
+		sent int64
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		var g Gate
+		g.SetBounds(200, 5000)
+		g.SetFleet(5)
+		g.SetQuota("a", Quota{Starts: 50, Running: 10})
+		now := epoch
+		var jobs []*taken
+		end := func(j *taken) {
+			for ; j.sent > 0; j.sent-- {
+				g.Done(j.r)
+			}
+			g.End(j.r)
+		}
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
+			switch {
+			case len(jobs) > 0 && rapid.Bool().Draw(t, "end"):
+				end(jobs[0])
+				jobs = jobs[1:]
+			default:
+				r := job(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "team"), rapid.Int64Range(1, 60).Draw(t, "tasks"))
+				r.Run = time.Duration(rapid.IntRange(10, 1000).Draw(t, "run")) * time.Millisecond
+				r.Size = 125
+				r.Issued = now
+				r.Deadline = now.Add(time.Duration(rapid.IntRange(1, 60).Draw(t, "patience")) * time.Second)
+				if _, err := g.Admit(r, now); err == nil {
+					j := &taken{r: r, sent: rapid.Int64Range(0, r.Tasks).Draw(t, "sent")}
+					for range j.sent {
+						g.Sent(r)
+					}
+					jobs = append(jobs, j)
+				}
+			}
+			require.LessOrEqual(t, g.Tasks(), int64(200))
+		}
+		for _, j := range jobs {
+			end(j)
+		}
+		require.Zero(t, g.Tasks())
+		require.Zero(t, g.bytes)
+		require.Empty(t, g.Snapshot(now))
+		require.Zero(t, g.weights.active)
+		for _, team := range g.teams {
+			require.Zero(t, team.running)
+		}
+	})
+}
+
+func TestIdleSharesMakeRoomForNewOnes(t *testing.T) {
+	var g Gate
+	for i := range maxShares {
+		require.NoError(t, g.Check(job(fmt.Sprint(i), 1), epoch.Add(time.Duration(i))))
+	}
+	admit(t, &g, job("busy", 1))
+	require.NoError(t, g.Check(job("new", 1), epoch.Add(time.Second)))
+	require.Equal(t, maxShares, g.shares)
+}
--- a/core/admit/life.go
+++ b/core/admit/life.go
@@ -53,8 +53,10 @@
 		return
 	}
 	g.hold(k, -r.Tasks, -r.Bytes)
+	k.held.add(&r, -1)
 	if k.tasks == 0 {
 		k.unsent = 0
+		k.held = classed{}
 	}
 }
 
--- a/core/admit/request.go
+++ b/core/admit/request.go
@@ -11,6 +11,7 @@
 	Run      time.Duration // expected run time of the longest task
 	Size     int64         // part of a host that a task takes, in thousandths; below 1 counts as 1
 	Work     float64       // expected host-seconds of all tasks; zero means that each takes Run and Size
+	Issued   time.Time     // zero means unknown, and then the job is taken for patient
 	Deadline time.Time     // zero means none
 }
 
--- a/core/admit/share.go
+++ b/core/admit/share.go
@@ -24,6 +24,7 @@
 	share
 	team    *team
 	kept    bool
+	held    classed   // host-seconds of jobs that have not ended
 	unsent  float64   // host-seconds admitted and not yet sent
 	sent    float64   // host-seconds sent since the last report
 	waiting float64   // host-seconds that wait at agents, as reported
--- a/core/admit/sim_test.go
+++ b/core/admit/sim_test.go
@@ -135,7 +135,7 @@
 	}
 	job.req = Request{
 		Team: src.team, Kind: src.kind, Tasks: int64(src.tasks), Bytes: 1000, Size: 1000 / hostSlots,
-		Run: (src.run[0] + src.run[1]) / 2, Deadline: at.Add(src.patience),
+		Run: (src.run[0] + src.run[1]) / 2, Issued: at, Deadline: at.Add(src.patience),
 	}
 	s.push(job)
 }
--- a/core/admit/wait.go
+++ b/core/admit/wait.go
@@ -37,7 +37,7 @@
 	}
 }
 
-// Wait returns the expected time until a task of a new job in a share starts.
+// Wait returns the expected time until a task of a new, patient job in a share starts.
 func (g *Gate) Wait(teamName, kindName string, now time.Time) time.Duration {
 	k := g.share(teamName, kindName, now)
 	if k == nil {
@@ -48,7 +48,7 @@
 
 // lastStart returns the expected time until the last task of a job starts.
 func (g *Gate) lastStart(k *kind, r *Request) time.Duration {
-	work := k.backlog() + r.work() - r.each()
+	work := k.backlog()*k.held.ahead(r) + r.work() - r.each()
 	return span(work, g.rate(k, r))
 }
 
