Hold capacity by leases, correct declared sizes and guard the host

Cause: declared sizes are off by up to ten times and usage is reported with a lag, so capacity by declared needs either wastes the host or exhausts it. Change: core/slots takes leases over the needs vector, learns per team and kind what cores and memory are really used (up by a half, down by a sixteenth, at most 16 times), and decides whom to throttle, checkpoint, stop or resume, by memory projected over the lag, least urgent first; actions are asked again after 5 s, and a checkpoint without effect becomes a stop. Ruled out: correcting small differences (two tasks of half the host each would not fit any more); throttling a host that is full of tasks within their needs. Conclusion: decisions only; the effects are typed values for the platform.

--- /dev/null
+++ b/core/slots/slots.go
@@ -0,0 +1,119 @@
+package slots
+
+import (
+	"fmt"
+	"time"
+
+	"persimmonstage/core/needs"
+)
+
+const (
+	wholeHost  = 1000             // thousandths
+	maxLag     = 10 * time.Second // of a usage report
+	maxLessons = 4096             // team and kind pairs
+)
+
+// Slots is the capacity of one host and what is held of it; the zero value has no capacity.
+type Slots struct {
+	capacity needs.Vector
+	taken    needs.Vector
+	holds    map[string]*hold
+	lessons  map[share]*lesson
+	seq      uint64
+	pressed  bool // the guard wants no further starts
+}
+
+type share struct{ team, kind string }
+
+// FullError is the refusal of a lease; nothing was taken.
+type FullError struct {
+	Key  string
+	Need string       // first need that is too large, or "" when the key is held already
+	Asks needs.Vector // corrected needs
+	Free needs.Vector
+}
+
+// Error names the need and the amounts.
+func (e *FullError) Error() string {
+	if e.Need == "" {
+		return fmt.Sprintf("lease %q is held already", e.Key)
+	}
+	return fmt.Sprintf("lease %q needs %d %s, free %d", e.Key, e.Asks.Amount(e.Need), e.Need, e.Free.Amount(e.Need))
+}
+
+// SetCapacity sets what the whole host has; leases in force stay.
+func (s *Slots) SetCapacity(capacity needs.Vector) {
+	s.init()
+	s.capacity = capacity
+}
+
+// Free returns what no lease holds; a dimension is negative when tasks use more than they were given.
+func (s *Slots) Free() needs.Vector { return s.capacity.Sub(s.taken) }
+
+// Lacks names the first declared need that is larger than the whole host, or returns "".
+func (s *Slots) Lacks(declared needs.Vector) string { return declared.Lacks(s.capacity) }
+
+// Size returns the dominant part of the host that corrected needs take, in thousandths.
+func (s *Slots) Size(team, kind string, declared needs.Vector) int64 {
+	asks := s.Correct(team, kind, declared)
+	size := part(asks.Slots, s.capacity.Slots)
+	size = max(size, part(asks.Cores, s.capacity.Cores))
+	size = max(size, part(asks.MemoryMB, s.capacity.MemoryMB))
+	return max(size, part(asks.Accelerators, s.capacity.Accelerators))
+}
+
+func part(need, capacity int) int64 {
+	if capacity <= 0 {
+		return 0
+	}
+	return int64(need) * wholeHost / int64(capacity)
+}
+
+// Fits reports whether a task with these declared needs can start now.
+func (s *Slots) Fits(team, kind string, declared needs.Vector) bool {
+	return !s.pressed && s.Correct(team, kind, declared).Fits(s.Free())
+}
+
+// Take holds capacity until End, or returns a *FullError. It doesn't look at the guard's wish, which Fits does.
+func (s *Slots) Take(l Lease) error {
+	s.init()
+	if h, ok := s.holds[l.Key]; ok && h.gone.IsZero() {
+		return &FullError{Key: l.Key, Free: s.Free()}
+	}
+	asks := s.Correct(l.Team, l.Kind, l.Needs)
+	if need := asks.Lacks(s.Free()); need != "" {
+		return &FullError{Key: l.Key, Need: need, Asks: asks, Free: s.Free()}
+	}
+	s.seq++
+	s.holds[l.Key] = &hold{lease: l, holds: asks, seq: s.seq}
+	s.taken = s.taken.Add(asks)
+	return nil
+}
+
+// Renew moves the end of a lease.
+func (s *Slots) Renew(key string, expires time.Time) bool {
+	h, ok := s.holds[key]
+	if !ok || !h.gone.IsZero() {
+		return false
+	}
+	h.lease.Expires = expires
+	return true
+}
+
+// End gives back what a lease held; reports on it are still learned from for the longest lag.
+func (s *Slots) End(key string, now time.Time) bool {
+	h, ok := s.holds[key]
+	if !ok || !h.gone.IsZero() {
+		return false
+	}
+	s.taken = s.taken.Sub(h.takes())
+	h.gone = now.Add(maxLag)
+	return true
+}
+
+func (s *Slots) init() {
+	if s.holds == nil {
+		s.holds = map[string]*hold{}
+		s.lessons = map[share]*lesson{}
+	}
+}
