Learn in the queue how far expected run times are off

Change: each share follows the ratio of true to expected run time (an eighth a task, at most 16 times); charges, lending, backlog and expected wait use it. The debt in the expected wait is that behind the first rival, so a share alone has none. Floods declared ten times short and long join the test. Ruled out: changing Run of the waiting items (the sums would not come back).

--- a/core/admit/flood_test.go
+++ b/core/admit/flood_test.go
@@ -48,6 +48,8 @@
 		{name: "huge jobs", team: "flood", kind: "huge", run: span2(3000, 5000), patience: time.Hour, urgency: 9, tasks: 160},
 		{name: "resubmissions", team: "flood", kind: "again", run: span2(50, 200), patience: 3 * time.Second, urgency: 9, tasks: 1, again: true},
 		{name: "within quota", team: "quota", kind: "rush", run: span2(50, 200), patience: 10 * time.Second, urgency: 9, tasks: 1},
+		{name: "declared short", team: "flood", kind: "batch", run: span2(100, 500), patience: time.Hour, urgency: 9, tasks: 1, off: 0.1},
+		{name: "declared long", team: "flood", kind: "batch", run: span2(100, 500), patience: time.Hour, urgency: 9, tasks: 1, off: 10},
 		{name: "beside the labels", team: "kowhai", kind: "checkout", run: span2(50, 200), patience: 3 * time.Second, urgency: 9, tasks: 1},
 	}
 }
--- a/core/admit/sim_test.go
+++ b/core/admit/sim_test.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -24,7 +25,8 @@
 	patience   time.Duration // deadline after arrival
 	tasks      int
 	from       time.Duration
-	again      bool // comes again when refused, at the time given
+	again      bool    // comes again when refused, at the time given
+	off        float64 // declared over mean run time; zero means one
 	rng        *rand.Rand
 }
 
@@ -134,9 +136,10 @@
 	for range src.tasks {
 		job.runs = append(job.runs, src.run[0]+time.Duration(src.rng.Int64N(int64(src.run[1]-src.run[0])+1)))
 	}
+	declared := time.Duration(mean / float64(src.tasks) * cmp.Or(src.off, 1) * float64(time.Second))
 	job.req = Request{
 		Team: src.team, Kind: src.kind, Tasks: int64(src.tasks), Bytes: 1000, Size: 1000 / hostSlots,
-		Run: (src.run[0] + src.run[1]) / 2, Issued: at, Deadline: at.Add(src.patience),
+		Run: declared, Issued: at, Deadline: at.Add(src.patience),
 	}
 	s.push(job)
 }
--- a/core/queue/done.go
+++ b/core/queue/done.go
@@ -11,9 +11,10 @@
 	}
 	t := k.team
 	q.loan.end(item.size(), item.borrows)
-	change := -item.cost(item.Run)
+	change := -item.charged
 	if run > 0 {
 		change += item.cost(run)
+		k.learn(run, item.Run)
 	}
 	k.correct(change, t.now)
 	t.correct(change, q.now)
--- a/core/queue/item.go
+++ b/core/queue/item.go
@@ -14,7 +14,8 @@
 	Bytes    int64         // memory that it holds while it waits
 	Value    T
 
-	borrows bool // runs on capacity that is lent
+	borrows bool    // runs on capacity that is lent
+	charged float64 // host-seconds that its share was charged
 }
 
 // minRun is the least run time that is charged, so that no item is free.
--- a/core/queue/lend_test.go
+++ b/core/queue/lend_test.go
@@ -12,6 +12,12 @@
 func lendingQueue(t *testing.T, run time.Duration) *Queue[int] {
 	t.Helper()
 	q := &Queue[int]{}
+	prepareLending(t, q, run)
+	return q
+}
+
+func prepareLending(t *testing.T, q *Queue[int], run time.Duration) {
+	t.Helper()
 	q.SetWeight("a", "x", 1)
 	q.SetWeight("flood", "x", 1)
 	q.SetWeight("a", "", 7)
@@ -29,7 +35,6 @@
 		it.Run = run
 		push(t, q, it)
 	}
-	return q
 }
 
 // fill starts what the queue gives on the free ones of eight slots, and returns the teams of what started.
@@ -88,3 +93,15 @@
 	}
 	require.InDelta(t, 70, serve(t, q, 80)["a"], 1, "seven of eight")
 }
+
+func TestAShareWhoseTasksRunTenTimesAsDeclaredBorrowsLikeLongOnes(t *testing.T) {
+	q := &Queue[int]{}
+	for i := range 40 {
+		push(t, q, work(fmt.Sprint("before", i), "flood", "x"))
+		it, ok := q.Pop(always)
+		require.True(t, ok)
+		q.Done(it, 10*it.Run)
+	}
+	prepareLending(t, q, 500*time.Millisecond)
+	require.Len(t, fill(q, 8), 3)
+}
--- a/core/queue/pop.go
+++ b/core/queue/pop.go
@@ -58,7 +58,7 @@
 		}
 		e := k.items.Min()
 		e.item.borrows = q.greedy(k)
-		lent := !e.item.borrows || q.loan.lends(e.item.size(), e.item.Run)
+		lent := !e.item.borrows || q.loan.lends(e.item.size(), k.expected(&e.item))
 		if lent && fits(&e.item, !e.item.borrows) {
 			found = e
 			break
@@ -68,7 +68,7 @@
 			k.enter(t.now, 0)
 			continue
 		}
-		cost := e.item.cost(e.item.Run)
+		cost := e.item.cost(k.expected(&e.item))
 		held = min(held, cost)
 		limit = min(limit, k.start+cost/float64(k.weight))
 	}
@@ -84,7 +84,8 @@
 func (q *Queue[T]) serve(e *entry[T]) {
 	k := e.kind
 	t := k.team
-	cost := e.item.cost(e.item.Run)
+	cost := e.item.cost(k.expected(&e.item))
+	e.item.charged = cost
 	q.now = max(q.now, t.start)
 	t.now = max(t.now, k.start)
 	t.charge(cost)
@@ -99,5 +100,5 @@
 // greedy reports whether a share runs its part of the host and has a backlog besides.
 func (q *Queue[T]) greedy(k *kind[T]) bool {
 	return float64(k.running) >= q.teamPart(k.team)*k.part()*wholeHost &&
-		k.backlog >= q.rate(k)*greedyBacklog.Seconds()
+		k.work() >= q.rate(k)*greedyBacklog.Seconds()
 }
--- a/core/queue/rapid_test.go
+++ b/core/queue/rapid_test.go
@@ -117,7 +117,7 @@
 	active := map[string]int64{}
 	for _, s := range q.Snapshot() {
 		backlogged += s.Waiting
-		backlog += s.Backlog
+		backlog += q.find(s.Team, s.Kind).backlog
 		size -= s.Running
 		active[s.Team] = 1
 	}
@@ -246,3 +246,17 @@
 	push(t, &q, work("b", "b", "x"))
 	require.Equal(t, 200*time.Millisecond, q.Wait("a", "x").Round(time.Millisecond))
 }
+
+func TestWaitFollowsTheTrueRunTimes(t *testing.T) {
+	var q Queue[int]
+	for i := range 60 {
+		push(t, &q, work(fmt.Sprint("before", i), "a", "x"))
+		it, ok := q.Pop(always)
+		require.True(t, ok)
+		q.Done(it, 10*it.Run)
+	}
+	for i := range 8 {
+		push(t, &q, work(fmt.Sprint("a", i), "a", "x"))
+	}
+	require.InEpsilon(t, time.Second, q.Wait("a", "x"), 0.05)
+}
--- a/core/queue/share.go
+++ b/core/queue/share.go
@@ -1,6 +1,10 @@
 package queue
 
-import "persimmonstage/core/heap"
+import (
+	"time"
+
+	"persimmonstage/core/heap"
+)
 
 // maxDebt bounds, in host-seconds, how far corrections move a share behind the others, so that one straggler doesn't
 // shut its share out for long.
@@ -57,10 +61,31 @@
 	team    *team[T]
 	items   *heap.Heap[*entry[T]]
 	running int64   // thousandths of the host
-	backlog float64 // host-seconds that wait
+	backlog float64 // host-seconds that wait, as expected when they were pushed
 	lastUse uint64  // sequence number of the last push
+	drift   float64 // true over expected run time, less one
+}
+
+const (
+	maxDrift  = 16.0    // bound of the ratio of true to expected run time, up and down
+	driftGain = 1.0 / 8 // step towards a seen ratio
+)
+
+// learn follows the ratio of true to expected run time.
+func (k *kind[T]) learn(ran, expected time.Duration) {
+	ratio := max(ran, minRun).Seconds() / max(expected, minRun).Seconds()
+	ratio = min(max(ratio, 1/maxDrift), maxDrift)
+	k.drift += driftGain * (ratio - 1 - k.drift)
 }
 
+// expected returns the run time of an item by what was learned of its share.
+func (k *kind[T]) expected(it *Item[T]) time.Duration {
+	return time.Duration(float64(it.Run) * (1 + k.drift))
+}
+
+// work returns the host-seconds that wait, by what was learned.
+func (k *kind[T]) work() float64 { return k.backlog * (1 + k.drift) }
+
 // weights sums the weights of a parent's shares.
 type weights struct {
 	known  int64
--- a/core/queue/state.go
+++ b/core/queue/state.go
@@ -42,7 +42,7 @@
 		Waiting: k.queued,
 		Bytes:   k.bytes,
 		Running: k.running,
-		Backlog: k.backlog,
+		Backlog: k.work(),
 		Rate:    q.rate(k),
 		WaitMS:  q.Wait(k.team.name, k.name).Milliseconds(),
 	}
--- a/core/queue/wait.go
+++ b/core/queue/wait.go
@@ -9,7 +9,7 @@
 	if k == nil || k.queued == 0 {
 		return 0
 	}
-	return seconds((k.backlog + k.debt()) / q.rate(k))
+	return seconds((k.work() + q.debt(k)) / q.rate(k))
 }
 
 // rate returns the host-seconds a second that a busy share gets while the present set of shares stays busy.
@@ -18,9 +18,12 @@
 	return float64(t.weight) / float64(q.weights.active) * float64(k.weight) / float64(t.weights.active)
 }
 
-// debt returns the host-seconds that the others of the team are served first.
-func (k *kind[T]) debt() float64 {
-	return max(k.start-k.team.now, 0) * float64(k.weight)
+// debt returns the host-seconds that a waiting share lies behind the first of its rivals, at both levels.
+func (q *Queue[T]) debt(k *kind[T]) float64 {
+	t := k.team
+	behindKinds := (k.start - t.waiting.Min().start) * float64(k.weight)
+	behindTeams := (t.start - q.waiting.Min().start) * float64(t.weight)
+	return behindKinds + behindTeams
 }
 
 func seconds(s float64) time.Duration {
