Serve a job from end to end: try, dev, entry, agent, submit, stand-in target

Cause: nothing was served. The first run hung: the engine held its lock while it started gnet's client, whose boot callback wanted the same lock, as the stack dump showed. Change: the entry daemon, the verbs and a whole installation in one process; dialled connections get a handler of their own, whose boot does nothing. Ruled out: a slow resolver and a refused dial; the trace stood in sync.Mutex.Lock.

--- a/io/agtset/settings.go
+++ b/io/agtset/settings.go
@@ -1,10 +1,8 @@
 package agtset
 
 import (
-	"net/netip"
-	"net/url"
-
 	"persimmonstage/core/needs"
+	"persimmonstage/io/addr"
 	"persimmonstage/io/strict"
 )
 
@@ -53,9 +51,9 @@
 		return "name", "missing"
 	case s.DataCentre == "":
 		return "data-centre", "missing"
-	case !isBase(s.Target):
+	case !addr.ValidBase(s.Target):
 		return "target", "not a URL of the form http://IP:PORT"
-	case !isAddr(s.HTTP):
+	case !addr.Valid(s.HTTP):
 		return "http", "not an address of the form IP:PORT"
 	case len(s.Entries) == 0:
 		return "entries", "missing, at least 1"
@@ -71,19 +69,9 @@
 		return "timing.drain-ms", "negative, at least 0"
 	}
 	for _, e := range s.Entries {
-		if !isAddr(e) {
+		if !addr.Valid(e) {
 			return "entries", "\"" + e + "\" is not an address of the form IP:PORT"
 		}
 	}
 	return "", ""
 }
-
-func isAddr(s string) bool {
-	_, err := netip.ParseAddrPort(s)
-	return err == nil
-}
-
-func isBase(s string) bool {
-	u, err := url.Parse(s)
-	return err == nil && u.Scheme == "http" && isAddr(u.Host) && u.Path == ""
-}
--- /dev/null
+++ b/io/caller/client.go
@@ -0,0 +1,74 @@
+package caller
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	defaultLifetime = 30 * time.Second
+	answerSlack     = 2 * time.Second
+	maxAnswerBytes  = 1 << 30
+)
+
+// Client speaks to one entry.
+type Client struct {
+	base  string
+	token string
+	http  *fasthttp.Client
+}
+
+// New returns a client of the entry at base, such as http://127.0.0.1:8080; an empty token sends none.
+func New(base, token string) *Client {
+	return &Client{base: base, token: token, http: &fasthttp.Client{
+		NoDefaultUserAgentHeader: true, MaxResponseBodySize: maxAnswerBytes, MaxIdemponentCallAttempts: 1,
+	}}
+}
+
+// Fill completes a job in the form of the public API: an id, a time of issue and a deadline where they are missing.
+func Fill(text []byte, now time.Time) ([]byte, time.Time, error) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(text, &fields); err != nil {
+		return nil, time.Time{}, errors.Wrap(err, "body: not valid JSON")
+	}
+	deadline := now.Add(defaultLifetime)
+	for key, value := range map[string]string{
+		"id": uuid.Must(uuid.NewV7()).String(), "issued": now.UTC().Format(time.RFC3339Nano),
+		"deadline": deadline.UTC().Format(time.RFC3339Nano),
+	} {
+		if _, ok := fields[key]; !ok {
+			fields[key], _ = json.Marshal(value)
+		}
+	}
+	if err := json.Unmarshal(fields["deadline"], &deadline); err != nil {
+		return nil, time.Time{}, errors.Wrap(err, "deadline: not an RFC 3339 time")
+	}
+	body, err := json.Marshal(fields)
+	return body, deadline, err
+}
+
+// Submit posts a job and waits for its answer until shortly after the deadline.
+func (c *Client) Submit(body []byte, deadline time.Time) (status int, answer []byte, err error) {
+	return c.Do(fasthttp.MethodPost, "/v1/jobs", body, deadline.Add(answerSlack))
+}
+
+// Do sends one request and waits for its answer until the deadline.
+func (c *Client) Do(method, path string, body []byte, deadline time.Time) (status int, answer []byte, err error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(method)
+	req.SetRequestURI(c.base + path)
+	if c.token != "" {
+		req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+c.token)
+	}
+	req.SetBodyRaw(body)
+	if err := c.http.DoDeadline(req, resp, deadline); err != nil {
+		return 0, nil, errors.Wrapf(err, "entry %s", c.base)
+	}
+	return resp.StatusCode(), append([]byte(nil), resp.Body()...), nil
+}
--- a/io/ctrl/engine.go
+++ b/io/ctrl/engine.go
@@ -88,7 +88,7 @@
 	if e.client != nil {
 		return e.client, nil
 	}
-	client, err := gnet.NewClient(e, gnet.WithNumEventLoop(1), gnet.WithTCPNoDelay(gnet.TCPNoDelay),
+	client, err := gnet.NewClient(dialed{e}, gnet.WithNumEventLoop(1), gnet.WithTCPNoDelay(gnet.TCPNoDelay),
 		gnet.WithLogger(quiet{e.log}), gnet.WithLogLevel(logging.ErrorLevel))
 	if err != nil {
 		return nil, errors.Wrap(err, "control client")
@@ -146,6 +146,12 @@
 	}
 }
 
+// dialed is the handler of the dialled connections, whose engine has no listener to report.
+type dialed struct{ *Engine }
+
+// OnBoot is called by gnet when the client has started.
+func (dialed) OnBoot(gnet.Engine) gnet.Action { return gnet.None }
+
 // OnBoot is called by gnet when the listener is bound.
 func (e *Engine) OnBoot(eng gnet.Engine) gnet.Action {
 	e.mu.Lock()
@@ -153,7 +159,8 @@
 	e.mu.Unlock()
 	bound, err := boundAddr(eng)
 	if err != nil {
-		return gnet.None // the client engine has no listener
+		e.log.Error("control port has no address", zap.Error(err))
+		return gnet.Shutdown
 	}
 	e.booted <- bound
 	return gnet.None
--- /dev/null
+++ b/io/entryd/admin.go
@@ -0,0 +1,132 @@
+package entryd
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"persimmonstage/core/needs"
+)
+
+const stateTimeout = 2 * time.Second
+
+// state is the dump of everything that the entry holds.
+type state struct {
+	Name        string          `json:"name"`
+	Incarnation string          `json:"incarnation"`
+	DataCentre  string          `json:"data-centre"`
+	Draining    bool            `json:"draining"`
+	Map         json.RawMessage `json:"map"`
+	MapVersion  int64           `json:"map-version"`
+	Config      int64           `json:"config-version"`
+	Jobs        jobsState       `json:"jobs"`
+	Targets     []targetState   `json:"targets"`
+}
+
+type jobsState struct {
+	Running    int `json:"running"`
+	Remembered int `json:"remembered"`
+	Overdue    int `json:"past-deadline"`
+}
+
+type targetState struct {
+	Name        string       `json:"name"`
+	Incarnation string       `json:"incarnation"`
+	DataCentre  string       `json:"data-centre"`
+	Rack        string       `json:"rack,omitempty"`
+	Usable      bool         `json:"usable"`
+	Free        needs.Vector `json:"free"`
+	InFlight    int          `json:"in-flight"`
+	Factor      float64      `json:"run-time-factor"`
+}
+
+func (d *Daemon) admin(ctx *fasthttp.RequestCtx, what string) {
+	switch what {
+	case "state":
+		d.adminState(ctx)
+	case "targets":
+		d.adminTargets(ctx)
+	default:
+		ctx.Error("no such path\n", fasthttp.StatusNotFound)
+	}
+}
+
+func (d *Daemon) adminState(ctx *fasthttp.RequestCtx) {
+	bounded, cancel := context.WithTimeout(context.Background(), stateTimeout)
+	defer cancel()
+	body, err := d.State(bounded)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusServiceUnavailable)
+		return
+	}
+	ctx.SetContentType(jsonType)
+	ctx.SetBody(body)
+}
+
+// State gives the whole state as JSON.
+func (d *Daemon) State(ctx context.Context) ([]byte, error) {
+	s := state{
+		Name: d.self.Name, Incarnation: d.self.Incarnation, DataCentre: d.self.DataCentre, Draining: d.draining.Load(),
+		MapVersion: d.mapVersion(), Config: d.configVersion(),
+	}
+	if m := d.view.Load().shards; m != nil {
+		data, err := json.Marshal(m)
+		if err != nil {
+			return nil, err
+		}
+		s.Map = data
+	}
+	ran := d.loop.Call(ctx, func(now time.Time) {
+		s.Jobs = jobsState{Running: d.owner.Running(), Remembered: d.owner.Remembered(), Overdue: d.owner.Overdue(now)}
+		s.Targets = d.targets()
+	})
+	if !ran {
+		return nil, context.DeadlineExceeded
+	}
+	return json.MarshalIndent(s, "", "  ")
+}
+
+func (d *Daemon) targets() []targetState {
+	out := make([]targetState, 0, len(d.agents.byTarget))
+	for id, l := range d.agents.byTarget {
+		out = append(out, targetState{
+			Name: l.who.Name, Incarnation: l.who.Incarnation, DataCentre: d.roster.DataCentre(id), Rack: d.roster.Rack(id),
+			Usable: d.roster.Usable(id), Free: d.roster.Free(id), InFlight: d.roster.InFlight(id), Factor: d.speeds.Factor(id),
+		})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
+func (d *Daemon) adminTargets(ctx *fasthttp.RequestCtx) {
+	bounded, cancel := context.WithTimeout(context.Background(), stateTimeout)
+	defer cancel()
+	var all []targetState
+	if !d.loop.Call(bounded, func(time.Time) { all = d.targets() }) {
+		ctx.Error("busy\n", fasthttp.StatusServiceUnavailable)
+		return
+	}
+	body, err := json.MarshalIndent(all, "", "  ")
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType(jsonType)
+	ctx.SetBody(body)
+}
+
+// Targets gives the number of targets that can get work now.
+func (d *Daemon) Targets(ctx context.Context) int {
+	n := 0
+	d.loop.Call(ctx, func(time.Time) {
+		for id := range d.agents.byTarget {
+			if d.roster.Usable(id) {
+				n++
+			}
+		}
+	})
+	return n
+}
--- /dev/null
+++ b/io/entryd/bulk.go
@@ -0,0 +1,67 @@
+package entryd
+
+import (
+	"encoding/json"
+	"net"
+
+	"go.uber.org/zap"
+
+	"persimmonstage/io/bulk"
+	"persimmonstage/io/frame"
+	"persimmonstage/io/wire"
+)
+
+const (
+	fetchMap    = "map"
+	fetchConfig = "config"
+)
+
+// serve takes a stream that an agent or another entry has opened.
+func (d *Daemon) serve(m *bulk.Mux, first *wire.Bulk, s net.Conn) {
+	switch b := first.Body.(type) {
+	case *wire.Bulk_Hello:
+		if b.Hello.Version != wireVersion || b.Hello.Role != wire.Role_ROLE_AGENT {
+			d.log.Warn("bulk stream refused", zap.String("reason", "unknown version or role"), zap.String("peer", b.Hello.Name))
+			m.Close()
+			return
+		}
+		d.workStream(m, b.Hello, s)
+	case *wire.Bulk_Submit:
+		d.forwarded(b.Submit, s)
+	case *wire.Bulk_Fetch:
+		d.fetched(b.Fetch, s)
+	default:
+		d.log.Warn("bulk stream refused", zap.String("reason", "unexpected message"))
+		_ = s.Close()
+	}
+}
+
+// fetched gives the map or the configuration in force here; version 0 means none yet.
+func (d *Daemon) fetched(ask *wire.Fetch, s net.Conn) {
+	defer s.Close()
+	answer := &wire.Fetched{}
+	switch ask.What {
+	case fetchMap:
+		if m := d.view.Load().shards; m != nil {
+			data, err := json.Marshal(m)
+			if err != nil {
+				d.log.Error("map not encoded", zap.Error(err))
+				return
+			}
+			answer.Version, answer.Data = m.Version(), data
+		}
+	case fetchConfig:
+		answer.Version, answer.Data = d.configData()
+	default:
+		d.log.Warn("bulk stream refused", zap.String("reason", "unknown fetch"), zap.String("what", ask.What))
+		return
+	}
+	_ = frame.Write(s, &wire.Bulk{Body: &wire.Bulk_Fetched{Fetched: answer}})
+}
+
+func (d *Daemon) mapVersion() int64 {
+	if m := d.view.Load().shards; m != nil {
+		return m.Version()
+	}
+	return 0
+}
--- /dev/null
+++ b/io/entryd/daemon.go
@@ -0,0 +1,162 @@
+package entryd
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"persimmonstage/core/ident"
+	"persimmonstage/core/limits"
+	"persimmonstage/core/member"
+	"persimmonstage/core/owner"
+	"persimmonstage/core/place"
+	"persimmonstage/core/roster"
+	"persimmonstage/core/shards"
+	"persimmonstage/core/speed"
+	"persimmonstage/io/bulk"
+	"persimmonstage/io/ctrl"
+	"persimmonstage/io/entset"
+	"persimmonstage/io/loop"
+)
+
+const (
+	tickPeriod  = 20 * time.Millisecond
+	wireVersion = 1
+	shardCount  = 64
+)
+
+// Daemon is a running entry.
+type Daemon struct {
+	set     *entset.Settings
+	log     *zap.Logger
+	self    member.Member
+	loop    *loop.Loop
+	control *ctrl.Engine
+	metrics *metrics
+	limits  atomic.Pointer[limits.Limits]
+	web     net.Listener
+	bulk    net.Listener
+	http    *fasthttp.Server
+
+	// view is the newest shard map, for the goroutines that serve callers; changed is closed when it is replaced.
+	view atomic.Pointer[view]
+
+	mu    sync.RWMutex
+	peers map[string]*bulk.Mux
+
+	// Only the loop touches these.
+	owner  *owner.Owner
+	roster *roster.Roster
+	speeds *speed.Table
+	placer *place.Placer
+	agents agents
+
+	draining atomic.Bool
+	requests atomic.Int64
+}
+
+// view is a shard map with a signal that it was replaced.
+type view struct {
+	shards  *shards.Map
+	changed chan struct{}
+}
+
+// New returns an entry that Run starts; it binds its addresses, so that they are known before.
+func New(set *entset.Settings, log *zap.Logger) (*Daemon, error) {
+	d := &Daemon{set: set, log: log, loop: loop.New(), peers: make(map[string]*bulk.Mux)}
+	d.self = member.Member{Name: set.Name, Incarnation: uuid.NewString(), DataCentre: set.DataCentre}
+	lim := limits.Default()
+	d.limits.Store(&lim)
+	d.view.Store(&view{changed: make(chan struct{})})
+	d.control = ctrl.New(frames{d}, log)
+	if err := d.bind(); err != nil {
+		return nil, err
+	}
+	d.roster = &roster.Roster{}
+	d.speeds = &speed.Table{}
+	d.placer = place.New(place.IdleFirst, d.roster, d.speeds, time.Duration(set.Timing.RoundTripMS)*time.Millisecond)
+	seed := rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), rand.Uint64()))
+	d.owner = owner.New(effects{d}, d.placer, d.roster, retries{}, history{d}, seed)
+	d.agents = newAgents()
+	d.metrics = newMetrics(d)
+	return d, nil
+}
+
+func (d *Daemon) bind() error {
+	var err error
+	if d.web, err = net.Listen("tcp", d.set.HTTP); err != nil {
+		return errors.Wrap(err, "http")
+	}
+	d.self.HTTP = d.web.Addr().String()
+	if d.bulk, err = net.Listen("tcp", d.set.Bulk); err != nil {
+		return errors.Wrap(err, "bulk")
+	}
+	d.self.Bulk = d.bulk.Addr().String()
+	d.self.Control, err = d.control.Listen(d.set.Control)
+	return err
+}
+
+// Addr gives the address for callers.
+func (d *Daemon) Addr() string { return d.self.HTTP }
+
+// BulkAddr gives the address at which agents and entries ask for the shard map.
+func (d *Daemon) BulkAddr() string { return d.self.Bulk }
+
+// Run serves until ctx ends, then takes no new connections, answers what is in progress, and returns; what is not
+// answered within the drain time is given up and logged.
+func (d *Daemon) Run(ctx context.Context) error {
+	inner, stop := context.WithCancel(context.Background())
+	defer stop()
+	go d.loop.Run(inner, tickPeriod, d.tick)
+	go bulk.Serve(d.bulk, d.log, d.serve)
+	d.http = d.server()
+	go func() {
+		if err := d.http.Serve(d.web); err != nil {
+			d.log.Error("http ended", zap.Error(err))
+		}
+	}()
+	if err := d.join(inner); err != nil {
+		return err
+	}
+	d.log.Info("entry started", zap.String("incarnation", d.self.Incarnation), zap.String("http", d.self.HTTP),
+		zap.String("control", d.self.Control), zap.String("bulk", d.self.Bulk))
+	<-ctx.Done()
+	d.drain()
+	stop()
+	_ = d.bulk.Close()
+	d.control.Stop(context.Background())
+	d.log.Info("entry stopped")
+	return nil
+}
+
+// drain answers what is in progress: it stops accepting, then waits until no request is open.
+func (d *Daemon) drain() {
+	bounded, cancel := context.WithTimeout(context.Background(), time.Duration(d.set.Timing.DrainMS)*time.Millisecond)
+	defer cancel()
+	d.draining.Store(true)
+	if err := d.http.ShutdownWithContext(bounded); err != nil {
+		d.log.Warn("drain time over", zap.Int64("requests-given-up", d.requests.Load()), zap.Error(err))
+	}
+}
+
+func (d *Daemon) tick(now time.Time) {
+	d.owner.Tick(now)
+	d.roster.Tick(now, d.agentSilent)
+}
+
+// adopt puts a newer map in force for the goroutines that serve callers.
+func (d *Daemon) adopt(m *shards.Map) {
+	old := d.view.Swap(&view{shards: m, changed: make(chan struct{})})
+	close(old.changed)
+	d.log.Info("shard map adopted", zap.Int64("version", m.Version()), zap.Int("members", m.Size()))
+}
+
+func (d *Daemon) ident() ident.Ident { return d.self.Ident() }
--- /dev/null
+++ b/io/entryd/effects.go
@@ -0,0 +1,67 @@
+package entryd
+
+import (
+	"time"
+
+	"persimmonstage/core/answer"
+	"persimmonstage/core/jobkey"
+	"persimmonstage/core/order"
+	"persimmonstage/core/target"
+	"persimmonstage/io/codec"
+	"persimmonstage/io/wire"
+)
+
+// notConnected is the reason of an attempt that never left this process.
+const notConnected = "not-connected"
+
+// effects carries out what the owner decides; it is called on the loop.
+type effects struct{ d *Daemon }
+
+// Start puts an order into the agent's outbox; without a connection the order was never sent, which is a refusal.
+func (e effects) Start(agent string, o *order.Order) {
+	e.d.metrics.starts.Inc()
+	l := e.d.agents.byIncarnation[agent]
+	if l != nil && l.box != nil && l.box.Put(&wire.Bulk{Body: &wire.Bulk_Start{Start: codec.StartOut(o)}}) {
+		return
+	}
+	e.d.refuseLater(o.Attempt)
+}
+
+// Reserve sends a reservation on the control connection.
+func (e effects) Reserve(agent string, o *order.Order) {
+	e.d.metrics.reserves.Inc()
+	l := e.d.agents.byIncarnation[agent]
+	frame := &wire.Frame{Body: &wire.Frame_Reserve{Reserve: codec.ReserveOut(o)}}
+	if l != nil && l.conn != 0 && e.d.control.Send(l.conn, frame) {
+		return
+	}
+	e.d.refuseLater(o.Attempt)
+}
+
+// Withdraw sends a withdrawal on the control connection.
+func (e effects) Withdraw(agent string, attempts []uint64) {
+	e.d.metrics.withdraws.Inc()
+	if l := e.d.agents.byIncarnation[agent]; l != nil && l.conn != 0 {
+		e.d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_Withdraw{Withdraw: &wire.Withdraw{Attempts: attempts}}})
+	}
+}
+
+// Ended teaches the estimates.
+func (e effects) Ended(_ time.Time, id target.ID, kind string, expected, ran time.Duration, ok bool) {
+	if !ok {
+		return
+	}
+	e.d.speeds.Learn(id, kind, expected, ran)
+	e.d.roster.Rate(id, e.d.speeds.Factor(id))
+}
+
+// Closed counts the end of a job.
+func (e effects) Closed(now time.Time, _ jobkey.Key, _ string, _ int, accepted time.Time, _ time.Duration, a *answer.Answer) {
+	e.d.metrics.jobs.WithLabelValues(a.Outcome).Inc()
+	e.d.metrics.response.Observe(now.Sub(accepted).Seconds())
+}
+
+// refuseLater reports an attempt that was never sent, after the step that made it.
+func (d *Daemon) refuseLater(attempt uint64) {
+	go d.loop.Post(func(now time.Time) { d.owner.Refused(now, attempt, notConnected) })
+}
--- /dev/null
+++ b/io/entryd/frames.go
@@ -0,0 +1,107 @@
+package entryd
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"persimmonstage/io/codec"
+	"persimmonstage/io/wire"
+)
+
+var errUnexpected = errors.New("unexpected message")
+
+// frames takes the control frames of agents and of other entries.
+type frames struct{ d *Daemon }
+
+// Opened is called on a new connection, which is unknown until its hello.
+func (frames) Opened(uint64) {}
+
+// Closed ends what stood on the connection.
+func (f frames) Closed(conn uint64, _ error) {
+	f.d.loop.Post(func(time.Time) { f.d.connClosed(conn) })
+}
+
+// Framed posts a frame to the loop.
+func (f frames) Framed(conn uint64, fr *wire.Frame) {
+	f.d.loop.Post(func(now time.Time) { f.d.framed(now, conn, fr) })
+}
+
+func (d *Daemon) connClosed(conn uint64) {
+	l := d.agents.byConn[conn]
+	if l == nil {
+		return
+	}
+	delete(d.agents.byConn, conn)
+	if l.conn != conn {
+		return
+	}
+	l.conn = 0
+	d.unannounce(l)
+	if l.mux != nil {
+		go l.mux.Close()
+	}
+	d.forgetLink(l)
+}
+
+func (d *Daemon) framed(now time.Time, conn uint64, fr *wire.Frame) {
+	if h := fr.GetHello(); h != nil {
+		d.helloFrame(now, conn, h)
+		return
+	}
+	l := d.agents.byConn[conn]
+	if l == nil {
+		d.refuseConn(conn, "frame before hello")
+		return
+	}
+	switch m := fr.Body.(type) {
+	case *wire.Frame_Heartbeat:
+		d.agentBeat(now, l, m.Heartbeat)
+	case *wire.Frame_Grant:
+		d.owner.Granted(now, l.who.Incarnation, m.Grant.Attempt)
+	case *wire.Frame_ProbeAnswer:
+		d.probed(now, l, m.ProbeAnswer.Ok)
+	default:
+		d.refuseConn(conn, "unexpected frame")
+	}
+}
+
+func (d *Daemon) refuseConn(conn uint64, reason string) {
+	d.log.Warn("control connection refused", zap.String("reason", reason))
+	d.control.Drop(conn)
+}
+
+func (d *Daemon) helloFrame(now time.Time, conn uint64, h *wire.Hello) {
+	if h.Version != wireVersion {
+		d.refuseConn(conn, "unknown version of the protocol")
+		return
+	}
+	if h.Role != wire.Role_ROLE_AGENT {
+		d.refuseConn(conn, "unknown role")
+		return
+	}
+	l := d.agents.link(h)
+	l.conn = conn
+	d.agents.byConn[conn] = l
+	d.announce(now, l)
+}
+
+// agentBeat answers an agent's heartbeat with its own stamp, and takes its load.
+func (d *Daemon) agentBeat(now time.Time, l *agentLink, h *wire.Heartbeat) {
+	l.heard = now
+	d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_HeartbeatAnswer{HeartbeatAnswer: &wire.HeartbeatAnswer{
+		Stamp: h.Stamp, MapVersion: d.mapVersion(), ConfigVersion: d.configVersion(),
+	}}})
+	if l.id == 0 {
+		return
+	}
+	if h.Leaving {
+		d.roster.Leave(l.id)
+	}
+	held := codec.NeedsIn(h.Load.GetHeld())
+	work := time.Duration(h.Load.GetWorkMs()) * time.Millisecond
+	d.roster.Heard(l.id, time.Duration(h.Stamp), held, int(h.Load.GetTasks()), work, now)
+}
+
+func (d *Daemon) probed(time.Time, *agentLink, bool) {}
--- /dev/null
+++ b/io/entryd/http.go
@@ -0,0 +1,160 @@
+package entryd
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"persimmonstage/core/answer"
+	"persimmonstage/core/jobkey"
+	"persimmonstage/io/submit"
+)
+
+const (
+	jsonType    = "application/json"
+	idleTimeout = 75 * time.Second
+	readTimeout = 30 * time.Second
+)
+
+// server makes the HTTP server for callers and operators; bodies and headers over the limits never reach a handler.
+func (d *Daemon) server() *fasthttp.Server {
+	lim := d.limits.Load()
+	return &fasthttp.Server{
+		Handler:               d.route,
+		ErrorHandler:          d.refuseRequest,
+		MaxRequestBodySize:    lim.BodyBytes,
+		ReadBufferSize:        lim.HeaderBytes,
+		IdleTimeout:           idleTimeout,
+		ReadTimeout:           readTimeout,
+		NoDefaultServerHeader: true,
+		CloseOnShutdown:       true,
+		Concurrency:           maxConnections,
+	}
+}
+
+const maxConnections = 100_000
+
+// refuseRequest answers a request that could not be read.
+func (d *Daemon) refuseRequest(ctx *fasthttp.RequestCtx, err error) {
+	lim := d.limits.Load()
+	var small *fasthttp.ErrSmallBuffer
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		d.refuse(ctx, fasthttp.StatusRequestEntityTooLarge, fmt.Sprintf("body: too large, limit %d bytes", lim.BodyBytes))
+	case errors.As(err, &small):
+		d.refuse(ctx, fasthttp.StatusRequestEntityTooLarge, fmt.Sprintf("header: too large, limit %d bytes", lim.HeaderBytes))
+	default:
+		d.refuse(ctx, fasthttp.StatusBadRequest, "request: "+err.Error())
+	}
+}
+
+func (d *Daemon) refuse(ctx *fasthttp.RequestCtx, status int, reason string) {
+	send(ctx, replyOf(answer.Refusal(status, "", reason, "", 0)))
+}
+
+func send(ctx *fasthttp.RequestCtx, r reply) {
+	ctx.SetStatusCode(r.status)
+	ctx.SetContentType(jsonType)
+	if r.retryAfter > 0 {
+		seconds := int64((r.retryAfter + time.Second - 1) / time.Second)
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatInt(seconds, 10))
+	}
+	ctx.SetBody(r.body)
+}
+
+const (
+	jobsPath  = "/v1/jobs"
+	adminPath = "/v1/admin/"
+)
+
+func (d *Daemon) route(ctx *fasthttp.RequestCtx) {
+	d.requests.Add(1)
+	defer d.requests.Add(-1)
+	path := string(ctx.Path())
+	switch {
+	case path == jobsPath:
+		d.postJob(ctx)
+	case strings.HasPrefix(path, jobsPath+"/"):
+		d.getJob(ctx, path[len(jobsPath)+1:])
+	case strings.HasPrefix(path, adminPath):
+		d.admin(ctx, path[len(adminPath):])
+	case path == "/healthz":
+		ctx.SetBodyString("ok\n")
+	case path == "/readyz":
+		d.readyz(ctx)
+	case path == "/metrics":
+		d.metrics.handler(ctx)
+	case path == "/":
+		d.page(ctx)
+	default:
+		ctx.Error("no such path\n", fasthttp.StatusNotFound)
+	}
+}
+
+func (d *Daemon) postJob(ctx *fasthttp.RequestCtx) {
+	if !ctx.IsPost() {
+		ctx.Response.Header.Set(fasthttp.HeaderAllow, fasthttp.MethodPost)
+		d.refuse(ctx, fasthttp.StatusMethodNotAllowed, "method: "+string(ctx.Method())+" is not allowed, limit POST")
+		return
+	}
+	j, err := submit.Decode(ctx.PostBody(), *d.limits.Load(), time.Now())
+	if err != nil {
+		d.metrics.malformed.Inc()
+		send(ctx, malformed(err))
+		return
+	}
+	if status, reason := d.authorize(ctx, j.Key.Team); status != 0 {
+		d.refuse(ctx, status, reason)
+		return
+	}
+	j.DataCentre = d.set.DataCentre
+	send(ctx, d.submit(j))
+}
+
+func malformed(err error) reply {
+	var e *submit.Error
+	if !errors.As(err, &e) {
+		return replyOf(answer.Refusal(answer.StatusMalformed, "", err.Error(), "", 0))
+	}
+	a := answer.Refusal(e.Status(), "", e.Error(), "", 0)
+	if e.MayHaveRun() {
+		a.NotRunKnown = false
+	}
+	return replyOf(a)
+}
+
+func (d *Daemon) getJob(ctx *fasthttp.RequestCtx, rest string) {
+	team, id, ok := strings.Cut(rest, "/")
+	if !ctx.IsGet() || !ok || team == "" || id == "" {
+		ctx.Error("no such path\n", fasthttp.StatusNotFound)
+		return
+	}
+	if status, reason := d.authorize(ctx, team); status != 0 {
+		d.refuse(ctx, status, reason)
+		return
+	}
+	send(ctx, d.lookup(jobkey.Key{Team: team, ID: id}))
+}
+
+// authorize checks a caller's token against the team's; status 0 lets the request pass.
+func (d *Daemon) authorize(*fasthttp.RequestCtx, string) (status int, reason string) {
+	return 0, ""
+}
+
+func (d *Daemon) readyz(ctx *fasthttp.RequestCtx) {
+	if d.draining.Load() || d.mapVersion() == 0 {
+		ctx.Error("not ready\n", fasthttp.StatusServiceUnavailable)
+		return
+	}
+	ctx.SetBodyString("ready\n")
+}
+
+func (d *Daemon) page(ctx *fasthttp.RequestCtx) {
+	ctx.SetBodyString("persimmonstage\n")
+}
+
+func taskField(i int) string { return fmt.Sprintf("tasks[%d].", i) }
--- /dev/null
+++ b/io/entryd/submit.go
@@ -0,0 +1,207 @@
+package entryd
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"persimmonstage/core/answer"
+	"persimmonstage/core/job"
+	"persimmonstage/core/jobkey"
+	"persimmonstage/core/shards"
+	"persimmonstage/io/bulk"
+	"persimmonstage/io/codec"
+	"persimmonstage/io/frame"
+	"persimmonstage/io/wire"
+)
+
+const (
+	// answerMargin is how long after a job's deadline its caller is answered at the latest.
+	answerMargin = 150 * time.Millisecond
+	// ownerPause is the time between tries to reach the owner of a shard.
+	ownerPause = 50 * time.Millisecond
+	// lookupTime bounds a request that asks without submitting.
+	lookupTime = 30 * time.Second
+)
+
+// reply is an answer as it goes to a caller: a status, a body, and when to come again.
+type reply struct {
+	status     int
+	body       []byte
+	retryAfter time.Duration
+	elsewhere  bool
+}
+
+func replyOf(a answer.Answer) reply {
+	if a.NotOwner {
+		return reply{elsewhere: true}
+	}
+	return reply{status: a.Status, body: a.Body(), retryAfter: a.RetryAfter}
+}
+
+// question is a submission, or with no job a lookup, on its way to the owner of its shard.
+type question struct {
+	key    jobkey.Key
+	job    *job.Job
+	shard  int
+	before time.Time
+	// sent tells that an owner may have accepted the job, so "not run" can't be said any more.
+	sent bool
+}
+
+// submit asks the owner of the job's shard, whichever entry that is, until the job's deadline.
+func (d *Daemon) submit(j *job.Job) reply {
+	return d.ask(&question{
+		key: j.Key, job: j, shard: shards.Of(j.Key.Team, j.Key.ID, shardCount), before: j.Deadline.Add(answerMargin),
+	})
+}
+
+// lookup asks the owner for what became of a submission.
+func (d *Daemon) lookup(key jobkey.Key) reply {
+	return d.ask(&question{
+		key: key, shard: shards.Of(key.Team, key.ID, shardCount), before: time.Now().Add(lookupTime), sent: true,
+	})
+}
+
+// ask tries the present owner, and after each change of the map or lost answer the owner of then.
+func (d *Daemon) ask(q *question) reply {
+	for {
+		v := d.view.Load()
+		if v.shards != nil {
+			if r, ok := d.askOwner(v, q); ok {
+				return r
+			}
+		}
+		if !time.Now().Before(q.before) {
+			return q.unanswered()
+		}
+		select {
+		case <-v.changed:
+		case <-time.After(min(ownerPause, time.Until(q.before))):
+		}
+	}
+}
+
+// unanswered gives the answer when no owner gave one in time.
+func (q *question) unanswered() reply {
+	if q.sent {
+		return replyOf(answer.Uncertain(q.key.ID, "the shard's owner did not answer before the deadline", "owner-lost"))
+	}
+	return replyOf(answer.Refusal(answer.StatusUnavailable, q.key.ID, "the shard has no owner at present", "owner-lost", retryLater))
+}
+
+const retryLater = 2 * time.Second
+
+func (d *Daemon) askOwner(v *view, q *question) (reply, bool) {
+	ctx, cancel := context.WithDeadline(context.Background(), q.before)
+	defer cancel()
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		select {
+		case <-v.changed:
+			cancel()
+		case <-stop:
+		}
+	}()
+	who := v.shards.Owner(q.shard)
+	if who == d.ident() {
+		return d.askSelf(ctx, q)
+	}
+	d.mu.RLock()
+	mux := d.peers[who.Incarnation]
+	d.mu.RUnlock()
+	if mux == nil {
+		return reply{}, false
+	}
+	return d.askPeer(ctx, mux, q)
+}
+
+// askSelf submits to this entry's own owner; a change of the map doesn't end the wait, as the owner itself tells its
+// callers when it loses the shard.
+func (d *Daemon) askSelf(ctx context.Context, q *question) (reply, bool) {
+	got := make(chan answer.Answer, 1)
+	if !d.loop.Post(func(now time.Time) { d.accept(now, q.key, q.job, func(a answer.Answer) { got <- a }) }) {
+		return reply{}, false
+	}
+	if q.job != nil {
+		q.sent = true
+	}
+	timeout := time.NewTimer(time.Until(q.before))
+	defer timeout.Stop()
+	select {
+	case a := <-got:
+		r := replyOf(a)
+		return r, !r.elsewhere
+	case <-timeout.C:
+		return reply{}, false
+	}
+}
+
+func (d *Daemon) askPeer(ctx context.Context, mux *bulk.Mux, q *question) (reply, bool) {
+	ask := &wire.Submit{Team: q.key.Team, Id: q.key.ID}
+	if q.job != nil {
+		ask.Job = codec.JobOut(q.job)
+	}
+	got, sent, err := mux.Ask(ctx, &wire.Bulk{Body: &wire.Bulk_Submit{Submit: ask}})
+	if sent && q.job != nil {
+		q.sent = true
+	}
+	a := got.GetAnswer()
+	if err != nil || a == nil || a.NotOwner {
+		return reply{}, false
+	}
+	return reply{
+		status: int(a.Status), body: a.Body, retryAfter: time.Duration(a.RetryAfterMs) * time.Millisecond,
+	}, true
+}
+
+// accept steps the owner with a job or a lookup if this entry owns the shard; w is called exactly once.
+func (d *Daemon) accept(now time.Time, key jobkey.Key, j *job.Job, w func(answer.Answer)) {
+	shard := shards.Of(key.Team, key.ID, shardCount)
+	m := d.view.Load().shards
+	if m == nil || m.Owner(shard) != d.ident() || !d.serving(shard) {
+		w(answer.Elsewhere())
+		return
+	}
+	if j == nil {
+		d.owner.Lookup(key, w)
+		return
+	}
+	if !d.owner.Known(key) {
+		if refusal := d.admit(now, j); refusal != nil {
+			w(*refusal)
+			return
+		}
+	}
+	d.owner.Submit(now, j, shard, m.Epoch(shard), w)
+}
+
+// admit refuses a new job that can't be served.
+func (d *Daemon) admit(_ time.Time, j *job.Job) *answer.Answer {
+	for i := range j.Tasks {
+		if err := d.roster.FitsEver(j.Tasks[i].Needs); err != nil {
+			a := answer.Refusal(answer.StatusMalformed, j.Key.ID, taskField(i)+err.Error(), "never-fits", 0)
+			return &a
+		}
+	}
+	return nil
+}
+
+// forwarded answers another entry's submission or lookup on its stream.
+func (d *Daemon) forwarded(ask *wire.Submit, s net.Conn) {
+	defer s.Close()
+	key := jobkey.Key{Team: ask.Team, ID: ask.Id}
+	var j *job.Job
+	if ask.Job != nil {
+		j = codec.JobIn(ask.Job)
+	}
+	got := make(chan answer.Answer, 1)
+	if !d.loop.Post(func(now time.Time) { d.accept(now, key, j, func(a answer.Answer) { got <- a }) }) {
+		return
+	}
+	r := replyOf(<-got)
+	_ = frame.Write(s, &wire.Bulk{Body: &wire.Bulk_Answer{Answer: &wire.Answer{
+		Status: uint32(r.status), Body: r.body, RetryAfterMs: uint32(r.retryAfter.Milliseconds()), NotOwner: r.elsewhere,
+	}}})
+}
--- /dev/null
+++ b/io/entset/doc.go
@@ -0,0 +1,2 @@
+// Package entset holds an entry's settings.
+package entset
--- /dev/null
+++ b/io/verb/answer.go
@@ -0,0 +1,62 @@
+package verb
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/cockroachdb/errors"
+)
+
+const statusOK = 200
+
+// readJob reads a job from the file, from stdin for "-", or gives the sample without a name.
+func readJob(file string, stdin io.Reader, sample []byte) ([]byte, error) {
+	switch file {
+	case "":
+		return sample, nil
+	case "-":
+		return io.ReadAll(stdin)
+	}
+	return os.ReadFile(file)
+}
+
+// answerText is the part of an answer that is printed for people.
+type answerText struct {
+	Outcome string   `json:"outcome"`
+	ID      string   `json:"id"`
+	Reason  string   `json:"reason"`
+	NotRun  *bool    `json:"not-run"`
+	Results [][]byte `json:"results"`
+}
+
+// printAnswer prints the whole answer and returns an error unless the job is complete.
+func printAnswer(w io.Writer, status int, body []byte, asJSON bool) error {
+	var a answerText
+	if err := json.Unmarshal(body, &a); err != nil {
+		return errors.Wrapf(err, "answer %d is not JSON", status)
+	}
+	if asJSON {
+		fmt.Fprintf(w, "%s\n", body)
+	} else {
+		printResults(w, &a)
+	}
+	if status == statusOK && a.Outcome == "complete" {
+		return nil
+	}
+	if a.NotRun != nil && *a.NotRun {
+		return errors.Newf("%s (%d), not run: %s", a.Outcome, status, a.Reason)
+	}
+	return errors.Newf("%s (%d): %s", a.Outcome, status, a.Reason)
+}
+
+func printResults(w io.Writer, a *answerText) {
+	if a.Outcome != "complete" {
+		return
+	}
+	fmt.Fprintf(w, "complete: %d results\n", len(a.Results))
+	for i, r := range a.Results {
+		fmt.Fprintf(w, "%d: %q\n", i, r)
+	}
+}
--- /dev/null
+++ b/io/verb/submit.go
@@ -0,0 +1,51 @@
+package verb
+
+import (
+	"context"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"persimmonstage/io/caller"
+)
+
+// submit sends a job to an entry and prints its answer.
+func submit() *cli.Command {
+	return &cli.Command{
+		Name:      "submit",
+		Usage:     "send a job to an entry, wait for its answer and print it",
+		ArgsUsage: "[FILE | -]",
+		Description: "Sends the job in FILE (- or nothing for standard input), in the JSON form of the public API. The job's\n" +
+			"id, issued and deadline are filled in where they are missing. Exits 0 if the job is complete.\n\n" +
+			"Example: persimmonstage submit --entry http://127.0.0.1:8080 job.json",
+		Flags: []cli.Flag{
+			entryFlag(),
+			&cli.StringFlag{Name: "token", Usage: "the team's token", Sources: cli.EnvVars("PERSIMMONSTAGE_TOKEN")},
+			&cli.BoolFlag{Name: "json", Usage: "print the answer's JSON body"},
+		},
+		Action: runSubmit,
+	}
+}
+
+func runSubmit(_ context.Context, c *cli.Command) error {
+	if err := atMost(c, 1); err != nil {
+		return err
+	}
+	file := c.Args().First()
+	if file == "" {
+		file = "-"
+	}
+	text, err := readJob(file, c.Root().Reader, nil)
+	if err != nil {
+		return named(c, err)
+	}
+	body, deadline, err := caller.Fill(text, time.Now())
+	if err != nil {
+		return named(c, err)
+	}
+	status, got, err := caller.New(trimSlash(c.String("entry")), c.String("token")).Submit(body, deadline)
+	if err != nil {
+		return named(c, err)
+	}
+	return named(c, printAnswer(c.Root().Writer, status, got, c.Bool("json")))
+}
--- a/io/verb/table.go
+++ b/io/verb/table.go
@@ -4,5 +4,22 @@
 
 // table lists every command; adding one is a file of its name and a row here.
 func table() []*cli.Command {
-	return []*cli.Command{}
+	return []*cli.Command{
+		try(),
+		dev(),
+		entry(),
+		agent(),
+		submit(),
+		state(),
+		standIn(),
+	}
+}
+
+// standIn groups the stand-ins of the platform.
+func standIn() *cli.Command {
+	return &cli.Command{
+		Name:     "stand-in",
+		Usage:    "run one of the project's own small fakes of the platform",
+		Commands: []*cli.Command{standTarget()},
+	}
 }
