Bound the wait of a task at the target it is sent to

Change: a choice carries the longest wait that is worth staying for; an agent that expects a longer one refuses before the start, with its load, and the entry places again, twice at most. A target with room for few more costs a little more, as another entry may fill it.

--- /dev/null
+++ b/core/names/doc.go
@@ -0,0 +1,2 @@
+// Package names numbers the names that tables are kept by, within a bound.
+package names
--- a/core/needs/vector.go
+++ b/core/needs/vector.go
@@ -1,6 +1,9 @@
 package needs
 
-import "fmt"
+import (
+	"fmt"
+	"math"
+)
 
 // Names of the dimensions, as callers and configuration write them.
 const (
@@ -53,6 +56,25 @@
 		v.Accelerators <= free.Accelerators
 }
 
+// Times returns how many times v can be taken from free; a v of nothing counts as one slot.
+func (v Vector) Times(free Vector) int {
+	if v == (Vector{}) {
+		v.Slots = 1
+	}
+	n := math.MaxInt
+	n = times(n, v.Slots, free.Slots)
+	n = times(n, v.Cores, free.Cores)
+	n = times(n, v.MemoryMB, free.MemoryMB)
+	return times(n, v.Accelerators, free.Accelerators)
+}
+
+func times(n, wanted, free int) int {
+	if wanted <= 0 {
+		return n
+	}
+	return max(0, min(n, free/wanted))
+}
+
 // Lacks names the first dimension of v that exceeds free, or returns "" when v fits.
 func (v Vector) Lacks(free Vector) string {
 	switch {
--- a/core/place/ask.go
+++ b/core/place/ask.go
@@ -17,6 +17,7 @@
 type Ask struct {
 	Kind       string
 	DataCentre string
+	Attempt    int // how often the tasks were refused because of the wait
 	Tasks      []Task
 }
 
@@ -30,6 +31,7 @@
 	reserves int
 	work     time.Duration
 	wait     time.Duration
+	maxWait  time.Duration
 }
 
 // Target returns where the task is booked: the target to start at, or the first of those to reserve at; zero is wait.
@@ -44,5 +46,9 @@
 // Wait returns the expected time until the task can start at Target.
 func (c *Choice) Wait() time.Duration { return c.wait }
 
+// MaxWait returns the longest wait for which the task should stay at Target: an agent that expects a longer one refuses
+// it at once, before any start, so that it is placed again.
+func (c *Choice) MaxWait() time.Duration { return c.maxWait }
+
 // Waits reports whether the task has to wait for a target.
 func (c *Choice) Waits() bool { return c.id == 0 }
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -17,26 +18,30 @@
 	Expect(id target.ID, kind int, declared time.Duration) time.Duration
 }
 
-// policy is a way to place.
-type policy int
+// Policy is a way to place.
+type Policy int
 
 // The ways to place that can be compared.
 const (
-	// IdleFirst starts at the best target known to have room, else reserves at a few of the best.
-	IdleFirst policy = iota
+	// Bounded starts at the target of the soonest expected completion, with a bound on the wait there, past which the agent
+	// refuses the task before its start.
+	Bounded Policy = iota
 	// Random starts at any target that could hold the task.
 	Random
 	// TwoChoices starts at the better of two random targets by expected completion.
 	TwoChoices
-	// Reservations reserves at a few random targets and starts where the first grant comes from.
+	// Reservations reserves at two random targets and starts where the first grant comes from.
 	Reservations
-	// Soonest starts at the target of the soonest expected completion, idle or not.
+	// IdleFirst starts at the best target if it is known to have room, else reserves at the two best.
+	IdleFirst
+	// Soonest is Bounded without the bound.
 	Soonest
 )
 
 const (
 	defaultSample   = 8 // targets looked at in each list of a group
 	defaultReserves = 2 // reservations for a task
+	maxAttempts     = 2 // placements of a task that end in a refusal because of the wait
 )
 
 // Placer chooses targets for the tasks of jobs by expected completion: the wait at the target, the run time there, and
@@ -45,7 +50,7 @@
 // the next task sees it. The longest tasks of a job are placed first, as the answer waits for the slowest.
 // A Placer belongs to one goroutine.
 type Placer struct {
-	policy    policy
+	policy    Policy
 	roster    *roster.Roster
 	speeds    speeds
 	roundTrip time.Duration
@@ -59,7 +64,7 @@
 }
 
 // New returns a Placer over the targets of r and the run times of s; roundTrip is that between data centres.
-func New(p policy, r *roster.Roster, s speeds, roundTrip time.Duration) *Placer {
+func New(p Policy, r *roster.Roster, s speeds, roundTrip time.Duration) *Placer {
 	return &Placer{
 		policy:    p,
 		roster:    r,
@@ -116,13 +121,13 @@
 	if p.kept == 0 {
 		return Choice{}
 	}
-	return p.book(t, len(ask.Tasks) > 1)
+	return p.book(ask, t)
 }
 
 // book books the best candidate and returns the choice of it.
-func (p *Placer) book(t *Task, spread bool) Choice {
+func (p *Placer) book(ask *Ask, t *Task) Choice {
 	first := &p.best[0]
-	c := Choice{id: first.id, work: first.run, wait: first.wait}
+	c := Choice{id: first.id, work: first.run, wait: first.wait, maxWait: p.maxWait(ask.Attempt)}
 	if p.reserving(first) {
 		for _, other := range p.best[:min(p.kept, p.reserves)] {
 			c.reserved[c.reserves] = other.id
@@ -130,7 +135,7 @@
 		}
 	}
 	p.roster.Sent(first.id, t.Needs, first.run)
-	if spread {
+	if len(ask.Tasks) > 1 {
 		p.racks[p.roster.Rack(first.id)]++
 		p.placed++
 	}
@@ -147,3 +152,13 @@
 	}
 	return false
 }
+
+// maxWait returns for how long a task should wait at the best candidate before it is worth a refusal and another placement.
+func (p *Placer) maxWait(attempt int) time.Duration {
+	if p.policy != Bounded || attempt >= maxAttempts || p.kept < 2 {
+		return math.MaxInt64
+	}
+	first, second := &p.best[0], &p.best[1]
+	gain := time.Duration(second.cost - first.cost)
+	return first.wait + gain + 2*p.roundTrip + first.run + first.wait/2
+}
--- a/core/place/search.go
+++ b/core/place/search.go
@@ -11,6 +11,10 @@
 // rackShare is the most that a rack which has all of a job's tasks adds to the cost of a target, as a share of the run time.
 const rackShare = 0.02
 
+// crowdShare is what a target with room for just one more task adds to its cost, as a share of the run time: another entry
+// may be about to fill it.
+const crowdShare = 0.2
+
 // query is one task that is looked for a target for.
 type query struct {
 	kind       int
@@ -103,6 +107,9 @@
 	if p.roster.GroupDataCentre(g) != q.dataCentre {
 		cost += float64(p.roundTrip)
 	}
+	if wait == 0 {
+		cost += crowdShare * float64(run) / float64(q.task.Needs.Times(p.roster.Free(id)))
+	}
 	if p.placed > 0 {
 		cost += rackShare * float64(run) * p.rackLoad(id)
 	}
--- a/core/speed/table.go
+++ b/core/speed/table.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"persimmonstage/core/names"
 	"persimmonstage/core/target"
 )
 
@@ -26,9 +27,7 @@
 
 // kindRow is what is known of one kind, for a target of mean speed.
 type kindRow struct {
-	name     string
 	hash     uint64
-	used     uint64
 	absolute gauge // logarithm of the run time in seconds
 	declared gauge // logarithm of the run time over the declared one
 	ratio    float32
@@ -47,23 +46,26 @@
 // targets, by maxKinds, and by a fixed table of pairs in which the more frequent keep their place.
 // The zero value works. A Table belongs to one goroutine.
 type Table struct {
+	names   *names.Index
 	kinds   []kindRow
-	kindOf  map[string]int
 	targets []targetRow
 	sum     float64 // of the factors of the seen targets
 	seen    int
 	pairs   []pair
-	uses    uint64
 }
 
 // Kind returns the number under which run times of a kind are kept; it is valid until the next call of Kind.
 func (t *Table) Kind(name string) int {
-	t.uses++
-	k, ok := t.kindOf[name]
-	if !ok {
-		k = t.addKind(name)
+	if t.names == nil {
+		t.names = names.New(maxKinds)
+	}
+	k, fresh := t.names.Number(name)
+	if k == len(t.kinds) {
+		t.kinds = append(t.kinds, kindRow{})
+	}
+	if fresh {
+		t.kinds[k] = kindRow{hash: xxhash.Sum64String(name)}
 	}
-	t.kinds[k].used = t.uses
 	return k
 }
 
@@ -134,33 +136,6 @@
 	k.ratio += ratioStep * float32(min(largestRatio, math.Exp(off))-float64(k.ratio))
 }
 
-// addKind enters a kind, in place of the one not used for longest if there are too many.
-func (t *Table) addKind(name string) int {
-	if t.kindOf == nil {
-		t.kindOf = map[string]int{}
-	}
-	k := len(t.kinds)
-	if k < maxKinds {
-		t.kinds = append(t.kinds, kindRow{})
-	} else {
-		k = t.longestUnused()
-		delete(t.kindOf, t.kinds[k].name)
-	}
-	t.kinds[k] = kindRow{name: name, hash: xxhash.Sum64String(name)}
-	t.kindOf[name] = k
-	return k
-}
-
-func (t *Table) longestUnused() int {
-	oldest := 0
-	for k := range t.kinds {
-		if t.kinds[k].used < t.kinds[oldest].used {
-			oldest = k
-		}
-	}
-	return oldest
-}
-
 func seconds(s float64) time.Duration {
 	return time.Duration(s * float64(time.Second))
 }
