Eject sick targets, and bound retries

Cause: a target that fails what it starts looks idle and fast and draws work; a kind that fails everywhere must not take its targets with it; and retries after a refusal must not become a storm. Change: core/eject holds a failure until the next outcome of the kind at another target: a whole result there counts it, a failure of a target that was well drops it. Failures in a row pause a target meanwhile. At most a third is out, rounded up. An ejected target is probed with the agent's health check, later each time, and is on trial, one task at a time, when it comes back. Ruled out: a plain failure share per target (ejects for a failing kind); an evidence threshold of 8 (ejected healthy targets where 5% of tasks fail); ejecting slow targets: learned run times already give them less.

--- /dev/null
+++ b/core/eject/judge.go
@@ -0,0 +1,158 @@
+package eject
+
+import (
+	"time"
+
+	"persimmonstage/core/names"
+	"persimmonstage/core/target"
+)
+
+// gate is what the Judge opens and closes; the entry gives its roster.
+type gate interface {
+	// Eject takes a target out of placement, or puts it back.
+	Eject(id target.ID, out bool)
+	// Limit lets a target have one task of this entry at a time, or as many as fit.
+	Limit(id target.ID, one bool)
+	// Len returns the number of known targets.
+	Len() int
+}
+
+// Outcome is how a task ended at a target.
+type Outcome int
+
+// The outcomes that are told apart.
+const (
+	// Whole is a result.
+	Whole Outcome = iota
+	// Failed is a task that started and failed.
+	Failed
+	// Unstarted is a refusal or a withdrawal before the start; it says nothing against the target.
+	Unstarted
+	// Lost is a task whose deadline passed without an answer.
+	Lost
+)
+
+// state is where a target stands.
+type state int
+
+const (
+	well    state = iota
+	paused        // its failures in a row aren't confirmed yet
+	ejected       // until a probe finds it well
+)
+
+const (
+	maxKinds = 4096
+	// shareOut is one over the largest share of the known targets that may be out at a time.
+	shareOut = 3
+)
+
+func (s state) out() bool {
+	return s != well
+}
+
+// row is what is known of one target.
+type row struct {
+	generation uint32
+	state      state
+	trial      bool // since a probe found it well: it gets one task at a time until one is whole
+	reason     string
+	spell      int     // counts ejections
+	failing    float64 // evidence that it fails what it starts
+	unsettled  int     // failures that wait for an outcome elsewhere
+	streak     int     // failures in a row
+	inFlight   int
+	longest    time.Duration // expected time to the end of the longest task in flight
+	progress   time.Time     // of the last end, or the first task in flight
+	strikes    int           // ejections that aren't forgiven
+	forgiven   time.Time     // when the strikes are forgotten
+	until      time.Time     // end of the pause, or time of the next probe
+}
+
+// Judge compares the outcomes at each target with those of the same kind elsewhere. A failure counts against a target only
+// when the next outcome of that kind at another target is whole: so a kind that fails everywhere ejects nobody, and a
+// target that fails everything is out after a few tasks. Until then failures in a row pause the target. At most a third
+// of the targets are out at a time, rounded up, and never the last. An ejected target gets no caller's work; it is
+// probed after a time that doubles with each ejection, and comes back when the probe finds it well, at first for one task
+// at a time.
+// A Judge belongs to one goroutine.
+type Judge struct {
+	gate  gate
+	rows  []row
+	names *names.Index
+	kinds []kindRow
+	flaps map[string]flap
+	out   int
+}
+
+// New returns a Judge that ejects targets at g.
+func New(g gate) *Judge {
+	return &Judge{gate: g, names: names.New(maxKinds), flaps: map[string]flap{}}
+}
+
+// Out reports whether a target is paused or ejected, and why.
+func (j *Judge) Out(id target.ID) (reason string, out bool) {
+	r := j.row(id)
+	if r == nil || !r.state.out() {
+		return "", false
+	}
+	return r.reason, true
+}
+
+// Sent takes a task sent to a target, which is expected to end there after expected, its wait included.
+func (j *Judge) Sent(id target.ID, expected time.Duration, now time.Time) {
+	r := j.take(id)
+	if r == nil {
+		return
+	}
+	if r.inFlight == 0 {
+		r.progress = now
+		r.longest = 0
+	}
+	r.inFlight++
+	r.longest = max(r.longest, expected)
+}
+
+// Gone forgets a target that has left or fallen silent.
+func (j *Judge) Gone(id target.ID) {
+	if r := j.row(id); r != nil {
+		j.reset(r, r.generation)
+	}
+}
+
+// row returns the row of a present ID, or nil.
+func (j *Judge) row(id target.ID) *row {
+	i := id.Index()
+	if i >= len(j.rows) || j.rows[i].generation != id.Generation() {
+		return nil
+	}
+	return &j.rows[i]
+}
+
+// take returns the row of an ID, a fresh one if the ID is a later incarnation, and nil if it is an earlier one.
+func (j *Judge) take(id target.ID) *row {
+	for id.Index() >= len(j.rows) {
+		j.rows = append(j.rows, row{})
+	}
+	r := &j.rows[id.Index()]
+	if r.generation > id.Generation() {
+		return nil
+	}
+	if r.generation < id.Generation() {
+		j.reset(r, id.Generation())
+	}
+	return r
+}
+
+func (j *Judge) reset(r *row, generation uint32) {
+	if r.state.out() {
+		j.out--
+	}
+	*r = row{generation: generation}
+}
+
+// mayLose reports whether one more target may be taken out.
+func (j *Judge) mayLose() bool {
+	n := j.gate.Len()
+	return j.out < min((n+shareOut-1)/shareOut, n-1)
+}
--- a/core/place/ask.go
+++ b/core/place/ask.go
@@ -17,7 +17,7 @@
 type Ask struct {
 	Kind       string
 	DataCentre string
-	Attempt    int // how often the tasks were refused because of the wait
+	Attempt    int // how often the tasks were refused because of the wait, at most LastAttempt
 	Tasks      []Task
 }
 
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -38,10 +38,13 @@
 	Soonest
 )
 
+// LastAttempt is the attempt of an Ask whose choices have no bound on the wait.
+const LastAttempt = 2
+
 const (
 	defaultSample   = 8 // targets looked at in each list of a group
 	defaultReserves = 2 // reservations for a task
-	maxAttempts     = 2 // placements of a task that end in a refusal because of the wait
+
 )
 
 // Placer chooses targets for the tasks of jobs by expected completion: the wait at the target, the run time there, and
@@ -155,7 +158,7 @@
 
 // maxWait returns for how long a task should wait at the best candidate before it is worth a refusal and another placement.
 func (p *Placer) maxWait(attempt int) time.Duration {
-	if p.policy != Bounded || attempt >= maxAttempts || p.kept < 2 {
+	if p.policy != Bounded || attempt >= LastAttempt || p.kept < 2 {
 		return math.MaxInt64
 	}
 	first, second := &p.best[0], &p.best[1]
--- a/core/roster/announce.go
+++ b/core/roster/announce.go
@@ -65,6 +65,14 @@
 	}
 }
 
+// Limit lets a target have only one of the entry's own tasks at a time, or as many as fit.
+func (r *Roster) Limit(id target.ID, one bool) {
+	if t := r.row(id); t != nil {
+		t.limited = one
+		r.relist(uint32(id.Index()))
+	}
+}
+
 // Tick removes the targets whose deadline for a heartbeat has passed, and calls gone with each before its ID is void.
 func (r *Roster) Tick(now time.Time, gone func(target.ID)) {
 	for i, d := range r.deadline {
--- a/core/roster/group.go
+++ b/core/roster/group.go
@@ -133,7 +133,7 @@
 // hasRoom reports whether the smallest task could start now; accelerators are left out, as few tasks want one.
 func (t *row) hasRoom() bool {
 	free := t.free()
-	return (t.capacity.Slots == 0 || free.Slots > 0) &&
+	return !t.atLimit() && (t.capacity.Slots == 0 || free.Slots > 0) &&
 		(t.capacity.Cores == 0 || free.Cores > 0) &&
 		(t.capacity.MemoryMB == 0 || free.MemoryMB > 0)
 }
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -24,6 +24,7 @@
 	known       bool
 	leaving     bool
 	ejected     bool
+	limited     bool // to one of the entry's own tasks
 	name        string
 	incarnation string
 	rack        string
@@ -128,10 +129,10 @@
 }
 
 // Wait returns the expected time until a task that takes v can start at a target: zero when v fits what is free,
-// else the time in which the target works off what is too much.
+// else the time in which the target works off what is too much; math.MaxInt64 is never.
 func (r *Roster) Wait(id target.ID, v needs.Vector) time.Duration {
 	t := r.row(id)
-	if t == nil || !v.Fits(t.capacity) {
+	if t == nil || !v.Fits(t.capacity) || t.atLimit() {
 		return math.MaxInt64
 	}
 	free := t.free()
@@ -162,6 +163,11 @@
 	return share
 }
 
+// atLimit reports whether a target on trial has its one task.
+func (t *row) atLimit() bool {
+	return t.limited && t.own.tasks > 0
+}
+
 func (t *row) free() needs.Vector {
 	return t.capacity.Sub(t.own.held).Sub(t.others.held)
 }
