Render the owner's page as HTML, text and JSON

The owner reads one page on a phone or a desktop, without script: the answer first, then what suffered and why, then the timeline. io/page renders a digest through html/template, which escapes every value for its place; the plot is inline SVG that stretches, its labels are text so that they stay legible at any width, and a table gives the same in numbers. The text form replaces characters that are not printed.

Two tests hold this.

--- a/core/cause/table.go
+++ b/core/cause/table.go
@@ -21,9 +21,9 @@
 
 // The sentences avoid the terms of the field: their reader owns a shop, not the hosts.
 var table = []entry{
-	{FloodMostUrgent, harm, "A flood of the most urgent work came, more than the targets can take.", "A flood of %s, the most urgent work, came: more than the targets can take."},
-	{FloodLeastUrgent, harm, "A flood of the least urgent work came, more than the targets can take.", "A flood of %s, the least urgent work, came: more than the targets can take."},
-	{Flood, harm, "A flood of one kind of work came, more than the targets can take.", "A flood of %s came: more than the targets can take."},
+	{FloodMostUrgent, harm, "A flood of the most urgent work was more than the targets can take.", "A flood of %s, the most urgent work, was more than the targets can take."},
+	{FloodLeastUrgent, harm, "A flood of the least urgent work was more than the targets can take.", "A flood of %s, the least urgent work, was more than the targets can take."},
+	{Flood, harm, "A flood of one kind of work was more than the targets can take.", "A flood of %s was more than the targets can take."},
 	{Overload, harm, "More work was waiting than the targets could finish before the deadline.", "More work was waiting than the targets could finish before the deadline: %s."},
 	{OverQuota, harm, "The team asked for more than its quota allows.", "The team asked for more than its quota allows: %s."},
 	{DeadlineTooShort, harm, "The deadline was shorter than the work takes even on an idle target.", "The deadline was shorter than the work takes even on an idle target: %s."},
--- a/core/day/causes_test.go
+++ b/core/day/causes_test.go
@@ -85,9 +85,9 @@
 }
 
 var badDays = []badDay{
-	{cause: cause.FloodMostUrgent, what: refused(cause.Overload), span: flood(cause.FloodMostUrgent), sentence: "A flood of renewal from senandung, the most urgent work, came: more than the targets can take."},
-	{cause: cause.FloodLeastUrgent, what: late, span: flood(cause.FloodLeastUrgent), sentence: "A flood of renewal from senandung, the least urgent work, came: more than the targets can take."},
-	{cause: cause.Flood, what: failed(cause.DeadlinePassed), span: flood(cause.Flood), sentence: "A flood of renewal from senandung came: more than the targets can take."},
+	{cause: cause.FloodMostUrgent, what: refused(cause.Overload), span: flood(cause.FloodMostUrgent), sentence: "A flood of renewal from senandung, the most urgent work, was more than the targets can take."},
+	{cause: cause.FloodLeastUrgent, what: late, span: flood(cause.FloodLeastUrgent), sentence: "A flood of renewal from senandung, the least urgent work, was more than the targets can take."},
+	{cause: cause.Flood, what: failed(cause.DeadlinePassed), span: flood(cause.Flood), sentence: "A flood of renewal from senandung was more than the targets can take."},
 	{cause: cause.Overload, what: refused(cause.Overload), sentence: "More work was waiting than the targets could finish before the deadline."},
 	{cause: cause.OverQuota, what: refused(cause.OverQuota), sentence: "The team asked for more than its quota allows."},
 	{cause: cause.DeadlineTooShort, what: refused(cause.DeadlineTooShort), sentence: "The deadline was shorter than the work takes even on an idle target."},
--- a/core/day/day_test.go
+++ b/core/day/day_test.go
@@ -168,6 +168,33 @@
 	require.Equal(t, time.Minute, g.Gaps[0].To.Sub(g.Gaps[0].From))
 }
 
+// The successor learns of the death only when the log is back, and what the dead entry held until then is gone.
+func TestEntryThatDiedInALogOutageLeavesAllItHeldMissing(t *testing.T) {
+	a := tally.New("entry-1", "i1")
+	complete(a, noon)
+	a.Advance(noon.Add(time.Minute))
+	b := tally.New("entry-2", "i2")
+	b.Event(noon.Add(2*time.Hour), event.Event{Cause: cause.EntryLost, Subject: "entry-1"})
+	b.Close(noon.Add(3 * time.Hour))
+	g := digestOf(append(records(a), records(b)...), noon.Add(3*time.Hour))
+	require.Equal(t, 2*time.Hour-time.Minute, g.Gaps[0].To.Sub(g.Gaps[0].From))
+	require.Equal(t, digest.Unsure, g.Went)
+}
+
+func TestReplacedEntryIsMissingUntilItsNextIncarnation(t *testing.T) {
+	a := tally.New("entry-1", "i1")
+	complete(a, noon)
+	a.Advance(noon.Add(time.Minute))
+	b := tally.New("entry-1", "i2")
+	b.Advance(noon.Add(3 * time.Minute))
+	b.Close(noon.Add(time.Hour))
+	g := digestOf(append(records(a), records(b)...), noon.Add(time.Hour))
+	require.Len(t, g.Gaps, 1)
+	require.Equal(t, 2*time.Minute, g.Gaps[0].To.Sub(g.Gaps[0].From))
+	require.Contains(t, g.Gaps[0].Sentence, "replaced")
+	require.Equal(t, digest.Well, g.Went)
+}
+
 func TestStatedLossIsToldOnItsOwnDay(t *testing.T) {
 	midnight := time.Date(2026, 3, 3, 0, 0, 0, 0, auckland).UTC()
 	r := &rollup.Rollup{Entry: "entry-1", Incarnation: "i1", Seq: 9, From: midnight, To: midnight.Add(time.Minute)}
--- a/core/day/gaps.go
+++ b/core/day/gaps.go
@@ -10,13 +10,9 @@
 	"persimmonstage/core/rollup"
 )
 
-const (
-	// silence is how long after its last record an entry that has not stopped is taken as missing:
-	// a minute to fill a record, and time for it to be written and read.
-	silence = 3 * time.Minute
-	// minuteLost bounds what an entry that died without a word had not yet written.
-	minuteLost = time.Minute
-)
+// silence is how long after its last record an entry that has not stopped is taken as missing:
+// a minute to fill a record, and time for it to be written and read.
+const silence = 3 * time.Minute
 
 // coverage is the time that the records of one incarnation cover.
 type coverage struct {
@@ -113,35 +109,39 @@
 	if end.Sub(last) <= silence {
 		return
 	}
-	if takenOver(c.entry, last, spans) {
-		g.AddGap(c.entry, last, last.Add(minuteLost), 0, c.entry+" died and another entry took over; up to a minute of its account is missing.")
+	if at, ok := takenOver(c.entry, last, spans); ok {
+		g.AddGap(c.entry, last, later(at, last), 0, c.entry+" died and another entry took over; what it had not yet written is missing.")
 		return
 	}
-	if d.alive(c, last) {
-		g.AddGap(c.entry, last, last.Add(minuteLost), 0, c.entry+" was replaced without a graceful stop; up to a minute of its account is missing.")
+	if at, ok := d.replaced(c, last); ok {
+		g.AddGap(c.entry, last, at, 0, c.entry+" was replaced without a graceful stop; what it had not yet written is missing.")
 		return
 	}
 	g.AddGap(c.entry, last, end, 0, c.entry+" has written nothing since: it died, was cut off, or the log took no records.")
 }
 
-// takenOver reports whether another entry told of the death of this one after its last record.
-func takenOver(entry string, last time.Time, spans []event.Event) bool {
+// takenOver returns when another entry told of the death of this one after its last record.
+// The death itself was earlier, and with the log down the last record can be hours older.
+func takenOver(entry string, last time.Time, spans []event.Event) (at time.Time, ok bool) {
 	for _, e := range spans {
 		if e.Cause == cause.EntryLost && e.Subject == entry && !e.End().Before(last) {
-			return true
+			return e.At, true
 		}
 	}
-	return false
+	return time.Time{}, false
 }
 
-// alive reports whether a later incarnation of the same entry wrote records.
-func (d *Day) alive(c *coverage, since time.Time) bool {
+// replaced returns when the next incarnation of the same entry began to write.
+func (d *Day) replaced(c *coverage, last time.Time) (at time.Time, ok bool) {
 	for _, o := range d.entries {
-		if o != c && o.entry == c.entry && len(o.done) > 0 && o.done[len(o.done)-1].to.After(since) {
-			return true
+		if o == c || o.entry != c.entry || len(o.done) == 0 || o.done[0].from.Before(last) {
+			continue
+		}
+		if !ok || o.done[0].from.Before(at) {
+			at, ok = o.done[0].from, true
 		}
 	}
-	return false
+	return at, ok
 }
 
 // overdue sums the jobs open past their deadline in the latest record of each entry that still writes.
--- a/core/digest/judge.go
+++ b/core/digest/judge.go
@@ -17,6 +17,9 @@
 	case d.Totals.Suffered > 0 || d.OverdueWorst > 0:
 		d.Went = Badly
 		d.Headline = d.badly()
+		if d.missing() > smallGap || d.jobsLost() > 0 {
+			d.Headline += " There may be more, as part of the account is missing."
+		}
 	case d.missing() > smallGap || d.jobsLost() > 0:
 		d.Went = Unsure
 		d.Headline = "Can't say: no job is known to have suffered, but part of the account is missing."
--- a/core/event/event_test.go
+++ b/core/event/event_test.go
@@ -24,7 +24,7 @@
 
 func TestSentenceNamesWhom(t *testing.T) {
 	e := event.Event{Cause: cause.Flood, Team: "senandung", Kind: "renewal"}
-	require.Equal(t, "A flood of renewal from senandung came: more than the targets can take.", e.Sentence())
+	require.Equal(t, "A flood of renewal from senandung was more than the targets can take.", e.Sentence())
 	e = event.Event{Cause: cause.TargetLost, Subject: "runner-3"}
 	require.Equal(t, "The target runner-3, or the host it ran on, died or stopped answering.", e.Sentence())
 }
--- /dev/null
+++ b/io/page/page.go
@@ -0,0 +1,43 @@
+package page
+
+import (
+	_ "embed"
+	"encoding/json"
+	"html/template"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"persimmonstage/core/digest"
+)
+
+//go:embed page.html
+var source string
+
+// The template escapes every value for the place where it stands; names of teams and targets are others' text.
+var tmpl = template.Must(template.New("page").Funcs(template.FuncMap{
+	"count": digest.Count,
+	"jobs":  digest.Jobs,
+	"clock": clock,
+}).Parse(source))
+
+// Page renders a digest; it holds no state besides, so it can be used by many at once.
+type Page struct{ d *digest.Digest }
+
+// Of returns the page of d.
+func Of(d *digest.Digest) Page { return Page{d: d} }
+
+// WriteHTML writes the page as one self-contained HTML document; it fails when w fails.
+func (p Page) WriteHTML(w io.Writer) error {
+	return errors.Wrap(tmpl.Execute(w, newView(p.d)), "render the owner's page")
+}
+
+// WriteJSON writes the account as one JSON document; it fails when w fails.
+func (p Page) WriteJSON(w io.Writer) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	return errors.Wrap(enc.Encode(p.d), "write the day as JSON")
+}
+
+func clock(t time.Time) string { return t.Format("15:04") }
--- /dev/null
+++ b/io/page/page_test.go
@@ -0,0 +1,119 @@
+package page_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"encoding/xml"
+	"errors"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"persimmonstage/core/cause"
+	"persimmonstage/core/day"
+	"persimmonstage/core/digest"
+	"persimmonstage/core/ended"
+	"persimmonstage/core/event"
+	"persimmonstage/core/tally"
+	"persimmonstage/io/page"
+)
+
+var days = map[string]func() *digest.Digest{
+	"ordinary-day": ordinaryDay,
+	"flood-day":    floodDay,
+	"log-down-day": logDownDay,
+}
+
+// golden compares got with the file, or writes the file when UPDATE_GOLDEN is set.
+func golden(t *testing.T, name string, got []byte) {
+	t.Helper()
+	path := filepath.Join("testdata", name)
+	if os.Getenv("UPDATE_GOLDEN") != "" {
+		require.NoError(t, os.WriteFile(path, got, 0o644))
+		return
+	}
+	want, err := os.ReadFile(path)
+	require.NoError(t, err)
+	require.Equal(t, string(want), string(got))
+}
+
+func TestGoldenDays(t *testing.T) {
+	for name, build := range days {
+		t.Run(name, func(t *testing.T) {
+			p := page.Of(build())
+			var text, html bytes.Buffer
+			require.NoError(t, p.WriteText(&text))
+			require.NoError(t, p.WriteHTML(&html))
+			golden(t, name+".txt", text.Bytes())
+			golden(t, name+".html", html.Bytes())
+		})
+	}
+}
+
+// The command asks an entry for JSON and renders it itself.
+func TestJSONRendersToTheSamePage(t *testing.T) {
+	d := floodDay()
+	var doc, direct, again bytes.Buffer
+	require.NoError(t, page.Of(d).WriteJSON(&doc))
+	var back digest.Digest
+	require.NoError(t, json.Unmarshal(doc.Bytes(), &back))
+	require.NoError(t, page.Of(d).WriteText(&direct))
+	require.NoError(t, page.Of(&back).WriteText(&again))
+	require.Equal(t, direct.String(), again.String())
+}
+
+func nastyDay() *digest.Digest {
+	at := time.Date(2026, 3, 2, 9, 0, 0, 0, time.UTC)
+	a := tally.New("<b>entry</b>", "i")
+	nasty := `"><script>alert(1)</script>` + "\x1b[2J\u202e"
+	a.JobEnded(at, nasty, nasty, ended.Failed, cause.Cause(nasty), 0, 0, 0, 0)
+	a.Event(at, event.Event{Cause: cause.TargetLost, Subject: nasty})
+	a.JobEnded(at, nasty, nasty, ended.Failed, cause.Cancelled, 0, 0, 0, 0)
+	a.Advance(at.Add(time.Minute))
+	r, _ := a.Next()
+	d := day.Of(at, time.UTC)
+	d.Add(r)
+	return d.Digest(at.Add(time.Hour))
+}
+
+func TestNamesAreEscaped(t *testing.T) {
+	var html, text bytes.Buffer
+	p := page.Of(nastyDay())
+	require.NoError(t, p.WriteHTML(&html))
+	require.NotContains(t, html.String(), "<script")
+	require.NotContains(t, html.String(), "<b>entry")
+	require.Contains(t, html.String(), "&lt;script&gt;")
+	require.NoError(t, p.WriteText(&text))
+	require.NotContains(t, text.String(), "\x1b")
+	require.NotContains(t, text.String(), "\u202e")
+}
+
+func TestPageLoadsNothingAndIsWellFormed(t *testing.T) {
+	for name, build := range days {
+		var html bytes.Buffer
+		require.NoError(t, page.Of(build()).WriteHTML(&html))
+		s := html.String()
+		for _, banned := range []string{"<script", "http://", "https://", "<link", "<img", "javascript:"} {
+			require.NotContains(t, s, banned, name)
+		}
+		wellFormed(t, s)
+	}
+}
+
+// wellFormed checks that every element is closed where it should be.
+func wellFormed(t *testing.T, s string) {
+	dec := xml.NewDecoder(strings.NewReader(s))
+	dec.Entity = xml.HTMLEntity
+	for {
+		_, err := dec.Token()
+		if errors.Is(err, io.EOF) {
+			return
+		}
+		require.NoError(t, err)
+	}
+}
--- /dev/null
+++ b/io/page/view.go
@@ -0,0 +1,226 @@
+package page
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"persimmonstage/core/digest"
+)
+
+const (
+	// maxRows is how many rows of a list are shown at once; the others are counted.
+	maxRows = 25
+	// The drawing's own units; it is stretched to the width of the screen.
+	plotWidth  = 960.0
+	plotHeight = 120.0
+	// leastHarm is the least height at which a harm shows beside thousands of jobs that went well.
+	leastHarm = 6.0
+	// leastStrip is the least width of a moment in its strip.
+	leastStrip = 8.0
+	// labels is how many hours are written under the plot.
+	labels = 4
+)
+
+// view is what the template needs besides the digest itself.
+type view struct {
+	*digest.Digest
+	Title, Answer, Class string
+	Detail               string
+	Before, After        string
+	Stuck                string
+	Works                []workRow
+	Why                  []reasonRow
+	Turned               []reasonRow
+	Happened             []momentRow
+	Hours                []hourRow
+	Bars                 []bar
+	Labels               []string
+	Speeds               []speedRow
+	Missing              []gapRow
+	MoreWorks, MoreWhy   int
+	Peak                 string
+}
+
+type workRow struct {
+	Name, Share, Parts string
+	Reasons            []reasonRow
+}
+
+type reasonRow struct{ Sentence, Jobs, When, Works string }
+
+type momentRow struct {
+	When, Sentence, Class string
+	X, Width              float64
+}
+
+type hourRow struct {
+	Hour             string
+	Jobs, Bad        int64
+	Late, Failed     int64
+	Refused, Unknown int64
+}
+
+type bar struct {
+	Class               string
+	X, Y, Width, Height float64
+}
+
+type speedRow struct {
+	Name, Jobs, P50, P99, Ideal50, Ideal99, Note string
+}
+
+type gapRow struct{ When, Sentence string }
+
+func newView(d *digest.Digest) view {
+	v := view{Digest: d, Title: d.From.Format("Monday 2 January 2006"), Stuck: stuck(d)}
+	v.Answer, v.Class = answer(d)
+	v.Detail = detail(d.Headline)
+	v.Before = d.From.AddDate(0, 0, -1).Format(time.DateOnly)
+	if !d.SoFar() {
+		v.After = d.From.AddDate(0, 0, 1).Format(time.DateOnly)
+	}
+	v.works()
+	v.reasons()
+	v.happened()
+	v.timeline()
+	v.speeds()
+	for _, g := range d.Gaps {
+		v.Missing = append(v.Missing, gapRow{When: between(g.From, g.To), Sentence: gapText(g.Sentence, g.Jobs)})
+	}
+	return v
+}
+
+func answer(d *digest.Digest) (text, class string) {
+	switch d.Went {
+	case digest.Well:
+		return "Yes", "yes"
+	case digest.Badly:
+		return "No", "no"
+	default:
+		return "Can't say", "unsure"
+	}
+}
+
+// detail returns the headline without the answer, which the page writes large above it.
+func detail(headline string) string {
+	for _, lead := range []string{"Yes. ", "No. ", "Can't say: "} {
+		if rest, ok := strings.CutPrefix(headline, lead); ok {
+			return strings.ToUpper(rest[:1]) + rest[1:]
+		}
+	}
+	return headline
+}
+
+// stuck says whether anything is left open past its deadline.
+func stuck(d *digest.Digest) string {
+	if d.Overdue > 0 {
+		return digest.Jobs(d.Overdue) + " open past the deadline now."
+	}
+	if d.OverdueWorst > 0 {
+		return "Nothing is stuck now; at worst " + digest.Jobs(d.OverdueWorst) + " were open past the deadline."
+	}
+	return "Nothing is stuck: 0 jobs are open past their deadline."
+}
+
+func gapText(sentence string, jobs int64) string {
+	if jobs == 0 {
+		return sentence
+	}
+	return sentence + " " + digest.Jobs(jobs) + " are counted nowhere."
+}
+
+func (v *view) works() {
+	for i, w := range v.Suffered {
+		if i == maxRows {
+			v.MoreWorks = len(v.Suffered) - i
+			return
+		}
+		row := workRow{Name: w.Name(), Share: digest.Count(w.Jobs) + " of " + digest.Jobs(w.Of), Parts: w.Parts()}
+		for _, r := range w.Reasons {
+			row.Reasons = append(row.Reasons, reasonRow{Sentence: r.Sentence, Jobs: digest.Jobs(r.Jobs), When: between(r.First, r.Last)})
+		}
+		v.Works = append(v.Works, row)
+	}
+}
+
+func (v *view) reasons() {
+	for i, r := range v.Reasons {
+		if i == maxRows {
+			v.MoreWhy = len(v.Reasons) - i
+			break
+		}
+		v.Why = append(v.Why, reasonRow{r.Sentence, digest.Jobs(r.Jobs), between(r.First, r.Last), someOf(r.Works)})
+	}
+	for _, r := range v.Digest.Turned {
+		v.Turned = append(v.Turned, reasonRow{r.Sentence, digest.Jobs(r.Jobs), between(r.First, r.Last), someOf(r.Works)})
+	}
+}
+
+func (v *view) happened() {
+	day := v.To.Sub(v.From)
+	for _, m := range v.Moments {
+		row := momentRow{When: clock(m.At), Sentence: m.Sentence, Class: "note"}
+		if m.Harmful {
+			row.Class = "harm"
+		}
+		end := m.At
+		if !m.Until.IsZero() {
+			end = m.Until
+			row.When = between(m.At, m.Until)
+		}
+		if m.Open && v.SoFar() {
+			row.When = "since " + clock(m.At)
+		}
+		from, to := within(m.At, v), within(end, v)
+		row.X = plotWidth * float64(from) / float64(day)
+		row.Width = max(plotWidth*float64(to-from)/float64(day), leastStrip)
+		row.X = min(row.X, plotWidth-row.Width)
+		v.Happened = append(v.Happened, row)
+	}
+}
+
+// within returns how far t lies into the day, between its borders.
+func within(t time.Time, v *view) time.Duration {
+	return min(max(t.Sub(v.From), 0), v.To.Sub(v.From))
+}
+
+func (v *view) speeds() {
+	for _, k := range v.Kinds {
+		row := speedRow{Name: k.Name(), Jobs: digest.Count(k.Jobs), P50: "-", P99: "-", Ideal50: "-", Ideal99: "-"}
+		if k.P99US > 0 {
+			row.P50, row.P99 = response(k.P50US), response(k.P99US)
+		}
+		if k.Ideal99 > 0 {
+			row.Ideal50, row.Ideal99 = fmt.Sprintf("%.2f", k.Ideal50), fmt.Sprintf("%.2f", k.Ideal99)
+		}
+		if k.Untimed > 0 {
+			row.Note = "without the times of " + digest.Jobs(k.Untimed)
+		}
+		v.Speeds = append(v.Speeds, row)
+	}
+}
+
+func response(us int64) string {
+	d := time.Duration(us) * time.Microsecond
+	if d < 10*time.Millisecond {
+		return fmt.Sprintf("%.1f ms", float64(us)/1000)
+	}
+	return digest.Span(d)
+}
+
+func between(from, to time.Time) string {
+	if a, b := clock(from), clock(to); a != b {
+		return a + " to " + b
+	}
+	return clock(from)
+}
+
+// someOf names the first few of the works.
+func someOf(names []string) string {
+	const few = 5
+	if len(names) <= few {
+		return strings.Join(names, ", ")
+	}
+	return fmt.Sprintf("%s and %d more", strings.Join(names[:few], ", "), len(names)-few)
+}
