--- a/core/day/day.go
+++ b/core/day/day.go
@@ -1,6 +1,8 @@
 package day
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"persimmonstage/core/digest"
@@ -62,6 +64,26 @@
 	return d
 }
 
+// Clone returns a copy that shares nothing with d.
+func (d *Day) Clone() *Day {
+	c := *d
+	c.seen = maps.Clone(d.seen)
+	c.slots = slices.Clone(d.slots)
+	c.total = make(map[workKey]*series.Series, len(d.total))
+	for k, s := range d.total {
+		c.total[k] = s.Clone()
+	}
+	c.harms = d.harms.clone()
+	c.events.told = maps.Clone(d.events.told)
+	c.entries = make(map[string]*coverage, len(d.entries))
+	for k, e := range d.entries {
+		own := *e
+		own.done, own.lost = slices.Clone(e.done), slices.Clone(e.lost)
+		c.entries[k] = &own
+	}
+	return &c
+}
+
 // From returns the start of the day.
 func (d *Day) From() time.Time { return d.from }
 
--- a/core/day/harms.go
+++ b/core/day/harms.go
@@ -73,6 +73,15 @@
 	}
 }
 
+func (h *harms) clone() harms {
+	c := harms{step: h.step, jobs: make(map[harmKey]*harm, len(h.jobs))}
+	for key, n := range h.jobs {
+		own := *n
+		c.jobs[key] = &own
+	}
+	return c
+}
+
 func (h *harms) coarsen() {
 	h.step++
 	old := h.jobs
--- a/core/digest/build.go
+++ b/core/digest/build.go
@@ -23,7 +23,7 @@
 		Day: from.Format(time.DateOnly), Zone: loc.String(),
 		From: from, To: to.In(loc), Asked: asked.In(loc),
 		Suffered: []*work{}, Reasons: []*reason{}, Turned: []*reason{}, Kinds: []kind{},
-		Moments: []moment{}, Slots: []slot{}, Gaps: []gap{},
+		Moments: []moment{}, Slots: []slot{}, Gaps: []gap{}, Notes: []string{},
 	}
 }
 
--- a/core/digest/digest.go
+++ b/core/digest/digest.go
@@ -50,6 +50,8 @@
 	Slots []slot `json:"slots"`
 	// Gaps lists what is missing from the account.
 	Gaps []gap `json:"gaps"`
+	// Notes says what the reader should know of the account itself, such as that the log can't be read now.
+	Notes []string `json:"notes"`
 }
 
 type totals struct {
--- a/core/rollup/rollup.go
+++ b/core/rollup/rollup.go
@@ -144,6 +144,17 @@
 	return parts
 }
 
+// Clone returns a copy that shares nothing with r.
+func (r *Rollup) Clone() *Rollup {
+	c := *r
+	c.Events = slices.Clone(r.Events)
+	c.Series = nil
+	for _, s := range r.Series {
+		c.Series = append(c.Series, s.Clone())
+	}
+	return &c
+}
+
 // Sort puts the accounts in the order of team and kind.
 func (r *Rollup) Sort() { slices.SortFunc(r.Series, compare) }
 
--- a/core/series/series.go
+++ b/core/series/series.go
@@ -99,6 +99,13 @@
 	s.ratio = merged(s.ratio, o.ratio)
 }
 
+// Clone returns a copy that shares nothing with s.
+func (s *Series) Clone() *Series {
+	c := New(s.team, s.kind)
+	c.Merge(s)
+	return c
+}
+
 // DropTimes frees the histograms, counts their jobs as untimed and reports whether there were any.
 func (s *Series) DropTimes() bool {
 	if s.response == nil {
--- a/core/tally/shrink.go
+++ b/core/tally/shrink.go
@@ -1,6 +1,10 @@
 package tally
 
-import "time"
+import (
+	"time"
+
+	"persimmonstage/core/rollup"
+)
 
 const (
 	// coarse and coarsest are the lengths into which minutes are merged while the log takes none.
@@ -62,9 +66,7 @@
 		if old.tried {
 			continue
 		}
-		lost := old.rollup
-		next.rollup.Lose(lost.LostFrom, lost.LostTo, lost.LostJobs)
-		next.rollup.Lose(lost.From, lost.To, lost.Jobs())
+		lose(next.rollup, old.rollup)
 		t.held -= old.bytes
 		t.closed = append(t.closed[:i], t.closed[i+1:]...)
 		return true
@@ -76,3 +78,9 @@
 func sameBlock(a, b *closed, width time.Duration) bool {
 	return a.rollup.To.Equal(b.rollup.From) && a.rollup.From.Truncate(width).Equal(b.rollup.From.Truncate(width))
 }
+
+// lose notes in next that old is dropped.
+func lose(next, old *rollup.Rollup) {
+	next.Lose(old.LostFrom, old.LostTo, old.LostJobs)
+	next.Lose(old.From, old.To, old.Jobs())
+}
--- a/core/tally/tally.go
+++ b/core/tally/tally.go
@@ -80,7 +80,7 @@
 	t.current.AddEvent(e)
 }
 
-// Begin notes that e lasts from now on; a span of the same name that already lasts is kept.
+// Begin notes that e lasts, from its own time or from now on; a span of the same name that already lasts is kept.
 func (t *Tally) Begin(now time.Time, e event.Event) {
 	t.advance(now)
 	if t.span(e) >= 0 {
@@ -90,7 +90,10 @@
 		t.current.EventsLost++
 		return
 	}
-	e.At = now.UTC()
+	if e.At.IsZero() {
+		e.At = now
+	}
+	e.At = e.At.UTC()
 	t.spans = append(t.spans, e)
 }
 
@@ -133,6 +136,14 @@
 	return t.closed[0].rollup, true
 }
 
+// Oldest returns when the oldest closed record ends; ok is false when none waits.
+func (t *Tally) Oldest() (end time.Time, ok bool) {
+	if len(t.closed) == 0 {
+		return time.Time{}, false
+	}
+	return t.closed[0].rollup.To, true
+}
+
 // Written drops the record of that id, which stands in the log.
 func (t *Tally) Written(id string) {
 	for i, c := range t.closed {
@@ -145,26 +156,35 @@
 	}
 }
 
-// Waiting returns how many closed records wait to be written, and their estimated memory in bytes.
-func (t *Tally) Waiting() (records, bytes int) { return len(t.closed), t.held }
-
-// Open returns a copy of the minute in progress, for a page that shows the present.
-func (t *Tally) Open(now time.Time) *rollup.Rollup {
+// Drop gives up the record of that id, which the log refuses for good, and notes the loss in the next one.
+func (t *Tally) Drop(now time.Time, id string) {
 	t.advance(now)
-	c := *t.current
-	c.To = later(now.UTC(), c.From)
-	c.Series = nil
-	for _, s := range t.current.Series {
-		own := series.New(s.Team(), s.Kind())
-		own.Merge(s)
-		c.Series = append(c.Series, own)
+	for i, c := range t.closed {
+		if c.rollup.ID() != id {
+			continue
+		}
+		next := t.current
+		if i+1 < len(t.closed) {
+			next = t.closed[i+1].rollup
+		}
+		lose(next, c.rollup)
+		t.Written(id)
+		return
+	}
+}
+
+// Pending returns copies of the closed records that wait to be written.
+func (t *Tally) Pending() []*rollup.Rollup {
+	all := make([]*rollup.Rollup, 0, len(t.closed))
+	for _, c := range t.closed {
+		all = append(all, c.rollup.Clone())
 	}
-	c.Events = append([]event.Event(nil), c.Events...)
-	t.tellSpans(&c)
-	c.Sort()
-	return &c
+	return all
 }
 
+// Waiting returns how many closed records wait to be written, and their estimated memory in bytes.
+func (t *Tally) Waiting() (records, bytes int) { return len(t.closed), t.held }
+
 func (t *Tally) account(now time.Time, team, kind string) *series.Series {
 	t.advance(now)
 	s, ok := t.index[key{team, kind}]
--- /dev/null
+++ b/io/days/days.go
@@ -0,0 +1,143 @@
+package days
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"persimmonstage/core/day"
+	"persimmonstage/core/digest"
+	"persimmonstage/core/rollup"
+)
+
+const (
+	// Kept is how many local days are held, today included; the log holds records no longer than some days either.
+	Kept = 8
+	// fresh is how long a page is served again before the log is read for more.
+	fresh = 5 * time.Second
+	// patience is how long a request waits for the log before it is answered with what is known.
+	patience = 2 * time.Second
+)
+
+// own is this entry's writer, whose records may not stand in the log yet.
+type own interface {
+	Pending() []*rollup.Rollup
+	Failing() (since time.Time, reason string, ok bool)
+}
+
+// Days holds the accounts of the last days. It reads the log only when somebody asks, so that an entry whose page
+// nobody looks at spends nothing on it. It is safe for concurrent use.
+type Days struct {
+	loc  *time.Location
+	own  own
+	read reader
+
+	mu      sync.Mutex
+	days    map[string]*day.Day
+	next    int64
+	bad     int64
+	asOf    time.Time
+	lastErr error
+	reading chan struct{} // closed when the read in progress ends; nil when none is
+	cancel  context.CancelFunc
+	pages   map[pageKey]cached
+}
+
+// New returns the days in loc, read from log; own may be nil when this process writes no roll-ups.
+func New[R record](log client[R], loc *time.Location, own own) *Days {
+	return &Days{loc: loc, own: own, read: readerOf(log), days: make(map[string]*day.Day), pages: make(map[pageKey]cached)}
+}
+
+// Close ends a read in progress and waits for it.
+func (d *Days) Close() {
+	d.mu.Lock()
+	reading := d.reading
+	if d.cancel != nil {
+		d.cancel()
+	}
+	d.mu.Unlock()
+	if reading != nil {
+		<-reading
+	}
+}
+
+// Digest returns the account of the day named YYYY-MM-DD, or of today when date is empty; an *Error says why not.
+func (d *Days) Digest(ctx context.Context, now time.Time, date string) (*digest.Digest, error) {
+	at, err := d.parse(now, date)
+	if err != nil {
+		return nil, err
+	}
+	caughtUp := d.refresh(ctx, now)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	acc := d.account(at)
+	if since, reason, ok := d.failing(); ok {
+		acc = acc.Clone()
+		for _, r := range d.own.Pending() {
+			acc.Add(r)
+		}
+		g := acc.Digest(now)
+		g.Notes = append(g.Notes, "The log has taken no records since "+since.In(d.loc).Format("15:04")+
+			" ("+reason+"): from then on this page shows what this entry counted itself.")
+		return d.annotate(g, caughtUp), nil
+	}
+	return d.annotate(acc.Digest(now), caughtUp), nil
+}
+
+// failing says since when this entry could not write.
+func (d *Days) failing() (since time.Time, reason string, ok bool) {
+	if d.own == nil {
+		return time.Time{}, "", false
+	}
+	return d.own.Failing()
+}
+
+func (d *Days) annotate(g *digest.Digest, caughtUp bool) *digest.Digest {
+	switch {
+	case d.lastErr != nil:
+		g.Notes = append(g.Notes, "The log can't be read now ("+d.lastErr.Error()+"); other entries' records are known "+d.known()+".")
+	case !caughtUp:
+		g.Notes = append(g.Notes, "The records of the day are still being read; look again in a moment.")
+	}
+	if d.bad > 0 {
+		g.Notes = append(g.Notes, digest.Count(d.bad)+" records could not be understood and are left out.")
+	}
+	return g
+}
+
+func (d *Days) known() string {
+	if d.asOf.IsZero() {
+		return "from no read yet"
+	}
+	return "as of " + d.asOf.In(d.loc).Format("15:04")
+}
+
+// parse returns a time within the day asked for.
+func (d *Days) parse(now time.Time, date string) (time.Time, error) {
+	if date == "" {
+		return now, nil
+	}
+	at, err := time.ParseInLocation(time.DateOnly, date, d.loc)
+	if err != nil {
+		return time.Time{}, &Error{day: date, reason: "is not a date in the form YYYY-MM-DD"}
+	}
+	today := day.Of(now, d.loc)
+	if !at.Before(today.To()) {
+		return time.Time{}, &Error{day: date, reason: "has not begun yet in " + d.loc.String()}
+	}
+	if at.Before(today.From().AddDate(0, 0, 1-Kept)) {
+		return time.Time{}, &Error{day: date, reason: "is more than " + digest.Count(Kept) + " days back, and no longer kept"}
+	}
+	return at, nil
+}
+
+// account returns the day that holds at, an empty one if no record of it has been read.
+func (d *Days) account(at time.Time) *day.Day {
+	name := at.In(d.loc).Format(time.DateOnly)
+	acc, ok := d.days[name]
+	if !ok {
+		acc = day.Of(at, d.loc)
+		d.days[name] = acc
+	}
+	return acc
+}
--- /dev/null
+++ b/io/days/read.go
@@ -0,0 +1,172 @@
+package days
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"persimmonstage/core/day"
+	"persimmonstage/core/rollup"
+	"persimmonstage/io/roll"
+)
+
+const (
+	// batch is how many records one read asks for.
+	batch = 64
+	// readTimeout bounds one read of the log, catchUpTimeout all of those that bring the account up to date.
+	readTimeout    = 5 * time.Second
+	catchUpTimeout = 10 * time.Minute
+	// futureDays is how far ahead of this clock another entry's record may be.
+	futureDays = 1
+)
+
+// record is one record of the stream.
+type record interface {
+	Offset() int64
+	Data() []byte
+}
+
+// client is the log as the days need it: Read returns records from an offset on (0: the oldest), and the offset of the
+// next append.
+type client[R record] interface {
+	Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) ([]R, int64, error)
+}
+
+// truncated is the error of a log that no longer holds the offset asked for.
+type truncated interface{ First() int64 }
+
+// reader returns the records from an offset on and the offset to read next.
+type reader func(ctx context.Context, from int64) (data [][]byte, next int64, err error)
+
+func readerOf[R record](log client[R]) reader {
+	return func(ctx context.Context, from int64) ([][]byte, int64, error) {
+		ctx, cancel := context.WithTimeout(ctx, readTimeout)
+		defer cancel()
+		records, _, err := log.Read(ctx, roll.Stream, from, batch, 0)
+		if err != nil {
+			return nil, from, err
+		}
+		next := from
+		data := make([][]byte, 0, len(records))
+		for _, r := range records {
+			data = append(data, r.Data())
+			next = r.Offset() + 1
+		}
+		return data, next, nil
+	}
+}
+
+// refresh reads what the log has more, in the background when that takes long; it reports whether all was read.
+func (d *Days) refresh(ctx context.Context, now time.Time) bool {
+	d.mu.Lock()
+	if d.reading == nil {
+		if now.Sub(d.asOf) < fresh && !now.Before(d.asOf) {
+			d.mu.Unlock()
+			return true
+		}
+		d.start(now)
+	}
+	reading := d.reading
+	d.mu.Unlock()
+	t := time.NewTimer(patience)
+	defer t.Stop()
+	select {
+	case <-reading:
+		return true
+	case <-t.C:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// start begins a read; the caller holds mu.
+func (d *Days) start(now time.Time) {
+	// The read outlives the request that began it, so that a long one is not begun anew by each request.
+	ctx, cancel := context.WithTimeout(context.Background(), catchUpTimeout)
+	done := make(chan struct{})
+	d.reading, d.cancel = done, cancel
+	go func() {
+		err := d.catchUp(ctx, now)
+		cancel()
+		d.mu.Lock()
+		d.lastErr = err
+		if err == nil {
+			d.asOf = now
+		}
+		d.reading, d.cancel = nil, nil
+		d.mu.Unlock()
+		close(done)
+	}()
+}
+
+// catchUp reads until the log has no more.
+func (d *Days) catchUp(ctx context.Context, now time.Time) error {
+	d.mu.Lock()
+	next := d.next
+	d.forget(now)
+	d.mu.Unlock()
+	for {
+		data, after, err := d.read(ctx, next)
+		var gone truncated
+		switch {
+		case errors.As(err, &gone) && gone.First() > next:
+			next = gone.First()
+			continue
+		case err != nil:
+			return err
+		case len(data) == 0:
+			return nil
+		}
+		next = after
+		d.take(now, data, next)
+	}
+}
+
+// take counts the records into their days.
+func (d *Days) take(now time.Time, data [][]byte, next int64) {
+	rs := make([]*rollup.Rollup, 0, len(data))
+	bad := 0
+	for _, b := range data {
+		var r rollup.Rollup
+		if json.Unmarshal(b, &r) != nil || r.Incarnation == "" || r.From.IsZero() || r.To.Before(r.From) {
+			bad++
+			continue
+		}
+		rs = append(rs, &r)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.bad += int64(bad)
+	d.next = next
+	for _, r := range rs {
+		d.add(now, r)
+	}
+}
+
+// add counts r into its day, and the loss that it states into the day before.
+func (d *Days) add(now time.Time, r *rollup.Rollup) {
+	for _, at := range []time.Time{r.LostFrom, r.From} {
+		if at.IsZero() || !d.keeps(now, at) {
+			continue
+		}
+		d.account(at).Add(r)
+	}
+}
+
+// keeps reports whether the day of at is held.
+func (d *Days) keeps(now, at time.Time) bool {
+	today := day.Of(now, d.loc)
+	return !at.Before(today.From().AddDate(0, 0, 1-Kept)) && at.Before(today.To().AddDate(0, 0, futureDays))
+}
+
+// forget drops the days that are no longer kept.
+func (d *Days) forget(now time.Time) {
+	for name, acc := range d.days {
+		if !d.keeps(now, acc.From()) {
+			delete(d.days, name)
+		}
+	}
+}
--- a/io/page/text.go
+++ b/io/page/text.go
@@ -32,6 +32,9 @@
 		fmt.Fprintf(b, ", as of %s", clock(v.Asked))
 	}
 	fmt.Fprintf(b, "\n\nDid the day go well?\n  %s\n  %s\n", plain(v.Headline), plain(v.Stuck))
+	for _, n := range v.Notes {
+		fmt.Fprintf(b, "  %s\n", plain(n))
+	}
 }
 
 func (v *view) textWorks(b *bytes.Buffer) {
