Take over the shards of a dead entry, and search the protocol for a second start

Cause: an owner may die, be frozen, be cut off in one direction, and come back; its jobs must then neither be started again nor be called not run.

Change: core/group decides membership from the log's records, the peers' heartbeats and restarts on the same addresses; core/recov recovers a shard from the agents' ledgers. A job that no agent knows is fresh only when every agent that may have obeyed an earlier owner has answered under the new map and the grace has passed, or when it was issued after that, or when the old owner handed over. core/proof drives the real cores through every history of a bounded number of actions, with bounded faults.

Found by the search and mended: a copy of a start that was refused for the moment and placed elsewhere could be started when it arrived again, so the ledger keeps refusals as well (Refuse).

Ruled out: serving fresh jobs before the grace has passed when all agents were heard, since the old owner could then still say "not run" of them; taking a heartbeat of another incarnation as proof of a restart without a returned stamp, since it may be a delayed one of an earlier process.

Under the race detector each history is 3 actions shorter.

--- /dev/null
+++ b/core/group/beat.go
@@ -0,0 +1,111 @@
+package group
+
+import (
+	"slices"
+	"time"
+
+	"persimmonstage/core/ident"
+	"persimmonstage/core/member"
+)
+
+const forgetPeers = 10 // suspect timeouts of silence after which a process that is no member is forgotten
+
+// Beat is one entry's heartbeat to another. Stamps are made and judged by the process whose clock they are of, and only
+// returned by the other.
+type Beat struct {
+	From    member.Member
+	Stamp   time.Time     // of the sender's clock
+	Echo    time.Time     // of the receiver's clock: its youngest stamp that the sender has heard, zero if none
+	Version int64         // the map that the sender carries
+	Hears   []ident.Ident // entries heard within the suspect timeout
+}
+
+// Hear takes a peer's heartbeat and reports whether the peer carries a newer map, which the caller then fetches from it and
+// gives to Learn.
+func (g *Group) Hear(now time.Time, b Beat) (newer bool) {
+	id := b.From.Ident()
+	if id == g.cfg.Self.Ident() || b.Echo.After(now) {
+		return false
+	}
+	p := g.peers[id]
+	if p == nil {
+		p = &peer{member: b.From}
+		g.peers[id] = p
+	}
+	p.version = max(p.version, b.Version)
+	if b.Echo.After(p.echoed) {
+		p.echoed = b.Echo
+	}
+	if b.Stamp.After(p.stamp) {
+		p.stamp, p.heard, p.hears = b.Stamp, now, b.Hears
+	}
+	g.fence.Answer(now, id, b.Version, b.Echo)
+	g.bury(p)
+	g.seal(now)
+	return b.Version > g.Version()
+}
+
+// bury notes the members whose addresses the peer has bound. The returned stamp proves that the peer was alive after the member
+// was, so that a delayed heartbeat of an earlier incarnation can't pass for a restart.
+func (g *Group) bury(p *peer) {
+	for _, one := range g.everyone() {
+		if p.member.Replaces(one) && !p.echoed.Before(g.since[one.Ident()]) {
+			g.ended[one.Ident()] = true
+		}
+	}
+}
+
+// everyone returns the members of the present map and of the earlier ones.
+func (g *Group) everyone() []member.Member {
+	if g.Map() == nil {
+		return nil
+	}
+	all := g.Map().Members()
+	for _, p := range g.preds {
+		all = append(all, p.members...)
+	}
+	return all
+}
+
+// Send is a heartbeat and the entry that it goes to.
+type Send struct {
+	To   member.Member
+	Beat Beat
+}
+
+// beats returns a heartbeat for each member and each other entry heard of lately.
+func (g *Group) beats(now time.Time) []Send {
+	to := make(map[ident.Ident]member.Member)
+	for _, one := range g.everyone() {
+		if !g.ended[one.Ident()] {
+			to[one.Ident()] = one
+		}
+	}
+	for id, p := range g.peers {
+		to[id] = p.member
+	}
+	delete(to, g.cfg.Self.Ident())
+	hears := g.Alive(now)
+	sends := make([]Send, 0, len(to))
+	for id, one := range to {
+		b := Beat{From: g.cfg.Self, Stamp: now, Version: g.Version(), Hears: hears}
+		if p := g.peers[id]; p != nil {
+			b.Echo = p.stamp
+		}
+		sends = append(sends, Send{To: one, Beat: b})
+	}
+	slices.SortFunc(sends, func(a, b Send) int { return a.To.Ident().Compare(b.To.Ident()) })
+	return sends
+}
+
+// forgetPeers drops processes that are silent and no longer matter to any map.
+func (g *Group) forgetPeers(now time.Time) {
+	for id, p := range g.peers {
+		if now.Sub(p.heard) < forgetPeers*g.cfg.Suspect {
+			continue
+		}
+		if !slices.ContainsFunc(g.everyone(), func(one member.Member) bool { return one.Ident() == id }) {
+			delete(g.peers, id)
+		}
+	}
+}
--- /dev/null
+++ b/core/group/charts.go
@@ -0,0 +1,53 @@
+package group
+
+import (
+	_ "embed" // the charts
+
+	"persimmonstage/core/chart"
+)
+
+const (
+	proposeJoin   = "propose-join"
+	proposeRepair = "propose-repair"
+	proposeLeave  = "propose-leave"
+	appendRecord  = "append"
+	findRecord    = "find"
+)
+
+//go:embed entry.chart.toml
+var entryFile []byte
+
+//go:embed append.chart.toml
+var appendFile []byte
+
+// charts are read once, so that a wrong file stops the process at its start.
+var (
+	entryChart  = mustLoad(entryFile, proposeJoin, proposeRepair, proposeLeave)
+	appendChart = mustLoad(appendFile, appendRecord, findRecord)
+)
+
+func mustLoad(data []byte, actions ...string) *chart.Chart {
+	c, err := chart.Load(data, actions...)
+	if err != nil {
+		panic(err)
+	}
+	return c
+}
+
+// life is the present state of one chart.
+type life struct {
+	chart *chart.Chart
+	state string
+}
+
+func newLife(c *chart.Chart) life { return life{chart: c, state: c.Initial()} }
+
+// raise takes an event, which the chart must know, and returns the actions to carry out.
+func (l *life) raise(event string) []string {
+	next, actions, err := l.chart.Next(l.state, event)
+	if err != nil {
+		panic(err)
+	}
+	l.state = next
+	return actions
+}
--- a/core/ledger/key.go
+++ b/core/ledger/key.go
@@ -10,7 +10,7 @@
 // Digest is a digest of a submission's whole content.
 type Digest [16]byte
 
-// State is what the ledger knows of a task; what was never started has no state.
+// State is what the ledger knows of a task; what was never asked for has no state.
 type State uint8
 
 // The states.
@@ -18,9 +18,10 @@
 	Started  State = iota + 1 // sent to the target, no result yet
 	Finished                  // the result is kept
 	Dropped                   // finished, but the result was given up for want of room
+	Refused                   // never started here, and never will be
 )
 
-// Task is the record of one started task.
+// Task is the record of one task.
 type Task struct {
 	Index  uint32
 	State  State
@@ -28,7 +29,7 @@
 	Result []byte // nil unless Finished; not to be changed
 }
 
-// Job is the record of the tasks of one submission that this agent has started.
+// Job is the record of the tasks of one submission that this agent has started or refused.
 type Job struct {
 	Team   string
 	ID     string
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -24,7 +24,7 @@
 // Ledger records each start before it is made and refuses a second one; the zero value works.
 //
 // The caller calls Start immediately before it sends a task to the target, and sends it only on nil; Finish when the target has
-// answered; Expire about once a second.
+// answered; Refuse before it tells an owner that a task that may be sent again wasn't started; Expire about once a second.
 type Ledger struct {
 	cfg     Config
 	shards  map[int]map[name]*record
@@ -50,7 +50,7 @@
 // Since returns the moment from which the record is complete.
 func (l *Ledger) Since() time.Time { return l.cfg.Since }
 
-// Starts returns how many started tasks are remembered.
+// Starts returns how many tasks are remembered, started or refused.
 func (l *Ledger) Starts() int { return l.starts }
 
 // Bytes returns how many bytes of results are kept.
@@ -58,6 +58,17 @@
 
 // Start records that a task is about to be sent to the target, or returns a *Refusal, and then it must not be sent.
 func (l *Ledger) Start(now time.Time, key Key, shard int, digest Digest, deadline time.Time) error {
+	return l.add(now, key, shard, digest, deadline, Started)
+}
+
+// Refuse records that a task isn't started here, so that a copy of the start that arrives later isn't either; the owner may then
+// start it elsewhere. On a *Refusal nothing is recorded: Withdrawn, Different, Expired and Full may be passed on as they are, but
+// on Duplicate the task has been started and must not be called refused.
+func (l *Ledger) Refuse(now time.Time, key Key, shard int, digest Digest, deadline time.Time) error {
+	return l.add(now, key, shard, digest, deadline, Refused)
+}
+
+func (l *Ledger) add(now time.Time, key Key, shard int, digest Digest, deadline time.Time, state State) error {
 	if !deadline.After(now) {
 		return &Refusal{Reason: Expired, Key: key}
 	}
@@ -67,7 +78,7 @@
 	case rec != nil && rec.digest != digest:
 		return &Refusal{Reason: Different, Key: key}
 	case rec != nil && rec.find(key.Index) != nil:
-		return &Refusal{Reason: Duplicate, Key: key}
+		return &Refusal{Reason: rec.find(key.Index).again(), Key: key}
 	case l.starts >= l.maxStarts():
 		return &Refusal{Reason: Full, Key: key}
 	}
@@ -75,11 +86,19 @@
 		rec = &record{name: at, digest: digest, shard: int32(shard)}
 		l.insert(rec, deadline)
 	}
-	rec.tasks = append(rec.tasks, Task{Index: key.Index, State: Started})
+	rec.tasks = append(rec.tasks, Task{Index: key.Index, State: state})
 	l.starts++
 	return nil
 }
 
+// again is the reason why a recorded task isn't started now.
+func (t *Task) again() Reason {
+	if t.State == Refused {
+		return Withdrawn
+	}
+	return Duplicate
+}
+
 // Finish records the result of a started task, which the caller must not change afterwards, and reports whether the task was
 // waiting for one.
 func (l *Ledger) Finish(key Key, shard int, result []byte, failed bool) bool {
@@ -100,7 +119,7 @@
 	return true
 }
 
-// Task returns the record of one task, and whether it was started here.
+// Task returns the record of one task, and whether there is one.
 func (l *Ledger) Task(key Key, shard int) (Task, bool) {
 	rec := l.shards[shard][name{key.Team, key.ID}]
 	if rec == nil {
@@ -113,7 +132,7 @@
 	return *task, true
 }
 
-// Job returns what was started of a submission, with results, and whether anything was.
+// Job returns what is recorded of a submission, with results, and whether anything is.
 func (l *Ledger) Job(team, id string, shard int) (Job, bool) {
 	rec := l.shards[shard][name{team, id}]
 	if rec == nil {
@@ -122,7 +141,7 @@
 	return rec.job(true), true
 }
 
-// Shard returns what was started of a shard, without results, in no particular order.
+// Shard returns what is recorded of a shard, without results, in no particular order.
 func (l *Ledger) Shard(shard int) []Job {
 	jobs := make([]Job, 0, len(l.shards[shard]))
 	for _, rec := range l.shards[shard] {
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -128,3 +128,18 @@
 	runtime.ReadMemStats(&s)
 	return s.HeapAlloc
 }
+
+func TestRefusedStaysRefused(t *testing.T) {
+	var l ledger.Ledger
+	deadline := start.Add(time.Minute)
+	require.NoError(t, l.Refuse(start, key("j", 0), 3, ledger.Digest{1}, deadline))
+	require.Equal(t, ledger.Withdrawn, reason(l.Start(start, key("j", 0), 3, ledger.Digest{1}, deadline)))
+	require.NoError(t, l.Start(start, key("j", 1), 3, ledger.Digest{1}, deadline))
+	require.Equal(t, ledger.Duplicate, reason(l.Refuse(start, key("j", 1), 3, ledger.Digest{1}, deadline)))
+	c := l.Clone()
+	require.True(t, c.Finish(key("j", 1), 3, []byte("x"), false))
+	task, _ := l.Task(key("j", 1), 3)
+	require.Equal(t, ledger.Started, task.State)
+	require.Equal(t, 2, c.Expire(deadline.Add(time.Hour)))
+	require.Equal(t, 2, l.Starts())
+}
--- a/core/ledger/refusal.go
+++ b/core/ledger/refusal.go
@@ -8,6 +8,7 @@
 // The reasons.
 const (
 	Duplicate Reason = "duplicate" // this task was started before; the record tells how it went
+	Withdrawn Reason = "withdrawn" // this task was refused before, and may run elsewhere
 	Different Reason = "different" // the id belongs to a submission with other content
 	Expired   Reason = "expired"   // the deadline has passed, so that the record would not last
 	Full      Reason = "full"      // no room for another record
--- /dev/null
+++ b/core/proof/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package proof
+
+const raceDepth = 0
--- /dev/null
+++ b/core/recov/lookup.go
@@ -0,0 +1,73 @@
+package recov
+
+import (
+	"slices"
+	"time"
+
+	"persimmonstage/core/ledger"
+)
+
+// Verdict is what is known of a job.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Wait    Verdict = iota // ask again
+	Fresh                  // no earlier owner has started any task, nor ever will
+	Found                  // agents have started the tasks listed
+	Unknown                // an agent that can't be heard may have started it: never start, never say "not run"
+)
+
+// Outcome is the answer for one job.
+type Outcome struct {
+	Verdict Verdict
+	Digest  ledger.Digest // of the content, if Found
+	Tasks   []Task        // the tasks started, if Found, in the order of their index
+	Whole   bool          // if Found: no other task has been started; else the others are unknown
+}
+
+// Lookup tells what earlier owners have done of a job that this owner doesn't know; issued is the time that the caller of the
+// job gave.
+func (r *Recovery) Lookup(now time.Time, team, id string, issued time.Time) Outcome {
+	if r.cfg.First {
+		return Outcome{Verdict: Fresh}
+	}
+	at := key{team, id}
+	sure := r.sure(at)
+	patient := !r.Fenced() || now.Before(r.fenced.Add(r.cfg.Patience))
+	if job := r.jobs[at]; job != nil {
+		if !sure && patient {
+			return Outcome{Verdict: Wait}
+		}
+		tasks := slices.SortedFunc(slices.Values(job.tasks), func(a, b Task) int { return int(a.Index) - int(b.Index) })
+		return Outcome{Verdict: Found, Digest: job.digest, Tasks: tasks, Whole: sure}
+	}
+	switch {
+	case sure || r.later(issued):
+		return Outcome{Verdict: Fresh}
+	case patient:
+		return Outcome{Verdict: Wait}
+	}
+	return Outcome{Verdict: Unknown}
+}
+
+// sure reports whether everything that was ever started of a job is known.
+func (r *Recovery) sure(at key) bool {
+	if r.overflow {
+		return false
+	}
+	if r.release == nil {
+		return r.Fenced() && r.complete()
+	}
+	for _, agent := range r.release[at] {
+		if !r.union[agent] {
+			return false
+		}
+	}
+	return true
+}
+
+// later reports whether a job was issued so late that no earlier owner can have accepted it while an agent obeyed it.
+func (r *Recovery) later(issued time.Time) bool {
+	return !r.fenced.IsZero() && issued.After(r.fenced.Add(2*r.cfg.Skew))
+}
--- /dev/null
+++ b/core/recov/release.go
@@ -0,0 +1,63 @@
+package recov
+
+import (
+	"maps"
+	"slices"
+
+	"persimmonstage/core/ident"
+)
+
+// Release is what a live owner hands over to the next one, after it has sent its last start for the shard.
+type Release struct {
+	Shard    int
+	Epoch    uint64 // the epoch under which the sender owned the shard
+	Complete bool   // the sender had itself recovered every job of earlier owners
+	Jobs     []Sent // every job of which a start was sent or found
+}
+
+// Sent is a job and the agents that may have started tasks of it.
+type Sent struct {
+	Team   string
+	ID     string
+	Agents []ident.Ident
+}
+
+// Sent lists the jobs that earlier owners may have started, with the agents in question, for a release in turn.
+func (r *Recovery) Sent() []Sent {
+	agents := make(map[key]map[ident.Ident]bool, len(r.jobs)+len(r.release))
+	note := func(at key, agent ident.Ident) {
+		if agents[at] == nil {
+			agents[at] = make(map[ident.Ident]bool)
+		}
+		agents[at][agent] = true
+	}
+	for at, job := range r.jobs {
+		for _, task := range job.tasks {
+			note(at, task.Agent)
+		}
+	}
+	for at, all := range r.release {
+		for _, agent := range all {
+			note(at, agent)
+		}
+	}
+	sent := make([]Sent, 0, len(agents))
+	for at, all := range agents {
+		sent = append(sent, Sent{Team: at.team, ID: at.id, Agents: slices.SortedFunc(maps.Keys(all), ident.Ident.Compare)})
+	}
+	return sent
+}
+
+// Release takes over from the owner before, and reports whether it replaces the wait for the grace and for all agents: it must
+// come from the owner directly before, and be complete.
+func (r *Recovery) Release(rel Release) bool {
+	if rel.Shard != r.cfg.Shard || rel.Epoch+1 != r.cfg.Epoch || !rel.Complete || r.release != nil {
+		return false
+	}
+	r.release = make(map[key][]ident.Ident, len(rel.Jobs))
+	for _, job := range rel.Jobs {
+		r.release[key{job.Team, job.ID}] = job.Agents
+		r.Union(job.Agents, false)
+	}
+	return true
+}
--- a/core/shards/map.go
+++ b/core/shards/map.go
@@ -29,8 +29,8 @@
 
 // Open is an earlier map that wasn't known to be sealed when a later one was proposed.
 type Open struct {
-	Version int64         `json:"version"`
-	Members []ident.Ident `json:"members"`
+	Version int64           `json:"version"`
+	Members []member.Member `json:"members"`
 }
 
 // Majority returns how many members must answer an agent before it obeys an owner under a map of n members.
--- a/core/shards/map_test.go
+++ b/core/shards/map_test.go
@@ -34,7 +34,7 @@
 	require.Equal(t, int64(5), n.Base())
 	require.Len(t, n.Owned(ident.Ident{Name: "a", Incarnation: "2"}), 8)
 	require.Equal(t, uint64(2), n.Epoch(3))
-	require.Equal(t, []shards.Open{{Version: 5, Members: m.Idents()}}, n.Open())
+	require.Equal(t, []shards.Open{{Version: 5, Members: m.Members()}}, n.Open())
 }
 
 func TestNextBalancesWithLeastMovement(t *testing.T) {
--- a/core/shards/propose.go
+++ b/core/shards/propose.go
@@ -31,7 +31,7 @@
 	slices.SortFunc(next.ended, ident.Ident.Compare)
 	next.open = slices.Clone(open)
 	if len(m.members) > 0 {
-		next.open = append(next.open, Open{Version: m.version, Members: m.Idents()})
+		next.open = append(next.open, Open{Version: m.version, Members: m.Members()})
 	}
 	next.slots = m.assign(next.members)
 	if err := next.check(); err != nil {
