Join the entries by the map in the log, and recover shards from the agents

Cause: one entry with a fixed map owns everything; the death of an entry must cost nothing. Change: the group reads and proposes maps through the log, heartbeats peers, fences and recovers what it gains; a job found at agents is resumed by asking them again; a request waits while its shard is recovered; nothing but the owner says not run. Ruled out: 503 not-run from an entry that reaches no owner: the same submission may have reached one by another entry, so the answer is 504 unknown.

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"persimmonstage/core/jobkey"
 	"persimmonstage/core/ledger"
 	"persimmonstage/core/needs"
 	"persimmonstage/core/order"
@@ -205,6 +206,11 @@
 	}
 }
 
+// Repeat tells an owner how a task ended that was started here for an earlier owner.
+func (a *Agent) Repeat(owner string, shard int, key jobkey.Key, index int) {
+	a.tell(owner, shard, &result.Result{Key: key, Index: index})
+}
+
 // void refuses an attempt unless it has started; one that has ended is answered again.
 func (a *Agent) void(now time.Time, key attemptKey) {
 	at := a.attempts[key]
@@ -350,8 +356,10 @@
 	a.Pump(now)
 }
 
-func (at *attempt) ledgerKey() ledger.Key {
-	return ledger.Key{Team: at.order.Key.Team, ID: at.order.Key.ID, Index: uint32(at.order.Index)}
+func (at *attempt) ledgerKey() ledger.Key { return ledgerKey(at.order.Key, at.order.Index) }
+
+func ledgerKey(key jobkey.Key, index int) ledger.Key {
+	return ledger.Key{Team: key.Team, ID: key.ID, Index: uint32(index)}
 }
 
 func orderName(o *order.Order) string {
--- a/core/agent/step.go
+++ b/core/agent/step.go
@@ -132,14 +132,17 @@
 	return []byte(r.Reason)
 }
 
-// repeat tells again how a task ended; of one that still runs the end will be told when it comes.
+// repeat tells again how an attempt's task ended.
 func (a *Agent) repeat(at *attempt) {
-	t, ok := a.starts.Task(at.ledgerKey(), at.order.Shard)
-	if !ok || t.State == ledger.Started {
-		return
-	}
-	r := &result.Result{Attempt: at.key.id, Key: at.order.Key, Index: at.order.Index}
+	a.tell(at.key.owner, at.order.Shard, &result.Result{Attempt: at.key.id, Key: at.order.Key, Index: at.order.Index})
+}
+
+// tell fills r from the record of its task and sends it; of a task that still runs the end is told when it comes.
+func (a *Agent) tell(owner string, shard int, r *result.Result) {
+	t, ok := a.starts.Task(ledgerKey(r.Key, r.Index), shard)
 	switch {
+	case !ok || t.State == ledger.Started:
+		return
 	case t.State == ledger.Dropped:
 		r.Reason = OutputDropped
 	case t.Failed:
@@ -147,5 +150,5 @@
 	default:
 		r.OK, r.Output = true, t.Result
 	}
-	a.out.End(at.key.owner, at.order.Shard, r)
+	a.out.End(owner, shard, r)
 }
--- a/core/owner/effects.go
+++ b/core/owner/effects.go
@@ -8,7 +8,6 @@
 	"persimmonstage/core/jobkey"
 	"persimmonstage/core/needs"
 	"persimmonstage/core/order"
-	"persimmonstage/core/past"
 	"persimmonstage/core/place"
 	"persimmonstage/core/target"
 )
@@ -25,12 +24,10 @@
 	Ended(id target.ID, v needs.Vector, work time.Duration)
 }
 
-// retries bounds how often a task that was refused before its start is sent again.
+// retries bounds how often tasks that were refused before their start are sent again.
 type retries interface {
-	// Started feeds the budget with a first try.
 	Started(now time.Time)
-	// Next gives the time of the next try, never past the deadline.
-	Next(now time.Time, rng *rand.Rand, deadline time.Time) time.Time
+	Next(now, deadline time.Time, attempt int, work time.Duration, rng *rand.Rand) (time.Time, bool)
 }
 
 // effects is what the owner makes happen; the calls return at once.
@@ -41,16 +38,12 @@
 	Reserve(agent string, o *order.Order)
 	// Withdraw takes attempts back that have not started.
 	Withdraw(agent string, attempts []uint64)
+	// Query asks an agent what became of attempts whose answers may be lost.
+	Query(agent string, attempts []uint64)
+	// Repeat asks an agent for the result of a task that it started for an earlier owner.
+	Repeat(agent string, shard int, key jobkey.Key, index int)
 	// Ended tells how a started task ended at a target.
 	Ended(now time.Time, id target.ID, kind string, expected, ran time.Duration, ok bool)
 	// Closed tells how a job ended.
 	Closed(now time.Time, key jobkey.Key, kind string, tasks int, accepted time.Time, ideal time.Duration, a *answer.Answer)
 }
-
-// history tells of submissions that earlier owners of a shard may have accepted.
-type history interface {
-	// Fresh reports whether a task without a record is certain never to have been ordered by an earlier owner.
-	Fresh(shard int, key jobkey.Key, issued time.Time) bool
-	// Found gives what the agents' ledgers hold of the job.
-	Found(shard int, key jobkey.Key) []past.Past
-}
--- a/core/owner/owner.go
+++ b/core/owner/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"persimmonstage/core/answer"
@@ -19,6 +20,8 @@
 	digestBytes = job.DigestBytes
 	// recordMargin is how long a record outlives its job's deadline, for resubmissions under way.
 	recordMargin = 30 * time.Second
+	// budgetPause is the time between two tries to get a token for a retry.
+	budgetPause = 50 * time.Millisecond
 )
 
 // Owner holds the records of the submissions whose shards this entry owns.
@@ -27,7 +30,6 @@
 	placer   placer
 	bookings bookings
 	retries  retries
-	history  history
 	rng      *rand.Rand
 
 	records  map[jobkey.Key]*record
@@ -42,9 +44,9 @@
 }
 
 // New returns an owner that acts through its arguments; rng makes its random choices repeatable.
-func New(out effects, p placer, b bookings, r retries, h history, rng *rand.Rand) *Owner {
+func New(out effects, p placer, b bookings, r retries, rng *rand.Rand) *Owner {
 	return &Owner{
-		out: out, placer: p, bookings: b, retries: r, history: h, rng: rng,
+		out: out, placer: p, bookings: b, retries: r, rng: rng,
 		records:  make(map[jobkey.Key]*record),
 		attempts: make(map[uint64]ref),
 		declared: make(map[string]time.Duration),
@@ -79,42 +81,48 @@
 }
 
 // Submit accepts a job of a shard, joins it to its record, or answers from the record; w is called exactly once.
-func (o *Owner) Submit(now time.Time, j *job.Job, shard int, epoch uint64, w func(answer.Answer)) {
+//
+// found lists what agents started of it for earlier owners; whole tells that nothing else of it can have been started,
+// without which the tasks that are not in found are never started and the answer is that the job may have run.
+func (o *Owner) Submit(
+	now time.Time, j *job.Job, shard int, epoch uint64, found []past.Past, whole bool, w func(answer.Answer),
+) {
 	digest := j.Digest()
 	if r := o.records[j.Key]; r != nil {
 		o.join(r, digest, w)
 		return
 	}
+	for i := range found {
+		if found[i].Digest != digest {
+			w(answer.Conflict(j.Key.ID))
+			return
+		}
+	}
+	r := o.enter(now, j, digest, shard, epoch)
+	r.waiters = append(r.waiters, w)
+	for i := range found {
+		o.resume(r, &found[i])
+	}
+	if !whole && r.missing() {
+		o.jobEvent(now, r, onUnsure)
+		return
+	}
+	o.placeJob(now, r)
+}
+
+func (o *Owner) enter(now time.Time, j *job.Job, digest [digestBytes]byte, shard int, epoch uint64) *record {
 	r := &record{
 		job: j, digest: digest, shard: shard, epoch: epoch, state: stateRunning,
-		open: len(j.Tasks), tasks: make([]taskRow, len(j.Tasks)),
-		waiters: []func(answer.Answer){w}, accepted: now, forget: j.Deadline.Add(recordMargin),
+		open: len(j.Tasks), tasks: make([]taskRow, len(j.Tasks)), accepted: now, forget: j.Deadline.Add(recordMargin),
 	}
 	for i := range r.tasks {
 		r.tasks[i].state = stateWaiting
 	}
-	past := o.history.Found(shard, j.Key)
-	for i := range past {
-		if past[i].Digest != digest {
-			w(answer.Conflict(j.Key.ID))
-			return
-		}
-	}
 	o.records[j.Key] = r
 	o.running++
 	o.timers.Add(j.Deadline, ref{rec: r, index: deadlineTimer})
 	o.timers.Add(r.forget, ref{rec: r, index: forgetTimer})
-	for i := range past {
-		o.resume(now, r, &past[i])
-	}
-	if !r.running() {
-		return
-	}
-	if r.open > 0 && !o.history.Fresh(shard, j.Key, j.Issued) && o.missing(r) {
-		o.jobEvent(now, r, onUnsure)
-		return
-	}
-	o.placeJob(now, r)
+	return r
 }
 
 func (o *Owner) join(r *record, digest [digestBytes]byte, w func(answer.Answer)) {
@@ -128,39 +136,17 @@
 	}
 }
 
-// resume takes over a start that an earlier owner ordered.
-func (o *Owner) resume(now time.Time, r *record, p *past.Past) {
-	if p.Index < 0 || p.Index >= len(r.tasks) || taskChart.FinalID(r.tasks[p.Index].state) {
+// resume takes over a start that an earlier owner ordered, and asks its agent for the result.
+func (o *Owner) resume(r *record, p *past.Past) {
+	if p.Index < 0 || p.Index >= len(r.tasks) || r.tasks[p.Index].state != stateWaiting {
 		return
 	}
+	o.next++
 	t := &r.tasks[p.Index]
 	t.state = stateStartSent
-	o.next++
-	t.attempts = []attempt{{id: o.next, agent: p.Agent}}
+	t.attempts = []attempt{{id: o.next, agent: p.Agent, resumed: true}}
 	o.attempts[o.next] = ref{rec: r, index: p.Index}
-	switch {
-	case !p.Ended:
-		return
-	case p.OK && p.Dropped:
-		t.reason = "output no longer held"
-		o.taskEvent(now, r, p.Index, onVanished)
-	case p.OK:
-		t.output = p.Output
-		o.taskEvent(now, r, p.Index, onSucceeded)
-	default:
-		t.reason = p.Reason
-		o.taskEvent(now, r, p.Index, onBroke)
-	}
-}
-
-// missing reports whether a task of the job has no record with any agent.
-func (o *Owner) missing(r *record) bool {
-	for i := range r.tasks {
-		if r.tasks[i].state == stateWaiting {
-			return true
-		}
-	}
-	return false
+	o.out.Repeat(p.Agent, r.shard, r.key(), p.Index)
 }
 
 // Lookup answers for a submission without submitting it; w is called exactly once.
@@ -229,7 +215,7 @@
 
 // Vanished ends every attempt at an agent's incarnation whose ledger is lost.
 func (o *Owner) Vanished(now time.Time, agent string) {
-	for _, id := range o.AttemptsAt(agent) {
+	for _, id := range o.attemptsAt(agent) {
 		at, ok := o.attempts[id]
 		if !ok {
 			continue
@@ -246,16 +232,31 @@
 	o.Pump(now)
 }
 
-// AttemptsAt lists the attempts at an agent's incarnation whose end is not known.
-func (o *Owner) AttemptsAt(agent string) []uint64 {
+// Reconnected settles what an earlier connection to an agent's incarnation may have left without an answer.
+func (o *Owner) Reconnected(agent string) {
+	var ids []uint64
+	for _, id := range o.attemptsAt(agent) {
+		at := o.attempts[id]
+		if a := at.rec.tasks[at.index].find(id); a.resumed {
+			o.out.Repeat(agent, at.rec.shard, at.rec.key(), at.index)
+		} else {
+			ids = append(ids, id)
+		}
+	}
+	if len(ids) > 0 {
+		o.out.Query(agent, ids)
+	}
+}
+
+// attemptsAt lists the attempts at an agent's incarnation whose end is not known, in the order in which they were made.
+func (o *Owner) attemptsAt(agent string) []uint64 {
 	var ids []uint64
 	for id, at := range o.attempts {
-		for _, a := range at.rec.tasks[at.index].attempts {
-			if a.id == id && a.agent == agent {
-				ids = append(ids, id)
-			}
+		if a := at.rec.tasks[at.index].find(id); a != nil && a.agent == agent {
+			ids = append(ids, id)
 		}
 	}
+	slices.Sort(ids)
 	return ids
 }
 
@@ -303,8 +304,11 @@
 		if r.running() {
 			o.jobEvent(now, r, onDeadline)
 		}
-	case r.running() && r.tasks[at.index].state == stateWaiting:
+	case !r.running() || r.tasks[at.index].state != stateWaiting:
+	case r.tasks[at.index].granted:
 		o.waiting = append(o.waiting, at)
+	default:
+		o.retryLater(now, r, at.index)
 	}
 }
 
@@ -412,6 +416,16 @@
 	}
 }
 
+// find gives one attempt of the row.
+func (t *taskRow) find(id uint64) *attempt {
+	for i := range t.attempts {
+		if t.attempts[i].id == id {
+			return &t.attempts[i]
+		}
+	}
+	return nil
+}
+
 // drop takes one attempt out of the row.
 func (t *taskRow) drop(id uint64) {
 	for i := range t.attempts {
--- a/core/owner/record.go
+++ b/core/owner/record.go
@@ -34,6 +34,8 @@
 	work     time.Duration
 	output   []byte
 	reason   string
+	tries    int
+	granted  bool
 }
 
 // attempt is one order or reservation that was sent for a task.
@@ -41,6 +43,8 @@
 	id    uint64
 	to    target.ID
 	agent string
+	// resumed tells that an earlier owner ordered it, so that the agent does not know it by this id.
+	resumed bool
 }
 
 // ref names a task of a record.
@@ -63,6 +67,16 @@
 	return true
 }
 
+// missing reports whether a task of the job is not known to have been started.
+func (r *record) missing() bool {
+	for i := range r.tasks {
+		if r.tasks[i].state == stateWaiting {
+			return true
+		}
+	}
+	return false
+}
+
 // release frees what only a running job needs.
 func (r *record) release() {
 	r.waiters = nil
--- a/core/owner/step.go
+++ b/core/owner/step.go
@@ -43,13 +43,26 @@
 		o.unbook(r, i)
 	case tryLater:
 		if r.running() {
-			o.timers.Add(o.retries.Next(now, o.rng, r.job.Deadline), ref{rec: r, index: i})
+			o.retryLater(now, r, i)
 		}
 	case countEnd:
 		r.open--
 	}
 }
 
+// retryLater sets when a refused task is placed again; without a token of the budget it asks for one again.
+func (o *Owner) retryLater(now time.Time, r *record, i int) {
+	t := &r.tasks[i]
+	at, ok := o.retries.Next(now, r.job.Deadline, t.tries, t.work, o.rng)
+	t.granted = ok
+	if ok {
+		t.tries++
+	} else {
+		at = now.Add(budgetPause)
+	}
+	o.timers.Add(at, ref{rec: r, index: i})
+}
+
 // rebook moves the booking to the target that granted first.
 func (o *Owner) rebook(r *record, i int) {
 	t := &r.tasks[i]
--- a/io/agentd/link.go
+++ b/io/agentd/link.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"persimmonstage/core/ident"
+	"persimmonstage/core/jobkey"
 	"persimmonstage/core/member"
 	"persimmonstage/core/shards"
 	"persimmonstage/io/bulk"
@@ -70,7 +71,7 @@
 func (d *Daemon) fetch(ctx context.Context, mux *bulk.Mux, what string) error {
 	bounded, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	reply, _, err := mux.Ask(bounded, &wire.Bulk{Body: &wire.Bulk_Fetch{Fetch: &wire.Fetch{What: what}}})
+	reply, err := mux.Ask(bounded, &wire.Bulk{Body: &wire.Bulk_Fetch{Fetch: &wire.Fetch{What: what}}})
 	if err != nil {
 		return err
 	}
@@ -195,6 +196,8 @@
 			d.loop.Post(func(now time.Time) { d.core.Order(now, owner, o) })
 		case *wire.Bulk_Query:
 			d.loop.Post(func(now time.Time) { d.core.Query(now, owner, m.Query.Attempts) })
+		case *wire.Bulk_Repeat:
+			d.loop.Post(func(time.Time) { d.repeat(owner, m.Repeat) })
 		default:
 			d.log.Warn("work stream refused", zap.String("entry", l.member.Name), zap.String("reason", "unexpected message"))
 			return errUnexpected
@@ -202,6 +205,10 @@
 	}
 }
 
+func (d *Daemon) repeat(owner string, r *wire.Repeat) {
+	d.core.Repeat(owner, int(r.Shard), jobkey.Key{Team: r.Team, ID: r.Id}, int(r.Index))
+}
+
 // byIncarnation gives the link to an entry's incarnation, if it is connected.
 func (d *Daemon) byIncarnation(owner string) *link {
 	if l := d.links[owner]; l != nil && l.box != nil {
--- a/io/agentd/serve.go
+++ b/io/agentd/serve.go
@@ -8,9 +8,9 @@
 
 	"go.uber.org/zap"
 
-	"persimmonstage/core/ledger"
 	"persimmonstage/core/shards"
 	"persimmonstage/io/bulk"
+	"persimmonstage/io/codec"
 	"persimmonstage/io/frame"
 	"persimmonstage/io/wire"
 )
@@ -41,13 +41,12 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), recordsTimeout)
 	defer cancel()
-	answer := &wire.RecordsAnswer{Incarnation: d.self.Incarnation}
+	answer := &wire.RecordsAnswer{}
 	ran := d.loop.Call(ctx, func(time.Time) {
 		d.adopt(m.At(ask.MapVersion))
 		answer.MapVersion = d.fence.Version()
-		for _, j := range d.ledger.Shard(int(ask.Shard)) {
-			whole, _ := d.ledger.Job(j.Team, j.ID, int(ask.Shard))
-			answer.Records = append(answer.Records, jobRecords(&whole)...)
+		for _, shard := range ask.Shards {
+			answer.Records = append(answer.Records, codec.RecordsOut(int(shard), d.ledger.Shard(int(shard)))...)
 		}
 	})
 	if !ran {
@@ -55,21 +54,3 @@
 	}
 	return answer, nil
 }
-
-func jobRecords(j *ledger.Job) []*wire.Record {
-	out := make([]*wire.Record, 0, len(j.Tasks))
-	for i := range j.Tasks {
-		t := &j.Tasks[i]
-		r := &wire.Record{
-			Team: j.Team, Id: j.ID, Index: t.Index, Digest: append([]byte(nil), j.Digest[:]...),
-			Ended: t.State != ledger.Started, Ok: !t.Failed, OutputDropped: t.State == ledger.Dropped,
-		}
-		if t.Failed {
-			r.Reason = string(t.Result)
-		} else {
-			r.Output = t.Result
-		}
-		out = append(out, r)
-	}
-	return out
-}
--- a/io/bulk/mux.go
+++ b/io/bulk/mux.go
@@ -145,24 +145,22 @@
 }
 
 // Ask sends question on a stream of its own and waits for the answer within the context.
-//
-// The second result tells whether the question may have reached the other side.
-func (m *Mux) Ask(ctx context.Context, question *wire.Bulk) (*wire.Bulk, bool, error) {
+func (m *Mux) Ask(ctx context.Context, question *wire.Bulk) (*wire.Bulk, error) {
 	s, err := m.session.Open()
 	if err != nil {
-		return nil, false, err
+		return nil, err
 	}
 	defer s.Close()
 	stop := context.AfterFunc(ctx, func() { _ = s.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	if err := frame.Write(s, question); err != nil {
-		return nil, true, err
+		return nil, err
 	}
 	var answer wire.Bulk
 	if err := frame.Read(s, frame.BulkLimit, &answer); err != nil {
-		return nil, true, err
+		return nil, err
 	}
-	return &answer, true, nil
+	return &answer, nil
 }
 
 // Closed is closed when the connection has ended.
--- a/io/entryd/agents.go
+++ b/io/entryd/agents.go
@@ -23,7 +23,8 @@
 	conn  uint64
 	mux   *bulk.Mux
 	box   *outbox.Outbox
-	heard time.Time
+	// nextAsk bounds how often the agent is asked for its records.
+	nextAsk time.Time
 }
 
 // agents are the agents with a connection; the loop owns it.
@@ -121,9 +122,7 @@
 		l.id, _ = d.roster.Announce(l.who.Name, l.who.Incarnation, h.DataCentre, h.Rack, codec.NeedsIn(h.Capacity), now)
 		d.agents.byTarget[l.id] = l
 	}
-	if open := d.owner.AttemptsAt(l.who.Incarnation); len(open) > 0 {
-		l.box.Put(&wire.Bulk{Body: &wire.Bulk_Query{Query: &wire.Query{Attempts: open}}})
-	}
+	d.owner.Reconnected(l.who.Incarnation)
 	d.log.Info("target announced", zap.String("agent", l.who.Name), zap.String("data-centre", h.DataCentre))
 	d.owner.Pump(now)
 }
--- a/io/entryd/bulk.go
+++ b/io/entryd/bulk.go
@@ -1,12 +1,16 @@
 package entryd
 
 import (
+	"context"
 	"encoding/json"
 	"net"
+	"time"
 
 	"go.uber.org/zap"
 
+	"persimmonstage/core/group"
 	"persimmonstage/io/bulk"
+	"persimmonstage/io/codec"
 	"persimmonstage/io/frame"
 	"persimmonstage/io/wire"
 )
@@ -30,6 +34,8 @@
 		d.forwarded(b.Submit, s)
 	case *wire.Bulk_Fetch:
 		d.fetched(b.Fetch, s)
+	case *wire.Bulk_RosterAsk:
+		d.rosterAsked(s)
 	default:
 		d.log.Warn("bulk stream refused", zap.String("reason", "unexpected message"))
 		_ = s.Close()
@@ -59,6 +65,22 @@
 	_ = frame.Write(s, &wire.Bulk{Body: &wire.Bulk_Fetched{Fetched: answer}})
 }
 
+// rosterAsked gives the agents that this entry has answered.
+func (d *Daemon) rosterAsked(s net.Conn) {
+	defer s.Close()
+	var r group.Roster
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	if !d.loop.Call(ctx, func(time.Time) { r = d.group.Roster() }) {
+		return
+	}
+	_ = frame.Write(s, &wire.Bulk{Body: &wire.Bulk_Roster{Roster: codec.RosterOut(&r)}})
+}
+
+func (d *Daemon) configVersion() int64 { return 0 }
+
+func (d *Daemon) configData() (int64, []byte) { return 0, nil }
+
 func (d *Daemon) mapVersion() int64 {
 	if m := d.view.Load().shards; m != nil {
 		return m.Version()
--- a/io/entryd/daemon.go
+++ b/io/entryd/daemon.go
@@ -13,17 +13,21 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"persimmonstage/core/group"
 	"persimmonstage/core/ident"
 	"persimmonstage/core/limits"
 	"persimmonstage/core/member"
 	"persimmonstage/core/owner"
 	"persimmonstage/core/place"
+	"persimmonstage/core/recov"
+	"persimmonstage/core/retry"
 	"persimmonstage/core/roster"
 	"persimmonstage/core/shards"
 	"persimmonstage/core/speed"
 	"persimmonstage/io/bulk"
 	"persimmonstage/io/ctrl"
 	"persimmonstage/io/entset"
+	"persimmonstage/io/logcl"
 	"persimmonstage/io/loop"
 )
 
@@ -31,6 +35,10 @@
 	tickPeriod  = 20 * time.Millisecond
 	wireVersion = 1
 	shardCount  = 64
+	// recordMargin is how long the agents' records outlive a job's deadline.
+	recordMargin = time.Minute
+	// mapRefresh is the age at which the map is appended again, so that the log's retention never drops it.
+	mapRefresh = time.Hour
 )
 
 // Daemon is a running entry.
@@ -53,11 +61,21 @@
 	peers map[string]*bulk.Mux
 
 	// Only the loop touches these.
-	owner  *owner.Owner
-	roster *roster.Roster
-	speeds *speed.Table
-	placer *place.Placer
-	agents agents
+	owner      *owner.Owner
+	roster     *roster.Roster
+	speeds     *speed.Table
+	placer     *place.Placer
+	group      *group.Group
+	recoveries map[int]*recov.Recovery
+	agents     agents
+	links      map[string]*peer
+	dialled    map[uint64]chan struct{}
+	parked     []parked
+
+	logs     *logcl.Client
+	logUp    atomic.Bool
+	findEnd  atomic.Int64
+	foundEnd int64 // only follow touches it
 
 	draining atomic.Bool
 	requests atomic.Int64
@@ -82,10 +100,18 @@
 	}
 	d.roster = &roster.Roster{}
 	d.speeds = &speed.Table{}
-	d.placer = place.New(place.IdleFirst, d.roster, d.speeds, time.Duration(set.Timing.RoundTripMS)*time.Millisecond)
+	d.placer = place.New(place.IdleFirst, d.roster, d.speeds, ms(set.Timing.RoundTripMS))
 	seed := rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), rand.Uint64()))
-	d.owner = owner.New(effects{d}, d.placer, d.roster, retries{}, history{d}, seed)
+	d.owner = owner.New(effects{d}, d.placer, d.roster, &retry.Budget{}, seed)
 	d.agents = newAgents()
+	d.group = group.New(group.Config{
+		Self: d.self, Shards: shardCount, Beat: ms(set.Timing.HeartbeatMS), Suspect: ms(set.Timing.SuspectMS),
+		Grace: ms(set.Timing.GraceMS), Lifetime: lim.MaxDeadline + recordMargin, Refresh: mapRefresh,
+	})
+	d.recoveries = make(map[int]*recov.Recovery)
+	d.links = make(map[string]*peer)
+	d.dialled = make(map[uint64]chan struct{})
+	d.logs = logcl.New(set.Log)
 	d.metrics = newMetrics(d)
 	return d, nil
 }
@@ -123,9 +149,8 @@
 			d.log.Error("http ended", zap.Error(err))
 		}
 	}()
-	if err := d.join(inner); err != nil {
-		return err
-	}
+	go d.follow(inner)
+	d.seedPeers(inner)
 	d.log.Info("entry started", zap.String("incarnation", d.self.Incarnation), zap.String("http", d.self.HTTP),
 		zap.String("control", d.self.Control), zap.String("bulk", d.self.Bulk))
 	<-ctx.Done()
@@ -142,16 +167,46 @@
 	bounded, cancel := context.WithTimeout(context.Background(), time.Duration(d.set.Timing.DrainMS)*time.Millisecond)
 	defer cancel()
 	d.draining.Store(true)
+	d.loop.Call(bounded, func(time.Time) { d.group.Leave() })
+	d.awaitLeft(bounded)
 	if err := d.http.ShutdownWithContext(bounded); err != nil {
 		d.log.Warn("drain time over", zap.Int64("requests-given-up", d.requests.Load()), zap.Error(err))
 	}
 }
 
+// awaitLeft waits until the shards are others' and no agent trusts this entry's last answer any more; the requests in
+// progress go on meanwhile.
+func (d *Daemon) awaitLeft(ctx context.Context) {
+	var left time.Time
+	for ctx.Err() == nil {
+		alone := false
+		d.loop.Call(ctx, func(now time.Time) {
+			m := d.group.Map()
+			alone = m == nil || m.Size() == 1 && m.Has(d.ident())
+			if d.group.Left() && left.IsZero() {
+				left = now.Add(ms(d.set.Timing.GraceMS))
+			}
+		})
+		if alone || !left.IsZero() && time.Now().After(left) {
+			return
+		}
+		sleep(ctx, leavePoll)
+	}
+}
+
+const leavePoll = 20 * time.Millisecond
+
 func (d *Daemon) tick(now time.Time) {
+	d.tickGroup()
+	d.tickRecoveries(now)
+	d.unpark(now)
 	d.owner.Tick(now)
 	d.roster.Tick(now, d.agentSilent)
+	d.dropPeers(now)
 }
 
+func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
 // adopt puts a newer map in force for the goroutines that serve callers.
 func (d *Daemon) adopt(m *shards.Map) {
 	old := d.view.Swap(&view{shards: m, changed: make(chan struct{})})
--- a/io/entryd/effects.go
+++ b/io/entryd/effects.go
@@ -20,8 +20,7 @@
 // Start puts an order into the agent's outbox; without a connection the order was never sent, which is a refusal.
 func (e effects) Start(agent string, o *order.Order) {
 	e.d.metrics.starts.Inc()
-	l := e.d.agents.byIncarnation[agent]
-	if l != nil && l.box != nil && l.box.Put(&wire.Bulk{Body: &wire.Bulk_Start{Start: codec.StartOut(o)}}) {
+	if e.put(agent, &wire.Bulk{Body: &wire.Bulk_Start{Start: codec.StartOut(o)}}) {
 		return
 	}
 	e.d.refuseLater(o.Attempt)
@@ -46,6 +45,24 @@
 	}
 }
 
+// Query asks an agent for attempts whose answers may be lost.
+func (e effects) Query(agent string, attempts []uint64) {
+	e.d.metrics.queries.Inc()
+	e.put(agent, &wire.Bulk{Body: &wire.Bulk_Query{Query: &wire.Query{Attempts: attempts}}})
+}
+
+// Repeat asks an agent for the result of an earlier owner's task; an agent that is not connected is asked when it is.
+func (e effects) Repeat(agent string, shard int, key jobkey.Key, index int) {
+	e.put(agent, &wire.Bulk{Body: &wire.Bulk_Repeat{Repeat: &wire.Repeat{
+		Team: key.Team, Id: key.ID, Index: uint32(index), Shard: uint32(shard),
+	}}})
+}
+
+func (e effects) put(agent string, m *wire.Bulk) bool {
+	l := e.d.agents.byIncarnation[agent]
+	return l != nil && l.box != nil && l.box.Put(m)
+}
+
 // Ended teaches the estimates.
 func (e effects) Ended(_ time.Time, id target.ID, kind string, expected, ran time.Duration, ok bool) {
 	if !ok {
--- a/io/entryd/frames.go
+++ b/io/entryd/frames.go
@@ -7,10 +7,14 @@
 	"go.uber.org/zap"
 
 	"persimmonstage/io/codec"
+	"persimmonstage/io/uptime"
 	"persimmonstage/io/wire"
 )
 
-var errUnexpected = errors.New("unexpected message")
+var (
+	errUnexpected = errors.New("unexpected message")
+	errNothingYet = errors.New("the entry has none yet")
+)
 
 // frames takes the control frames of agents and of other entries.
 type frames struct{ d *Daemon }
@@ -29,6 +33,11 @@
 }
 
 func (d *Daemon) connClosed(conn uint64) {
+	if gone := d.dialled[conn]; gone != nil {
+		close(gone)
+		delete(d.dialled, conn)
+		return
+	}
 	l := d.agents.byConn[conn]
 	if l == nil {
 		return
@@ -50,6 +59,10 @@
 		d.helloFrame(now, conn, h)
 		return
 	}
+	if b := fr.GetPeerBeat(); b != nil {
+		d.peerBeat(b)
+		return
+	}
 	l := d.agents.byConn[conn]
 	if l == nil {
 		d.refuseConn(conn, "frame before hello")
@@ -89,9 +102,9 @@
 
 // agentBeat answers an agent's heartbeat with its own stamp, and takes its load.
 func (d *Daemon) agentBeat(now time.Time, l *agentLink, h *wire.Heartbeat) {
-	l.heard = now
+	d.group.Known(uptime.Now(), l.who)
 	d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_HeartbeatAnswer{HeartbeatAnswer: &wire.HeartbeatAnswer{
-		Stamp: h.Stamp, MapVersion: d.mapVersion(), ConfigVersion: d.configVersion(),
+		Stamp: h.Stamp, MapVersion: d.group.Version(), ConfigVersion: d.configVersion(),
 	}}})
 	if l.id == 0 {
 		return
--- /dev/null
+++ b/io/entryd/members.go
@@ -0,0 +1,162 @@
+package entryd
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"persimmonstage/core/group"
+	"persimmonstage/io/logcl"
+	"persimmonstage/io/uptime"
+)
+
+const (
+	// mapStream is the stream of the platform's log that holds the shard map's versions.
+	mapStream     = "shard-map"
+	readBatch     = 256
+	readWait      = 200 * time.Millisecond
+	readPause     = 200 * time.Millisecond
+	appendTimeout = 3 * time.Second
+	readTimeLimit = 3 * time.Second
+)
+
+// follow reads the map's stream from its oldest record on and posts each record to the loop.
+func (d *Daemon) follow(ctx context.Context) {
+	var from int64
+	caughtUp := false
+	for ctx.Err() == nil {
+		wanted := d.findEnd.Load()
+		next, end, err := d.readSome(ctx, from)
+		if err != nil {
+			from = d.afterReadError(ctx, from, err)
+			continue
+		}
+		from = next
+		if from < end {
+			continue
+		}
+		if !caughtUp {
+			caughtUp = true
+			d.loop.Post(func(time.Time) { d.group.CaughtUp(uptime.Now()) })
+		}
+		if wanted > d.foundEnd {
+			d.foundEnd = wanted
+			d.loop.Post(func(time.Time) { d.group.ReachedEnd() })
+		}
+	}
+}
+
+// readSome posts the records from an offset on and gives the next offset to read and the end of the stream.
+func (d *Daemon) readSome(ctx context.Context, from int64) (next, end int64, err error) {
+	bounded, cancel := context.WithTimeout(ctx, readTimeLimit)
+	defer cancel()
+	records, end, err := d.logs.Read(bounded, mapStream, from, readBatch, readWait)
+	if err != nil {
+		return from, end, err
+	}
+	d.logUp.Store(true)
+	next = from
+	for _, r := range records {
+		next = r.Offset() + 1
+		d.loop.Post(func(time.Time) { d.mapRecord(r) })
+	}
+	if len(records) == 0 {
+		next = end
+	}
+	return next, end, nil
+}
+
+func (d *Daemon) mapRecord(r logcl.Record) {
+	if err := d.group.Read(uptime.Now(), r.Offset(), r.Data()); err != nil {
+		d.log.Warn("map record void", zap.Int64("offset", r.Offset()), zap.Error(err))
+	}
+	d.regroup()
+}
+
+func (d *Daemon) afterReadError(ctx context.Context, from int64, err error) int64 {
+	var gone *logcl.TruncatedError
+	if errors.As(err, &gone) {
+		return gone.First()
+	}
+	if d.logUp.Swap(false) && ctx.Err() == nil {
+		d.log.Warn("log not readable", zap.Error(err))
+	}
+	sleep(ctx, readPause)
+	return from
+}
+
+// tickGroup steps the membership and carries out what it decides.
+func (d *Daemon) tickGroup() {
+	now := uptime.Now()
+	fx := d.group.Tick(now, uuid.NewString)
+	for _, s := range fx.Beats {
+		d.sendBeat(s)
+	}
+	if fx.Append != nil {
+		go d.append(*fx.Append)
+	}
+	if fx.Find {
+		d.findEnd.Add(1)
+	}
+	for _, who := range fx.Asks {
+		d.askRoster(who)
+	}
+	d.regroup()
+}
+
+// append writes a proposed map; what became of it is told by the record itself, or found out when the answer is lost.
+func (d *Daemon) append(a group.Append) {
+	ctx, cancel := context.WithTimeout(context.Background(), appendTimeout)
+	defer cancel()
+	_, err := d.logs.Append(ctx, mapStream, a.Record)
+	var outage *logcl.OutageError
+	switch {
+	case err == nil:
+	case errors.As(err, &outage) && outage.MaybeApplied():
+		d.log.Warn("map append without answer", zap.Error(err))
+		d.loop.Post(func(time.Time) { d.group.Lost(a.ID) })
+	default:
+		d.log.Warn("map append refused", zap.Error(err))
+		d.loop.Post(func(time.Time) { d.group.Refused(a.ID) })
+	}
+}
+
+// regroup puts a newer map in force: shards that were lost are disowned, shards that were gained are recovered.
+func (d *Daemon) regroup() {
+	m := d.group.Map()
+	old := d.view.Load().shards
+	if m == nil || old != nil && m.Version() <= old.Version() {
+		return
+	}
+	d.adopt(m)
+	for s := range m.Shards() {
+		was := old != nil && old.Owner(s) == d.ident()
+		is := m.Owner(s) == d.ident()
+		if was && (!is || old.Epoch(s) != m.Epoch(s)) {
+			d.owner.Disown(s)
+			delete(d.recoveries, s)
+		}
+	}
+	d.gain()
+}
+
+// fetchMap asks a peer for the newer map that it carries.
+func (d *Daemon) fetchMap(p *peer) {
+	mux := p.mux
+	if mux == nil {
+		return
+	}
+	go d.learnFrom(mux)
+}
+
+func sleep(ctx context.Context, dur time.Duration) {
+	t := time.NewTimer(dur)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/io/entryd/metrics.go
+++ b/io/entryd/metrics.go
@@ -15,6 +15,7 @@
 	starts         prometheus.Counter
 	reserves       prometheus.Counter
 	withdraws      prometheus.Counter
+	queries        prometheus.Counter
 	refusedByAgent prometheus.Counter
 	malformed      prometheus.Counter
 }
@@ -37,10 +38,11 @@
 		starts:         counter("starts_total", "Orders sent to agents."),
 		reserves:       counter("reserves_total", "Reservations sent to agents."),
 		withdraws:      counter("withdraws_total", "Withdrawals sent to agents."),
+		queries:        counter("queries_total", "Questions to agents about attempts whose answers may be lost."),
 		refusedByAgent: counter("agent_refusals_total", "Attempts that agents refused before their start."),
 		malformed:      counter("malformed_total", "Submissions refused because they could not be decoded."),
 	}
-	r.MustRegister(m.jobs, m.response, m.starts, m.reserves, m.withdraws, m.refusedByAgent, m.malformed,
+	r.MustRegister(m.jobs, m.response, m.starts, m.reserves, m.withdraws, m.queries, m.refusedByAgent, m.malformed,
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "persimmonstage_control_bytes_total", Help: "Bytes on control connections, both ways.",
 		}, func() float64 {
--- /dev/null
+++ b/io/entryd/recover.go
@@ -0,0 +1,130 @@
+package entryd
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"go.uber.org/zap"
+
+	"persimmonstage/core/ident"
+	"persimmonstage/core/job"
+	"persimmonstage/core/jobkey"
+	"persimmonstage/core/past"
+	"persimmonstage/core/recov"
+	"persimmonstage/io/codec"
+	"persimmonstage/io/uptime"
+	"persimmonstage/io/wire"
+)
+
+const (
+	recordsTimeout = 2 * time.Second
+	recordsPause   = 100 * time.Millisecond
+)
+
+// gain begins the recovery of every shard that the group has come to own.
+func (d *Daemon) gain() {
+	for _, g := range d.group.Gains() {
+		r := d.recoveries[g.Shard]
+		if r != nil && r.Config().Epoch == g.Epoch {
+			continue
+		}
+		d.recoveries[g.Shard] = recov.New(recov.Config{
+			Shard: g.Shard, Epoch: g.Epoch, Version: g.Version, First: g.First, Skew: d.limits.Load().IssuedSkew,
+		})
+	}
+}
+
+// tickRecoveries tells each recovery of the fence and of the agents to ask, and asks them.
+func (d *Daemon) tickRecoveries(now time.Time) {
+	asks := make(map[ident.Ident][]uint32)
+	for s, r := range d.recoveries {
+		if r.Served() {
+			continue
+		}
+		d.fenceRecovery(now, r)
+		for _, agent := range r.Asks() {
+			asks[agent] = append(asks[agent], uint32(s))
+		}
+	}
+	for agent, list := range asks {
+		d.askRecords(now, agent, list)
+	}
+}
+
+// fenceRecovery gives a recovery the moment since which no agent obeys an earlier owner, on the wall clock.
+func (d *Daemon) fenceRecovery(now time.Time, r *recov.Recovery) {
+	version := r.Config().Version
+	if !r.Fenced() {
+		if at, fenced := d.group.Fenced(uptime.Now(), version); fenced {
+			r.Fence(now.Add(-uptime.Now().Sub(at)))
+			d.log.Info("shard fenced", zap.Int("shard", r.Config().Shard), zap.Uint64("epoch", r.Config().Epoch))
+		}
+	}
+	agents, complete := d.group.Agents(version)
+	r.Union(agents, complete)
+}
+
+// askRecords asks an agent what it started of some shards, one question at a time.
+func (d *Daemon) askRecords(now time.Time, agent ident.Ident, list []uint32) {
+	l := d.agents.byIncarnation[agent.Incarnation]
+	if l == nil || l.mux == nil || now.Before(l.nextAsk) {
+		return
+	}
+	m := d.view.Load().shards
+	data, err := json.Marshal(m)
+	if err != nil {
+		d.log.Error("map not encoded", zap.Error(err))
+		return
+	}
+	l.nextAsk = now.Add(recordsTimeout)
+	mux := l.mux
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), recordsTimeout)
+		defer cancel()
+		got, err := mux.Ask(ctx, &wire.Bulk{Body: &wire.Bulk_Records{Records: &wire.Records{
+			Shards: list, Map: data, MapVersion: m.Version(),
+		}}})
+		d.loop.Post(func(now time.Time) {
+			l.nextAsk = now.Add(recordsPause)
+			if a := got.GetRecordsAnswer(); err == nil && a != nil {
+				d.gotRecords(agent, list, a)
+			}
+		})
+	}()
+}
+
+func (d *Daemon) gotRecords(agent ident.Ident, list []uint32, a *wire.RecordsAnswer) {
+	jobs := codec.RecordsIn(a)
+	for _, s := range list {
+		if r := d.recoveries[int(s)]; r != nil {
+			r.Answer(agent, a.MapVersion, jobs[int(s)])
+		}
+	}
+}
+
+// earlier tells what earlier owners of a shard did of a job; wait asks to come again.
+func (d *Daemon) earlier(now time.Time, shard int, key jobkey.Key, issued time.Time) (found []past.Past, whole, wait bool) {
+	r := d.recoveries[shard]
+	if r == nil {
+		return nil, false, true
+	}
+	out := r.Lookup(now, key.Team, key.ID, issued)
+	switch out.Verdict {
+	case recov.Fresh:
+		return nil, true, false
+	case recov.Found:
+		return pasts(&out), out.Whole, false
+	case recov.Unknown:
+		return nil, false, false
+	}
+	return nil, false, true
+}
+
+func pasts(out *recov.Outcome) []past.Past {
+	found := make([]past.Past, len(out.Tasks))
+	for i, t := range out.Tasks {
+		found[i] = past.Past{Agent: t.Agent.Incarnation, Index: int(t.Index), Digest: [job.DigestBytes]byte(out.Digest)}
+	}
+	return found
+}
--- a/io/entryd/submit.go
+++ b/io/entryd/submit.go
@@ -12,6 +12,7 @@
 	"persimmonstage/io/bulk"
 	"persimmonstage/io/codec"
 	"persimmonstage/io/frame"
+	"persimmonstage/io/uptime"
 	"persimmonstage/io/wire"
 )
 
@@ -45,8 +46,6 @@
 	job    *job.Job
 	shard  int
 	before time.Time
-	// sent tells that an owner may have accepted the job, so "not run" can't be said any more.
-	sent bool
 }
 
 // submit asks the owner of the job's shard, whichever entry that is, until the job's deadline.
@@ -59,7 +58,7 @@
 // lookup asks the owner for what became of a submission.
 func (d *Daemon) lookup(key jobkey.Key) reply {
 	return d.ask(&question{
-		key: key, shard: shards.Of(key.Team, key.ID, shardCount), before: time.Now().Add(lookupTime), sent: true,
+		key: key, shard: shards.Of(key.Team, key.ID, shardCount), before: time.Now().Add(lookupTime),
 	})
 }
 
@@ -82,16 +81,12 @@
 	}
 }
 
-// unanswered gives the answer when no owner gave one in time.
+// unanswered gives the answer when no owner gave one in time. It never says "not run", even if this request reached no
+// owner: the same submission may have reached one by another entry.
 func (q *question) unanswered() reply {
-	if q.sent {
-		return replyOf(answer.Uncertain(q.key.ID, "the shard's owner did not answer before the deadline", "owner-lost"))
-	}
-	return replyOf(answer.Refusal(answer.StatusUnavailable, q.key.ID, "the shard has no owner at present", "owner-lost", retryLater))
+	return replyOf(answer.Uncertain(q.key.ID, "the shard's owner did not answer before the deadline", "owner-lost"))
 }
 
-const retryLater = 2 * time.Second
-
 func (d *Daemon) askOwner(v *view, q *question) (reply, bool) {
 	ctx, cancel := context.WithDeadline(context.Background(), q.before)
 	defer cancel()
@@ -124,9 +119,6 @@
 	if !d.loop.Post(func(now time.Time) { d.accept(now, q.key, q.job, func(a answer.Answer) { got <- a }) }) {
 		return reply{}, false
 	}
-	if q.job != nil {
-		q.sent = true
-	}
 	timeout := time.NewTimer(time.Until(q.before))
 	defer timeout.Stop()
 	select {
@@ -143,10 +135,7 @@
 	if q.job != nil {
 		ask.Job = codec.JobOut(q.job)
 	}
-	got, sent, err := mux.Ask(ctx, &wire.Bulk{Body: &wire.Bulk_Submit{Submit: ask}})
-	if sent && q.job != nil {
-		q.sent = true
-	}
+	got, err := mux.Ask(ctx, &wire.Bulk{Body: &wire.Bulk_Submit{Submit: ask}})
 	a := got.GetAnswer()
 	if err != nil || a == nil || a.NotOwner {
 		return reply{}, false
@@ -156,25 +145,77 @@
 	}, true
 }
 
+// parked is a submission or lookup that waits for the recovery of its shard.
+type parked struct {
+	key jobkey.Key
+	job *job.Job
+	w   func(answer.Answer)
+}
+
 // accept steps the owner with a job or a lookup if this entry owns the shard; w is called exactly once.
 func (d *Daemon) accept(now time.Time, key jobkey.Key, j *job.Job, w func(answer.Answer)) {
 	shard := shards.Of(key.Team, key.ID, shardCount)
-	m := d.view.Load().shards
-	if m == nil || m.Owner(shard) != d.ident() || !d.serving(shard) {
+	m := d.group.Map()
+	if m == nil || m.Owner(shard) != d.ident() {
 		w(answer.Elsewhere())
 		return
 	}
+	if d.owner.Known(key) {
+		d.known(now, key, j, w)
+		return
+	}
+	if !d.group.Holds(uptime.Now(), shard) {
+		d.park(now, parked{key, j, w})
+		return
+	}
+	if j == nil {
+		d.owner.Lookup(key, w)
+		return
+	}
+	d.submitNew(now, j, shard, m.Epoch(shard), w)
+}
+
+// known joins a submission or lookup to its record.
+func (d *Daemon) known(now time.Time, key jobkey.Key, j *job.Job, w func(answer.Answer)) {
 	if j == nil {
 		d.owner.Lookup(key, w)
 		return
 	}
-	if !d.owner.Known(key) {
+	d.owner.Submit(now, j, 0, 0, nil, true, w)
+}
+
+// submitNew gives the owner a job that it has no record of, with what earlier owners did of it; only a job that is
+// certainly fresh can be refused.
+func (d *Daemon) submitNew(now time.Time, j *job.Job, shard int, epoch uint64, w func(answer.Answer)) {
+	found, whole, wait := d.earlier(now, shard, j.Key, j.Issued)
+	if wait {
+		d.park(now, parked{j.Key, j, w})
+		return
+	}
+	if whole && len(found) == 0 {
 		if refusal := d.admit(now, j); refusal != nil {
 			w(*refusal)
 			return
 		}
 	}
-	d.owner.Submit(now, j, shard, m.Epoch(shard), w)
+	d.owner.Submit(now, j, shard, epoch, found, whole, w)
+}
+
+// park keeps a request until its shard is recovered; past its deadline it is sent back.
+func (d *Daemon) park(now time.Time, p parked) {
+	if p.job == nil || now.After(p.job.Deadline) {
+		p.w(answer.Elsewhere())
+		return
+	}
+	d.parked = append(d.parked, p)
+}
+
+func (d *Daemon) unpark(now time.Time) {
+	list := d.parked
+	d.parked = nil
+	for _, p := range list {
+		d.accept(now, p.key, p.job, p.w)
+	}
 }
 
 // admit refuses a new job that can't be served.
