--- a/core/queue/bench_test.go
+++ b/core/queue/bench_test.go
@@ -76,3 +76,26 @@
 		q.Pop(never)
 	}
 }
+
+// BenchmarkFill measures the memory of a waiting item, its key and value left out.
+func BenchmarkFill(b *testing.B) {
+	const waiting = 10_000
+	items := benchItems(110, 4)
+	keys := make([]string, waiting)
+	for i := range keys {
+		keys[i] = fmt.Sprint(i)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		var q Queue[int]
+		q.SetBounds(100_000, 0)
+		for i, key := range keys {
+			it := items[i%len(items)]
+			it.Key = key
+			if err := q.Push(it); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+	b.ReportMetric(waiting, "items/op")
+}
