Bound the kinds of a team, so that inventing some takes nobody's room

Change: only a team that holds nothing has that exception; a team has at most 64 kinds, and forgets its longest idle one for a new one. Ruled out: one share for all kinds that no setting names (weights by kind are useful before anybody sets them). Figures: 9100 kinds of one team leave another team its whole guarantee of 1500 of 9000 places. Conclusion: shares are bounded by team at every level.

--- a/core/admit/check.go
+++ b/core/admit/check.go
@@ -14,7 +14,7 @@
 	}
 	k := g.share(r.Team, r.Kind, now)
 	if k == nil {
-		return g.refuse(nil, &r, RefusedError{Reason: Full, Unit: "shares", Limit: maxShares}, now)
+		return g.refuse(nil, &r, RefusedError{Reason: TooManyKinds, Unit: "kinds", Limit: maxKinds}, now)
 	}
 	if err := g.checkRoom(k, &r, now); err != nil {
 		return err
@@ -41,7 +41,7 @@
 	r.Tasks = 1
 	k := g.share(r.Team, r.Kind, now)
 	if k == nil {
-		return g.refuse(nil, &r, RefusedError{Reason: Full, Unit: "shares", Limit: maxShares}, now)
+		return g.refuse(nil, &r, RefusedError{Reason: TooManyKinds, Unit: "kinds", Limit: maxKinds}, now)
 	}
 	if err := g.checkRoom(k, &r, now); err != nil {
 		return err
--- a/core/admit/errors.go
+++ b/core/admit/errors.go
@@ -7,12 +7,13 @@
 
 // Reasons of a RefusedError.
 const (
-	Expired   = "expired"           // the deadline is past
-	TooLarge  = "too-large"         // more tasks or bytes than the gate could ever hold
-	Late      = "deadline-too-near" // the expected wait passes the deadline
-	OverQuota = "over-quota"        // the team's starts a second don't allow it in time
-	Full      = "entry-full"        // the whole room is taken
-	ShareFull = "share-full"        // the team's and kind's part of the room is taken
+	Expired      = "expired"           // the deadline is past
+	TooLarge     = "too-large"         // more tasks or bytes than the gate could ever hold
+	Late         = "deadline-too-near" // the expected wait passes the deadline
+	OverQuota    = "over-quota"        // the team's starts a second don't allow it in time
+	Full         = "entry-full"        // the whole room is taken
+	TooManyKinds = "too-many-kinds"    // the team has too many busy kinds
+	ShareFull    = "share-full"        // the team's and kind's part of the room is taken
 )
 
 // RefusedError is the refusal of a job that was not taken and of which nothing ran.
@@ -21,7 +22,7 @@
 	Team   string
 	Kind   string
 	Wait   time.Duration // expected wait until the job's last task starts, when that is the reason
-	Unit   string        // "tasks" or "bytes", when a bound is the reason
+	Unit   string        // "tasks", "bytes" or "kinds", when a bound is the reason
 	Limit  int64         // units of the whole bound
 	Retry  time.Time     // when another try makes sense; zero means never
 }
@@ -31,7 +32,7 @@
 	switch e.Reason {
 	case Late, OverQuota:
 		return fmt.Sprintf("%s: team %q kind %q would wait %s", e.Reason, e.Team, e.Kind, e.Wait)
-	case Full, ShareFull, TooLarge:
+	case Full, ShareFull, TooLarge, TooManyKinds:
 		return fmt.Sprintf("%s: team %q kind %q at the bound of %d %s", e.Reason, e.Team, e.Kind, e.Limit, e.Unit)
 	}
 	return fmt.Sprintf("%s: team %q kind %q", e.Reason, e.Team, e.Kind)
--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -1,16 +1,13 @@
 package admit
 
-import (
-	"time"
-
-	"persimmonstage/core/bound"
-)
+import "persimmonstage/core/bound"
 
 const (
 	defaultTasks  = 100_000   // tasks
 	defaultBytes  = 512 << 20 // bytes
 	defaultWeight = 1
-	maxShares     = 4096 // team and kind pairs
+	maxShares     = 8192 // team and kind pairs
+	maxKinds      = 64   // of one team
 )
 
 type random interface{ Float64() float64 }
@@ -87,54 +84,6 @@
 	return k
 }
 
-// share returns the share of a request, or nil when there are too many.
-func (g *Gate) share(teamName, kindName string, now time.Time) *kind {
-	g.init()
-	if t, ok := g.teams[teamName]; ok {
-		if k, ok := t.kinds[kindName]; ok {
-			k.seen = now
-			return k
-		}
-	}
-	if g.shares >= maxShares && !g.forgetIdle() {
-		return nil
-	}
-	k := g.kind(g.team(teamName), kindName)
-	k.seen = now
-	return k
-}
-
-// forgetIdle drops the share that was idle longest and that no setting names.
-func (g *Gate) forgetIdle() bool {
-	var oldest *kind
-	for _, t := range g.teams {
-		for _, k := range t.kinds {
-			if k.kept || k.active {
-				continue
-			}
-			if oldest == nil || k.seen.Before(oldest.seen) {
-				oldest = k
-			}
-		}
-	}
-	if oldest == nil {
-		return false
-	}
-	g.forget(oldest)
-	return true
-}
-
-func (g *Gate) forget(k *kind) {
-	t := k.team
-	delete(t.kinds, k.name)
-	t.weights.known -= k.weight
-	g.shares--
-	if len(t.kinds) == 0 && !t.kept {
-		delete(g.teams, t.name)
-		g.weights.known -= t.weight
-	}
-}
-
 // setActive keeps the sums of the active weights after a change of what a share holds.
 func (g *Gate) setActive(k *kind) {
 	t := k.team
--- a/core/admit/gate_test.go
+++ b/core/admit/gate_test.go
@@ -253,3 +253,21 @@
 	require.NoError(t, g.Check(job("new", 1), epoch.Add(time.Second)))
 	require.Equal(t, maxShares, g.shares)
 }
+
+// A team can't take room or shares from others by inventing kinds.
+func TestATeamThatInventsKindsFillsOnlyItsOwnPart(t *testing.T) {
+	var g Gate
+	g.SetBounds(9000, 0)
+	g.SetWeight("b", "x", 1)
+	for i := range 9100 {
+		r := job("a", 1)
+		r.Kind = fmt.Sprint("kind-", i)
+		_, _ = g.Admit(r, epoch)
+	}
+	for range 1500 {
+		admit(t, &g, job("b", 1))
+	}
+	other := job("b", 1)
+	other.Kind = "y"
+	admit(t, &g, other)
+}
--- a/core/bound/bound.go
+++ b/core/bound/bound.go
@@ -37,7 +37,7 @@
 	return int64(float64(b.limit) / parts * part)
 }
 
-// Admits reports whether a share may grow; a kind that holds nothing may always grow once while the room lasts.
+// Admits reports whether a share may grow; a team that holds nothing may always grow once while the room lasts.
 func (b Bound) Admits(a Ask) bool {
 	if b.limit <= 0 {
 		return true
@@ -45,7 +45,7 @@
 	if b.Full(a.Total, a.Add) {
 		return false
 	}
-	if a.Kind == 0 || a.Kind+a.Add <= b.Guarantee(a.TeamPart*a.KindPart) {
+	if a.Team == 0 || a.Kind+a.Add <= b.Guarantee(a.TeamPart*a.KindPart) {
 		return true
 	}
 	if a.Team+a.Add <= b.Guarantee(a.TeamPart) {
--- a/core/bound/bound_test.go
+++ b/core/bound/bound_test.go
@@ -27,14 +27,14 @@
 				Add:      rapid.Int64Range(1, 200).Draw(t, "add"),
 				TeamPart: 1 / float64(teams), KindPart: 1.0 / kinds,
 			}
-			firstOfKind := ask.Kind == 0
+			firstOfTeam := ask.Team == 0
 			within := ask.Team+ask.Add <= b.Guarantee(ask.TeamPart) ||
 				ask.Kind+ask.Add <= b.Guarantee(ask.TeamPart*ask.KindPart)
 			admitted := b.Admits(ask)
 			if within && !admitted {
 				t.Fatalf("refused within the guarantee: %+v", ask)
 			}
-			if admitted && !(firstOfKind && !within) {
+			if admitted && !(firstOfTeam && !within) {
 				held[i][k] += ask.Add
 				total += ask.Add
 			}
--- a/core/queue/errors.go
+++ b/core/queue/errors.go
@@ -4,10 +4,10 @@
 
 // Reasons of a FullError.
 const (
-	QueueFull    = "queue-full"
-	ShareFull    = "share-full"
-	DuplicateKey = "duplicate-key"
-	TooManyShare = "too-many-shares"
+	QueueFull     = "queue-full"
+	ShareFull     = "share-full"
+	DuplicateKey  = "duplicate-key"
+	TooManyShares = "too-many-shares"
 )
 
 // FullError is the refusal of a push; the item was not taken.
@@ -16,8 +16,8 @@
 	Team   string
 	Kind   string
 	Key    string
-	Unit   string // "items", "bytes" or "shares"
-	Held   int64  // units held already by the share, or by the queue when that is full
+	Unit   string // "items", "bytes", "kinds" or "shares"
+	Held   int64  // units held already by the share, its team or the queue, whichever is full
 	Limit  int64  // units that the whole queue may hold
 }
 
--- a/core/queue/push.go
+++ b/core/queue/push.go
@@ -23,12 +23,9 @@
 
 // room finds the share of an item and checks its bounds.
 func (q *Queue[T]) room(item *Item[T]) (*kind[T], error) {
-	k := q.find(item.Team, item.Kind)
-	if k == nil {
-		if q.shares >= maxShares && !q.forgetIdle() {
-			return nil, q.refuse(item, TooManyShare, "shares", int64(q.shares), maxShares)
-		}
-		k = q.kind(q.team(item.Team), item.Kind)
+	k, err := q.share(item)
+	if err != nil {
+		return nil, err
 	}
 	n := int64(len(q.entries))
 	if q.items.Full(n, 1) {
@@ -131,30 +128,3 @@
 	}
 	return item
 }
-
-// forgetIdle drops the longest idle share that no setting names.
-func (q *Queue[T]) forgetIdle() bool {
-	var oldest *kind[T]
-	for _, t := range q.teams {
-		for _, k := range t.kinds {
-			if k.kept || k.active {
-				continue
-			}
-			if oldest == nil || k.lastUse < oldest.lastUse {
-				oldest = k
-			}
-		}
-	}
-	if oldest == nil {
-		return false
-	}
-	t := oldest.team
-	delete(t.kinds, oldest.name)
-	t.weights.known -= oldest.weight
-	q.shares--
-	if len(t.kinds) == 0 && !t.kept {
-		delete(q.teams, t.name)
-		q.weights.known -= t.weight
-	}
-	return true
-}
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -10,7 +10,8 @@
 	defaultItems  = 20_000    // items
 	defaultBytes  = 256 << 20 // bytes
 	defaultWeight = 1
-	maxShares     = 4096 // team and kind pairs
+	maxShares     = 8192 // team and kind pairs
+	maxKinds      = 64   // of one team
 )
 
 // Queue holds waiting items and serves them by weighted shares; the zero value is ready, with default bounds.
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -126,3 +126,30 @@
 	require.True(t, ok)
 	require.Equal(t, "large", it.Key)
 }
+
+// A team can't take room or shares from others by inventing kinds.
+func TestATeamThatInventsKindsFillsOnlyItsOwnPart(t *testing.T) {
+	var q Queue[int]
+	q.SetBounds(9000, 0)
+	q.SetWeight("b", "x", 1)
+	for i := range 9100 {
+		_ = q.Push(work(fmt.Sprint("a", i), "a", fmt.Sprint("kind-", i)))
+	}
+	require.LessOrEqual(t, len(q.teams["a"].kinds), maxKinds)
+	for i := range 1500 {
+		push(t, &q, work(fmt.Sprint("b", i), "b", "x"))
+	}
+	push(t, &q, work("b-other", "b", "y"))
+}
+
+func TestIdleKindsMakeRoomForNewOnes(t *testing.T) {
+	var q Queue[int]
+	push(t, &q, work("busy", "a", "busy"))
+	for i := range 3 * maxKinds {
+		push(t, &q, work("k", "a", fmt.Sprint(i)))
+		_, ok := q.Remove("k")
+		require.True(t, ok)
+	}
+	require.Len(t, q.teams["a"].kinds, maxKinds)
+	require.Equal(t, []string{"busy"}, popAll(&q))
+}
