Test the whole path through separate processes

Cause: the daemons had run only inside one process. Ruled out: a simulator of hosts; the processes themselves are small enough.

--- /dev/null
+++ b/test/fleet/fleet.go
@@ -0,0 +1,224 @@
+package fleet
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"persimmonstage/io/caller"
+)
+
+const (
+	readyTimeout = 30 * time.Second
+	poll         = 20 * time.Millisecond
+	slotsEach    = 8
+)
+
+// Fleet is a set of running processes: a stand-in log, entries, and agents with a stand-in target each.
+type Fleet struct {
+	t       *testing.T
+	dir     string
+	program string
+	mu      sync.Mutex
+	procs   map[string]*exec.Cmd
+	args    map[string][]string
+	HTTP    map[string]string
+	logAddr string
+	bulk    []string
+	control []string
+}
+
+var (
+	buildOnce sync.Once
+	built     string
+	buildErr  error
+)
+
+// New builds the program and starts the log, entries entries and agents agents; they end with the test.
+func New(t *testing.T, entries, agents int) *Fleet {
+	t.Helper()
+	buildOnce.Do(build)
+	require.NoError(t, buildErr)
+	f := &Fleet{
+		t: t, dir: t.TempDir(), program: built, procs: map[string]*exec.Cmd{}, args: map[string][]string{}, HTTP: map[string]string{},
+	}
+	t.Cleanup(f.end)
+	f.logAddr = freeAddr(t)
+	f.Start("log", "stand-in", "log", "--listen", f.logAddr)
+	f.awaitPort(f.logAddr)
+	for range entries {
+		f.bulk = append(f.bulk, freeAddr(t))
+		f.control = append(f.control, freeAddr(t))
+	}
+	for i := range entries {
+		f.startEntry(i)
+	}
+	for i := range agents {
+		f.startAgent(i)
+	}
+	for i := range entries {
+		f.AwaitTargets(entryName(i), agents)
+	}
+	return f
+}
+
+func build() {
+	dir, err := os.MkdirTemp("", "persimmonstage-fleet")
+	if err != nil {
+		buildErr = err
+		return
+	}
+	built = filepath.Join(dir, "persimmonstage")
+	out, err := exec.Command("go", "build", "-o", built, "persimmonstage/cmd/persimmonstage").CombinedOutput()
+	if err != nil {
+		buildErr = fmt.Errorf("build: %w: %s", err, out)
+	}
+}
+
+func entryName(i int) string  { return fmt.Sprintf("entry-%d", i+1) }
+func agentName(i int) string  { return fmt.Sprintf("agent-%d", i+1) }
+func targetName(i int) string { return fmt.Sprintf("target-%d", i+1) }
+
+func (f *Fleet) startEntry(i int) {
+	name := entryName(i)
+	f.HTTP[name] = freeAddr(f.t)
+	peers := append(append([]string{}, f.bulk[:i]...), f.bulk[i+1:]...)
+	f.settings(name, fmt.Sprintf("name = %q\ndata-centre = \"dc-%d\"\nhttp = %q\ncontrol = %q\nbulk = %q\nlog = %q\npeers = [%s]\n",
+		name, i%3+1, f.HTTP[name], f.control[i], f.bulk[i], f.logAddr, quoted(peers)))
+	f.Start(name, "entry", "--settings", f.path(name))
+}
+
+func (f *Fleet) startAgent(i int) {
+	name, target := agentName(i), targetName(i)
+	f.HTTP[target], f.HTTP[name] = freeAddr(f.t), freeAddr(f.t)
+	f.Start(target, "stand-in", "target", "--listen", f.HTTP[target])
+	f.settings(name, fmt.Sprintf("name = %q\ndata-centre = \"dc-%d\"\nrack = \"rack-%d\"\ntarget = \"http://%s\"\nhttp = %q\nentries = [%s]\n"+
+		"[capacity]\nslots = %d\ncores = 64\nmemory-mb = 131072\n",
+		name, i%3+1, i/3+1, f.HTTP[target], f.HTTP[name], quoted(f.bulk), slotsEach))
+	f.Start(name, "agent", "--settings", f.path(name))
+}
+
+func quoted(list []string) string {
+	out := make([]string, len(list))
+	for i, s := range list {
+		out[i] = fmt.Sprintf("%q", s)
+	}
+	return strings.Join(out, ", ")
+}
+
+func (f *Fleet) path(name string) string { return filepath.Join(f.dir, name+".toml") }
+
+func (f *Fleet) settings(name, text string) {
+	require.NoError(f.t, os.WriteFile(f.path(name), []byte(text), 0o600))
+}
+
+// Start starts a process of the program under a name; its logs go to a file that the test prints if it fails.
+func (f *Fleet) Start(name string, args ...string) {
+	f.t.Helper()
+	logs, err := os.OpenFile(filepath.Join(f.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	require.NoError(f.t, err)
+	defer logs.Close()
+	c := exec.Command(f.program, args...)
+	c.Stdout, c.Stderr = logs, logs
+	require.NoError(f.t, c.Start())
+	f.mu.Lock()
+	f.procs[name], f.args[name] = c, args
+	f.mu.Unlock()
+}
+
+func (f *Fleet) proc(name string) *exec.Cmd {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.procs[name]
+}
+
+// Kill ends a process without a word.
+func (f *Fleet) Kill(name string) {
+	c := f.proc(name)
+	_ = c.Process.Kill()
+	_ = c.Wait()
+}
+
+// Freeze stops a process until Thaw.
+func (f *Fleet) Freeze(name string) { _ = f.proc(name).Process.Signal(syscall.SIGSTOP) }
+
+// Thaw lets a frozen process go on.
+func (f *Fleet) Thaw(name string) { _ = f.proc(name).Process.Signal(syscall.SIGCONT) }
+
+// Stop asks a process to end and returns its exit code.
+func (f *Fleet) Stop(name string) int {
+	c := f.proc(name)
+	_ = c.Process.Signal(syscall.SIGTERM)
+	_ = c.Wait()
+	return c.ProcessState.ExitCode()
+}
+
+// Restart starts a process again that has ended, with the same settings.
+func (f *Fleet) Restart(name string) {
+	f.mu.Lock()
+	args := f.args[name]
+	f.mu.Unlock()
+	f.Start(name, args...)
+}
+
+func (f *Fleet) end() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range f.procs {
+		if c.ProcessState == nil {
+			_ = c.Process.Kill()
+			_ = c.Wait()
+		}
+	}
+	if f.t.Failed() {
+		f.printLogs()
+	}
+}
+
+const tailLines = 25
+
+func (f *Fleet) printLogs() {
+	files, _ := filepath.Glob(filepath.Join(f.dir, "*.log"))
+	for _, file := range files {
+		data, _ := os.ReadFile(file)
+		var lines []string
+		for s := bufio.NewScanner(strings.NewReader(string(data))); s.Scan(); {
+			lines = append(lines, s.Text())
+		}
+		f.t.Logf("%s:\n%s", filepath.Base(file), strings.Join(lines[max(0, len(lines)-tailLines):], "\n"))
+	}
+}
+
+func (f *Fleet) awaitPort(addr string) {
+	f.t.Helper()
+	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(poll) {
+		if c, err := net.Dial("tcp", addr); err == nil {
+			_ = c.Close()
+			return
+		}
+	}
+	f.t.Fatalf("nothing listens on %s", addr)
+}
+
+// URL gives the base URL of a process.
+func (f *Fleet) URL(name string) string { return "http://" + f.HTTP[name] }
+
+// Client gives a client of an entry.
+func (f *Fleet) Client(name string) *caller.Client { return caller.New(f.URL(name), "") }
+
+func freeAddr(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
