--- /dev/null
+++ b/core/ledger/main_test.go
@@ -0,0 +1,15 @@
+package ledger_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain seeds rapid, so that every run sees the same cases unless the command line says otherwise.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
--- a/core/proof/owner_test.go
+++ b/core/proof/owner_test.go
@@ -131,6 +131,9 @@
 		return
 	}
 	out := r.Lookup(w.now, team, fmt.Sprint(i), j.issued)
+	if w.verdicts != nil {
+		w.verdicts[out.Verdict]++
+	}
 	switch out.Verdict {
 	case recov.Fresh:
 		if j.starts > 0 && gain.Epoch > j.epoch {
--- a/core/proof/world_test.go
+++ b/core/proof/world_test.go
@@ -53,7 +53,9 @@
 	served  map[int]uint64 // highest epoch under which a job of the shard was called fresh
 	owners  map[owner]string
 	errs    []string
-	used    map[string]int // actions of bounded number taken so far
+
+	verdicts map[recov.Verdict]int // how often each was given, kept only if not nil
+	used     map[string]int        // actions of bounded number taken so far
 }
 
 type owner struct {
