Search the groups by speed, and forgive the slow and the sick in time

A slow target got no work and so never showed that it was well again. Of kinds where 5% of the tasks fail the Judge ejected healthy targets. A task was said never to fit while the one target for it restarted. Change: groups are searched in the order of speed, until even the fastest target of a group would be later than the two best; lists of up to ten are looked at whole, four of longer ones. Fade draws factors without samples to the mean. A kind's share of failures is learned over more outcomes. The capacity of a target that left counts for another minute. Conclusion: the cost of a placement is bounded by the groups, not the fleet.

--- a/core/eject/kind.go
+++ b/core/eject/kind.go
@@ -8,11 +8,12 @@
 )
 
 const (
-	shareStep     = 1.0 / 32 // weight of an outcome in a kind's share of failures
-	sameShareStep = 1.0 / 128
-	leastShare    = 0.01 // failures that every kind is expected to have
-	sickShare     = 0.5  // failures that a sick target is expected to have
-	maxUnsettled  = 16   // targets with failures of one kind that wait to be settled
+	shareStep     = 1.0 / 128 // weight of an outcome in a kind's share of failures
+	sameShareStep = 1.0 / 512 // weight of one at the same target as the last
+	firstShare    = 0.05      // failures that an unknown kind is expected to have
+	leastShare    = 0.01      // failures that every kind is expected to have
+	sickShare     = 0.5       // failures that a sick target is expected to have
+	maxUnsettled  = 16        // targets with failures of one kind that wait to be settled
 )
 
 // kindRow is what is known of one kind.
@@ -38,7 +39,7 @@
 	k := &j.kinds[n]
 	if fresh {
 		j.dismiss(k, 0)
-		*k = kindRow{share: leastShare}
+		*k = kindRow{share: firstShare}
 	}
 	return k
 }
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -42,8 +42,9 @@
 const LastAttempt = 2
 
 const (
-	defaultSample   = 8 // targets looked at in each list of a group
-	defaultReserves = 2 // reservations for a task
+	smallList       = 10 // targets of a group that are all looked at
+	defaultSample   = 4  // targets looked at in a longer list
+	defaultReserves = 2  // reservations for a task
 
 )
 
--- a/core/place/search.go
+++ b/core/place/search.go
@@ -15,11 +15,17 @@
 // may be about to fill it.
 const crowdShare = 0.2
 
+const (
+	stepEdge = 0.88 // run time of the fastest target of a step of speed, as a share of the step's
+	deciding = 2    // candidates that a choice depends on: the best, and what is lost without it
+)
+
 // query is one task that is looked for a target for.
 type query struct {
 	kind       int
 	dataCentre string
 	task       *Task
+	mean       float64 // run time at a target of mean speed
 }
 
 // candidate is a target with the parts of its expected completion.
@@ -30,29 +36,57 @@
 	cost float64
 }
 
-// search keeps the best candidates of a sample of each group that could hold the task.
+// search keeps the best candidates of a sample of the groups that could hold the task: first of the targets with room, then
+// of those without it in groups that are faster than the best so far. Groups come in the order of speed, so the search
+// ends where even the fastest target of a group would be later than what is kept.
 func (p *Placer) search(rng *rand.Rand, q *query) {
-	for g := range p.roster.Groups() {
-		if !p.roster.GroupHolds(g, q.task.Needs) {
-			continue
+	q.mean = float64(p.speeds.Expect(0, q.kind, q.task.Declared))
+	for i := range p.roster.Groups() {
+		g := p.roster.Fastest(i)
+		if p.later(stepEdge * q.mean * p.roster.GroupFactor(g)) {
+			break
+		}
+		if n := p.roster.GroupRoom(g); n > 0 && p.worth(q, g, stepEdge) {
+			p.sampleList(rng, q, g, n, p.roster.RoomAt)
 		}
-		room, full := p.roster.GroupRoom(g), p.roster.GroupFull(g)
-		if room > 0 {
-			p.sampleList(rng, q, g, room, p.roster.RoomAt)
+	}
+	for i := range p.roster.Groups() {
+		g := p.roster.Fastest(i)
+		if p.later(q.mean * p.roster.GroupFactor(g)) {
+			break
 		}
-		if full > 0 {
-			p.sampleList(rng, q, g, full, p.roster.FullAt)
+		if n := p.roster.GroupFull(g); n > 0 && p.worth(q, g, 1) {
+			p.sampleList(rng, q, g, n, p.roster.FullAt)
 		}
 	}
 }
 
-// sampleList looks at a run of a list of n targets from a random place on.
+// worth reports whether a group could hold the task and have a better target than those kept, edge being the part of the
+// group's run time that its fastest target needs.
+func (p *Placer) worth(q *query, g int, edge float64) bool {
+	cost := edge * q.mean * p.roster.GroupFactor(g)
+	if p.roster.GroupDataCentre(g) != q.dataCentre {
+		cost += float64(p.roundTrip)
+	}
+	return !p.later(cost) && p.roster.GroupHolds(g, q.task.Needs)
+}
+
+// later reports whether a candidate of a cost wouldn't be among the two that decide.
+func (p *Placer) later(cost float64) bool {
+	return p.kept >= deciding && cost >= p.best[deciding-1].cost
+}
+
+// sampleList looks at a short list of n targets whole, and of a longer one at a run from a random place on.
 func (p *Placer) sampleList(rng *rand.Rand, q *query, g, n int, at func(g, i int) target.ID) {
 	i := 0
 	if n > 1 {
 		i = rng.IntN(n)
 	}
-	for range min(n, p.sample) {
+	looks := n
+	if n > smallList {
+		looks = p.sample
+	}
+	for range looks {
 		p.keep(p.weigh(q, g, at(g, i)))
 		i++
 		if i == n {
--- a/core/roster/announce.go
+++ b/core/roster/announce.go
@@ -10,6 +10,7 @@
 // Announce enters a target and returns its ID; the same incarnation keeps its ID and its load, a new one replaces the
 // old, and whether it did is the second result.
 func (r *Roster) Announce(name, incarnation, dataCentre, rack string, capacity needs.Vector, now time.Time) (target.ID, bool) {
+	r.now = now
 	if r.byName == nil {
 		r.byName = map[string]uint32{}
 	}
@@ -39,6 +40,7 @@
 func (r *Roster) Leave(id target.ID) {
 	if t := r.row(id); t != nil {
 		t.leaving = true
+		r.remember(t.capacity)
 		r.relist(uint32(id.Index()))
 	}
 }
@@ -50,6 +52,7 @@
 		return
 	}
 	i := uint32(id.Index())
+	r.remember(t.capacity)
 	r.unlist(i)
 	delete(r.byName, t.name)
 	*t = row{generation: t.generation}
@@ -75,6 +78,7 @@
 
 // Tick removes the targets whose deadline for a heartbeat has passed, and calls gone with each before its ID is void.
 func (r *Roster) Tick(now time.Time, gone func(target.ID)) {
+	r.now = now
 	for i, d := range r.deadline {
 		if d.IsZero() || now.Before(d) {
 			continue
--- a/core/roster/fits.go
+++ b/core/roster/fits.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"persimmonstage/core/needs"
 )
@@ -27,8 +28,34 @@
 // Largest returns the most of the need that a target offers which could hold the needs named before it.
 func (e *TooLargeError) Largest() int { return e.largest }
 
-// FitsEver returns a *TooLargeError if no known target, empty, could hold v; targets that are leaving don't count,
-// ejected ones do, as they may come back. With no target known at all it returns nil: that is no fault of the task.
+// replaceTime is how long the capacity of a target that left still counts, as one like it may be about to replace it.
+const replaceTime = time.Minute
+
+// maxLeft bounds the capacities that are remembered of targets that left.
+const maxLeft = 64
+
+// left is the capacity of a target that left.
+type left struct {
+	capacity needs.Vector
+	until    time.Time
+}
+
+// remember keeps the capacity of a target that leaves; targets of the same capacity share an entry.
+func (r *Roster) remember(capacity needs.Vector) {
+	l := left{capacity: capacity, until: r.now.Add(replaceTime)}
+	for i := range r.left {
+		if r.left[i].capacity == capacity || !r.now.Before(r.left[i].until) {
+			r.left[i] = l
+			return
+		}
+	}
+	if len(r.left) < maxLeft {
+		r.left = append(r.left, l)
+	}
+}
+
+// FitsEver returns a *TooLargeError if no known target, empty, could hold v. Targets that are ejected count, and those that
+// left a short while ago, as they may come back. With no target known at all it returns nil: that is no fault of the task.
 func (r *Roster) FitsEver(v needs.Vector) error {
 	for g := range r.groups {
 		if r.GroupHolds(g, v) && r.groupFits(g, v) {
@@ -73,6 +100,15 @@
 		}
 		known = true
 	}
+	for _, l := range r.left {
+		if !r.now.Before(l.until) {
+			continue
+		}
+		if !known || nearer(v, l.capacity, best) {
+			best = l.capacity
+		}
+		known = true
+	}
 	return best, known
 }
 
--- a/core/roster/group.go
+++ b/core/roster/group.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"math/bits"
+	"slices"
+	"sort"
 
 	"persimmonstage/core/needs"
 	"persimmonstage/core/target"
@@ -28,6 +30,7 @@
 // group lists the usable targets of one key; those with room may be able to start a task at once.
 type group struct {
 	key     groupKey
+	factor  float64
 	largest needs.Vector
 	room    []uint32
 	full    []uint32
@@ -38,6 +41,11 @@
 	return len(r.groups)
 }
 
+// Fastest returns the i-th group in the order of speed, the fastest first.
+func (r *Roster) Fastest(i int) int {
+	return r.order[i]
+}
+
 // GroupDataCentre returns the data centre of the targets of a group.
 func (r *Roster) GroupDataCentre(g int) string {
 	return r.groups[g].key.dataCentre
@@ -45,7 +53,7 @@
 
 // GroupFactor returns about how many times longer than the mean the targets of a group take.
 func (r *Roster) GroupFactor(g int) float64 {
-	return math.Exp2(float64(r.groups[g].key.step) / stepsPerDoubling)
+	return r.groups[g].factor
 }
 
 // GroupHolds reports whether some target of a group, empty, may hold v.
@@ -125,9 +133,12 @@
 	if r.groupOf == nil {
 		r.groupOf = map[groupKey]int{}
 	}
-	r.groups = append(r.groups, group{key: key})
-	r.groupOf[key] = len(r.groups) - 1
-	return len(r.groups) - 1
+	r.groups = append(r.groups, group{key: key, factor: math.Exp2(float64(key.step) / stepsPerDoubling)})
+	g := len(r.groups) - 1
+	r.groupOf[key] = g
+	at := sort.Search(len(r.order), func(i int) bool { return r.groups[r.order[i]].key.step > key.step })
+	r.order = slices.Insert(r.order, at, g)
+	return g
 }
 
 // hasRoom reports whether the smallest task could start now; accelerators are left out, as few tasks want one.
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -51,8 +51,11 @@
 	spare    []uint32
 	byName   map[string]uint32
 	groups   []group
+	order    []int // of the groups, the fastest first
 	groupOf  map[groupKey]int
 	silence  time.Duration
+	left     []left
+	now      time.Time // of the last call that told it
 }
 
 // SetSilence sets how long a target may be silent before it counts as gone.
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -67,6 +67,7 @@
 
 func TestFitsEverNamesTheNeedAndTheLargest(t *testing.T) {
 	var r roster.Roster
+	r.SetSilence(time.Hour)
 	require.NoError(t, r.FitsEver(needs.Vector{Cores: 1000}), "no target is known")
 	r.Announce("runner", "a", "kl-1", "r1", needs.Vector{Slots: 8}, start)
 	id, _ := r.Announce("worker", "a", "kl-1", "r1", needs.Vector{Slots: 4, Cores: 64, MemoryMB: 131072}, start)
@@ -80,6 +81,8 @@
 	r.Eject(id, true)
 	require.NoError(t, r.FitsEver(needs.Vector{Cores: 64}), "an ejected target may come back")
 	r.Leave(id)
+	require.NoError(t, r.FitsEver(needs.Vector{Cores: 64}), "one like it may be about to replace it")
+	r.Tick(start.Add(time.Minute), nil)
 	require.Error(t, r.FitsEver(needs.Vector{Cores: 64}))
 }
 
--- a/core/speed/table.go
+++ b/core/speed/table.go
@@ -37,6 +37,7 @@
 // targetRow is how much longer than the mean a target takes, as a logarithm.
 type targetRow struct {
 	generation uint32
+	sampled    bool // since the last Fade
 	factor     gauge
 }
 
--- a/core/speed/table_test.go
+++ b/core/speed/table_test.go
@@ -131,6 +131,23 @@
 	require.Less(t, w.table.Factor(target.New(0, 2)), 1.5)
 }
 
+func TestASlowTargetWithoutWorkFadesToTheMean(t *testing.T) {
+	w := newWorld()
+	w.slow[0] = 10
+	w.teach(4, 30, "renewal", 0, 100*ms)
+	faded := 0
+	for range 31 {
+		w.table.Learn(at(1), "renewal", 0, 100*ms)
+		w.table.Fade(func(id target.ID) {
+			if id == at(0) {
+				faded++
+			}
+		})
+	}
+	require.Equal(t, 30, faded, "not at the first, as it had samples since")
+	require.Less(t, w.table.Factor(at(0)), 2.0)
+}
+
 func TestKindsAreBounded(t *testing.T) {
 	w := newWorld()
 	w.teach(1, 10, "renewal", 0, 100*ms)
--- a/core/speed/target.go
+++ b/core/speed/target.go
@@ -4,6 +4,9 @@
 	"persimmonstage/core/target"
 )
 
+// fadeStep is the part of the way to the mean that Fade draws a factor.
+const fadeStep = 0.1
+
 // factor returns the learned factor of a target as a logarithm, or the mean of the targets if it is not seen.
 func (t *Table) factor(id target.ID) float64 {
 	if r := t.targetRow(id); r != nil && r.factor.count > 0 {
@@ -37,9 +40,28 @@
 	}
 	before := r.factor.centre
 	r.factor.learn(off)
+	r.sampled = true
 	t.sum += float64(r.factor.centre - before)
 }
 
+// Fade draws the factors of targets that had no sample since the last Fade towards the mean and calls changed with each:
+// a target that was slow gets no work while others have room, and would never show that it isn't slow any more.
+func (t *Table) Fade(changed func(target.ID)) {
+	mean := t.meanFactor()
+	for i := range t.targets {
+		r := &t.targets[i]
+		if r.sampled || r.factor.count == 0 {
+			r.sampled = false
+			continue
+		}
+		shift := fadeStep * (mean - float64(r.factor.centre))
+		r.factor.centre += float32(shift)
+		r.factor.count = min(r.factor.count, changedCount)
+		t.sum += shift
+		changed(target.New(uint32(i), r.generation))
+	}
+}
+
 // Forget drops what is known of a target.
 func (t *Table) Forget(id target.ID) {
 	r := t.targetRow(id)
