Keep the roster's sizes by count, so that refusing what never fits is cheap

Cause: a task that fits no target looked at every row before its refusal, and a flood of such tasks would have held the control thread. Change: the roster counts its targets by capacity; a capacity nothing has any more is dropped a minute after its last target left. Ruled out: the largest of each need alone, which no one target may have.

--- a/core/roster/announce.go
+++ b/core/roster/announce.go
@@ -23,14 +23,19 @@
 	replaced := found && t.incarnation != incarnation
 	if !found || replaced {
 		r.unlist(i)
+		r.uncount(t)
 		*t = row{generation: t.generation + 1, known: true, name: name, incarnation: incarnation}
 	}
 	if t.capacity != capacity || t.dataCentre != dataCentre {
 		r.unlist(i)
+		r.uncount(t)
 	}
 	t.dataCentre = dataCentre
 	t.rack = rack
 	t.capacity = capacity
+	if !t.counted && !t.leaving {
+		r.count(t)
+	}
 	r.deadline[i] = now.Add(r.patience())
 	r.relist(i)
 	return r.id(i), replaced
@@ -40,7 +45,7 @@
 func (r *Roster) Leave(id target.ID) {
 	if t := r.row(id); t != nil {
 		t.leaving = true
-		r.remember(t.capacity)
+		r.uncount(t)
 		r.relist(uint32(id.Index()))
 	}
 }
@@ -52,7 +57,7 @@
 		return
 	}
 	i := uint32(id.Index())
-	r.remember(t.capacity)
+	r.uncount(t)
 	r.unlist(i)
 	delete(r.byName, t.name)
 	*t = row{generation: t.generation}
@@ -89,6 +94,7 @@
 		}
 		r.Remove(id)
 	}
+	r.forgetSizes()
 }
 
 func (r *Roster) patience() time.Duration {
--- a/core/roster/fits.go
+++ b/core/roster/fits.go
@@ -31,85 +31,63 @@
 // replaceTime is how long the capacity of a target that left still counts, as one like it may be about to replace it.
 const replaceTime = time.Minute
 
-// maxLeft bounds the capacities that are remembered of targets that left.
-const maxLeft = 64
-
-// left is the capacity of a target that left.
-type left struct {
-	capacity needs.Vector
-	until    time.Time
+// size is the targets of one capacity: how many are known and stay, and until when one that left counts.
+type size struct {
+	known int
+	until time.Time
 }
 
-// remember keeps the capacity of a target that leaves; targets of the same capacity share an entry.
-func (r *Roster) remember(capacity needs.Vector) {
-	l := left{capacity: capacity, until: r.now.Add(replaceTime)}
-	for i := range r.left {
-		if r.left[i].capacity == capacity || !r.now.Before(r.left[i].until) {
-			r.left[i] = l
-			return
-		}
-	}
-	if len(r.left) < maxLeft {
-		r.left = append(r.left, l)
+// count takes a target of a capacity that came.
+func (r *Roster) count(t *row) {
+	if r.sizes == nil {
+		r.sizes = map[needs.Vector]size{}
 	}
+	s := r.sizes[t.capacity]
+	s.known++
+	r.sizes[t.capacity] = s
+	t.counted = true
 }
 
-// FitsEver returns a *TooLargeError if no known target, empty, could hold v. Targets that are ejected count, and those that
-// left a short while ago, as they may come back. With no target known at all it returns nil: that is no fault of the task.
-func (r *Roster) FitsEver(v needs.Vector) error {
-	for g := range r.groups {
-		if r.GroupHolds(g, v) && r.groupFits(g, v) {
-			return nil
-		}
-	}
-	nearest, known := r.nearest(v)
-	need := v.Lacks(nearest)
-	if !known || need == "" {
-		return nil
+// uncount takes a target that leaves, is gone or changes its capacity.
+func (r *Roster) uncount(t *row) {
+	if !t.counted {
+		return
 	}
-	return &TooLargeError{need: need, wanted: v.Amount(need), largest: nearest.Amount(need)}
+	s := r.sizes[t.capacity]
+	s.known--
+	s.until = r.now.Add(replaceTime)
+	r.sizes[t.capacity] = s
+	t.counted = false
 }
 
-// groupFits reports whether a listed target of a group, empty, holds v.
-func (r *Roster) groupFits(g int, v needs.Vector) bool {
-	for _, i := range r.groups[g].room {
-		if v.Fits(r.rows[i].capacity) {
-			return true
+// forgetSizes drops the capacities that nothing has any more.
+func (r *Roster) forgetSizes() {
+	for capacity, s := range r.sizes {
+		if s.known == 0 && !r.now.Before(s.until) {
+			delete(r.sizes, capacity)
 		}
 	}
-	for _, i := range r.groups[g].full {
-		if v.Fits(r.rows[i].capacity) {
-			return true
-		}
-	}
-	return false
 }
 
-// nearest returns the capacity that holds the most of the needs of v, in their order, and the most of the first that it
-// doesn't hold; a task that fits is one that every need is held of.
-func (r *Roster) nearest(v needs.Vector) (needs.Vector, bool) {
-	var best needs.Vector
+// FitsEver returns a *TooLargeError if no known target, empty, could hold v. Targets that are ejected count, and those that
+// left a short while ago, as they may come back. With no target known at all it returns nil: that is no fault of the task.
+func (r *Roster) FitsEver(v needs.Vector) error {
+	var nearest needs.Vector
 	known := false
-	for i := range r.rows {
-		t := &r.rows[i]
-		if !t.known || t.leaving {
-			continue
+	for capacity := range r.sizes {
+		if v.Fits(capacity) {
+			return nil
 		}
-		if !known || nearer(v, t.capacity, best) {
-			best = t.capacity
+		if !known || nearer(v, capacity, nearest) {
+			nearest = capacity
 		}
 		known = true
 	}
-	for _, l := range r.left {
-		if !r.now.Before(l.until) {
-			continue
-		}
-		if !known || nearer(v, l.capacity, best) {
-			best = l.capacity
-		}
-		known = true
+	if !known {
+		return nil
 	}
-	return best, known
+	need := v.Lacks(nearest)
+	return &TooLargeError{need: need, wanted: v.Amount(need), largest: nearest.Amount(need)}
 }
 
 // nearer reports whether capacity a comes nearer to holding v than b.
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -24,6 +24,7 @@
 	known       bool
 	leaving     bool
 	ejected     bool
+	counted     bool // among the sizes
 	limited     bool // to one of the entry's own tasks
 	name        string
 	incarnation string
@@ -54,7 +55,7 @@
 	order    []int // of the groups, the fastest first
 	groupOf  map[groupKey]int
 	silence  time.Duration
-	left     []left
+	sizes    map[needs.Vector]size
 	now      time.Time // of the last call that told it
 }
 
