Place tasks without needs, and show what a slowed target gets

Cause: a task without needs at a just full target divided by zero, and its bound on the wait was a negative number. Change: such a task counts as one that fits once; a test that failed first. A further test lets a target turn ten times slower: it needs no ejection. Ruled out: giving such tasks a slot, which the caller didn't ask for. Conclusion: slow targets are placement's matter, not the Judge's.

--- a/core/eject/judge_test.go
+++ b/core/eject/judge_test.go
@@ -117,6 +117,7 @@
 		f.judge.Ended(t.id, t.kind, t.outcome, start.Add(f.now))
 		if t.outcome == eject.Whole {
 			f.table.Learn(t.id, t.kind, runTime, t.ran)
+			f.roster.Rate(t.id, f.table.Factor(t.id))
 		}
 	}
 	f.running = kept
@@ -189,6 +190,17 @@
 	require.LessOrEqual(t, f.started[3]-before, 3*slotsEach)
 }
 
+// TestTenTimesSlowerGetsLessButStays shows that a target which turns slow needs no ejection: placement gives it what it can do.
+func TestTenTimesSlowerGetsLessButStays(t *testing.T) {
+	f := newFleet(from(func(time.Duration, int, int) (eject.Outcome, time.Duration) { return eject.Whole, 10 * runTime }))
+	f.run(10 * time.Second)
+	before := f.started[3]
+	f.run(20 * time.Second)
+	t.Logf("tasks started in ten seconds at the target that turned ten times slower: %d of %d it could do", f.started[3]-before, 10*slotsEach/2)
+	require.LessOrEqual(t, f.started[3]-before, 10*slotsEach/2)
+	require.Zero(t, f.out())
+}
+
 func TestKindThatFailsEverywhereEjectsNobody(t *testing.T) {
 	f := newFleet(func(now time.Duration, i, kind int) (eject.Outcome, time.Duration) {
 		if kind == 1 && now >= 10*time.Second {
--- a/core/place/placer_test.go
+++ b/core/place/placer_test.go
@@ -115,6 +115,18 @@
 	require.Equal(t, 1, out[1].Target().Index())
 }
 
+func TestATaskWithoutNeedsIsPlacedAtAFullTarget(t *testing.T) {
+	r := known(2, 1, "kl-1")
+	p := place.New(place.Bounded, r, fixed{}, time.Millisecond)
+	p.Place(start, seeded(), ask(2, time.Second), nil)
+	a := ask(1, time.Second)
+	a.Tasks[0].Needs = needs.Vector{}
+	c := p.Place(start, seeded(), a, nil)[0]
+	require.Zero(t, c.Wait())
+	require.Positive(t, c.MaxWait())
+	require.Less(t, c.MaxWait(), time.Minute)
+}
+
 func TestWaitsWhenNoTargetMayGetWork(t *testing.T) {
 	r := known(1, 1, "kl-1")
 	id, _ := r.Find("target-00000")
--- a/core/place/search.go
+++ b/core/place/search.go
@@ -142,7 +142,7 @@
 		cost += float64(p.roundTrip)
 	}
 	if wait == 0 {
-		cost += crowdShare * float64(run) / float64(q.task.Needs.Times(p.roster.Free(id)))
+		cost += crowdShare * float64(run) / float64(max(1, q.task.Needs.Times(p.roster.Free(id))))
 	}
 	if p.placed > 0 {
 		cost += rackShare * float64(run) * p.rackLoad(id)
