Let tasks of small jobs go before those of large ones

Change: a choice carries a delay of 40 times what all targets together need for the rest of the job, half the time to the deadline at most. An agent orders a share by arrival plus delay, so a large job isn't starved but late relative to its size. The roster keeps loads by class of delay, so that a small job doesn't count what will stand back. Only class 0 has a bound on the wait. Off until asked for, as agents have to take part. Conclusion: for jobs of many tasks the order at the agents matters far more than the choice of the target.

--- a/core/place/ask.go
+++ b/core/place/ask.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"persimmonstage/core/needs"
+	"persimmonstage/core/rank"
 	"persimmonstage/core/target"
 )
 
@@ -17,7 +18,9 @@
 type Ask struct {
 	Kind       string
 	DataCentre string
-	Attempt    int // how often the tasks were refused because of the wait, at most LastAttempt
+	Attempt    int           // how often the tasks were refused because of the wait, at most LastAttempt
+	Deadline   time.Time     // zero is none
+	Delay      time.Duration // of the job's first placement, for tasks of it that are placed again
 	Tasks      []Task
 }
 
@@ -32,6 +35,7 @@
 	work     time.Duration
 	wait     time.Duration
 	maxWait  time.Duration
+	delay    time.Duration
 }
 
 // Target returns where the task is booked: the target to start at, or the first of those to reserve at; zero is wait.
@@ -50,5 +54,12 @@
 // it at once, before any start, so that it is placed again.
 func (c *Choice) MaxWait() time.Duration { return c.maxWait }
 
+// Delay returns by how much later than its arrival the task takes its place among those of its share in the agent's
+// queue, so that small jobs go before large ones; zero unless the Placer delays large jobs.
+func (c *Choice) Delay() time.Duration { return c.delay }
+
+// Class returns the class that the task is booked under at the roster; it follows from Delay.
+func (c *Choice) Class() rank.Class { return rank.Of(c.delay) }
+
 // Waits reports whether the task has to wait for a target.
 func (c *Choice) Waits() bool { return c.id == 0 }
--- a/core/place/compare_test.go
+++ b/core/place/compare_test.go
@@ -9,6 +9,7 @@
 
 	"persimmonstage/core/needs"
 	"persimmonstage/core/place"
+	"persimmonstage/core/rank"
 	"persimmonstage/core/roster"
 	"persimmonstage/core/speed"
 	"persimmonstage/core/target"
@@ -71,13 +72,15 @@
 	base          time.Duration // run time at a fast target; zero is a placeholder
 	booked        target.ID
 	work, maxWait time.Duration
+	delay, turn   time.Duration // by arrival plus delay, tasks go first
 	attempt       int
+	begun         bool
 }
 
 type job struct {
 	e                 *front
 	kind, left        int
-	begun, ideal      time.Duration
+	placed, ideal     time.Duration
 	waiting, reserved []*item // tasks that wait for a grant, and placeholders
 }
 
@@ -86,41 +89,57 @@
 	f.after([2]time.Duration{near, far}[min(1, (e.zone+3-f.zone)%3)], do)
 }
 
-// load is what a target holds of the entries other than e, and the expected wait of one more task.
-func (f *fake) load(e *front) (n int, work, wait time.Duration) {
-	all := time.Duration(0)
-	for it := range f.held {
-		all += it.work
-		if it.e != e && it.base > 0 {
-			n++
-			work += it.work
+// wait is the expected wait of an item that arrives: for what has begun and what goes before it.
+func (f *fake) wait(it *item) time.Duration {
+	all, before := time.Duration(0), 1-slotsEach
+	for other := range f.held {
+		all += other.work
+		if other.begun || other.turn <= it.turn {
+			before++
 		}
 	}
-	if len(f.held) >= slotsEach {
-		wait = all / time.Duration(len(f.held)) * time.Duration(len(f.held)+1-slotsEach) / slotsEach
+	if len(f.held) < slotsEach {
+		return 0
 	}
-	return n, work, wait
+	return all / time.Duration(len(f.held)) * time.Duration(max(1, before)) / slotsEach
 }
 
 func (f *fake) report(e *front) {
-	n, work, _ := f.load(e)
+	var n [rank.Classes]int
+	var work [rank.Classes]time.Duration
+	for it := range f.held {
+		if it.e != e && it.base > 0 {
+			n[rank.Of(it.delay)]++
+			work[rank.Of(it.delay)] += it.work
+		}
+	}
 	at := f.now
-	f.hop(e, func() { e.roster.Heard(f.id, at, needs.Vector{Slots: n}, n, work, start.Add(f.now)) })
+	f.hop(e, func() {
+		e.roster.Heard(f.id, at, needs.Vector{Slots: n[0]}, n[0], work[0], start.Add(f.now))
+		for c := 1; c < rank.Classes; c++ {
+			e.roster.HeardClass(f.id, at, rank.Class(c), needs.Vector{Slots: n[c]}, n[c], work[c])
+		}
+	})
 }
 
 func (f *fake) arrive(it *item) {
-	if _, _, wait := f.load(it.e); it.base > 0 && wait > it.maxWait {
+	it.turn = f.now + it.delay
+	if it.base > 0 && f.wait(it) > it.maxWait {
 		f.wasted += 2
 		f.report(it.e)
 		f.hop(it.e, func() {
-			it.e.roster.Ended(it.booked, slot, it.work)
+			it.e.roster.EndedClass(it.booked, rank.Of(it.delay), slot, it.work)
 			it.attempt++
 			it.put([]*item{it}, it.attempt)
 		})
 		return
 	}
 	f.held[it] = true
-	f.line = append(f.line, it)
+	at := slices.IndexFunc(f.line, func(other *item) bool { return other.turn > it.turn })
+	if at < 0 {
+		at = len(f.line)
+	}
+	f.line = slices.Insert(f.line, at, it)
 	f.step()
 }
 
@@ -139,6 +158,7 @@
 
 func (f *fake) run(it *item) {
 	f.starts++
+	it.begun = true
 	ran := time.Duration(float64(it.base) * f.slow)
 	f.after(ran, func() {
 		f.free(it)
@@ -164,7 +184,7 @@
 	}
 	t := j.waiting[0]
 	j.waiting = j.waiting[1:]
-	e.roster.Ended(t.booked, slot, t.work)
+	e.roster.EndedClass(t.booked, rank.Of(t.delay), slot, t.work)
 	it.base, it.booked = t.base, f.id
 	it.work = e.table.Expect(f.id, e.table.Kind(kinds[j.kind].name), kinds[j.kind].declared)
 	e.roster.Sent(f.id, slot, it.work)
@@ -184,25 +204,26 @@
 
 func (it *item) ended(ran time.Duration) {
 	e, k := it.e, kinds[it.kind]
-	e.roster.Ended(it.booked, slot, it.work)
+	e.roster.EndedClass(it.booked, rank.Of(it.delay), slot, it.work)
 	e.table.Learn(it.booked, k.name, k.declared, ran)
 	e.roster.Rate(it.booked, e.table.Factor(it.booked))
 	it.left--
 	if it.left == 0 {
-		e.ratios = append(e.ratios, float64(e.now-it.begun)/float64(it.ideal))
+		e.ratios = append(e.ratios, float64(e.now-it.placed)/float64(it.ideal))
 	}
 }
 
 // put places tasks of the job and sends what was chosen.
 func (j *job) put(tasks []*item, attempt int) {
 	e, k := j.e, kinds[j.kind]
-	a := place.Ask{Kind: k.name, DataCentre: fmt.Sprint("kl-", e.zone), Attempt: attempt}
+	a := place.Ask{Kind: k.name, DataCentre: fmt.Sprint("kl-", e.zone), Attempt: attempt, Delay: tasks[0].delay}
 	for range tasks {
 		a.Tasks = append(a.Tasks, place.Task{Needs: slot, Declared: k.declared})
 	}
 	for i, c := range e.placer.Place(start.Add(e.now), e.dice, &a, nil) {
 		it := tasks[i]
 		it.f, it.booked, it.work, it.maxWait = e.fakes[c.Target().Index()], c.Target(), c.Work(), c.MaxWait()
+		it.delay = c.Delay()
 		if len(c.Reserve()) == 0 {
 			it.f.hop(e, func() { it.f.arrive(it) })
 			continue
@@ -225,7 +246,7 @@
 	for range s.jobs {
 		j, tasks, _ := b.draw()
 		b.after(time.Duration(at*float64(time.Second)), func() {
-			j.e, j.begun = b.fronts[b.dice.IntN(s.entries)], b.now
+			j.e, j.placed = b.fronts[b.dice.IntN(s.entries)], b.now
 			j.put(tasks, 0)
 		})
 		at += b.work.ExpFloat64() * gap
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"persimmonstage/core/rank"
 	"persimmonstage/core/roster"
 	"persimmonstage/core/target"
 )
@@ -54,17 +55,18 @@
 // the next task sees it. The longest tasks of a job are placed first, as the answer waits for the slowest.
 // A Placer belongs to one goroutine.
 type Placer struct {
-	policy    Policy
-	roster    *roster.Roster
-	speeds    speeds
-	roundTrip time.Duration
-	sample    int
-	reserves  int
-	order     []int
-	racks     map[string]int // tasks of the present job, by rack
-	placed    int            // tasks of the present job
-	best      [maxReserve]candidate
-	kept      int
+	policy     Policy
+	roster     *roster.Roster
+	speeds     speeds
+	roundTrip  time.Duration
+	delayLarge bool
+	sample     int
+	reserves   int
+	order      []int
+	racks      map[string]int // tasks of the present job, by rack
+	placed     int            // tasks of the present job
+	best       [maxReserve]candidate
+	kept       int
 }
 
 // New returns a Placer over the targets of r and the run times of s; roundTrip is that between data centres.
@@ -81,15 +83,17 @@
 }
 
 // Place chooses for each task of a job, in the order of the tasks, and appends the choices to out. Each choice that
-// doesn't wait is booked at the roster: whoever called ends it there with the task's needs and the choice's Work.
-func (p *Placer) Place(_ time.Time, rng *rand.Rand, ask *Ask, out []Choice) []Choice {
+// doesn't wait is booked at the roster: whoever called ends it there with the choice's Class and Work and the
+// task's needs.
+func (p *Placer) Place(now time.Time, rng *rand.Rand, ask *Ask, out []Choice) []Choice {
 	from := len(out)
 	out = slices.Grow(out, len(ask.Tasks))[:from+len(ask.Tasks)]
 	clear(p.racks)
 	p.placed = 0
 	kind := p.speeds.Kind(ask.Kind)
+	delay := p.delay(now, kind, ask)
 	for _, i := range p.longestFirst(ask.Tasks) {
-		out[from+i] = p.one(rng, ask, kind, &ask.Tasks[i])
+		out[from+i] = p.one(rng, ask, kind, delay, &ask.Tasks[i])
 	}
 	return out
 }
@@ -109,8 +113,8 @@
 }
 
 // one chooses for one task and books it.
-func (p *Placer) one(rng *rand.Rand, ask *Ask, kind int, t *Task) Choice {
-	q := query{kind: kind, dataCentre: ask.DataCentre, task: t}
+func (p *Placer) one(rng *rand.Rand, ask *Ask, kind int, delay time.Duration, t *Task) Choice {
+	q := query{kind: kind, class: rank.Of(delay), dataCentre: ask.DataCentre, task: t}
 	p.kept = 0
 	switch p.policy {
 	case Random:
@@ -125,20 +129,20 @@
 	if p.kept == 0 {
 		return Choice{}
 	}
-	return p.book(ask, t)
+	return p.book(ask, delay, t)
 }
 
 // book books the best candidate and returns the choice of it.
-func (p *Placer) book(ask *Ask, t *Task) Choice {
+func (p *Placer) book(ask *Ask, delay time.Duration, t *Task) Choice {
 	first := &p.best[0]
-	c := Choice{id: first.id, work: first.run, wait: first.wait, maxWait: p.maxWait(ask.Attempt)}
+	c := Choice{id: first.id, work: first.run, wait: first.wait, delay: delay, maxWait: p.maxWait(ask.Attempt, rank.Of(delay))}
 	if p.reserving(first) {
 		for _, other := range p.best[:min(p.kept, p.reserves)] {
 			c.reserved[c.reserves] = other.id
 			c.reserves++
 		}
 	}
-	p.roster.Sent(first.id, t.Needs, first.run)
+	p.roster.SentClass(first.id, c.Class(), t.Needs, first.run)
 	if len(ask.Tasks) > 1 {
 		p.racks[p.roster.Rack(first.id)]++
 		p.placed++
@@ -158,8 +162,8 @@
 }
 
 // maxWait returns for how long a task should wait at the best candidate before it is worth a refusal and another placement.
-func (p *Placer) maxWait(attempt int) time.Duration {
-	if p.policy != Bounded || attempt >= LastAttempt || p.kept < 2 {
+func (p *Placer) maxWait(attempt int, class rank.Class) time.Duration {
+	if p.policy != Bounded || class > 0 || attempt >= LastAttempt || p.kept < 2 {
 		return math.MaxInt64
 	}
 	first, second := &p.best[0], &p.best[1]
--- a/core/place/placer_test.go
+++ b/core/place/placer_test.go
@@ -115,6 +115,26 @@
 	require.Equal(t, 1, out[1].Target().Index())
 }
 
+func TestDelaysLargeJobsByWhatTheyNeed(t *testing.T) {
+	r := known(10, 4, "kl-1")
+	p := place.New(place.Bounded, r, fixed{}, time.Millisecond)
+	delay := func(a *place.Ask) time.Duration {
+		c := p.Place(start, seeded(), a, nil)[0]
+		r.EndedClass(c.Target(), c.Class(), slot, c.Work())
+		return c.Delay()
+	}
+	require.Zero(t, delay(ask(41, time.Second)), "only where the agents order by it")
+	p.DelayLarge(true)
+	require.Zero(t, delay(ask(1, time.Second)))
+	require.Equal(t, 40*time.Second, delay(ask(41, time.Second)), "40 slots work the job off in a second")
+	again := ask(1, time.Second)
+	again.Delay = time.Minute
+	require.Equal(t, time.Minute, delay(again))
+	short := ask(41, time.Second)
+	short.Deadline = start.Add(10 * time.Second)
+	require.Equal(t, 5*time.Second, delay(short))
+}
+
 func TestATaskWithoutNeedsIsPlacedAtAFullTarget(t *testing.T) {
 	r := known(2, 1, "kl-1")
 	p := place.New(place.Bounded, r, fixed{}, time.Millisecond)
--- a/core/place/search.go
+++ b/core/place/search.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"persimmonstage/core/rank"
 	"persimmonstage/core/target"
 )
 
@@ -23,6 +24,7 @@
 // query is one task that is looked for a target for.
 type query struct {
 	kind       int
+	class      rank.Class
 	dataCentre string
 	task       *Task
 	mean       float64 // run time at a target of mean speed
@@ -132,7 +134,7 @@
 
 // weigh returns the candidate of a target, with its expected completion as cost.
 func (p *Placer) weigh(q *query, g int, id target.ID) candidate {
-	wait := p.roster.Wait(id, q.task.Needs)
+	wait := p.roster.Wait(id, q.task.Needs, q.class)
 	if wait == math.MaxInt64 {
 		return candidate{}
 	}
--- a/core/place/work_test.go
+++ b/core/place/work_test.go
@@ -20,19 +20,22 @@
 	slow    float64 // how many times slower two of five targets are
 	entries int
 	jobs    int
+	delay   bool // large jobs at the agents
 	big     bool // jobs of up to 160 tasks, in place of one task each
 }
 
 var policies = []struct {
-	name string
-	p    place.Policy
+	name  string
+	p     place.Policy
+	delay bool
 }{
-	{"random", place.Random},
-	{"two-choices", place.TwoChoices},
-	{"reservations", place.Reservations},
-	{"idle-first", place.IdleFirst},
-	{"soonest", place.Soonest},
-	{"bounded", place.Bounded},
+	{"random", place.Random, false},
+	{"two-choices", place.TwoChoices, false},
+	{"reservations", place.Reservations, false},
+	{"idle-first", place.IdleFirst, false},
+	{"soonest", place.Soonest, false},
+	{"bounded", place.Bounded, false},
+	{"small-first", place.Bounded, true},
 }
 
 // kinds have a usual run time and one that is declared, up to ten times off.
@@ -95,6 +98,7 @@
 	for i := range s.entries {
 		e := &front{bench: b, zone: i}
 		e.placer = place.New(s.policy, &e.roster, &e.table, 2*(far-near))
+		e.placer.DelayLarge(s.delay)
 		for i, f := range b.fakes {
 			e.roster.Announce(fmt.Sprint(i), "a", fmt.Sprint("kl-", f.zone), fmt.Sprint(i%4), needs.Vector{Slots: slotsEach}, start)
 		}
@@ -123,7 +127,7 @@
 func BenchmarkCompare(b *testing.B) {
 	for _, p := range policies {
 		for i := range 40 {
-			s := setting{policy: p.p, jobs: 10_000, load: []float64{0.3, 0.6, 0.8, 0.9, 0.95}[i%5], big: i/5%2 > 0, entries: 1 + i/10%2*2, slow: 1 + float64(i/20*3)}
+			s := setting{policy: p.p, delay: p.delay, jobs: 10_000, load: []float64{0.3, 0.6, 0.8, 0.9, 0.95}[i%5], big: i/5%2 > 0, entries: 1 + i/10%2*2, slow: 1 + float64(i/20*3)}
 			b.Run(fmt.Sprintf("%s/slow=%v/entries=%d/big=%v/load=%v", p.name, s.slow, s.entries, s.big, s.load), func(b *testing.B) {
 				for b.Loop() {
 					ratios, wasted := s.compare()
--- a/core/roster/group.go
+++ b/core/roster/group.go
@@ -101,6 +101,7 @@
 	if room {
 		list = &g.room
 	}
+	r.total = r.total.Add(t.capacity)
 	t.position = len(*list)
 	t.inRoom = room
 	t.listed = true
@@ -113,6 +114,7 @@
 	if !t.listed {
 		return
 	}
+	r.total = r.total.Sub(t.capacity)
 	g := &r.groups[t.groupIndex]
 	list := &g.full
 	if t.inRoom {
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"persimmonstage/core/needs"
+	"persimmonstage/core/rank"
 	"persimmonstage/core/target"
 )
 
@@ -18,6 +19,27 @@
 	work  time.Duration
 }
 
+// loads is work at a target: all of it, and by class.
+type loads struct {
+	all     load
+	classes [rank.Classes]load
+}
+
+func (l *loads) add(class rank.Class, v needs.Vector, tasks int, work time.Duration) {
+	l.all.add(v, tasks, work)
+	l.classes[class].add(v, tasks, work)
+}
+
+func (l *loads) sub(class rank.Class, v needs.Vector, work time.Duration) {
+	l.add(class, needs.Vector{}.Sub(v), -1, -work)
+}
+
+func (l *load) add(v needs.Vector, tasks int, work time.Duration) {
+	l.held = l.held.Add(v)
+	l.tasks += tasks
+	l.work += work
+}
+
 // row is what the entry knows of one target.
 type row struct {
 	generation  uint32
@@ -32,8 +54,8 @@
 	dataCentre  string
 	capacity    needs.Vector
 	speed       float64 // in steps of speed from the mean
-	own         load
-	others      load
+	own         loads
+	others      loads
 	stamp       time.Duration
 	groupIndex  int
 	position    int
@@ -56,7 +78,8 @@
 	groupOf  map[groupKey]int
 	silence  time.Duration
 	sizes    map[needs.Vector]size
-	now      time.Time // of the last call that told it
+	total    needs.Vector // capacity of the usable targets
+	now      time.Time    // of the last call that told it
 }
 
 // SetSilence sets how long a target may be silent before it counts as gone.
@@ -124,33 +147,50 @@
 	return needs.Vector{}
 }
 
+// Parallel returns about how many tasks that take v could run at once at all usable targets, empty; at least 1.
+func (r *Roster) Parallel(v needs.Vector) int {
+	return max(1, v.Times(r.total))
+}
+
 // InFlight returns how many of the entry's own tasks a target holds.
 func (r *Roster) InFlight(id target.ID) int {
 	if t := r.row(id); t != nil {
-		return t.own.tasks
+		return t.own.all.tasks
 	}
 	return 0
 }
 
-// Wait returns the expected time until a task that takes v can start at a target: zero when v fits what is free,
-// else the time in which the target works off what is too much; math.MaxInt64 is never.
-func (r *Roster) Wait(id target.ID, v needs.Vector) time.Duration {
+// Wait returns the expected time until a task of a class that takes v can start at a target: zero when v fits what is free,
+// else the time in which the target works off what is too much of its class and those before it; math.MaxInt64 is never.
+func (r *Roster) Wait(id target.ID, v needs.Vector, class rank.Class) time.Duration {
 	t := r.row(id)
 	if t == nil || !v.Fits(t.capacity) || t.atLimit() {
 		return math.MaxInt64
 	}
-	free := t.free()
-	if v.Fits(free) {
+	if v.Fits(t.free()) {
 		return 0
 	}
-	over := overbooked(v.Sub(free), t.capacity)
-	n := max(1, t.own.tasks+t.others.tasks)
-	mean := float64(t.own.work+t.others.work) / float64(n)
+	before := t.before(class).Add(v)
+	over := max(portion(v, t.capacity), portion(before.Sub(t.capacity), t.capacity))
+	n := max(1, t.own.all.tasks+t.others.all.tasks)
+	mean := float64(t.own.all.work+t.others.all.work) / float64(n)
 	return time.Duration(over * mean)
 }
 
-// overbooked returns the largest share of the capacity that is wanted beyond it.
-func overbooked(over, capacity needs.Vector) float64 {
+// before returns what the tasks hold that go before one of a class.
+func (t *row) before(class rank.Class) needs.Vector {
+	if class == rank.Classes-1 {
+		return t.own.all.held.Add(t.others.all.held)
+	}
+	var held needs.Vector
+	for c := range class + 1 {
+		held = held.Add(t.own.classes[c].held).Add(t.others.classes[c].held)
+	}
+	return held
+}
+
+// portion returns the largest share of the capacity that an amount is, in any dimension.
+func portion(over, capacity needs.Vector) float64 {
 	share := 0.0
 	if capacity.Slots > 0 {
 		share = max(share, float64(over.Slots)/float64(capacity.Slots))
@@ -169,11 +209,11 @@
 
 // atLimit reports whether a target on trial has its one task.
 func (t *row) atLimit() bool {
-	return t.limited && t.own.tasks > 0
+	return t.limited && t.own.all.tasks > 0
 }
 
 func (t *row) free() needs.Vector {
-	return t.capacity.Sub(t.own.held).Sub(t.others.held)
+	return t.capacity.Sub(t.own.all.held).Sub(t.others.all.held)
 }
 
 func (r *Roster) id(i uint32) target.ID {
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"persimmonstage/core/needs"
+	"persimmonstage/core/rank"
 	"persimmonstage/core/roster"
 	"persimmonstage/core/target"
 )
@@ -30,11 +31,11 @@
 	require.Equal(t, old, same)
 	r.Sent(old, slot, second)
 	r.Sent(old, slot, second)
-	require.Equal(t, second/2, r.Wait(old, slot))
+	require.Equal(t, second/2, r.Wait(old, slot, 0))
 
 	id, replaced := r.Announce("runner-1", "b", "kl-1", "r1", needs.Vector{Slots: 2}, start)
 	require.True(t, replaced)
-	require.Zero(t, r.Wait(id, slot))
+	require.Zero(t, r.Wait(id, slot, 0))
 	r.Ended(old, slot, second)
 	require.Equal(t, needs.Vector{Slots: 2}, r.Free(id), "the end of the old incarnation's task changes nothing")
 	require.Empty(t, r.Name(old))
@@ -50,6 +51,23 @@
 	require.Equal(t, 1, r.InFlight(id))
 }
 
+func TestTasksOfLaterClassesAreNotWaitedFor(t *testing.T) {
+	var r roster.Roster
+	id, _ := r.Announce("runner-1", "a", "kl-1", "r1", needs.Vector{Slots: 2}, start)
+	r.Sent(id, slot, second)
+	r.SentClass(id, 3, slot, second)
+	for range 4 {
+		r.SentClass(id, 2, slot, second)
+	}
+	r.Heard(id, 1, slot, 1, second, start)
+	r.HeardClass(id, 1, 3, slot, 1, second)
+	for class, want := range []time.Duration{second / 2, second / 2, 5 * second / 2, 7 * second / 2} {
+		require.Equal(t, want, r.Wait(id, slot, rank.Class(class)), "class %d", class)
+	}
+	r.EndedClass(id, 3, slot, second)
+	require.Equal(t, 3*second, r.Wait(id, slot, 3))
+}
+
 func TestSilentTargetIsGone(t *testing.T) {
 	var r roster.Roster
 	r.SetSilence(2 * second)
@@ -131,4 +149,9 @@
 	for _, id := range ids {
 		require.Equal(t, r.Usable(id), listed[id])
 	}
+	total := 0
+	for id := range listed {
+		total += r.Free(id).Slots + r.InFlight(id)
+	}
+	require.Equal(t, max(1, total), r.Parallel(slot))
 }
