--- a/core/roster/fits.go
+++ b/core/roster/fits.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"persimmonstage/core/needs"
 )
@@ -27,53 +28,66 @@
 // Largest returns the most of the need that a target offers which could hold the needs named before it.
 func (e *TooLargeError) Largest() int { return e.largest }
 
-// FitsEver returns a *TooLargeError if no known target, empty, could hold v; targets that are leaving don't count,
-// ejected ones do, as they may come back. With no target known at all it returns nil: that is no fault of the task.
-func (r *Roster) FitsEver(v needs.Vector) error {
-	for g := range r.groups {
-		if r.GroupHolds(g, v) && r.groupFits(g, v) {
-			return nil
-		}
-	}
-	nearest, known := r.nearest(v)
-	need := v.Lacks(nearest)
-	if !known || need == "" {
-		return nil
+// replaceTime is how long the capacity of a target that left still counts, as one like it may be about to replace it.
+const replaceTime = time.Minute
+
+// size is the targets of one capacity: how many are known and stay, and until when one that left counts.
+type size struct {
+	known int
+	until time.Time
+}
+
+// count takes a target of a capacity that came.
+func (r *Roster) count(t *row) {
+	if r.sizes == nil {
+		r.sizes = map[needs.Vector]size{}
 	}
-	return &TooLargeError{need: need, wanted: v.Amount(need), largest: nearest.Amount(need)}
+	s := r.sizes[t.capacity]
+	s.known++
+	r.sizes[t.capacity] = s
+	t.counted = true
 }
 
-// groupFits reports whether a listed target of a group, empty, holds v.
-func (r *Roster) groupFits(g int, v needs.Vector) bool {
-	for _, i := range r.groups[g].room {
-		if v.Fits(r.rows[i].capacity) {
-			return true
-		}
+// uncount takes a target that leaves, is gone or changes its capacity.
+func (r *Roster) uncount(t *row) {
+	if !t.counted {
+		return
 	}
-	for _, i := range r.groups[g].full {
-		if v.Fits(r.rows[i].capacity) {
-			return true
+	s := r.sizes[t.capacity]
+	s.known--
+	s.until = r.now.Add(replaceTime)
+	r.sizes[t.capacity] = s
+	t.counted = false
+}
+
+// forgetSizes drops the capacities that nothing has any more.
+func (r *Roster) forgetSizes() {
+	for capacity, s := range r.sizes {
+		if s.known == 0 && !r.now.Before(s.until) {
+			delete(r.sizes, capacity)
 		}
 	}
-	return false
 }
 
-// nearest returns the capacity that holds the most of the needs of v, in their order, and the most of the first that it
-// doesn't hold; a task that fits is one that every need is held of.
-func (r *Roster) nearest(v needs.Vector) (needs.Vector, bool) {
-	var best needs.Vector
+// FitsEver returns a *TooLargeError if no known target, empty, could hold v. Targets that are ejected count, and those that
+// left a short while ago, as they may come back. With no target known at all it returns nil: that is no fault of the task.
+func (r *Roster) FitsEver(v needs.Vector) error {
+	var nearest needs.Vector
 	known := false
-	for i := range r.rows {
-		t := &r.rows[i]
-		if !t.known || t.leaving {
-			continue
+	for capacity := range r.sizes {
+		if v.Fits(capacity) {
+			return nil
 		}
-		if !known || nearer(v, t.capacity, best) {
-			best = t.capacity
+		if !known || nearer(v, capacity, nearest) {
+			nearest = capacity
 		}
 		known = true
 	}
-	return best, known
+	if !known {
+		return nil
+	}
+	need := v.Lacks(nearest)
+	return &TooLargeError{need: need, wanted: v.Amount(need), largest: nearest.Amount(need)}
 }
 
 // nearer reports whether capacity a comes nearer to holding v than b.
