Decide the configuration version from the log's order alone

Cause: two operators who race, readers that freeze, restart or start after retention, and lost answers must all end with one version, never reverting. Change: core/vers applies change records by compare-and-set on the base; version = offset.

Conclusion: readers agree wherever they start.

--- a/core/fold/document.go
+++ b/core/fold/document.go
@@ -85,22 +85,35 @@
 
 // Apply returns the document with the changes made; a literal that is not TOML is an error.
 func (d Document) Apply(changes []delta.Change) (Document, error) {
-	byName := make(map[string]leaf, len(d.leaves)+len(changes))
-	for _, l := range d.leaves {
-		byName[l.name] = l
-	}
-	for _, c := range changes {
-		if c.Removed() {
-			delete(byName, c.Name())
-			continue
-		}
-		value, err := parseLiteral(c.Literal())
-		if err != nil {
-			return Document{}, cfgerr.New("", 0, c.Name(), err.Error())
+	leaves := slices.Clone(d.leaves)
+	for _, c := range delta.Join(changes) {
+		out := Document{leaves: leaves}
+		i, found := out.find(c.Name())
+		switch {
+		case c.Removed() && found:
+			leaves = slices.Delete(leaves, i, i+1)
+		case c.Removed():
+		default:
+			l, err := fromChange(c)
+			if err != nil {
+				return Document{}, err
+			}
+			if found {
+				leaves[i] = l
+			} else {
+				leaves = slices.Insert(leaves, i, l)
+			}
 		}
-		byName[c.Name()] = leaf{key: c.Key(), name: c.Name(), literal: c.Literal(), value: value}
 	}
-	return sorted(byName), nil
+	return Document{leaves: leaves}, nil
+}
+
+func fromChange(c delta.Change) (leaf, error) {
+	value, err := parseLiteral(c.Literal())
+	if err != nil {
+		return leaf{}, cfgerr.New("", 0, c.Name(), err.Error())
+	}
+	return leaf{key: c.Key(), name: c.Name(), literal: c.Literal(), value: value}, nil
 }
 
 func (d Document) find(name string) (int, bool) {
--- /dev/null
+++ b/core/vers/history_test.go
@@ -0,0 +1,274 @@
+package vers
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"persimmonstage/core/delta"
+	"persimmonstage/core/fold"
+)
+
+var when = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func parse(t require.TestingT, text string) fold.Document {
+	d, err := fold.Parse("", []byte(text))
+	require.NoError(t, err)
+	return d
+}
+
+// tape is a log in memory: records[i] has the offset i+1; first is the oldest that retention has left.
+type tape struct {
+	records [][]byte
+	first   int64
+}
+
+func (l *tape) append(data []byte) int64 {
+	l.records = append(l.records, data)
+	return int64(len(l.records))
+}
+
+// feed lets h read up to and including the offset to, as the follower of the log does.
+func (l *tape) feed(h *History, to int64) {
+	for h.Next() <= to {
+		if h.Next() < l.first {
+			h.Skip(l.first)
+			continue
+		}
+		h.Apply(h.Next(), l.records[h.Next()-1])
+	}
+}
+
+func (l *tape) end() int64 { return int64(len(l.records)) }
+
+func propose(t require.TestingT, h *History, id, text string) []byte {
+	data, err := h.Propose(id, h.Version(), "ana", when, parse(t, text))
+	require.NoError(t, err)
+	return data
+}
+
+func TestRaceHasOneWinnerForEveryReader(t *testing.T) {
+	var l tape
+	var a, b, late History
+	l.append(propose(t, &a, "1", "x = 1\ny = 1"))
+	l.feed(&a, 1)
+	l.feed(&b, 1)
+	fromA := propose(t, &a, "a", "x = 2\ny = 1")
+	fromB := propose(t, &b, "b", "x = 1\ny = 2")
+	l.append(fromB)
+	l.append(fromA)
+	for _, h := range []*History{&a, &b, &late} {
+		l.feed(h, l.end())
+		require.EqualValues(t, 2, h.Version())
+		require.Equal(t, "x = 1\ny = 2\n", string(h.Document().TOML()))
+		v, ok := h.Applied("b")
+		require.True(t, ok)
+		require.EqualValues(t, 2, v)
+		current, ok := h.Void("a")
+		require.True(t, ok)
+		require.EqualValues(t, 2, current)
+	}
+	_, err := a.Propose("c", 1, "ana", when, parse(t, ""))
+	var conflict *ConflictError
+	require.True(t, errors.As(err, &conflict))
+	require.EqualValues(t, 2, conflict.Current())
+	require.Equal(t, []string{"y"}, conflict.Changed())
+}
+
+func TestRepeatedAppendIsAppliedOnce(t *testing.T) {
+	var l tape
+	var h History
+	data := propose(t, &h, "1", "x = 1")
+	l.append(data)
+	l.append(data)
+	l.feed(&h, 1)
+	l.append(propose(t, &h, "2", "x = 2"))
+	l.feed(&h, l.end())
+	require.EqualValues(t, 3, h.Version())
+	v, ok := h.Applied("1")
+	require.True(t, ok)
+	require.EqualValues(t, 1, v)
+	_, ok = h.Void("1")
+	require.False(t, ok)
+}
+
+func TestLateSnapshotIsReplayedNotBelieved(t *testing.T) {
+	var l tape
+	var h, slow History
+	l.append(propose(t, &h, "1", "x = 1"))
+	l.feed(&h, 1)
+	l.feed(&slow, 1)
+	l.append(propose(t, &h, "2", "x = 2"))
+	l.append(slow.Snapshot("s", when)) // written as of offset 1, lands after version 2
+	l.feed(&h, l.end())
+
+	l.first = 2
+	var fresh History
+	l.feed(&fresh, l.end())
+	require.True(t, fresh.Complete())
+	require.EqualValues(t, 2, fresh.Version())
+
+	l.first = 3 // record 2 is gone, so what lies between is unknown
+	var tooLate History
+	l.feed(&tooLate, l.end())
+	require.False(t, tooLate.Complete())
+	require.Zero(t, tooLate.Version())
+	changed, err := tooLate.Adopt(h.Since(tooLate.Version()))
+	require.NoError(t, err)
+	require.True(t, changed)
+	require.True(t, tooLate.Complete())
+	require.EqualValues(t, 2, tooLate.Version())
+	require.EqualValues(t, 4, tooLate.Next())
+}
+
+func TestSnapshotIsDueBeforeRetentionTakesTheLastOne(t *testing.T) {
+	var l tape
+	var h History
+	require.False(t, h.SnapshotDue(when, 4, time.Hour))
+	l.append(propose(t, &h, "1", "x = 1"))
+	l.feed(&h, 1)
+	require.False(t, h.SnapshotDue(when.Add(30*time.Minute), 4, time.Hour))
+	require.True(t, h.SnapshotDue(when.Add(31*time.Minute), 4, time.Hour))
+	l.append(propose(t, &h, "2", "x = 2"))
+	l.feed(&h, 2)
+	require.True(t, h.SnapshotDue(when, 4, time.Hour))
+	l.append(h.Snapshot("s", when.Add(time.Minute)))
+	l.feed(&h, 3)
+	require.False(t, h.SnapshotDue(when.Add(30*time.Minute), 4, time.Hour))
+	require.Zero(t, h.Diverged())
+}
+
+func TestHistoryReachesBack(t *testing.T) {
+	var l tape
+	var h History
+	for i := range 5 {
+		l.append(propose(t, &h, fmt.Sprint(i), fmt.Sprintf("x = %d\n[t%d]", i, i)))
+		l.feed(&h, l.end())
+	}
+	for i := range 5 {
+		doc, ok := h.At(int64(i + 1))
+		require.True(t, ok)
+		require.Equal(t, fmt.Sprintf("x = %d\n\n[t%d]\n", i, i), string(doc.TOML()))
+	}
+	changes, ok := h.Changed(4, 5)
+	require.True(t, ok)
+	require.Equal(t, []string{"t3", "t4", "x"}, delta.Names(changes))
+	_, ok = h.At(9)
+	require.False(t, ok)
+	require.EqualValues(t, 5, h.Entries(1)[0].Version())
+}
+
+func TestAdoptRefusesWhatDoesNotFit(t *testing.T) {
+	var l tape
+	var h, other History
+	l.append(propose(t, &h, "1", "x = 1"))
+	l.feed(&h, 1)
+	first := h.Since(0)
+	l.append(propose(t, &h, "2", "x = 2"))
+	l.feed(&h, 2)
+	_, err := other.Adopt(h.Since(1))
+	require.Error(t, err)
+	require.Zero(t, other.Version())
+	_, err = other.Adopt([]byte(`{"type":"snapshot","version":7,"sum":"1","document":"x = 1"}`))
+	require.Error(t, err)
+	require.Equal(t, 1, other.Diverged())
+	_, err = other.Adopt([]byte(`{`))
+	require.Error(t, err)
+
+	_, err = other.Adopt(h.Since(0))
+	require.NoError(t, err)
+	changed, err := other.Adopt(first)
+	require.NoError(t, err)
+	require.False(t, changed)
+	require.EqualValues(t, 2, other.Version())
+}
+
+// TestReadersAgree runs publishers who lag, race, repeat appends and write snapshots late, and readers who start,
+// freeze and lose records anywhere; whoever is complete must know what a reader of the whole log knows.
+func TestReadersAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := tape{first: 1}
+		readers := make([]*History, 4)
+		for i := range readers {
+			readers[i] = &History{}
+		}
+		var pending [][]byte
+		pick := func(label string) *History { return readers[rapid.IntRange(0, len(readers)-1).Draw(t, label)] }
+		versions := make(map[*History]int64)
+		ids := 0
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			h := pick("reader")
+			switch rapid.SampledFrom([]string{"propose", "snapshot", "land", "land", "read", "read", "retain", "restart", "peer"}).Draw(t, "step") {
+			case "propose":
+				ids++
+				text := fmt.Sprintf("a = %d\n[t%d]\n", rapid.IntRange(0, 3).Draw(t, "a"), rapid.IntRange(0, 2).Draw(t, "t"))
+				pending = append(pending, propose(t, h, fmt.Sprint(ids), text))
+			case "snapshot":
+				if data := h.Snapshot("s", when); data != nil {
+					pending = append(pending, data)
+				}
+			case "land":
+				if len(pending) > 0 { // stays pending: it may land a second time
+					l.append(pending[rapid.IntRange(0, len(pending)-1).Draw(t, "record")])
+				}
+			case "read":
+				l.feed(h, min(l.end(), h.Next()+rapid.Int64Range(0, 5).Draw(t, "count")))
+			case "retain":
+				l.first = min(l.end()+1, l.first+rapid.Int64Range(0, 3).Draw(t, "drop"))
+			case "restart":
+				*h = History{}
+				versions[h] = 0
+			case "peer":
+				if data := pick("peer").Since(h.Version()); data != nil {
+					_, err := h.Adopt(data)
+					require.NoError(t, err)
+				}
+			}
+			require.GreaterOrEqual(t, h.Version(), versions[h])
+			versions[h] = h.Version()
+		}
+		whole := &History{}
+		all := tape{records: l.records, first: 1}
+		all.feed(whole, all.end())
+		for _, h := range readers {
+			l.feed(h, l.end())
+			require.Zero(t, h.Diverged())
+			require.GreaterOrEqual(t, whole.Version(), h.Version())
+			if h.Complete() {
+				require.Equal(t, whole.Version(), h.Version())
+				require.Equal(t, whole.Document().Sum(), h.Document().Sum())
+			}
+		}
+	})
+}
+
+func TestPeerWithGapsHandsOnOnlyWhatItKnows(t *testing.T) {
+	var l tape
+	var writer, gap, fresh History
+	l.append(propose(t, &writer, "1", "x = 1"))
+	l.feed(&writer, 1)
+	l.feed(&gap, 1)
+	l.append(propose(t, &writer, "2", "x = 2"))
+	l.feed(&writer, 2)
+	l.append([]byte("noise"))
+	l.first = 3
+	l.feed(&gap, 3)
+	require.False(t, gap.Complete())
+	require.EqualValues(t, 1, gap.Version())
+
+	_, err := fresh.Adopt(gap.Since(0))
+	require.NoError(t, err)
+	require.EqualValues(t, 2, fresh.Next())
+	l.feed(&fresh, 3)
+	require.False(t, fresh.Complete())
+
+	_, err = gap.Adopt(writer.Since(0))
+	require.NoError(t, err)
+	l.feed(&gap, 3)
+	require.True(t, gap.Complete())
+	require.EqualValues(t, 2, gap.Version())
+}
