Follow, publish and share the configuration

Cause: an accepted version has to be in force in every process within 4 s, also one that was cut, frozen or restarted while the log is down. Change: io/conf follows the log with a short long poll, asks peers when the log fails, records are missing or a peer is ahead, publishes by compare-and-set and answers only after reading its own record back; Deliver gets rising versions. Ruled out: a long poll of 10 s; a connection cut without a word would be noticed too late. Figures: virtual time only so far; the bound of 4 s is checked there for a cut entry, an outage with a restart, a freeze past retention, and lost answers.

--- /dev/null
+++ b/io/conf/doc.go
@@ -0,0 +1,2 @@
+// Package conf keeps a process on the newest configuration: it follows the log, publishes to it, and shares with peers.
+package conf
--- /dev/null
+++ b/io/conf/peers.go
@@ -0,0 +1,76 @@
+package conf
+
+import (
+	"context"
+	"time"
+)
+
+// Hint tells that a peer has the given version in force; a Source that is behind asks its peers at once.
+func (s *Source) Hint(version int64) {
+	s.mu.Lock()
+	ahead := version > s.history.Version()
+	s.heard = max(s.heard, version)
+	s.mu.Unlock()
+	if ahead {
+		s.wake()
+	}
+}
+
+func (s *Source) wake() {
+	select {
+	case s.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (s *Source) followPeers(ctx context.Context) {
+	if s.opts.Peers == nil {
+		return
+	}
+	ticker := time.NewTicker(peerInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-s.kick:
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		if version, ok := s.lacks(); ok {
+			s.ask(ctx, version)
+		}
+	}
+}
+
+// lacks tells whether peers are to be asked, and from which version on.
+func (s *Source) lacks() (int64, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	version := s.history.Version()
+	switch {
+	case !s.history.Complete():
+		return 0, true
+	case s.opts.Log == nil && version == 0, s.outage, s.heard > version:
+		return version, true
+	}
+	return 0, false
+}
+
+// ask takes over what one peer has; a part that doesn't fit is followed by the whole.
+func (s *Source) ask(ctx context.Context, version int64) {
+	if s.adopt(ctx, version) != nil && version > 0 {
+		_ = s.adopt(ctx, 0)
+	}
+}
+
+// adopt returns an error only when the answer didn't fit; a peer without an answer is asked again later.
+func (s *Source) adopt(ctx context.Context, version int64) error {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	data, err := s.opts.Peers.Config(ctx, version)
+	if err != nil || len(data) == 0 {
+		return nil
+	}
+	s.change(func() { _, err = s.history.Adopt(data) })
+	return err
+}
--- /dev/null
+++ b/io/conf/source.go
@@ -0,0 +1,239 @@
+package conf
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"persimmonstage/core/audit"
+	"persimmonstage/core/delta"
+	"persimmonstage/core/fold"
+	"persimmonstage/core/rules"
+	"persimmonstage/core/vers"
+	"persimmonstage/io/logcl"
+)
+
+// An entry follows the log and asks its peers only when the log doesn't answer, when records are missing, or when a
+// peer has been heard to be ahead; an agent has no log and lives on what it hears. Both are the same type, so that what
+// is in force is decided in one place. The poll is short: a connection that was cut without a word has to be noticed
+// well inside the 4 s in which a version must be in force.
+
+// Times of the follower.
+const (
+	pollWait      = 1500 * time.Millisecond
+	pollTimeout   = 2500 * time.Millisecond
+	retryPause    = 200 * time.Millisecond
+	peerInterval  = 250 * time.Millisecond
+	peerTimeout   = time.Second
+	appendTimeout = 2500 * time.Millisecond
+	repeatAppend  = 500 * time.Millisecond
+	readLimit     = 500
+)
+
+// log is what the follower needs of the platform's log.
+type log interface {
+	Append(ctx context.Context, stream string, data []byte) (int64, error)
+	Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) ([]logcl.Record, int64, error)
+}
+
+// peers asks other processes, a different one at each call, for what a process at the given version lacks: the answer
+// of their Since, or nothing.
+type peers interface {
+	Config(ctx context.Context, version int64) ([]byte, error)
+}
+
+// Options names what a Source works with; a nil Log makes it a follower of its peers alone.
+type Options struct {
+	Log    log
+	Stream string
+	Peers  peers
+	// Self is the process's name; it spreads the snapshots of several entries in time.
+	Self string
+	// RetainCount and RetainAge are the platform's limits for the stream (0: none).
+	RetainCount int64
+	RetainAge   time.Duration
+	// Deliver is called with each new version, in rising order and by one goroutine at a time.
+	Deliver func(version int64, r *rules.Rules)
+}
+
+// Source is the configuration of one process, safe for concurrent use.
+type Source struct {
+	opts Options
+	kick chan struct{}
+
+	mu        sync.Mutex
+	history   vers.History
+	rules     *rules.Rules
+	updates   map[int64][]byte // answers of Since, by the version asked from
+	moved     chan struct{}    // closed whenever a record was read or a state adopted
+	heard     int64
+	outage    bool
+	snapshot  time.Time // when this process writes the snapshot that is due
+	delivered int64
+	deliverMu sync.Mutex
+}
+
+// New returns a Source that knows no version; Run makes it learn.
+func New(opts Options) *Source {
+	return &Source{
+		opts:    opts,
+		kick:    make(chan struct{}, 1),
+		rules:   rules.Of(fold.Document{}),
+		updates: make(map[int64][]byte),
+		moved:   make(chan struct{}),
+	}
+}
+
+// Run follows the log and the peers until ctx ends.
+func (s *Source) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { s.followPeers(ctx) })
+	if s.opts.Log != nil {
+		wg.Go(func() { s.followLog(ctx) })
+	}
+	wg.Wait()
+}
+
+// Current returns the version in force and its rules; 0 and the defaults before the first.
+func (s *Source) Current() (int64, *rules.Rules) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.history.Version(), s.rules
+}
+
+// Ready is false until a first version is known.
+func (s *Source) Ready() bool {
+	version, _ := s.Current()
+	return version > 0
+}
+
+// Outage tells whether the last call to the log failed.
+func (s *Source) Outage() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.outage
+}
+
+// Since returns what a process at the given version lacks, or nil; version 0 asks for the whole.
+func (s *Source) Since(version int64) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if version >= s.history.Version() {
+		return nil
+	}
+	data, ok := s.updates[version]
+	if !ok {
+		data = s.history.Since(version)
+		s.updates[version] = data
+	}
+	return data
+}
+
+// Entries returns up to n of the newest entries of the history, newest first.
+func (s *Source) Entries(n int) []audit.Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.history.Entries(n)
+}
+
+// Changed returns what differs between two versions, and false when one of them is no longer remembered.
+func (s *Source) Changed(from, to int64) ([]delta.Change, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.history.Changed(from, to)
+}
+
+// At returns the document of a version, and false when it is no longer remembered.
+func (s *Source) At(version int64) (fold.Document, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.history.At(version)
+}
+
+func (s *Source) followLog(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := s.poll(ctx); err != nil {
+			s.setOutage(true)
+			s.wake()
+			pause(ctx, retryPause)
+			continue
+		}
+		s.setOutage(false)
+		s.writeSnapshot(ctx)
+	}
+}
+
+// poll reads once; lost records are no error here.
+func (s *Source) poll(ctx context.Context) error {
+	s.mu.Lock()
+	from := s.history.Next()
+	wait := s.untilTurn(time.Now())
+	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	records, _, err := s.opts.Log.Read(ctx, s.opts.Stream, from, readLimit, wait)
+	var truncated *logcl.TruncatedError
+	switch {
+	case errors.As(err, &truncated):
+		s.change(func() { s.history.Skip(truncated.First()) })
+		return nil
+	case err != nil:
+		return err
+	}
+	s.change(func() { s.apply(records) })
+	return nil
+}
+
+// apply stops where the history asks for another offset, as it does after a snapshot.
+func (s *Source) apply(records []logcl.Record) {
+	for _, r := range records {
+		if r.Offset() != s.history.Next() {
+			return
+		}
+		s.history.Apply(r.Offset(), r.Data())
+	}
+}
+
+// change alters the history, wakes those who wait for it, and delivers a new version.
+func (s *Source) change(alter func()) {
+	s.deliverMu.Lock()
+	defer s.deliverMu.Unlock()
+	version, r, isNew := s.alter(alter)
+	if isNew && s.opts.Deliver != nil {
+		s.opts.Deliver(version, r)
+	}
+}
+
+func (s *Source) alter(alter func()) (int64, *rules.Rules, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	alter()
+	close(s.moved)
+	s.moved = make(chan struct{})
+	version := s.history.Version()
+	if version == s.delivered {
+		return version, s.rules, false
+	}
+	s.delivered = version
+	s.rules = rules.Of(s.history.Document())
+	clear(s.updates)
+	return version, s.rules, true
+}
+
+func (s *Source) setOutage(outage bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outage = outage
+}
+
+// pause waits, or returns early when ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/io/conf/source_test.go
@@ -0,0 +1,202 @@
+package conf
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"persimmonstage/core/fold"
+	"persimmonstage/core/vers"
+)
+
+func TestAcceptedIsInForceEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, 5, Options{})
+		v, err := c.publish(0, 0, "a = 1")
+		require.NoError(t, err)
+		c.requireEverywhere(v)
+		_, r := c.agents[4].Current()
+		require.Equal(t, "a = 1\n", string(r.Document().TOML()))
+	})
+}
+
+func TestTwoOperatorsRace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, 1, Options{})
+		base, err := c.publish(0, 0, "a = 1\nb = 1")
+		require.NoError(t, err)
+		time.Sleep(time.Second)
+		type result struct {
+			version int64
+			err     error
+		}
+		results := make(chan result, 2)
+		for entry, text := range map[int]string{1: "a = 2\nb = 1", 2: "a = 1\nb = 2"} {
+			go func() {
+				v, err := c.publish(entry, base, text)
+				results <- result{v, err}
+			}()
+		}
+		won, lost := <-results, <-results
+		if won.err != nil {
+			won, lost = lost, won
+		}
+		require.NoError(t, won.err)
+		var conflict *vers.ConflictError
+		require.True(t, errors.As(lost.err, &conflict), "%v", lost.err)
+		require.Equal(t, won.version, conflict.Current())
+		require.Len(t, conflict.Changed(), 1)
+		c.requireEverywhere(won.version)
+	})
+}
+
+func TestCutEntryLearnsFromPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, 2, Options{})
+		v, err := c.publish(0, 0, "a = 1")
+		require.NoError(t, err)
+		c.requireEverywhere(v)
+		c.gates[2].setCut(true)
+		time.Sleep(pollWait) // the poll that was under way ends
+		v, err = c.publish(0, v, "a = 2")
+		require.NoError(t, err)
+		c.requireEverywhere(v)
+
+		_, err = c.publish(2, v, "a = 3")
+		var unavailable *UnavailableError
+		require.True(t, errors.As(err, &unavailable), "%v", err)
+		require.True(t, unavailable.MaybePublished())
+	})
+}
+
+func TestLostAnswersAreAcceptedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 2, 0, Options{})
+		c.log.set(func() { c.log.lose = 1 })
+		v, err := c.publish(0, 0, "a = 1")
+		require.NoError(t, err)
+		require.EqualValues(t, 1, v)
+		again, err := c.publish(0, 0, "a = 1") // the same id: the caller's answer was lost
+		require.NoError(t, err)
+		require.Equal(t, v, again)
+		c.requireEverywhere(v)
+		require.Len(t, c.log.records, 1)
+
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		doc, err := fold.Parse("", []byte("a = 9"))
+		require.NoError(t, err)
+		_, err = c.all[0].Publish(ctx, "0/0/a = 1", v, "ana", doc)
+		var reused *ReusedError
+		require.True(t, errors.As(err, &reused), "%v", err)
+	})
+}
+
+func TestOutageKeepsTheVersionAndRestartsLearnFromPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 2, 2, Options{})
+		v, err := c.publish(0, 0, "a = 1")
+		require.NoError(t, err)
+		c.requireEverywhere(v)
+		c.log.set(func() { c.log.down = true })
+
+		ctx, cancel := context.WithCancel(t.Context())
+		restarted := New(Options{Log: c.gates[1], Peers: c.peers, Self: "entry-1"})
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			restarted.Run(ctx)
+		}()
+		defer func() {
+			cancel()
+			<-done
+		}()
+		require.False(t, restarted.Ready())
+		time.Sleep(inForce)
+		synctest.Wait()
+		require.True(t, restarted.Ready())
+		require.True(t, restarted.Outage())
+
+		_, err = c.publish(0, v, "a = 2")
+		var unavailable *UnavailableError
+		require.True(t, errors.As(err, &unavailable), "%v", err)
+		require.False(t, unavailable.MaybePublished())
+
+		c.log.set(func() { c.log.down = false })
+		v, err = c.publish(0, v, "a = 3")
+		require.NoError(t, err)
+		c.requireEverywhere(v)
+		got, _ := restarted.Current()
+		require.Equal(t, v, got)
+	})
+}
+
+func TestSnapshotsOutliveRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const retained = 10
+		c := newCluster(t, 3, 0, Options{RetainCount: retained, RetainAge: time.Hour})
+		v := int64(0)
+		for i := range 30 {
+			next, err := c.publish(i%3, v, string(rune('a'+i%5))+" = "+time.Duration(i).String()[:1])
+			require.NoError(t, err)
+			v = next
+			time.Sleep(2 * snapshotSpread)
+			c.log.set(func() { c.log.first = max(1, int64(len(c.log.records))+1-retained) })
+		}
+		c.requireEverywhere(v)
+		snapshots := len(c.log.records) - 30
+		require.LessOrEqual(t, snapshots, 2*30/(retained/2))
+
+		time.Sleep(40 * time.Minute) // nothing is published, yet the age limit would take all
+		synctest.Wait()
+		c.log.set(func() { c.log.first = int64(len(c.log.records)) })
+		ctx, cancel := context.WithCancel(t.Context())
+		fresh := New(Options{Log: c.log})
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			fresh.Run(ctx)
+		}()
+		time.Sleep(inForce)
+		synctest.Wait()
+		got, r := fresh.Current()
+		cancel()
+		<-done
+		require.Equal(t, v, got)
+		_, want := c.all[0].Current()
+		require.Equal(t, want.Document().Sum(), r.Document().Sum())
+	})
+}
+
+func TestFrozenReaderCatchesUpAfterRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, 1, Options{RetainCount: 6})
+		v, err := c.publish(0, 0, "a = 0")
+		require.NoError(t, err)
+		c.requireEverywhere(v)
+		c.gates[2].setCut(true)
+		kept := c.peers.sources
+		c.peers.mu.Lock()
+		c.peers.sources = nil // neither log nor peers: as if stopped
+		c.peers.mu.Unlock()
+		for i := range 20 {
+			v, err = c.publish(i%2, v, "a = 1"+time.Duration(i).String()[:1])
+			if errors.HasType(err, (*vers.ConflictError)(nil)) {
+				t.Fatal(err)
+			}
+			time.Sleep(2 * snapshotSpread)
+			c.log.set(func() { c.log.first = max(1, int64(len(c.log.records))-5) })
+		}
+		stale, _ := c.all[2].Current()
+		require.Less(t, stale, v)
+		c.peers.mu.Lock()
+		c.peers.sources = kept[:2]
+		c.peers.mu.Unlock()
+		c.gates[2].setCut(false)
+		c.requireEverywhere(v)
+	})
+}
--- a/io/logcl/client.go
+++ b/io/logcl/client.go
@@ -30,6 +30,9 @@
 	data   []byte
 }
 
+// NewRecord returns the record at an offset.
+func NewRecord(offset int64, data []byte) Record { return Record{offset: offset, data: data} }
+
 // Offset returns the place of the record in its stream, from 1 on.
 func (r Record) Offset() int64 { return r.offset }
 
@@ -111,7 +114,7 @@
 	}
 	records := make([]Record, 0, len(out.Records))
 	for _, r := range out.Records {
-		records = append(records, Record{offset: r.Offset, data: r.Data})
+		records = append(records, NewRecord(r.Offset, r.Data))
 	}
 	return records, out.Next, nil
 }
--- a/io/logcl/errors.go
+++ b/io/logcl/errors.go
@@ -9,6 +9,11 @@
 	cause error
 }
 
+// NewOutage returns the error of op; maybe tells that it may have taken effect.
+func NewOutage(op string, maybe bool, cause error) *OutageError {
+	return &OutageError{op: op, maybe: maybe, cause: cause}
+}
+
 // Error names the operation and the cause.
 func (e *OutageError) Error() string { return fmt.Sprintf("log %s: %v", e.op, e.cause) }
 
@@ -23,6 +28,11 @@
 	from, first int64
 }
 
+// NewTruncated returns the error of a read from an offset before the oldest one, first.
+func NewTruncated(from, first int64) *TruncatedError {
+	return &TruncatedError{from: from, first: first}
+}
+
 // Error names the offset asked for and the oldest one that is left.
 func (e *TruncatedError) Error() string {
 	return fmt.Sprintf("log read: offset %d is dropped, the oldest is %d", e.from, e.first)
