--- /dev/null
+++ b/core/queue/pop.go
@@ -0,0 +1,98 @@
+package queue
+
+import "math"
+
+// Pop takes out the next item that fits. The function fits says whether an item can start now; within is false when
+// the item would run on capacity that its share borrows from others. Call Done with the item when it has ended.
+func (q *Queue[T]) Pop(fits func(item *Item[T], within bool) bool) (Item[T], bool) {
+	q.init()
+	e := q.pickTeam(fits)
+	if e == nil {
+		var none Item[T]
+		return none, false
+	}
+	q.serve(e)
+	q.leave(e)
+	return q.recycle(e), true
+}
+
+// pickTeam tries the teams in the order of their tags and stops at the finish tag of an item that waits for room.
+func (q *Queue[T]) pickTeam(fits func(*Item[T], bool) bool) *entry[T] {
+	var found *entry[T]
+	limit := math.Inf(1)
+	passed := q.passedTeams[:0]
+	for q.waiting.Len() > 0 {
+		t := q.waiting.Min()
+		if t.start > limit {
+			break
+		}
+		e, held := q.pickKind(t, fits)
+		if e != nil {
+			found = e
+			break
+		}
+		limit = min(limit, t.start+held/float64(t.weight))
+		passed = append(passed, q.waiting.Remove(t.place))
+	}
+	for i, t := range passed {
+		q.waiting.Push(t)
+		passed[i] = nil
+	}
+	q.passedTeams = passed[:0]
+	return found
+}
+
+// pickKind does the same inside a team; held is the cost of the first item that waits for room, or infinite.
+func (q *Queue[T]) pickKind(t *team[T], fits func(*Item[T], bool) bool) (found *entry[T], held float64) {
+	held = math.Inf(1)
+	limit := math.Inf(1)
+	passed := q.passedKinds[:0]
+	for t.waiting.Len() > 0 {
+		k := t.waiting.Min()
+		if k.start > limit {
+			break
+		}
+		e := k.items.Min()
+		e.item.borrows = q.greedy(k)
+		lent := !e.item.borrows || q.loan.lends(e.item.size(), e.item.Run)
+		if lent && fits(&e.item, !e.item.borrows) {
+			found = e
+			break
+		}
+		// An item that only isn't lent the capacity waits for its own share to shrink and holds up nobody.
+		if !e.item.borrows || lent && !fits(&e.item, true) {
+			cost := e.item.cost(e.item.Run)
+			held = min(held, cost)
+			limit = min(limit, k.start+cost/float64(k.weight))
+		}
+		passed = append(passed, t.waiting.Remove(k.place))
+	}
+	for i, k := range passed {
+		t.waiting.Push(k)
+		passed[i] = nil
+	}
+	q.passedKinds = passed[:0]
+	return found, held
+}
+
+// serve charges the expected cost of an entry and moves virtual time on.
+func (q *Queue[T]) serve(e *entry[T]) {
+	k := e.kind
+	t := k.team
+	cost := e.item.cost(e.item.Run)
+	q.now = max(q.now, t.start)
+	t.now = max(t.now, k.start)
+	t.charge(cost)
+	k.charge(cost)
+	q.waiting.Fix(t.place)
+	t.waiting.Fix(k.place)
+	q.loan.start(e.item.size(), e.item.borrows)
+	k.running += e.item.size()
+	t.running += e.item.size()
+}
+
+// greedy reports whether a share runs its part of the host and has a backlog besides.
+func (q *Queue[T]) greedy(k *kind[T]) bool {
+	return float64(k.running) >= q.teamPart(k.team)*k.part()*wholeHost &&
+		k.backlog >= q.rate(k)*greedyBacklog.Seconds()
+}
