Add the operators' commands on the configuration and the settings page

Cause: operators work on a folder and need to check, publish, show and compare it, as text and as JSON; the settings reference must not drift from the code. Ruled out: stopping at the first fault, which makes a folder of many files slow to mend.

--- /dev/null
+++ b/io/verb/configcheck.go
@@ -0,0 +1,89 @@
+package verb
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"slices"
+
+	"github.com/urfave/cli/v3"
+
+	"persimmonstage/core/cfgerr"
+	"persimmonstage/core/fold"
+	"persimmonstage/core/lines"
+)
+
+// configCheck checks a folder without asking any process.
+func configCheck() *cli.Command {
+	return &cli.Command{
+		Name:      "check",
+		Usage:     "check a folder of TOML files and show which file each final value came from",
+		ArgsUsage: "FOLDER",
+		Description: "Needs no process. Every fault is shown with file, line, key and limit; any fault makes the exit code 1.\n\n" +
+			"Example: persimmonstage config check ./config",
+		Flags:  []cli.Flag{jsonFlag()},
+		Action: runConfigCheck,
+	}
+}
+
+type originLine struct {
+	Key     string `json:"key"`
+	Literal string `json:"literal"`
+	File    string `json:"file"`
+	Line    int    `json:"line"`
+}
+
+type checkResult struct {
+	OK     bool            `json:"ok"`
+	Faults []*cfgerr.Error `json:"faults"`
+	Values []originLine    `json:"values"`
+}
+
+func runConfigCheck(_ context.Context, c *cli.Command) error {
+	if err := atMost(c, 1); err != nil {
+		return err
+	}
+	files, err := readFolder(c.Args().First())
+	if err != nil {
+		return named(c, err)
+	}
+	doc, faults := mergeFolder(files)
+	result := checkResult{OK: len(faults) == 0, Faults: append([]*cfgerr.Error{}, faults...), Values: origins(doc)}
+	w := c.Root().Writer
+	if c.Bool("json") {
+		if err := printJSON(w, result); err != nil {
+			return err
+		}
+	} else {
+		printCheck(w, result, len(files))
+	}
+	if !result.OK {
+		return named(c, faultList(faults))
+	}
+	return nil
+}
+
+func origins(doc fold.Document) []originLine {
+	out := []originLine{}
+	doc.Each(func(key []string, literal string, _ any, file string, line int) {
+		out = append(out, originLine{Key: lines.Dotted(key), Literal: literal, File: file, Line: line})
+	})
+	return out
+}
+
+func printCheck(w io.Writer, result checkResult, files int) {
+	for _, v := range result.Values {
+		fmt.Fprintf(w, "%s = %s  # %s:%d\n", v.Key, v.Literal, v.File, v.Line)
+	}
+	if result.OK {
+		fmt.Fprintf(w, "ok: %d values from %d files\n", len(result.Values), files)
+	}
+}
+
+func sortFaults(faults []*cfgerr.Error) []*cfgerr.Error {
+	slices.SortStableFunc(faults, func(a, b *cfgerr.Error) int {
+		return cmp.Or(cmp.Compare(a.File(), b.File()), cmp.Compare(a.Line(), b.Line()), cmp.Compare(a.Key(), b.Key()))
+	})
+	return faults
+}
--- a/io/verb/table.go
+++ b/io/verb/table.go
@@ -11,6 +11,7 @@
 		agent(),
 		submit(),
 		state(),
+		config(),
 		standIn(),
 	}
 }
@@ -20,6 +21,6 @@
 	return &cli.Command{
 		Name:     "stand-in",
 		Usage:    "run one of the project's own small fakes of the platform",
-		Commands: []*cli.Command{standTarget()},
+		Commands: []*cli.Command{standLog(), standTarget()},
 	}
 }
--- /dev/null
+++ b/test/docs/doc.go
@@ -0,0 +1,2 @@
+// Package docs compares the generated pages under docs with the code.
+package docs
