--- a/core/fold/document.go
+++ b/core/fold/document.go
@@ -62,7 +62,10 @@
 func (d Document) Sum() uint64 {
 	h := xxhash.New()
 	for _, l := range d.leaves {
-		_, _ = h.WriteString(l.name + " = " + l.literal + "\n")
+		_, _ = h.WriteString(l.name)
+		_, _ = h.WriteString(" = ")
+		_, _ = h.WriteString(l.literal)
+		_, _ = h.WriteString("\n")
 	}
 	return h.Sum64()
 }
@@ -70,17 +73,36 @@
 // Diff returns the changes that turn d into to, in the order of keys.
 func (d Document) Diff(to Document) []delta.Change {
 	var changes []delta.Change
-	for _, l := range d.leaves {
-		if _, ok := to.find(l.name); !ok {
-			changes = append(changes, delta.Remove(l.key))
+	old, fresh := d.leaves, to.leaves
+	for len(old) > 0 || len(fresh) > 0 {
+		switch order := compare(old, fresh); {
+		case order < 0:
+			changes = append(changes, delta.Remove(old[0].key))
+			old = old[1:]
+		case order > 0:
+			changes = append(changes, delta.Set(fresh[0].key, fresh[0].literal))
+			fresh = fresh[1:]
+		default:
+			if old[0].literal != fresh[0].literal {
+				changes = append(changes, delta.Set(fresh[0].key, fresh[0].literal))
+			}
+			old, fresh = old[1:], fresh[1:]
 		}
 	}
-	for _, l := range to.leaves {
-		if i, ok := d.find(l.name); !ok || d.leaves[i].literal != l.literal {
-			changes = append(changes, delta.Set(l.key, l.literal))
-		}
+	return changes
+}
+
+// compare orders the first leaves of two lists; an empty list comes last.
+func compare(a, b []leaf) int {
+	switch {
+	case len(a) == 0:
+		return 1
+	case len(b) == 0:
+		return -1
+	case a[0].name == b[0].name:
+		return 0
 	}
-	return delta.Join(changes)
+	return strings.Compare(a[0].name, b[0].name)
 }
 
 // Apply returns the document with the changes made; a literal that is not TOML is an error.
