Bound the depth of configuration keys, and render dates as TOML

Cause: a fuzz target on the parser found two faults: one key of 100,000 parts held a process for more than 15 s, and a date was rendered as text that isn't TOML. Change: keys have at most 16 parts, found by the linear walk before anything else; times render in RFC 3339. FuzzParse and TestDeepKeysAreRefusedSoon, both of which failed before. Ruled out: a limit on the document's size alone; 200 KB were enough. Conclusion: a publication can't stall an entry by its keys.

--- a/core/fold/merge.go
+++ b/core/fold/merge.go
@@ -1,6 +1,7 @@
 package fold
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -32,12 +33,15 @@
 
 // Parse reads one TOML document; one that isn't TOML is a *cfgerr.Error.
 func Parse(file string, data []byte) (Document, error) {
+	index := lines.Of(data)
+	if line := index.TooDeep(); line > 0 {
+		return Document{}, cfgerr.New(file, line, "", fmt.Sprintf("a key is nested too deep: must be at most %d parts", lines.MaxDepth))
+	}
 	var tree map[string]any
 	if err := toml.Unmarshal(data, &tree); err != nil {
 		return Document{}, syntax(file, err)
 	}
 	byName := make(map[string]leaf)
-	index := lines.Of(data)
 	flatten(nil, tree, func(key []string, value any) {
 		name := lines.Dotted(key)
 		line := index.Line(key...)
--- a/core/fold/render.go
+++ b/core/fold/render.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/pelletier/go-toml/v2"
 
@@ -59,6 +60,8 @@
 		return strconv.FormatBool(v)
 	case float64:
 		return float(v)
+	case time.Time:
+		return v.Format(time.RFC3339Nano)
 	case []any:
 		return "[" + strings.Join(each(v, literal), ", ") + "]"
 	case map[string]any:
--- a/core/lines/index.go
+++ b/core/lines/index.go
@@ -13,19 +13,26 @@
 
 var bareKey = regexp.MustCompile(`^[A-Za-z0-9_-]+$`)
 
+// MaxDepth is the most parts of a key; the work on a key grows with the square of its parts.
+const MaxDepth = 16
+
 // Index maps dotted keys to the 1-based lines that set them.
 type Index struct {
-	lines map[string]int
+	lines   map[string]int
+	tooDeep int
 }
 
+// TooDeep returns the line of the first key of more than MaxDepth parts, or 0; nothing after it is in the index.
+func (x Index) TooDeep() int { return x.tooDeep }
+
 // Of returns the index of a document; what follows a syntax error is left out.
 func Of(data []byte) Index {
 	b := builder{data: data, lines: make(map[string]int), line: 1}
 	b.parser.Reset(data)
-	for b.parser.NextExpression() {
+	for b.tooDeep == 0 && b.parser.NextExpression() {
 		b.expression(b.parser.Expression())
 	}
-	return Index{lines: b.lines}
+	return Index{lines: b.lines, tooDeep: b.tooDeep}
 }
 
 // Line returns the line that sets key, or that of its nearest enclosing table, or 0.
@@ -57,6 +64,8 @@
 	table  []string
 	line   int
 	offset int
+
+	tooDeep int
 }
 
 func (b *builder) expression(n *unstable.Node) {
@@ -75,7 +84,7 @@
 	key, at := parts(n.Key())
 	full := append(append([]string(nil), prefix...), key...)
 	b.mark(full, at)
-	if n.Value().Kind != unstable.InlineTable {
+	if n.Value().Kind != unstable.InlineTable || b.tooDeep > 0 {
 		return
 	}
 	children := n.Value().Children()
@@ -90,6 +99,10 @@
 		b.line += bytes.Count(b.data[b.offset:offset], []byte{'\n'})
 		b.offset = offset
 	}
+	if len(key) > MaxDepth {
+		b.tooDeep = b.line
+		return
+	}
 	for n := 1; n <= len(key); n++ {
 		name := Dotted(key[:n])
 		if _, ok := b.lines[name]; !ok || n == len(key) {
