--- a/io/days/days.go
+++ b/io/days/days.go
@@ -19,6 +19,12 @@
 	patience = 2 * time.Second
 )
 
+// The statuses of errors.
+const (
+	malformed = 400
+	absent    = 404
+)
+
 // own is this entry's writer, whose records may not stand in the log yet.
 type own interface {
 	Pending() []*rollup.Rollup
@@ -119,14 +125,14 @@
 	}
 	at, err := time.ParseInLocation(time.DateOnly, date, d.loc)
 	if err != nil {
-		return time.Time{}, &Error{day: date, reason: "is not a date in the form YYYY-MM-DD"}
+		return time.Time{}, &Error{day: date, reason: "is not a date in the form YYYY-MM-DD", status: malformed}
 	}
 	today := day.Of(now, d.loc)
 	if !at.Before(today.To()) {
-		return time.Time{}, &Error{day: date, reason: "has not begun yet in " + d.loc.String()}
+		return time.Time{}, &Error{day: date, reason: "has not begun yet in " + d.loc.String(), status: absent}
 	}
 	if at.Before(today.From().AddDate(0, 0, 1-Kept)) {
-		return time.Time{}, &Error{day: date, reason: "is more than " + digest.Count(Kept) + " days back, and no longer kept"}
+		return time.Time{}, &Error{day: date, reason: "lies before the last " + digest.Count(Kept) + " days, which are kept", status: absent}
 	}
 	return at, nil
 }
--- a/io/days/days_test.go
+++ b/io/days/days_test.go
@@ -219,7 +219,7 @@
 			"yesterday":  "YYYY-MM-DD",
 			"2026-13-01": "YYYY-MM-DD",
 			now.In(zone).AddDate(0, 0, 1).Format(time.DateOnly):          "has not begun",
-			now.In(zone).AddDate(0, 0, -days.Kept).Format(time.DateOnly): "8 days back",
+			now.In(zone).AddDate(0, 0, -days.Kept).Format(time.DateOnly): "before the last 8 days",
 		} {
 			_, _, err := d.Render(t.Context(), now, date, days.HTML)
 			var bad *days.Error
--- a/io/days/errors.go
+++ b/io/days/errors.go
@@ -6,6 +6,7 @@
 type Error struct {
 	day    string
 	reason string
+	status int
 }
 
 // Error names the day and the reason.
@@ -13,3 +14,6 @@
 
 // Day returns the day as it was asked for.
 func (e *Error) Day() string { return e.day }
+
+// Status returns the HTTP status that tells of the error.
+func (e *Error) Status() int { return e.status }
--- a/io/days/render.go
+++ b/io/days/render.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"strconv"
 	"time"
 
 	"persimmonstage/io/page"
@@ -29,6 +30,9 @@
 // Render returns the page of a day and its content type; a page is made at most once in five seconds.
 // An *Error says why there is none.
 func (d *Days) Render(ctx context.Context, now time.Time, date, form string) (contentType string, body []byte, err error) {
+	if contentTypes[form] == "" {
+		return "", nil, &Error{day: date, reason: "there is no form " + strconv.Quote(form) + ", limit html, text, json", status: malformed}
+	}
 	key := pageKey{date, form}
 	if body, ok := d.cachedPage(now, key); ok {
 		return contentTypes[form], body, nil
@@ -46,8 +50,6 @@
 		err = p.WriteText(&b)
 	case JSON:
 		err = p.WriteJSON(&b)
-	default:
-		err = &Error{day: date, reason: "there is no form " + form}
 	}
 	if err != nil {
 		return "", nil, err
--- a/io/roll/writer.go
+++ b/io/roll/writer.go
@@ -26,6 +26,7 @@
 	// appendTimeout bounds one append, finalTimeout all of those at a graceful stop.
 	appendTimeout = 5 * time.Second
 	finalTimeout  = 2 * time.Second
+	finalPause    = 100 * time.Millisecond
 	// leastWait and mostWait bound the backoff after a failure.
 	leastWait = time.Second
 	mostWait  = 30 * time.Second
@@ -233,8 +234,14 @@
 	ctx, cancel := context.WithTimeout(context.Background(), finalTimeout)
 	defer cancel()
 	w.Tell(func(t *tally.Tally) { t.Close(time.Now()) })
-	// What can't be written now is lost with the process; readers see the gap.
-	_ = w.flush(ctx)
+	// What can't be written by then is lost with the process; readers see the gap.
+	for w.flush(ctx) != nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(finalPause):
+		}
+	}
 }
 
 func refused(err error) bool {
--- a/io/roll/writer_test.go
+++ b/io/roll/writer_test.go
@@ -244,3 +244,16 @@
 		require.Zero(t, written)
 	})
 }
+
+func TestStopTriesAgainWhenAnAnswerIsLost(t *testing.T) {
+	n := 0
+	l := &fakeLog{lose: func() bool { n++; return n == 1 }}
+	var left int
+	run(t, l, func(t *testing.T, w *roll.Writer) {
+		job(w)
+		t.Cleanup(func() { left, _, _ = w.Backlog() })
+	})
+	require.Zero(t, left)
+	require.Len(t, l.records, 2)
+	require.Len(t, l.distinct(), 1)
+}
