--- a/core/cause/cause.go
+++ b/core/cause/cause.go
@@ -86,7 +86,7 @@
 	Unauthorised Cause = "unauthorised"
 	// IDConflict means that an id came again with other content.
 	IDConflict Cause = "id-conflict"
-	// Expired means that a job came again after its record had been dropped.
+	// Expired means that a job came after its deadline, or again after its record had been dropped.
 	Expired Cause = "expired"
 )
 
--- a/core/cause/table.go
+++ b/core/cause/table.go
@@ -55,7 +55,7 @@
 	{BadRequest, chosen, "The request broke the rules and was never taken in.", "The request broke the rules and was never taken in: %s."},
 	{Unauthorised, chosen, "The request lacked a valid token and was never taken in.", "The request lacked a valid token and was never taken in: %s."},
 	{IDConflict, chosen, "An order number came again with different content, and the second was turned away.", "An order number came again with different content, and the second was turned away: %s."},
-	{Expired, chosen, "A job came again so late that its record was gone, so it was not run again.", "A job came again so late that its record was gone, so it was not run again: %s."},
+	{Expired, chosen, "A job came so late that its deadline had passed or its record was gone, so it was not run.", "A job came so late that its deadline had passed or its record was gone, so it was not run: %s."},
 	{TargetJoined, notice, "A target came into service.", "The target %s came into service."},
 	{Drained, notice, "Operators took a target or host out of service.", "Operators took %s out of service."},
 	{ConfigApplied, notice, "New settings came into force.", "Settings version %s came into force."},
--- a/core/tally/tally_test.go
+++ b/core/tally/tally_test.go
@@ -98,15 +98,16 @@
 
 func TestTriedRecordIsNeverChanged(t *testing.T) {
 	a := tally.New("e1", "i1")
-	a.SetBound(1)
-	complete(a, start, "swap")
-	a.Advance(start.Add(time.Minute))
+	from := start.Truncate(time.Hour).Add(time.Hour)
+	complete(a, from, "swap")
+	a.Advance(from.Add(time.Minute))
 	r, ok := a.Next()
 	require.True(t, ok)
 	before, err := json.Marshal(r)
 	require.NoError(t, err)
+	a.SetBound(1)
 	for i := range 100 {
-		complete(a, start.Add(time.Duration(i)*time.Minute), "swap")
+		complete(a, from.Add(time.Duration(i)*time.Minute), "swap")
 	}
 	again, _ := a.Next()
 	after, err := json.Marshal(again)
@@ -122,19 +123,25 @@
 		a.SetBound(rapid.IntRange(2_000, 200_000).Draw(t, "bound"))
 		now := start
 		seen := map[string]*rollup.Rollup{}
+		// A reader keeps the first record of an id, as it stood when it was appended.
+		read := func(r *rollup.Rollup) {
+			if _, again := seen[r.ID()]; !again {
+				seen[r.ID()] = r.Clone()
+			}
+		}
 		var in int64
 		for range rapid.IntRange(1, 300).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(-90, 400).Draw(t, "seconds")) * time.Second)
 			switch rapid.IntRange(0, 9).Draw(t, "step") {
 			case 0:
 				if r, ok := a.Next(); ok {
-					seen[r.ID()] = r
+					read(r)
 					a.Written(r.ID())
 				}
 			case 1:
 				// The append took effect and its answer was lost.
 				if r, ok := a.Next(); ok {
-					seen[r.ID()] = r
+					read(r)
 				}
 			default:
 				in++
@@ -143,7 +150,7 @@
 		}
 		a.Close(now)
 		for _, r := range drain(a) {
-			seen[r.ID()] = r
+			read(r)
 		}
 		var out int64
 		for _, r := range seen {
