--- /dev/null
+++ b/core/digest/decode.go
@@ -0,0 +1,32 @@
+package digest
+
+import (
+	"encoding/json"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Decode reads the JSON form of an account; it fails on what can't be rendered.
+func Decode(data []byte) (*Digest, error) {
+	var d Digest
+	if err := json.Unmarshal(data, &d); err != nil {
+		return nil, errors.Wrap(err, "the account of a day")
+	}
+	switch {
+	case d.Day == "":
+		return nil, errors.New("the account of a day: day: missing")
+	case !d.From.Before(d.To):
+		return nil, errors.New("the account of a day: from, to: not a stretch of time")
+	case len(d.Slots) == 0:
+		return nil, errors.New("the account of a day: slots: missing")
+	case slices.Contains(d.Suffered, nil), slices.Contains(d.Reasons, nil), slices.Contains(d.Turned, nil):
+		return nil, errors.New("the account of a day: null in a list")
+	}
+	for _, w := range d.Suffered {
+		if slices.Contains(w.Reasons, nil) {
+			return nil, errors.New("the account of a day: null in a list")
+		}
+	}
+	return &d, nil
+}
--- a/io/page/page_test.go
+++ b/io/page/page_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"encoding/xml"
 	"errors"
 	"io"
@@ -60,10 +59,10 @@
 	d := floodDay()
 	var doc, direct, again bytes.Buffer
 	require.NoError(t, page.Of(d).WriteJSON(&doc))
-	var back digest.Digest
-	require.NoError(t, json.Unmarshal(doc.Bytes(), &back))
+	back, err := digest.Decode(doc.Bytes())
+	require.NoError(t, err)
 	require.NoError(t, page.Of(d).WriteText(&direct))
-	require.NoError(t, page.Of(&back).WriteText(&again))
+	require.NoError(t, page.Of(back).WriteText(&again))
 	require.Equal(t, direct.String(), again.String())
 }
 
@@ -117,3 +116,22 @@
 		require.NoError(t, err)
 	}
 }
+
+// What decodes can be rendered, whatever it holds.
+func FuzzRender(f *testing.F) {
+	for _, d := range []*digest.Digest{floodDay(), nastyDay()} {
+		var doc bytes.Buffer
+		require.NoError(f, page.Of(d).WriteJSON(&doc))
+		f.Add(doc.Bytes())
+	}
+	f.Add([]byte(`{"day":"x","from":"2026-03-02T00:00:00Z","to":"2026-03-03T00:00:00Z","slots":[{}],"suffered":[null]}`))
+	f.Add([]byte(`{"day":"x","from":"2026-03-02T00:00:00Z","to":"2026-03-03T00:00:00Z","slots":[{"fine":-9}],"headline":"No. "}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		d, err := digest.Decode(data)
+		if err != nil {
+			return
+		}
+		require.NoError(t, page.Of(d).WriteText(io.Discard))
+		require.NoError(t, page.Of(d).WriteHTML(io.Discard))
+	})
+}
--- a/io/page/view.go
+++ b/io/page/view.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"strings"
 	"time"
+	"unicode"
+	"unicode/utf8"
 
 	"persimmonstage/core/digest"
 )
@@ -37,6 +39,7 @@
 	Bars                 []bar
 	Labels               []string
 	Speeds               []speedRow
+	Long                 bool // whether there are more speeds than are shown at once
 	Missing              []gapRow
 	MoreWorks, MoreWhy   int
 	Peak                 string
@@ -85,6 +88,7 @@
 	v.happened()
 	v.timeline()
 	v.speeds()
+	v.Long = len(v.Speeds) > maxRows
 	for _, g := range d.Gaps {
 		v.Missing = append(v.Missing, gapRow{When: between(g.From, g.To), Sentence: gapText(g.Sentence, g.Jobs)})
 	}
@@ -105,8 +109,9 @@
 // detail returns the headline without the answer, which the page writes large above it.
 func detail(headline string) string {
 	for _, lead := range []string{"Yes. ", "No. ", "Can't say: "} {
-		if rest, ok := strings.CutPrefix(headline, lead); ok {
-			return strings.ToUpper(rest[:1]) + rest[1:]
+		if rest, ok := strings.CutPrefix(headline, lead); ok && rest != "" {
+			first, n := utf8.DecodeRuneInString(rest)
+			return string(unicode.ToUpper(first)) + rest[n:]
 		}
 	}
 	return headline
--- a/io/verb/report.go
+++ b/io/verb/report.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"net/url"
 	"os"
 	"strings"
@@ -86,15 +85,15 @@
 		_, err := out.Write(body)
 		return err
 	}
-	var d digest.Digest
-	if err := json.Unmarshal(body, &d); err != nil {
-		return errors.Wrap(err, "the entry's answer is not the account of a day")
+	d, err := digest.Decode(body)
+	if err != nil {
+		return errors.Wrap(err, "the entry's answer")
 	}
 	if !c.IsSet("html") {
-		return page.Of(&d).WriteText(out)
+		return page.Of(d).WriteText(out)
 	}
 	var html bytes.Buffer
-	if err := page.Of(&d).WriteHTML(&html); err != nil {
+	if err := page.Of(d).WriteHTML(&html); err != nil {
 		return err
 	}
 	if c.String("html") == "-" {
--- a/io/verb/report_test.go
+++ b/io/verb/report_test.go
@@ -39,6 +39,10 @@
 			ctx.Error("day \"2026-01-01\": lies before the last 8 days, which are kept\n", fasthttp.StatusNotFound)
 			return
 		}
+		if string(ctx.QueryArgs().Peek("day")) == "2026-01-02" {
+			ctx.SetBodyString("{}")
+			return
+		}
 		ctx.SetBody(body.Bytes())
 	}}
 	done := make(chan error, 1)
@@ -85,6 +89,10 @@
 	seen()
 	require.Equal(t, 1, code)
 	require.Contains(t, errs, "answer 404: day \"2026-01-01\": lies before the last 8 days")
+	code, _, errs = runVerb("report", "--entry", addr, "--day", "2026-01-02")
+	seen()
+	require.Equal(t, 1, code)
+	require.Contains(t, errs, "the entry's answer: the account of a day: day: missing")
 	for want, args := range map[string][]string{
 		"--day: \"monday\" is not a date in the form YYYY-MM-DD": {"report", "--day", "monday"},
 		"--json and --html: only one of them":                    {"report", "--json", "--html", "x"},
