Let the tally tell floods by itself

A flood's events would have needed every entry to step a detector and pass its answers on. The tally now holds it: an entry that also calls Asked gets floods into its records. A refusal counts as many tasks as the mean job of its kind, so that a flood of few huge jobs is seen too.

--- a/core/surge/surge.go
+++ b/core/surge/surge.go
@@ -42,25 +42,28 @@
 type name struct{ team, kind string }
 
 type work struct {
-	urgency       int
-	asked, lacked int64
-	usual         float64 // tasks a window
-	calm          int
-	flood         cause.Cause // empty while it doesn't flood
+	urgency int
+	jobs    int64
+	asked   int64   // tasks of jobs
+	lacked  int64   // jobs
+	usual   float64 // tasks a window
+	calm    int
+	flood   cause.Cause // empty while it doesn't flood
 }
 
-// Asked counts tasks that callers asked for; a higher urgency goes first.
+// Asked counts a job of that many tasks that a caller asked for; a higher urgency goes first.
 func (s *Surge) Asked(team, kind string, urgency, tasks int) {
 	if w := s.work(team, kind); w != nil {
 		w.urgency = urgency
+		w.jobs++
 		w.asked += int64(tasks)
 	}
 }
 
-// Lacked counts tasks, asked for before, that were refused or came late for want of room.
-func (s *Surge) Lacked(team, kind string, tasks int) {
+// Lacked counts a job, asked for before, that was refused or came late for want of room.
+func (s *Surge) Lacked(team, kind string) {
 	if w := s.work(team, kind); w != nil {
-		w.lacked += int64(tasks)
+		w.lacked++
 	}
 }
 
@@ -118,7 +121,8 @@
 	var lacked int64
 	for _, w := range s.works {
 		all += w.asked
-		lacked += w.lacked
+		// A refusal comes without the job's size; its like is the mean of those asked for.
+		lacked += w.lacked * max(w.asked, 1) / max(w.jobs, 1)
 	}
 	return lacked >= leastLacked && lacked*lackedShare >= all, all
 }
@@ -170,7 +174,7 @@
 			delete(s.works, key)
 			continue
 		}
-		w.asked, w.lacked = 0, 0
+		w.jobs, w.asked, w.lacked = 0, 0, 0
 	}
 }
 
--- a/core/surge/surge_test.go
+++ b/core/surge/surge_test.go
@@ -12,17 +12,18 @@
 	"persimmonstage/core/surge"
 )
 
-// bench steps a Surge second by second with a capacity of tasks a second, taken in the order of the list;
-// what is asked for beyond it lacks room.
+// bench steps a Surge second by second. Works are served in the order of the list, each with jobs of the same size;
+// what is asked for beyond the room of a second is refused.
 type bench struct {
 	s    surge.Surge
 	now  time.Time
-	room int
+	room int // tasks a second
+	size int // tasks a job
 	log  []string
 }
 
 func newBench() *bench {
-	return &bench{now: time.Date(2026, 3, 2, 9, 0, 0, 0, time.UTC), room: 100}
+	return &bench{now: time.Date(2026, 3, 2, 9, 0, 0, 0, time.UTC), room: 100, size: 1}
 }
 
 type asked struct {
@@ -34,11 +35,14 @@
 	for range seconds {
 		left := b.room
 		for _, w := range works {
-			b.s.Asked("team", w.kind, w.urgency, w.tasks)
-			if w.tasks > left {
-				b.s.Lacked("team", w.kind, w.tasks-left)
+			for range w.tasks / b.size {
+				b.s.Asked("team", w.kind, w.urgency, b.size)
+				if left < b.size {
+					b.s.Lacked("team", w.kind)
+					continue
+				}
+				left -= b.size
 			}
-			left = max(left-w.tasks, 0)
 		}
 		b.now = b.now.Add(time.Second)
 		begun, ended := b.s.Step(b.now)
@@ -123,3 +127,11 @@
 	b.run(25, labels, asked{"stock-check", 9, 900}, asked{"cut-sheet", 1, 800})
 	require.Equal(t, []string{"begin flood-least-urgent cut-sheet", "begin flood-most-urgent stock-check"}, b.log)
 }
+
+func TestFloodOfHugeJobs(t *testing.T) {
+	b := newBench()
+	b.run(600, labels, checks)
+	b.room, b.size = 40, 160
+	b.run(25, asked{"batch", 0, 320})
+	require.Equal(t, []string{"begin flood-least-urgent batch"}, b.log)
+}
--- a/core/tally/tally.go
+++ b/core/tally/tally.go
@@ -9,6 +9,7 @@
 	"persimmonstage/core/event"
 	"persimmonstage/core/rollup"
 	"persimmonstage/core/series"
+	"persimmonstage/core/surge"
 )
 
 const (
@@ -36,6 +37,7 @@
 	spans   []event.Event
 	closed  []*closed
 	held    int // estimated bytes of closed
+	surge   surge.Surge
 }
 
 type key struct{ team, kind string }
@@ -61,6 +63,9 @@
 	s := t.account(now, team, kind)
 	s.Job(o, c, lateBy, 1)
 	s.Started(int64(tasks))
+	if lateBy > 0 || lacksRoom(c) {
+		t.surge.Lacked(team, kind)
+	}
 	if o == ended.Complete {
 		s.Time(response, ideal)
 	}
@@ -69,6 +74,9 @@
 // Refused counts one job of which nothing was run.
 func (t *Tally) Refused(now time.Time, team, kind string, c cause.Cause) {
 	t.account(now, team, kind).Job(ended.Refused, c, 0, 1)
+	if lacksRoom(c) {
+		t.surge.Lacked(team, kind)
+	}
 }
 
 // Event notes that e happened; a zero time of e means now.
@@ -116,8 +124,11 @@
 	t.current.Overdue = max(t.current.Overdue, int64(n))
 }
 
-// Advance closes the minute that now has left; call it at least every few seconds.
-func (t *Tally) Advance(now time.Time) { t.advance(now) }
+// Advance closes the minute that now has left, and notes the floods that began or ended; call it every second.
+func (t *Tally) Advance(now time.Time) {
+	t.advance(now)
+	t.judge(now)
+}
 
 // Close ends the account at a graceful stop, with the part of the minute that has passed.
 func (t *Tally) Close(now time.Time) {
--- a/core/tally/tally_test.go
+++ b/core/tally/tally_test.go
@@ -216,3 +216,44 @@
 	require.EqualValues(t, 10, jobs)
 	require.Len(t, ids, 3)
 }
+
+func TestFloodIsToldByTheTallyItself(t *testing.T) {
+	a := tally.New("e1", "i1")
+	now := start
+	second := func(flood int) {
+		for range 10 {
+			a.Asked(now, "castle-kits", "label", 5, 1)
+			complete(a, now, "label")
+		}
+		for range flood {
+			a.Asked(now, "castle-kits", "checkout", 9, 1)
+			a.Refused(now, "castle-kits", "checkout", cause.Overload)
+		}
+		now = now.Add(time.Second)
+		a.Advance(now)
+	}
+	for range 300 {
+		second(0)
+	}
+	for range 120 {
+		second(200)
+	}
+	for range 120 {
+		second(0)
+	}
+	a.Close(now)
+	told := map[time.Time]event.Event{}
+	for _, r := range drain(a) {
+		for _, e := range r.Events {
+			told[e.At] = e
+		}
+	}
+	require.Len(t, told, 1)
+	for at, e := range told {
+		require.Equal(t, cause.FloodMostUrgent, e.Cause)
+		require.Equal(t, "checkout from castle-kits", e.Who())
+		require.LessOrEqual(t, at.Sub(start), 320*time.Second)
+		require.False(t, e.Open)
+		require.LessOrEqual(t, e.Until.Sub(start), 480*time.Second)
+	}
+}
