--- a/core/admit/sim_test.go
+++ b/core/admit/sim_test.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -24,7 +25,8 @@
 	patience   time.Duration // deadline after arrival
 	tasks      int
 	from       time.Duration
-	again      bool // comes again when refused, at the time given
+	again      bool    // comes again when refused, at the time given
+	off        float64 // declared over mean run time; zero means one
 	rng        *rand.Rand
 }
 
@@ -58,15 +60,17 @@
 	offered   int
 	refused   int
 	expired   int
+	waits     []time.Duration // from arrival to start, of each task
 	responses []time.Duration // from arrival to end, of each task
 }
 
-func (f *figures) p99() time.Duration {
-	if len(f.responses) == 0 {
+func p99(of []time.Duration) time.Duration {
+	if len(of) == 0 {
 		return 0
 	}
-	slices.Sort(f.responses)
-	return f.responses[len(f.responses)*99/100]
+	sorted := slices.Clone(of)
+	slices.Sort(sorted)
+	return sorted[len(sorted)*99/100]
 }
 
 type sim struct {
@@ -133,9 +137,10 @@
 	for range src.tasks {
 		job.runs = append(job.runs, src.run[0]+time.Duration(src.rng.Int64N(int64(src.run[1]-src.run[0])+1)))
 	}
+	declared := time.Duration(mean / float64(src.tasks) * cmp.Or(src.off, 1) * float64(time.Second))
 	job.req = Request{
 		Team: src.team, Kind: src.kind, Tasks: int64(src.tasks), Bytes: 1000, Size: 1000 / hostSlots,
-		Run: (src.run[0] + src.run[1]) / 2, Issued: at, Deadline: at.Add(src.patience),
+		Run: declared, Issued: at, Deadline: at.Add(src.patience),
 	}
 	s.push(job)
 }
@@ -198,6 +203,8 @@
 			return
 		}
 		job := it.Value
+		got := s.got[it.Team+"/"+it.Kind]
+		got.waits = append(got.waits, s.now.Sub(job.at))
 		run := job.runs[0]
 		job.runs = job.runs[1:]
 		s.running = append(s.running, simTask{item: it, run: run, ends: s.now.Add(run)})
