--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -50,7 +50,6 @@
 	order  *order.Order
 	item   queue.Item[*attempt]
 	popped time.Time
-	until  time.Time
 	reason string
 	result *result.Result
 }
@@ -69,7 +68,6 @@
 	grants   timers.Timers[*attempt]
 	expiry   timers.Timers[attemptKey]
 	held     needs.Vector
-	work     time.Duration
 	byOwner  map[string]*share
 	leaving  bool
 }
--- a/core/owner/chart.go
+++ b/core/owner/chart.go
@@ -36,7 +36,6 @@
 	stateWaiting     = state(taskChart, "waiting")
 	stateReserving   = state(taskChart, "reserving")
 	stateStartSent   = state(taskChart, "start-sent")
-	stateWithdrawing = state(taskChart, "withdrawing")
 	stateDone        = state(taskChart, "done")
 	stateNotRun      = state(taskChart, "not-run")
 
--- a/io/agentd/daemon.go
+++ b/io/agentd/daemon.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -50,7 +49,6 @@
 
 	draining atomic.Bool
 	ready    atomic.Bool
-	work     sync.WaitGroup
 }
 
 // New returns an agent that Run starts; it binds the HTTP address so that Addr is known before.
--- a/io/entryd/submit.go
+++ b/io/entryd/submit.go
@@ -101,7 +101,7 @@
 	}()
 	who := v.shards.Owner(q.shard)
 	if who == d.ident() {
-		return d.askSelf(ctx, q)
+		return d.askSelf(q)
 	}
 	d.mu.RLock()
 	mux := d.peers[who.Incarnation]
@@ -114,7 +114,7 @@
 
 // askSelf submits to this entry's own owner; a change of the map doesn't end the wait, as the owner itself tells its
 // callers when it loses the shard.
-func (d *Daemon) askSelf(ctx context.Context, q *question) (reply, bool) {
+func (d *Daemon) askSelf(q *question) (reply, bool) {
 	got := make(chan answer.Answer, 1)
 	if !d.loop.Post(func(now time.Time) { d.accept(now, q.key, q.job, func(a answer.Answer) { got <- a }) }) {
 		return reply{}, false
