--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -70,6 +70,7 @@
 	held     needs.Vector
 	byOwner  map[string]*share
 	leaving  bool
+	urgency  func(team, kind string) int
 }
 
 // share is what one owner has at the agent, running and queued.
@@ -95,6 +96,9 @@
 	a.queue.SetWeight(team, kind, weight)
 }
 
+// SetUrgency sets how the place of a kind inside its team's share is found; higher goes first.
+func (a *Agent) SetUrgency(urgency func(team, kind string) int) { a.urgency = urgency }
+
 // Leave refuses everything that has not started, from now on.
 func (a *Agent) Leave(now time.Time) {
 	a.leaving = true
--- a/core/agent/step.go
+++ b/core/agent/step.go
@@ -51,6 +51,9 @@
 		Deadline: at.order.Deadline, Run: at.order.Expected, Size: a.size(at.order.Needs),
 		Bytes: int64(len(at.order.Payload)), Value: at,
 	}
+	if a.urgency != nil {
+		at.item.Urgency = a.urgency(at.order.Key.Team, at.order.Kind)
+	}
 	a.count(at, 1)
 	if err := a.queue.Push(at.item); err != nil {
 		a.bar(now, at, err.Error())
--- a/core/owner/chart.go
+++ b/core/owner/chart.go
@@ -33,11 +33,12 @@
 	taskChart = load(taskChartFile, sendReserves, sendStart, withdrawOthers, withdrawStart, unbook, tryLater, countEnd)
 	jobChart  = load(jobChartFile, answerComplete, answerFailed, answerLost, answerLate, answerUncertain, cancelRest)
 
-	stateWaiting   = state(taskChart, "waiting")
-	stateReserving = state(taskChart, "reserving")
-	stateStartSent = state(taskChart, "start-sent")
-	stateDone      = state(taskChart, "done")
-	stateNotRun    = state(taskChart, "not-run")
+	stateWaiting     = state(taskChart, "waiting")
+	stateReserving   = state(taskChart, "reserving")
+	stateStartSent   = state(taskChart, "start-sent")
+	stateWithdrawing = state(taskChart, "withdrawing")
+	stateDone        = state(taskChart, "done")
+	stateNotRun      = state(taskChart, "not-run")
 
 	onReserve   = event(taskChart, "reserve")
 	onStart     = event(taskChart, "start")
--- a/core/owner/effects.go
+++ b/core/owner/effects.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"persimmonstage/core/admit"
 	"persimmonstage/core/answer"
 	"persimmonstage/core/jobkey"
 	"persimmonstage/core/needs"
@@ -30,6 +31,16 @@
 	Next(now, deadline time.Time, attempt int, work time.Duration, rng *rand.Rand) (time.Time, bool)
 }
 
+// gate bounds what is admitted; the owner tells it what becomes of each job that it admitted.
+type gate interface {
+	MayStart(team string) bool
+	Sent(r admit.Request)
+	Back(r admit.Request)
+	Done(r admit.Request)
+	Drop(r admit.Request, n int64)
+	End(r admit.Request)
+}
+
 // effects is what the owner makes happen; the calls return at once.
 type effects interface {
 	// Start sends an order to an agent's incarnation.
@@ -45,5 +56,5 @@
 	// Ended tells how a started task ended at a target.
 	Ended(now time.Time, id target.ID, kind string, expected, ran time.Duration, ok bool)
 	// Closed tells how a job ended.
-	Closed(now time.Time, key jobkey.Key, kind string, tasks int, accepted time.Time, ideal time.Duration, a *answer.Answer)
+	Closed(now time.Time, key jobkey.Key, kind string, tasks int, accepted, deadline time.Time, ideal time.Duration, a *answer.Answer)
 }
--- a/core/owner/owner.go
+++ b/core/owner/owner.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"persimmonstage/core/admit"
 	"persimmonstage/core/answer"
 	"persimmonstage/core/job"
 	"persimmonstage/core/jobkey"
@@ -20,6 +21,8 @@
 	digestBytes = job.DigestBytes
 	// recordMargin is how long a record outlives its job's deadline, for resubmissions under way.
 	recordMargin = 30 * time.Second
+	// placeFailures is how many tasks in a row may find no room before the rest wait for the next try.
+	placeFailures = 8
 	// budgetPause is the time between two tries to get a token for a retry.
 	budgetPause = 50 * time.Millisecond
 )
@@ -30,6 +33,7 @@
 	placer   placer
 	bookings bookings
 	retries  retries
+	gate     gate
 	rng      *rand.Rand
 
 	records  map[jobkey.Key]*record
@@ -44,9 +48,9 @@
 }
 
 // New returns an owner that acts through its arguments; rng makes its random choices repeatable.
-func New(out effects, p placer, b bookings, r retries, rng *rand.Rand) *Owner {
+func New(out effects, p placer, b bookings, r retries, g gate, rng *rand.Rand) *Owner {
 	return &Owner{
-		out: out, placer: p, bookings: b, retries: r, rng: rng,
+		out: out, placer: p, bookings: b, retries: r, gate: g, rng: rng,
 		records:  make(map[jobkey.Key]*record),
 		attempts: make(map[uint64]ref),
 		declared: make(map[string]time.Duration),
@@ -82,10 +86,11 @@
 
 // Submit accepts a job of a shard, joins it to its record, or answers from the record; w is called exactly once.
 //
-// found lists what agents started of it for earlier owners; whole tells that nothing else of it can have been started,
+// admitted is what the gate took of it, nil if it was not asked. found lists what agents started of it for earlier owners; whole tells that nothing else of it can have been started,
 // without which the tasks that are not in found are never started and the answer is that the job may have run.
 func (o *Owner) Submit(
-	now time.Time, j *job.Job, shard int, epoch uint64, found []past.Past, whole bool, w func(answer.Answer),
+	now time.Time, j *job.Job, shard int, epoch uint64, found []past.Past, whole bool, admitted *admit.Request,
+	w func(answer.Answer),
 ) {
 	digest := j.Digest()
 	if r := o.records[j.Key]; r != nil {
@@ -100,6 +105,9 @@
 	}
 	r := o.enter(now, j, digest, shard, epoch)
 	r.waiters = append(r.waiters, w)
+	if admitted != nil {
+		r.request, r.gated = *admitted, true
+	}
 	for i := range found {
 		o.resume(r, &found[i])
 	}
@@ -269,7 +277,9 @@
 		if r.running() {
 			o.running--
 		}
+		o.leaveGate(r)
 		for i := range r.tasks {
+			o.unbook(r, i)
 			o.forgetAttempts(r, i)
 		}
 		waiters := r.waiters
@@ -313,6 +323,7 @@
 }
 
 func (o *Owner) forget(r *record) {
+	o.leaveGate(r)
 	for i := range r.tasks {
 		o.unbook(r, i)
 		o.forgetAttempts(r, i)
@@ -330,18 +341,27 @@
 
 // Pump places waiting tasks for which there is room now, in the order of their arrival.
 func (o *Owner) Pump(now time.Time) {
-	n := len(o.waiting)
-	for i := 0; i < n; i++ {
-		at := o.waiting[i]
+	failures := 0
+	kept := 0
+	for i, at := range o.waiting {
+		if failures == placeFailures {
+			kept += copy(o.waiting[kept:], o.waiting[i:])
+			break
+		}
 		if !at.rec.running() || at.rec.tasks[at.index].state != stateWaiting {
 			continue
 		}
-		if !o.placeTask(now, at) {
-			o.waiting = append(o.waiting[:0], o.waiting[i:]...)
-			return
+		if o.gate.MayStart(at.rec.key().Team) {
+			if o.placeTask(now, at) {
+				continue
+			}
+			failures++
 		}
+		o.waiting[kept] = at
+		kept++
 	}
-	o.waiting = append(o.waiting[:0], o.waiting[n:]...)
+	clear(o.waiting[kept:])
+	o.waiting = o.waiting[:kept]
 }
 
 func (o *Owner) ask(r *record) place.Ask {
@@ -357,9 +377,14 @@
 	o.asks = o.asks[:0]
 	var index []int
 	for i := range r.tasks {
-		if r.tasks[i].state == stateWaiting {
+		if r.tasks[i].state != stateWaiting {
+			continue
+		}
+		if o.gate.MayStart(r.key().Team) {
 			index = append(index, i)
 			o.asks = append(o.asks, place.Task{Needs: r.job.Tasks[i].Needs, Declared: o.declaredRun(r)})
+		} else {
+			o.waiting = append(o.waiting, ref{rec: r, index: i})
 		}
 	}
 	ask.Tasks = o.asks
--- a/core/owner/record.go
+++ b/core/owner/record.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"persimmonstage/core/admit"
 	"persimmonstage/core/answer"
 	"persimmonstage/core/job"
 	"persimmonstage/core/jobkey"
@@ -24,6 +25,9 @@
 	forget   time.Time
 	longest  time.Duration
 	cause    string
+	// request is what the gate admitted; gated tells that it still holds room of the gate.
+	request admit.Request
+	gated   bool
 }
 
 // taskRow is one task of a record.
--- a/core/owner/step.go
+++ b/core/owner/step.go
@@ -9,8 +9,10 @@
 // taskEvent moves one task along its chart and carries out the actions.
 func (o *Owner) taskEvent(now time.Time, r *record, i, event int) {
 	t := &r.tasks[i]
-	next, actions := taskChart.Step(t.state, event)
+	before := t.state
+	next, actions := taskChart.Step(before, event)
 	t.state = next
+	o.tellGate(r, before, next)
 	for _, a := range actions {
 		o.taskAction(now, r, i, a)
 	}
@@ -21,6 +23,47 @@
 	if r.running() {
 		o.afterTask(now, r, event)
 	}
+	if r.open == 0 {
+		o.leaveGate(r)
+	}
+}
+
+// tellGate tells the gate what a task's step means for the room and the quota that its job holds.
+func (o *Owner) tellGate(r *record, before, next int) {
+	if !r.gated || before == next {
+		return
+	}
+	sent := before == stateStartSent || before == stateWithdrawing
+	switch {
+	case !sent && next == stateStartSent:
+		o.gate.Sent(r.request)
+	case sent && next == stateWaiting:
+		o.gate.Back(r.request)
+	case sent && next == stateNotRun:
+		o.gate.Back(r.request)
+		o.gate.Drop(r.request, 1)
+	case sent && taskChart.FinalID(next):
+		o.gate.Done(r.request)
+	case !sent && taskChart.FinalID(next):
+		o.gate.Drop(r.request, 1)
+	}
+}
+
+// leaveGate gives back what a record still holds of the gate.
+func (o *Owner) leaveGate(r *record) {
+	if !r.gated {
+		return
+	}
+	for i := range r.tasks {
+		switch s := r.tasks[i].state; {
+		case s == stateStartSent || s == stateWithdrawing:
+			o.gate.Done(r.request)
+		case !taskChart.FinalID(s):
+			o.gate.Drop(r.request, 1)
+		}
+	}
+	r.gated = false
+	o.gate.End(r.request)
 }
 
 func (o *Owner) taskAction(now time.Time, r *record, i int, action string) {
@@ -181,7 +224,7 @@
 	for _, w := range waiters {
 		w(a)
 	}
-	o.out.Closed(now, r.key(), r.job.Kind, len(r.tasks), r.accepted, r.longest, &r.answer)
+	o.out.Closed(now, r.key(), r.job.Kind, len(r.tasks), r.accepted, r.job.Deadline, r.longest, &r.answer)
 	if a.Outcome == answer.Complete {
 		r.release()
 	}
--- a/core/roster/announce.go
+++ b/core/roster/announce.go
@@ -81,6 +81,14 @@
 	}
 }
 
+// Drain takes a target out of placement for as long as operators want it, or puts it back.
+func (r *Roster) Drain(id target.ID, out bool) {
+	if t := r.row(id); t != nil {
+		t.drained = out
+		r.relist(uint32(id.Index()))
+	}
+}
+
 // Tick removes the targets whose deadline for a heartbeat has passed, and calls gone with each before its ID is void.
 func (r *Roster) Tick(now time.Time, gone func(target.ID)) {
 	r.now = now
--- a/core/roster/group.go
+++ b/core/roster/group.go
@@ -84,7 +84,7 @@
 // relist puts a target into the list that fits its state, at a constant cost.
 func (r *Roster) relist(i uint32) {
 	t := &r.rows[i]
-	if t.leaving || t.ejected {
+	if t.leaving || t.ejected || t.drained {
 		r.unlist(i)
 		return
 	}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -46,6 +46,7 @@
 	known       bool
 	leaving     bool
 	ejected     bool
+	drained     bool
 	counted     bool // among the sizes
 	limited     bool // to one of the entry's own tasks
 	name        string
--- a/core/rules/rules.go
+++ b/core/rules/rules.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"maps"
 	"slices"
 	"time"
 
@@ -175,6 +176,11 @@
 	return names
 }
 
+// Kinds returns the names of the configured kinds of a team in order.
+func (r *Rules) Kinds(teamName string) []string {
+	return slices.Sorted(maps.Keys(r.teams[teamName].kinds))
+}
+
 // TeamWeight returns the team's share of capacity against the other teams' (1 for a team that isn't configured).
 func (r *Rules) TeamWeight(name string) int { return r.team(name).weight }
 
--- a/io/agentd/config.go
+++ b/io/agentd/config.go
@@ -1,17 +1,64 @@
 package agentd
 
 import (
+	"context"
+	"math/rand/v2"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"persimmonstage/core/rules"
+	"persimmonstage/io/conf"
 	"persimmonstage/io/wire"
 )
 
-// gotConfig takes a newer configuration document.
-func (d *Daemon) gotConfig(got *wire.Fetched) error {
+var errNoEntry = errors.New("no entry is connected")
+
+// newSource returns the follower of the operators' configuration, which an agent learns from the entries.
+func (d *Daemon) newSource() *conf.Source {
+	return conf.New(conf.Options{Peers: configPeers{d}, Self: d.self.Name, Deliver: d.configured})
+}
+
+// configPeers asks the connected entries, another one each time.
+type configPeers struct{ d *Daemon }
+
+// Config asks one entry for what a process at the version lacks.
+func (c configPeers) Config(ctx context.Context, version int64) ([]byte, error) {
+	var list []*link
+	c.d.loop.Call(ctx, func(time.Time) {
+		for _, l := range c.d.links {
+			if l.mux != nil {
+				list = append(list, &link{mux: l.mux})
+			}
+		}
+	})
+	if len(list) == 0 {
+		return nil, errNoEntry
+	}
+	mux := list[rand.IntN(len(list))].mux
+	got, err := mux.Ask(ctx, &wire.Bulk{Body: &wire.Bulk_Fetch{Fetch: &wire.Fetch{What: fetchConfig, Version: version}}})
+	if err != nil {
+		return nil, err
+	}
+	return got.GetFetched().GetData(), nil
+}
+
+// configured puts a version in force: weights of the shares, and urgencies inside them.
+func (d *Daemon) configured(version int64, r *rules.Rules) {
+	d.log.Info("configuration in force", zap.Int64("version", version))
 	d.loop.Post(func(time.Time) {
-		if got.Version > d.config {
-			d.config = got.Version
+		for _, team := range r.Teams() {
+			d.core.SetWeight(team, "", int64(r.TeamWeight(team)))
+			for _, kind := range r.Kinds(team) {
+				d.core.SetWeight(team, kind, int64(r.KindWeight(team, kind)))
+			}
 		}
+		d.core.SetUrgency(r.Urgency)
 	})
-	return nil
+}
+
+func (d *Daemon) configVersion() int64 {
+	version, _ := d.config.Current()
+	return version
 }
--- a/io/agentd/daemon.go
+++ b/io/agentd/daemon.go
@@ -15,6 +15,7 @@
 	"persimmonstage/core/ident"
 	"persimmonstage/core/ledger"
 	"persimmonstage/io/agtset"
+	"persimmonstage/io/conf"
 	"persimmonstage/io/ctrl"
 	"persimmonstage/io/loop"
 	"persimmonstage/io/target"
@@ -45,7 +46,7 @@
 	conns    map[uint64]*link
 	nextBeat time.Time
 	nextKeep time.Time
-	config   int64
+	config   *conf.Source
 
 	draining atomic.Bool
 	ready    atomic.Bool
@@ -69,6 +70,7 @@
 	}
 	d.core = agent.New(effects{d}, bootFence{d.fence}, d.ledger, set.Capacity)
 	d.control = ctrl.New(frames{d}, log)
+	d.config = d.newSource()
 	d.metrics = newMetrics(d, prometheus.NewRegistry())
 	return d, nil
 }
@@ -85,6 +87,7 @@
 	for _, addr := range d.set.Entries {
 		d.seed(inner, addr)
 	}
+	go d.config.Run(inner)
 	go d.serveHTTP()
 	d.log.Info("agent started", zap.String("incarnation", d.self.Incarnation), zap.String("http", d.Addr()))
 	<-ctx.Done()
--- a/io/agentd/frames.go
+++ b/io/agentd/frames.go
@@ -61,21 +61,19 @@
 func (d *Daemon) answered(l *link, a *wire.HeartbeatAnswer) {
 	newer := d.fence.Answer(uptime.Now(), l.ident(), a.MapVersion, time.Unix(0, a.Stamp))
 	if newer {
-		d.fetchSoon(l, fetchMap)
-	}
-	if a.ConfigVersion > d.config {
-		d.fetchSoon(l, fetchConfig)
+		d.fetchSoon(l)
 	}
+	d.config.Hint(a.ConfigVersion)
 }
 
-func (d *Daemon) fetchSoon(l *link, what string) {
+func (d *Daemon) fetchSoon(l *link) {
 	mux := l.mux
 	if mux == nil {
 		return
 	}
 	go func() {
-		if err := d.fetch(context.Background(), mux, what); err != nil {
-			d.log.Info("fetch failed", zap.String("what", what), zap.String("entry", l.member.Name), zap.Error(err))
+		if err := d.fetch(context.Background(), mux); err != nil {
+			d.log.Info("map not fetched", zap.String("entry", l.member.Name), zap.Error(err))
 		}
 	}()
 }
@@ -98,7 +96,7 @@
 		}
 		held, tasks, work := d.core.Others(l.member.Incarnation)
 		d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_Heartbeat{Heartbeat: &wire.Heartbeat{
-			Stamp: stamp, Leaving: d.core.Leaving(), MapVersion: d.fence.Version(), ConfigVersion: d.config,
+			Stamp: stamp, Leaving: d.core.Leaving(), MapVersion: d.fence.Version(), ConfigVersion: d.configVersion(),
 			Load: &wire.Load{Held: codec.NeedsOut(held), Tasks: uint32(tasks), WorkMs: uint64(work.Milliseconds())},
 		}}})
 	}
--- a/io/agentd/link.go
+++ b/io/agentd/link.go
@@ -50,7 +50,7 @@
 		for ctx.Err() == nil {
 			mux, err := d.dial(ctx, addr)
 			if err == nil {
-				err = d.fetch(ctx, mux, fetchMap)
+				err = d.fetch(ctx, mux)
 				mux.Close()
 			}
 			if err == nil {
@@ -67,11 +67,11 @@
 	return bulk.Dial(bounded, addr, d.log, d.serve)
 }
 
-// fetch asks an entry for its map or configuration and adopts what is newer.
-func (d *Daemon) fetch(ctx context.Context, mux *bulk.Mux, what string) error {
+// fetch asks an entry for its map and adopts it if it is newer.
+func (d *Daemon) fetch(ctx context.Context, mux *bulk.Mux) error {
 	bounded, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	reply, err := mux.Ask(bounded, &wire.Bulk{Body: &wire.Bulk_Fetch{Fetch: &wire.Fetch{What: what}}})
+	reply, err := mux.Ask(bounded, &wire.Bulk{Body: &wire.Bulk_Fetch{Fetch: &wire.Fetch{What: fetchMap}}})
 	if err != nil {
 		return err
 	}
@@ -79,10 +79,7 @@
 	if got.GetVersion() == 0 {
 		return errNothingYet
 	}
-	if what == fetchMap {
-		return d.gotMap(got)
-	}
-	return d.gotConfig(got)
+	return d.gotMap(got)
 }
 
 func (d *Daemon) gotMap(got *wire.Fetched) error {
@@ -180,7 +177,7 @@
 func (d *Daemon) hello() *wire.Hello {
 	return &wire.Hello{
 		Version: wireVersion, Role: wire.Role_ROLE_AGENT, Name: d.self.Name, Incarnation: d.self.Incarnation,
-		DataCentre: d.set.DataCentre, Rack: d.set.Rack, Capacity: codec.NeedsOut(d.set.Capacity),
+		DataCentre: d.set.DataCentre, Rack: d.set.Rack, Host: d.set.Host, Capacity: codec.NeedsOut(d.set.Capacity),
 		Leaving: d.draining.Load(),
 	}
 }
--- a/io/agentd/state.go
+++ b/io/agentd/state.go
@@ -76,7 +76,7 @@
 		Leaving: d.draining.Load(),
 	}
 	ran := d.loop.Call(ctx, func(now time.Time) {
-		s.MapVersion, s.Config = d.fence.Version(), d.config
+		s.MapVersion, s.Config = d.fence.Version(), d.configVersion()
 		s.Heard = d.fence.Heard(uptime.Now())
 		for _, l := range d.links {
 			s.Entries = append(s.Entries, entryState{Name: l.member.Name, Connected: l.box != nil})
--- a/io/agtset/settings.go
+++ b/io/agtset/settings.go
@@ -10,6 +10,7 @@
 type Settings struct {
 	Name       string       `toml:"name"`
 	DataCentre string       `toml:"data-centre"`
+	Host       string       `toml:"host"`
 	Rack       string       `toml:"rack"`
 	Target     string       `toml:"target"`
 	HTTP       string       `toml:"http"`
--- a/io/entryd/admin.go
+++ b/io/entryd/admin.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"persimmonstage/core/needs"
+	"persimmonstage/io/days"
 )
 
 const stateTimeout = 2 * time.Second
@@ -44,7 +45,17 @@
 }
 
 func (d *Daemon) admin(ctx *fasthttp.RequestCtx, what string) {
+	if reason := d.operator(ctx); reason != "" && what != "config" {
+		d.refuse(ctx, fasthttp.StatusUnauthorized, reason)
+		return
+	}
 	switch what {
+	case "config":
+		d.adminConfig(ctx)
+	case "report":
+		d.days.Handle(ctx, days.JSON)
+	case "teams":
+		d.adminTeams(ctx)
 	case "state":
 		d.adminState(ctx)
 	case "targets":
@@ -101,6 +112,36 @@
 	return out
 }
 
+// teamState is what a team may use and what it has now.
+type teamState struct {
+	Name   string `json:"name"`
+	Weight int    `json:"weight"`
+	Starts int    `json:"quota-starts-per-second,omitempty"`
+	Most   int    `json:"quota-running,omitempty"`
+}
+
+func (d *Daemon) adminTeams(ctx *fasthttp.RequestCtx) {
+	r := d.rules.Load()
+	all := make([]teamState, 0, len(r.Teams()))
+	for _, name := range r.Teams() {
+		t := teamState{Name: name, Weight: r.TeamWeight(name)}
+		t.Starts, _ = r.QuotaStarts(name)
+		t.Most, _ = r.QuotaRunning(name)
+		all = append(all, t)
+	}
+	sendJSON(ctx, all)
+}
+
+func sendJSON(ctx *fasthttp.RequestCtx, v any) {
+	body, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType(jsonType)
+	ctx.SetBody(body)
+}
+
 func (d *Daemon) adminTargets(ctx *fasthttp.RequestCtx) {
 	bounded, cancel := context.WithTimeout(context.Background(), stateTimeout)
 	defer cancel()
@@ -109,13 +150,7 @@
 		ctx.Error("busy\n", fasthttp.StatusServiceUnavailable)
 		return
 	}
-	body, err := json.MarshalIndent(all, "", "  ")
-	if err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
-		return
-	}
-	ctx.SetContentType(jsonType)
-	ctx.SetBody(body)
+	sendJSON(ctx, all)
 }
 
 // Targets gives the number of targets that can get work now.
--- /dev/null
+++ b/io/entryd/admit.go
@@ -0,0 +1,84 @@
+package entryd
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"persimmonstage/core/admit"
+	"persimmonstage/core/answer"
+	"persimmonstage/core/job"
+	"persimmonstage/core/tally"
+)
+
+const (
+	// slotPart is the part of a target, in thousandths, that a task with one slot of eight takes.
+	slotPart     = 125
+	slotsPerHost = 8
+	// taskOverhead is the memory that a task holds besides its payload, in bytes.
+	taskOverhead = 512
+)
+
+// admit takes a new job through the gate, or gives the refusal of one that can't be served.
+func (d *Daemon) admit(now time.Time, j *job.Job) (*admit.Request, *answer.Answer) {
+	for i := range j.Tasks {
+		if err := d.roster.FitsEver(j.Tasks[i].Needs); err != nil {
+			a := answer.Refusal(answer.StatusMalformed, j.Key.ID, taskField(i)+err.Error(), "never-fits", 0)
+			return nil, &a
+		}
+	}
+	urgency := d.rules.Load().Urgency(j.Key.Team, j.Kind)
+	d.account.Tell(func(t *tally.Tally) { t.Asked(now, j.Key.Team, j.Kind, urgency, len(j.Tasks)) })
+	r := d.request(j)
+	_, err := d.gate.Admit(r, now)
+	var refused *admit.RefusedError
+	switch {
+	case err == nil:
+		return &r, nil
+	case errors.As(err, &refused):
+		retry := time.Duration(0)
+		if !refused.Retry.IsZero() {
+			retry = refused.Retry.Sub(now)
+		}
+		a := answer.Refusal(refusalStatus(refused.Reason), j.Key.ID, refused.Error(), refused.Reason, retry)
+		return nil, &a
+	}
+	a := answer.Refusal(answer.StatusUnavailable, j.Key.ID, err.Error(), "", time.Second)
+	return nil, &a
+}
+
+// request describes a job to the gate: its run time is the configured one, or what was learned of its kind.
+func (d *Daemon) request(j *job.Job) admit.Request {
+	r := admit.Request{
+		Team: j.Key.Team, Kind: j.Kind, Tasks: int64(len(j.Tasks)), Size: slotPart, Issued: j.Issued, Deadline: j.Deadline,
+	}
+	declared, _ := d.rules.Load().Expected(j.Key.Team, j.Kind)
+	r.Run = d.speeds.Expect(0, d.speeds.Kind(j.Kind), declared)
+	for i := range j.Tasks {
+		r.Bytes += int64(len(j.Tasks[i].Payload)) + taskOverhead
+		r.Size = max(r.Size, int64(j.Tasks[i].Needs.Slots)*slotPart)
+	}
+	return r
+}
+
+func refusalStatus(reason string) int {
+	if reason == admit.OverQuota || reason == admit.ShareFull {
+		return answer.StatusTooMany
+	}
+	return answer.StatusUnavailable
+}
+
+// setFleet tells the gate this entry's part of what all targets do in a second.
+func (d *Daemon) setFleet() {
+	members := 1
+	if m := d.group.Map(); m != nil {
+		members = max(m.Size(), 1)
+	}
+	hosts := 0.0
+	for id, l := range d.agents.byTarget {
+		if d.roster.Usable(id) {
+			hosts += max(1, float64(l.hello.Capacity.GetSlots())/slotsPerHost)
+		}
+	}
+	d.gate.SetFleet(hosts / float64(members))
+}
--- a/io/entryd/agents.go
+++ b/io/entryd/agents.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"persimmonstage/core/cause"
 	"persimmonstage/core/ident"
 	"persimmonstage/core/target"
 	"persimmonstage/io/bulk"
@@ -25,6 +26,7 @@
 	box   *outbox.Outbox
 	// nextAsk bounds how often the agent is asked for its records.
 	nextAsk time.Time
+	drained bool
 }
 
 // agents are the agents with a connection; the loop owns it.
@@ -121,6 +123,10 @@
 	if !h.Leaving {
 		l.id, _ = d.roster.Announce(l.who.Name, l.who.Incarnation, h.DataCentre, h.Rack, codec.NeedsIn(h.Capacity), now)
 		d.agents.byTarget[l.id] = l
+		d.judge.Announced(l.id, l.who.Name, now)
+		l.drained = false
+		d.drainTarget(l)
+		d.note(now, cause.TargetJoined, l.who.Name)
 	}
 	d.owner.Reconnected(l.who.Incarnation)
 	d.log.Info("target announced", zap.String("agent", l.who.Name), zap.String("data-centre", h.DataCentre))
@@ -132,6 +138,7 @@
 		return
 	}
 	d.speeds.Forget(l.id)
+	d.judge.Gone(l.id)
 	d.roster.Remove(l.id)
 	delete(d.agents.byTarget, l.id)
 	l.id = 0
@@ -152,6 +159,8 @@
 	}
 	d.log.Info("agent silent", zap.String("agent", l.who.Name))
 	d.speeds.Forget(id)
+	d.judge.Gone(id)
+	d.note(time.Now(), cause.TargetLost, l.who.Name)
 	delete(d.agents.byTarget, id)
 	l.id = 0
 	d.dropLink(l)
--- a/io/entryd/bulk.go
+++ b/io/entryd/bulk.go
@@ -57,7 +57,8 @@
 			answer.Version, answer.Data = m.Version(), data
 		}
 	case fetchConfig:
-		answer.Version, answer.Data = d.configData()
+		d.configFetched(ask, s)
+		return
 	default:
 		d.log.Warn("bulk stream refused", zap.String("reason", "unknown fetch"), zap.String("what", ask.What))
 		return
@@ -77,10 +78,6 @@
 	_ = frame.Write(s, &wire.Bulk{Body: &wire.Bulk_Roster{Roster: codec.RosterOut(&r)}})
 }
 
-func (d *Daemon) configVersion() int64 { return 0 }
-
-func (d *Daemon) configData() (int64, []byte) { return 0, nil }
-
 func (d *Daemon) mapVersion() int64 {
 	if m := d.view.Load().shards; m != nil {
 		return m.Version()
--- /dev/null
+++ b/io/entryd/config.go
@@ -0,0 +1,172 @@
+package entryd
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"persimmonstage/core/admit"
+	"persimmonstage/core/rules"
+	"persimmonstage/io/bulk"
+	"persimmonstage/io/conf"
+	"persimmonstage/io/confap"
+	"persimmonstage/io/frame"
+	"persimmonstage/io/wire"
+)
+
+// configStream is the stream of the platform's log that holds the operators' configuration.
+const configStream = "configuration"
+
+// newSource returns the follower of the operators' configuration, which learns from the log and from the peers.
+func (d *Daemon) newSource() *conf.Source {
+	return conf.New(conf.Options{
+		Log: d.logs, Stream: configStream, Peers: configPeers{d}, Self: d.self.Name, Deliver: d.configured,
+	})
+}
+
+// configPeers asks the connected entries for their configuration, another one each time.
+type configPeers struct{ d *Daemon }
+
+var errNoPeer = errors.New("no other entry is connected")
+
+// Config asks one peer for what a process at the version lacks.
+func (c configPeers) Config(ctx context.Context, version int64) ([]byte, error) {
+	c.d.mu.RLock()
+	list := make([]*bulk.Mux, 0, len(c.d.peers))
+	for _, m := range c.d.peers {
+		list = append(list, m)
+	}
+	c.d.mu.RUnlock()
+	if len(list) == 0 {
+		return nil, errNoPeer
+	}
+	mux := list[rand.IntN(len(list))]
+	got, err := mux.Ask(ctx, &wire.Bulk{Body: &wire.Bulk_Fetch{Fetch: &wire.Fetch{What: fetchConfig, Version: version}}})
+	if err != nil {
+		return nil, err
+	}
+	return got.GetFetched().GetData(), nil
+}
+
+// configured puts a version in force.
+func (d *Daemon) configured(version int64, r *rules.Rules) {
+	lim := *d.limits.Load()
+	lim.BodyBytes, lim.HeaderBytes = r.BodyBytes(), r.HeaderBytes()
+	lim.PayloadBytes, lim.TasksPerJob = r.PayloadBytes(), r.TasksPerJob()
+	now := time.Now()
+	lim.MaxDeadline, lim.IssuedSkew = r.LatestDeadline(now).Sub(now), r.LatestIssued(now).Sub(now)
+	d.limits.Store(&lim)
+	d.rules.Store(r)
+	d.log.Info("configuration in force", zap.Int64("version", version))
+	d.loop.Post(func(time.Time) { d.applyRules(r) })
+}
+
+// applyRules gives the teams their weights, quotas and expected run times.
+func (d *Daemon) applyRules(r *rules.Rules) {
+	members := 1
+	if m := d.group.Map(); m != nil {
+		members = max(m.Size(), 1)
+	}
+	for _, team := range r.Teams() {
+		d.gate.SetWeight(team, "", int64(r.TeamWeight(team)))
+		var q admit.Quota
+		if n, ok := r.QuotaStarts(team); ok {
+			q.Starts = float64(n) / float64(members)
+		}
+		if n, ok := r.QuotaRunning(team); ok {
+			q.Running = int64((n + members - 1) / members)
+		}
+		d.gate.SetQuota(team, q)
+		for _, kind := range r.Kinds(team) {
+			d.gate.SetWeight(team, kind, int64(r.KindWeight(team, kind)))
+			expected, _ := r.Expected(team, kind)
+			d.owner.Declare(team, kind, expected)
+		}
+	}
+	for _, l := range d.agents.byTarget {
+		d.drainTarget(l)
+	}
+}
+
+// drainTarget takes a target out of placement while the configuration drains it or its host.
+func (d *Daemon) drainTarget(l *agentLink) {
+	drained := d.rules.Load().Drained(l.who.Name, l.hello.Host)
+	if drained != l.drained {
+		l.drained = drained
+		d.roster.Drain(l.id, drained)
+	}
+}
+
+// open reports whether nobody needs a token yet, as the settings allow while no configuration was published.
+func (d *Daemon) open() bool {
+	return d.set.Access == "open" && d.config.Ready() == false
+}
+
+func bearer(ctx *fasthttp.RequestCtx) string {
+	token, _ := strings.CutPrefix(string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)), "Bearer ")
+	return token
+}
+
+// authorize checks a caller's token against the team's; status 0 lets the request pass.
+func (d *Daemon) authorize(ctx *fasthttp.RequestCtx, team string) (status int, reason string) {
+	token := bearer(ctx)
+	switch {
+	case d.open(), d.rules.Load().CallerAllowed(team, token):
+		return 0, ""
+	case !d.config.Ready():
+		return fasthttp.StatusServiceUnavailable, "no configuration has been published yet"
+	case token == "":
+		return fasthttp.StatusUnauthorized, "Authorization: a token of team " + team + " is required"
+	}
+	return fasthttp.StatusForbidden, "Authorization: not a token of team " + team
+}
+
+// operator checks an operator's token; an empty reason lets the request pass.
+func (d *Daemon) operator(ctx *fasthttp.RequestCtx) (reason string) {
+	if d.open() {
+		return ""
+	}
+	if _, ok := d.rules.Load().Operator(bearer(ctx)); ok {
+		return ""
+	}
+	return "Authorization: an operator's token is required"
+}
+
+func (d *Daemon) adminConfig(ctx *fasthttp.RequestCtx) {
+	bootstrap := d.set.Bootstrap
+	if d.set.Access == "open" {
+		bootstrap = confap.OpenBootstrap
+	}
+	query, err := url.ParseQuery(string(ctx.QueryArgs().QueryString()))
+	if err != nil {
+		d.refuse(ctx, fasthttp.StatusBadRequest, "query: "+err.Error())
+		return
+	}
+	bounded, cancel := context.WithTimeout(context.Background(), publishTimeout)
+	defer cancel()
+	status, body := confap.New(d.config, bootstrap).Serve(bounded, string(ctx.Method()), query, bearer(ctx), ctx.PostBody())
+	ctx.SetStatusCode(status)
+	ctx.SetContentType(jsonType)
+	ctx.SetBody(body)
+}
+
+const publishTimeout = 15 * time.Second
+
+func (d *Daemon) configVersion() int64 {
+	version, _ := d.config.Current()
+	return version
+}
+
+// configFetched gives what a process at a version lacks.
+func (d *Daemon) configFetched(ask *wire.Fetch, s net.Conn) {
+	_ = frame.Write(s, &wire.Bulk{Body: &wire.Bulk_Fetched{Fetched: &wire.Fetched{
+		Version: d.configVersion(), Data: d.config.Since(ask.Version),
+	}}})
+}
--- a/io/entryd/daemon.go
+++ b/io/entryd/daemon.go
@@ -13,6 +13,9 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"persimmonstage/core/admit"
+	"persimmonstage/core/eject"
+	"persimmonstage/core/fold"
 	"persimmonstage/core/group"
 	"persimmonstage/core/ident"
 	"persimmonstage/core/limits"
@@ -22,13 +25,18 @@
 	"persimmonstage/core/recov"
 	"persimmonstage/core/retry"
 	"persimmonstage/core/roster"
+	"persimmonstage/core/rules"
 	"persimmonstage/core/shards"
 	"persimmonstage/core/speed"
+	"persimmonstage/core/tally"
 	"persimmonstage/io/bulk"
+	"persimmonstage/io/conf"
 	"persimmonstage/io/ctrl"
+	"persimmonstage/io/days"
 	"persimmonstage/io/entset"
 	"persimmonstage/io/logcl"
 	"persimmonstage/io/loop"
+	"persimmonstage/io/roll"
 )
 
 const (
@@ -50,6 +58,10 @@
 	control *ctrl.Engine
 	metrics *metrics
 	limits  atomic.Pointer[limits.Limits]
+	rules   atomic.Pointer[rules.Rules]
+	config  *conf.Source
+	account *roll.Writer
+	days    *days.Days
 	web     net.Listener
 	bulk    net.Listener
 	http    *fasthttp.Server
@@ -61,16 +73,20 @@
 	peers map[string]*bulk.Mux
 
 	// Only the loop touches these.
-	owner      *owner.Owner
-	roster     *roster.Roster
-	speeds     *speed.Table
-	placer     *place.Placer
-	group      *group.Group
-	recoveries map[int]*recov.Recovery
-	agents     agents
-	links      map[string]*peer
-	dialled    map[uint64]chan struct{}
-	parked     []parked
+	owner       *owner.Owner
+	roster      *roster.Roster
+	speeds      *speed.Table
+	placer      *place.Placer
+	group       *group.Group
+	gate        *admit.Gate
+	judge       *eject.Judge
+	recoveries  map[int]*recov.Recovery
+	agents      agents
+	links       map[string]*peer
+	dialled     map[uint64]chan struct{}
+	parked      []parked
+	nextAccount time.Time
+	nextSlow    time.Time
 
 	logs     *logcl.Client
 	logUp    atomic.Bool
@@ -102,7 +118,9 @@
 	d.speeds = &speed.Table{}
 	d.placer = place.New(place.IdleFirst, d.roster, d.speeds, ms(set.Timing.RoundTripMS))
 	seed := rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), rand.Uint64()))
-	d.owner = owner.New(effects{d}, d.placer, d.roster, &retry.Budget{}, seed)
+	d.gate = admit.New(seed)
+	d.judge = eject.New(d.roster)
+	d.owner = owner.New(effects{d}, d.placer, d.roster, &retry.Budget{}, d.gate, seed)
 	d.agents = newAgents()
 	d.group = group.New(group.Config{
 		Self: d.self, Shards: shardCount, Beat: ms(set.Timing.HeartbeatMS), Suspect: ms(set.Timing.SuspectMS),
@@ -112,8 +130,21 @@
 	d.links = make(map[string]*peer)
 	d.dialled = make(map[uint64]chan struct{})
 	d.logs = logcl.New(set.Log)
+	d.rules.Store(rules.Of(fold.Document{}))
+	d.config = d.newSource()
+	return d, d.newAccount()
+}
+
+// newAccount makes the account of the day and the reader of all entries' accounts.
+func (d *Daemon) newAccount() error {
+	loc, err := time.LoadLocation(d.set.TimeZone)
+	if err != nil {
+		return err
+	}
+	d.account = roll.New(d.logs, tally.New(d.self.Name, d.self.Incarnation), d.self.Name)
+	d.days = days.New(d.logs, loc, d.account)
 	d.metrics = newMetrics(d)
-	return d, nil
+	return nil
 }
 
 func (d *Daemon) bind() error {
@@ -150,12 +181,20 @@
 		}
 	}()
 	go d.follow(inner)
+	go d.config.Run(inner)
+	accountEnd := make(chan struct{})
+	go func() {
+		d.account.Run(inner)
+		close(accountEnd)
+	}()
 	d.seedPeers(inner)
 	d.log.Info("entry started", zap.String("incarnation", d.self.Incarnation), zap.String("http", d.self.HTTP),
 		zap.String("control", d.self.Control), zap.String("bulk", d.self.Bulk))
 	<-ctx.Done()
 	d.drain()
 	stop()
+	<-accountEnd
+	d.days.Close()
 	_ = d.bulk.Close()
 	d.control.Stop(context.Background())
 	d.log.Info("entry stopped")
@@ -203,6 +242,19 @@
 	d.owner.Tick(now)
 	d.roster.Tick(now, d.agentSilent)
 	d.dropPeers(now)
+	d.tickAccount(now)
+	d.tickSlow(now)
+}
+
+// tickSlow does what is due about once a second.
+func (d *Daemon) tickSlow(now time.Time) {
+	if now.Before(d.nextSlow) {
+		return
+	}
+	d.nextSlow = now.Add(time.Second)
+	d.gate.Expire(now)
+	d.judge.Tick(now, d.probe)
+	d.setFleet()
 }
 
 func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/io/entryd/effects.go
+++ b/io/entryd/effects.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"persimmonstage/core/answer"
+	"persimmonstage/core/eject"
 	"persimmonstage/core/jobkey"
 	"persimmonstage/core/order"
 	"persimmonstage/core/target"
@@ -21,6 +22,9 @@
 func (e effects) Start(agent string, o *order.Order) {
 	e.d.metrics.starts.Inc()
 	if e.put(agent, &wire.Bulk{Body: &wire.Bulk_Start{Start: codec.StartOut(o)}}) {
+		if id := e.d.agents.byIncarnation[agent].id; id != 0 {
+			e.d.judge.Sent(id, o.Expected, time.Now())
+		}
 		return
 	}
 	e.d.refuseLater(o.Attempt)
@@ -64,16 +68,21 @@
 }
 
 // Ended teaches the estimates.
-func (e effects) Ended(_ time.Time, id target.ID, kind string, expected, ran time.Duration, ok bool) {
+func (e effects) Ended(now time.Time, id target.ID, kind string, expected, ran time.Duration, ok bool) {
 	if !ok {
+		e.d.judge.Ended(id, kind, eject.Failed, now)
 		return
 	}
+	e.d.judge.Ended(id, kind, eject.Whole, now)
 	e.d.speeds.Learn(id, kind, expected, ran)
 	e.d.roster.Rate(id, e.d.speeds.Factor(id))
 }
 
 // Closed counts the end of a job.
-func (e effects) Closed(now time.Time, _ jobkey.Key, _ string, _ int, accepted time.Time, _ time.Duration, a *answer.Answer) {
+func (e effects) Closed(
+	now time.Time, key jobkey.Key, kind string, tasks int, accepted, deadline time.Time, ideal time.Duration, a *answer.Answer,
+) {
+	e.d.countJob(now, key, kind, tasks, accepted, deadline, ideal, a)
 	e.d.metrics.jobs.WithLabelValues(a.Outcome).Inc()
 	e.d.metrics.response.Observe(now.Sub(accepted).Seconds())
 }
--- a/io/entryd/frames.go
+++ b/io/entryd/frames.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"persimmonstage/core/target"
 	"persimmonstage/io/codec"
 	"persimmonstage/io/uptime"
 	"persimmonstage/io/wire"
@@ -117,4 +118,17 @@
 	d.roster.Heard(l.id, time.Duration(h.Stamp), held, int(h.Load.GetTasks()), work, now)
 }
 
-func (d *Daemon) probed(time.Time, *agentLink, bool) {}
+// probe asks an agent whether its target is well, which runs nothing of a caller's.
+func (d *Daemon) probe(id target.ID) {
+	l := d.agents.byTarget[id]
+	if l == nil || l.conn == 0 {
+		return
+	}
+	d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_Probe{Probe: &wire.Probe{Id: uint64(id)}}})
+}
+
+func (d *Daemon) probed(now time.Time, l *agentLink, ok bool) {
+	if l.id != 0 {
+		d.judge.Probed(l.id, ok, now)
+	}
+}
--- a/io/entryd/http.go
+++ b/io/entryd/http.go
@@ -11,6 +11,7 @@
 
 	"persimmonstage/core/answer"
 	"persimmonstage/core/jobkey"
+	"persimmonstage/io/days"
 	"persimmonstage/io/submit"
 )
 
@@ -26,7 +27,7 @@
 	return &fasthttp.Server{
 		Handler:               d.route,
 		ErrorHandler:          d.refuseRequest,
-		MaxRequestBodySize:    lim.BodyBytes,
+		MaxRequestBodySize:    max(lim.BodyBytes, maxBodyBytes),
 		ReadBufferSize:        lim.HeaderBytes,
 		IdleTimeout:           idleTimeout,
 		ReadTimeout:           readTimeout,
@@ -36,7 +37,11 @@
 	}
 }
 
-const maxConnections = 100_000
+const (
+	maxConnections = 100_000
+	// maxBodyBytes is the most that a configuration can allow; the limit in force is checked before decoding.
+	maxBodyBytes = 64 << 20
+)
 
 // refuseRequest answers a request that could not be read.
 func (d *Daemon) refuseRequest(ctx *fasthttp.RequestCtx, err error) {
@@ -108,6 +113,7 @@
 		return
 	}
 	if status, reason := d.authorize(ctx, j.Key.Team); status != 0 {
+		d.countRefusal(j.Key.Team, j.Kind, "unauthorised")
 		d.refuse(ctx, status, reason)
 		return
 	}
@@ -140,21 +146,14 @@
 	send(ctx, d.lookup(jobkey.Key{Team: team, ID: id}))
 }
 
-// authorize checks a caller's token against the team's; status 0 lets the request pass.
-func (d *Daemon) authorize(*fasthttp.RequestCtx, string) (status int, reason string) {
-	return 0, ""
-}
-
 func (d *Daemon) readyz(ctx *fasthttp.RequestCtx) {
-	if d.draining.Load() || d.mapVersion() == 0 {
+	if d.draining.Load() || d.mapVersion() == 0 || !d.config.Ready() && !d.open() {
 		ctx.Error("not ready\n", fasthttp.StatusServiceUnavailable)
 		return
 	}
 	ctx.SetBodyString("ready\n")
 }
 
-func (d *Daemon) page(ctx *fasthttp.RequestCtx) {
-	ctx.SetBodyString("persimmonstage\n")
-}
+func (d *Daemon) page(ctx *fasthttp.RequestCtx) { d.days.Handle(ctx, days.HTML) }
 
 func taskField(i int) string { return fmt.Sprintf("tasks[%d].", i) }
--- a/io/entryd/submit.go
+++ b/io/entryd/submit.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"persimmonstage/core/admit"
 	"persimmonstage/core/answer"
 	"persimmonstage/core/job"
 	"persimmonstage/core/jobkey"
@@ -181,7 +182,7 @@
 		d.owner.Lookup(key, w)
 		return
 	}
-	d.owner.Submit(now, j, 0, 0, nil, true, w)
+	d.owner.Submit(now, j, 0, 0, nil, true, nil, w)
 }
 
 // submitNew gives the owner a job that it has no record of, with what earlier owners did of it; only a job that is
@@ -192,13 +193,17 @@
 		d.park(now, parked{j.Key, j, w})
 		return
 	}
+	var admitted *admit.Request
 	if whole && len(found) == 0 {
-		if refusal := d.admit(now, j); refusal != nil {
+		r, refusal := d.admit(now, j)
+		if refusal != nil {
+			d.countRefusal(j.Key.Team, j.Kind, refusal.Cause)
 			w(*refusal)
 			return
 		}
+		admitted = r
 	}
-	d.owner.Submit(now, j, shard, epoch, found, whole, w)
+	d.owner.Submit(now, j, shard, epoch, found, whole, admitted, w)
 }
 
 // park keeps a request until its shard is recovered; past its deadline it is sent back.
@@ -218,17 +223,6 @@
 	}
 }
 
-// admit refuses a new job that can't be served.
-func (d *Daemon) admit(_ time.Time, j *job.Job) *answer.Answer {
-	for i := range j.Tasks {
-		if err := d.roster.FitsEver(j.Tasks[i].Needs); err != nil {
-			a := answer.Refusal(answer.StatusMalformed, j.Key.ID, taskField(i)+err.Error(), "never-fits", 0)
-			return &a
-		}
-	}
-	return nil
-}
-
 // forwarded answers another entry's submission or lookup on its stream.
 func (d *Daemon) forwarded(ask *wire.Submit, s net.Conn) {
 	defer s.Close()
--- a/io/entset/settings.go
+++ b/io/entset/settings.go
@@ -1,6 +1,8 @@
 package entset
 
 import (
+	"time"
+
 	"persimmonstage/io/addr"
 	"persimmonstage/io/strict"
 )
@@ -15,6 +17,8 @@
 	Log        string   `toml:"log"`
 	Peers      []string `toml:"peers"`
 	TimeZone   string   `toml:"time-zone"`
+	Access     string   `toml:"access"`
+	Bootstrap  string   `toml:"bootstrap"`
 	Timing     struct {
 		HeartbeatMS int `toml:"heartbeat-ms"`
 		SuspectMS   int `toml:"suspect-ms"`
@@ -36,7 +40,7 @@
 
 // Load reads and checks the settings of file; the error is a *strict.Error with file, line and key.
 func Load(file string, data []byte) (*Settings, error) {
-	s := &Settings{TimeZone: "UTC"}
+	s := &Settings{TimeZone: "UTC", Access: "tokens"}
 	s.Timing.HeartbeatMS = defaultHeartbeatMS
 	s.Timing.SuspectMS = defaultSuspectMS
 	s.Timing.GraceMS = defaultGraceMS
@@ -67,6 +71,12 @@
 	case !addr.Valid(s.Log):
 		return "log", form
 	}
+	if s.Access != "tokens" && s.Access != "open" {
+		return "access", "\"" + s.Access + "\" is neither \"tokens\" nor \"open\""
+	}
+	if _, err := time.LoadLocation(s.TimeZone); err != nil {
+		return "time-zone", err.Error()
+	}
 	for _, p := range s.Peers {
 		if !addr.Valid(p) {
 			return "peers", "\"" + p + "\" is " + form
--- a/io/local/stack.go
+++ b/io/local/stack.go
@@ -67,7 +67,7 @@
 }
 
 func (s *Stack) startEntry(ctx context.Context) error {
-	text := fmt.Sprintf("name = \"entry-1\"\ndata-centre = %q\nhttp = %q\ncontrol = %q\nbulk = %q\nlog = %q\n",
+	text := fmt.Sprintf("name = \"entry-1\"\naccess = \"open\"\ndata-centre = %q\nhttp = %q\ncontrol = %q\nbulk = %q\nlog = %q\n",
 		dataCentre, anyPort, anyPort, anyPort, s.logs.Addr())
 	set, err := entset.Load("entry.toml", []byte(text))
 	if err != nil {
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -93,7 +93,7 @@
 	name := entryName(i)
 	f.HTTP[name] = freeAddr(f.t)
 	peers := append(append([]string{}, f.bulk[:i]...), f.bulk[i+1:]...)
-	f.settings(name, fmt.Sprintf("name = %q\ndata-centre = \"dc-%d\"\nhttp = %q\ncontrol = %q\nbulk = %q\nlog = %q\npeers = [%s]\n",
+	f.settings(name, fmt.Sprintf("name = %q\naccess = \"open\"\ndata-centre = \"dc-%d\"\nhttp = %q\ncontrol = %q\nbulk = %q\nlog = %q\npeers = [%s]\n",
 		name, i%3+1, f.HTTP[name], f.control[i], f.bulk[i], f.logAddr, quoted(peers)))
 	f.Start(name, "entry", "--settings", f.path(name))
 }
