Search two more beginnings, and test recovery by itself

Cause: trials that changed one condition of the cores each showed four changes that no test noticed: the age of an agent's answer, a release that isn't complete, the wait for the grace when all agents were heard, and the list of earlier maps that may still be obeyed.

Change: scenarios in which shards move to a joining entry while their live owner is cut off, and in which a majority stays with an earlier map through two changes (4 entries); tests of recov and of answers with newer versions.

Ruled out: nothing in the cores had to change; the tests were too few.

--- a/core/fence/fence_test.go
+++ b/core/fence/fence_test.go
@@ -65,6 +65,8 @@
 	require.Equal(t, fence.NoMajority, admit(start), "another incarnation isn't a member")
 	f.Answer(start, b, 9, start)
 	require.Equal(t, fence.NoMajority, admit(start), "an older version is no answer for this one")
+	require.True(t, f.Answer(start, b, 20, start))
+	require.Equal(t, fence.NoMajority, admit(start), "nor is a newer one")
 	f.Answer(start, b, 10, start.Add(time.Hour))
 	require.Equal(t, fence.NoMajority, admit(start), "a stamp of the future isn't ours")
 	f.Answer(start, b, 10, start)
--- a/core/proof/fault_test.go
+++ b/core/proof/fault_test.go
@@ -3,6 +3,7 @@
 // scenario is a beginning, the faults that may then come at any moment, and the mechanisms without which a promise is broken.
 type scenario struct {
 	name    string
+	shards  int // if other than 2
 	setup   func(w *world)
 	faults  []action
 	submits int
@@ -11,7 +12,7 @@
 	breaks  []flaw
 }
 
-// In every scenario entry 0 owns the shard of job 0 and entry 2 owns no shard, so that it is the one to take over.
+// Unless a setup says otherwise, entry 0 owns the shard of job 0, and entry 2 owns no shard and is the one to take over.
 func scenarios() []scenario {
 	return []scenario{
 		{
@@ -29,7 +30,7 @@
 			faults: []action{resume(0), delay(0, 1), restartAgent(1)},
 		},
 		{
-			name: "owner cut off with one agent", submits: 2, depth: 9, breaks: []flaw{noGrace, noSkew},
+			name: "owner cut off with one agent", submits: 2, depth: 9, breaks: []flaw{noGrace, noFence},
 			setup: func(w *world) {
 				isolate(0).apply(w)
 				w.run(3)
@@ -115,6 +116,28 @@
 				cutOff("x to 2", [2]int{agentsAt, 2}),
 			},
 		},
+		{
+			name: "shards move to a joining entry", shards: 4, submits: 2, depth: 9, breaks: []flaw{noFence},
+			setup: func(w *world) {
+				w.entries[2].up = false
+				w.run(12)
+				gains := w.entries[1].g.Gains()
+				w.jobs[0].shard = gains[len(gains)-1].Shard // the one that will move
+				w.boot(w.entries[2])
+				w.run(2)
+			},
+			faults: []action{isolate(1), restartAgent(0)},
+		},
+		{
+			name: "majority stays with an earlier map", shards: 4, submits: 2, depth: 7, breaks: []flaw{noOpen},
+			setup: func(w *world) {
+				w.addEntry()
+				w.run(2)
+				w.split([]int{0, 1, agentsAt}, []int{2, 3, agentsAt + 1, logNode})
+				w.run(12)
+			},
+			faults: []action{restart(3), kill(1), restartAgent(1)},
+		},
 		{
 			name: "owner leaves", submits: 2, depth: 8, release: true,
 			setup:  func(w *world) { w.entries[0].g.Leave() },
@@ -130,6 +153,15 @@
 	w.deliver(len(w.held)-1, false)
 }
 
+// split cuts every link between two sides.
+func (w *world) split(one, other []int) {
+	for _, a := range one {
+		for _, b := range other {
+			w.cuts[[2]int{a, b}], w.cuts[[2]int{b, a}] = true, true
+		}
+	}
+}
+
 // isolate cuts an entry off from the other entries and the log, though not from the agents.
 func isolate(e int) action {
 	pairs := both(e, logNode)
--- a/core/proof/owner_test.go
+++ b/core/proof/owner_test.go
@@ -58,7 +58,7 @@
 	r := e.recovs[gain.Shard]
 	if at, ok := e.g.Fenced(w.now, gain.Version); ok {
 		r.Fence(at)
-	} else if w.flaw == noSkew {
+	} else if w.flaw == noFence {
 		r.Fence(w.now)
 	}
 	agents, complete := e.g.Agents(gain.Version)
--- a/core/proof/scenario_test.go
+++ b/core/proof/scenario_test.go
@@ -10,8 +10,8 @@
 )
 
 // settled returns a world whose entries are all members, with no shard left to recover.
-func settled(t require.TestingT, f flaw, entries, agents, jobs int) *world {
-	w := newWorld(f, entries, agents, jobs)
+func settled(t require.TestingT, f flaw, shards, entries, agents, jobs int) *world {
+	w := newWorld(f, shards, entries, agents, jobs)
 	for range 12 {
 		w.advance()
 	}
@@ -47,14 +47,14 @@
 
 func TestEntriesJoinAndShareTheShards(t *testing.T) {
 	for n := 1; n <= 3; n++ {
-		w := settled(t, sound, n, 2, 0)
+		w := settled(t, sound, 2, n, 2, 0)
 		require.Empty(t, w.errs)
 		require.LessOrEqual(t, len(w.log), 2*n+2)
 	}
 }
 
 func TestDeadEntryIsReplaced(t *testing.T) {
-	w := settled(t, sound, 3, 2, 1)
+	w := settled(t, sound, 2, 3, 2, 1)
 	dead := w.ownerOf(0)
 	w.submit(0, dead)
 	w.send(0, dead, w.agents[0])
@@ -74,7 +74,7 @@
 }
 
 func TestSilentAgentLeavesOlderJobsUnknown(t *testing.T) {
-	w := settled(t, sound, 3, 2, 0)
+	w := settled(t, sound, 2, 3, 2, 0)
 	before := w.now
 	w.ownerOf(0).up = false
 	w.bootAgent(w.agents[0])
@@ -87,7 +87,7 @@
 
 func TestRestartInPlaceNeedsNoSuspicion(t *testing.T) {
 	for n := 1; n <= 3; n++ {
-		w := settled(t, sound, n, 2, 0)
+		w := settled(t, sound, 2, n, 2, 0)
 		e := w.ownerOf(0)
 		before := w.now
 		w.boot(e)
@@ -107,7 +107,7 @@
 }
 
 func TestMajorityLostWaitsForTheOperator(t *testing.T) {
-	w := settled(t, sound, 3, 1, 0)
+	w := settled(t, sound, 2, 3, 1, 0)
 	w.entries[1].up, w.entries[2].up = false, false
 	records := len(w.log)
 	w.run(10)
@@ -124,7 +124,7 @@
 }
 
 func TestLeaveReleasesShards(t *testing.T) {
-	w := settled(t, sound, 3, 2, 1)
+	w := settled(t, sound, 2, 3, 2, 1)
 	e := w.ownerOf(0)
 	before := w.now
 	e.g.Leave()
@@ -135,14 +135,14 @@
 	require.NotNil(t, next)
 	require.NotEqual(t, e, next)
 	require.Equal(t, recov.Fresh, next.recovs[0].Lookup(w.now, team, "1", before).Verdict, "without waiting for the grace")
-	lone := settled(t, sound, 1, 1, 0)
+	lone := settled(t, sound, 2, 1, 1, 0)
 	lone.entries[0].g.Leave()
 	lone.run(1)
 	require.True(t, lone.entries[0].g.Left())
 }
 
 func TestOneWayCutToOneMemberSuspectsNobody(t *testing.T) {
-	w := settled(t, sound, 3, 1, 0)
+	w := settled(t, sound, 2, 3, 1, 0)
 	w.cuts[[2]int{0, 1}] = true
 	version := w.entries[0].g.Version()
 	w.run(12)
@@ -151,7 +151,7 @@
 
 func TestLostAppendAnswer(t *testing.T) {
 	for _, how := range []string{"effect", "nothing"} {
-		w := settled(t, sound, 3, 1, 0)
+		w := settled(t, sound, 2, 3, 1, 0)
 		w.entries[2].up = false
 		w.entries[0].lose = how
 		records := len(w.log)
@@ -163,7 +163,7 @@
 }
 
 func TestVoidRecordsChangeNothing(t *testing.T) {
-	w := settled(t, sound, 3, 1, 0)
+	w := settled(t, sound, 2, 3, 1, 0)
 	w.log = append(w.log, w.log[0], w.log[1], []byte("garbage"))
 	version := w.entries[0].g.Version()
 	for _, e := range w.entries {
@@ -174,7 +174,7 @@
 }
 
 func TestDelayedBeatOfAnEarlierIncarnationBuriesNobody(t *testing.T) {
-	w := settled(t, sound, 3, 1, 0)
+	w := settled(t, sound, 2, 3, 1, 0)
 	c := w.entries[2]
 	old := group.Beat{From: c.self(), Stamp: w.now, Echo: w.now, Version: c.g.Version()}
 	w.boot(c)
@@ -189,7 +189,7 @@
 }
 
 func TestLogOutageKeepsOwners(t *testing.T) {
-	w := settled(t, sound, 3, 2, 0)
+	w := settled(t, sound, 2, 3, 2, 0)
 	for i := range 3 {
 		w.cuts[[2]int{i, logNode}] = true
 	}
@@ -207,3 +207,17 @@
 	require.NotNil(t, w.ownerOf(0))
 	require.Empty(t, w.errs)
 }
+
+func TestRostersOfAnEarlierMapDoNotCount(t *testing.T) {
+	w := settled(t, sound, 2, 3, 1, 0)
+	old := w.entries[1].g.Roster()
+	w.entries[0].up = false
+	w.cuts[[2]int{1, 2}] = true
+	w.run(10)
+	c := w.entries[2].g
+	_, complete := c.Agents(c.Version())
+	require.False(t, complete)
+	c.HearRoster(w.now, old)
+	_, complete = c.Agents(c.Version())
+	require.False(t, complete)
+}
--- a/core/proof/search_test.go
+++ b/core/proof/search_test.go
@@ -90,12 +90,8 @@
 }
 
 func prepare(t require.TestingT, sc scenario, f flaw) *world {
-	w := settled(t, f, 3, 2, 1)
-	for shard := range 2 {
-		if w.entries[0].g.Map().Owner(shard) == w.entries[0].self().Ident() {
-			w.jobs[0].shard = shard
-		}
-	}
+	w := settled(t, f, max(sc.shards, 2), 3, 2, 1)
+	w.jobs[0].shard = w.entries[0].g.Gains()[0].Shard
 	w.errs = nil
 	if sc.setup != nil {
 		sc.setup(w)
@@ -145,7 +141,7 @@
 
 func (f flaw) String() string {
 	return [...]string{
-		"sound", "no majority", "no stamp", "no grace", "no seal", "no asking", "no ledger", "no refusal", "no epoch", "no skew",
-		"no roster", "no incarnation",
+		"sound", "no majority", "no stamp", "no grace", "no seal", "no asking", "no ledger", "no refusal", "no epoch", "no fence",
+		"no roster", "no open", "no incarnation",
 	}[f]
 }
--- a/core/proof/sequence_test.go
+++ b/core/proof/sequence_test.go
@@ -110,7 +110,7 @@
 
 // play runs one sequence until something goes wrong.
 func play(t require.TestingT, f flaw, sequence []int) *world {
-	w := settled(t, f, 3, 3, sequenceJobs)
+	w := settled(t, f, 2, 3, 3, sequenceJobs)
 	w.errs, w.verdicts = nil, map[recov.Verdict]int{}
 	for i := range w.jobs {
 		w.jobs[i].shard = i % 2
--- a/core/proof/world_test.go
+++ b/core/proof/world_test.go
@@ -4,6 +4,7 @@
 // network glue must do. A flaw disables one mechanism by lying to the core from outside, so that the cores have no switches.
 
 import (
+	"encoding/json"
 	"fmt"
 	"time"
 
@@ -35,13 +36,15 @@
 	noLedger           // an agent doesn't record starts
 	noRefusal          // an agent doesn't record refusals
 	noEpoch            // an agent obeys whoever sends
-	noSkew             // a new owner counts later jobs from the takeover's record
+	noFence            // a new owner takes the map's record for the moment from which nobody else is obeyed
 	noRoster           // a new owner asks only the agents that it knows itself
+	noOpen             // a map lists only its direct predecessor
 	noIncarnation      // an agent that was restarted passes for the one before
 )
 
 type world struct {
 	flaw    flaw
+	shards  int
 	now     time.Time
 	log     [][]byte
 	ids     int
@@ -108,15 +111,13 @@
 	version        int64
 }
 
-func newWorld(f flaw, entries, agents, jobs int) *world {
+func newWorld(f flaw, shards, entries, agents, jobs int) *world {
 	w := &world{
-		flaw: f, now: time.Unix(1_000_000, 0), cuts: map[[2]int]bool{}, served: map[int]uint64{}, owners: map[owner]string{},
+		flaw: f, shards: shards, now: time.Unix(1_000_000, 0), cuts: map[[2]int]bool{}, served: map[int]uint64{}, owners: map[owner]string{},
 		used: map[string]int{},
 	}
-	for i := range entries {
-		e := &entry{node: i}
-		w.entries = append(w.entries, e)
-		w.boot(e)
+	for range entries {
+		w.addEntry()
 	}
 	for range agents {
 		w.addAgent()
@@ -142,7 +143,7 @@
 func (w *world) boot(e *entry) {
 	e.life++
 	e.up, e.frozen, e.read, e.lose = true, false, 0, ""
-	cfg := group.Config{Self: e.self(), Shards: 2, Beat: unit, Suspect: 3 * unit, Grace: grace, Lifetime: time.Hour}
+	cfg := group.Config{Self: e.self(), Shards: w.shards, Beat: unit, Suspect: 3 * unit, Grace: grace, Lifetime: time.Hour}
 	if w.flaw == noGrace {
 		cfg.Grace = 1
 	}
@@ -151,6 +152,12 @@
 	e.releases = nil
 }
 
+func (w *world) addEntry() {
+	e := &entry{node: len(w.entries)}
+	w.entries = append(w.entries, e)
+	w.boot(e)
+}
+
 func (w *world) addAgent() {
 	x := &agent{node: agentsAt + len(w.agents)}
 	w.agents = append(w.agents, x)
@@ -227,6 +234,9 @@
 }
 
 func (w *world) append(e *entry, a *group.Append) {
+	if w.flaw == noOpen {
+		a = &group.Append{ID: a.ID, Record: forgetful(a.Record)}
+	}
 	effect := e.lose != "nothing" && !w.cut(e.node, logNode)
 	if effect {
 		w.log = append(w.log, a.Record)
@@ -237,6 +247,22 @@
 	e.lose = ""
 }
 
+// forgetful drops all earlier maps but the last from a record.
+func forgetful(record []byte) []byte {
+	var doc map[string]any
+	if err := json.Unmarshal(record, &doc); err != nil {
+		panic(err)
+	}
+	if open, ok := doc["open"].([]any); ok {
+		doc["open"] = open[len(open)-1:]
+	}
+	record, err := json.Marshal(doc)
+	if err != nil {
+		panic(err)
+	}
+	return record
+}
+
 func (w *world) entry(who member.Member) *entry {
 	for _, e := range w.entries {
 		if e.up && e.self() == who {
--- /dev/null
+++ b/core/recov/recov_test.go
@@ -0,0 +1,108 @@
+package recov_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"persimmonstage/core/ident"
+	"persimmonstage/core/ledger"
+	"persimmonstage/core/recov"
+)
+
+var (
+	start = time.Unix(1000, 0)
+	x     = ident.Ident{Name: "x", Incarnation: "x1"}
+	y     = ident.Ident{Name: "y", Incarnation: "y1"}
+	cfg   = recov.Config{Shard: 3, Epoch: 7, Version: 20, Skew: time.Second, Patience: 2 * time.Second}
+)
+
+func job(id string, states ...ledger.State) ledger.Job {
+	j := ledger.Job{Team: "t", ID: id}
+	for i, state := range states {
+		j.Tasks = append(j.Tasks, ledger.Task{Index: uint32(i), State: state})
+	}
+	return j
+}
+
+func verdict(r *recov.Recovery, now time.Time, id string) recov.Verdict {
+	return r.Lookup(now, "t", id, start.Add(-time.Minute)).Verdict
+}
+
+func TestAnswersCountOnlyUnderTheNewMap(t *testing.T) {
+	r := recov.New(cfg)
+	r.Union([]ident.Ident{x, y}, true)
+	r.Fence(start)
+	r.Answer(x, 19, nil)
+	r.Answer(y, 20, []ledger.Job{job("found", ledger.Finished, ledger.Started), job("refused", ledger.Refused)})
+	require.Equal(t, []ident.Ident{x}, r.Asks())
+	require.Equal(t, recov.Wait, verdict(r, start, "other"))
+	require.Equal(t, recov.Unknown, verdict(r, start.Add(2*time.Second), "other"))
+	out := r.Lookup(start.Add(2*time.Second), "t", "found", start)
+	require.Equal(t, recov.Found, out.Verdict)
+	require.False(t, out.Whole)
+	r.Answer(x, 21, []ledger.Job{job("found", ledger.Refused)})
+	require.True(t, r.Served())
+	require.Equal(t, recov.Fresh, verdict(r, start, "other"))
+	require.Equal(t, recov.Fresh, verdict(r, start, "refused"))
+	out = r.Lookup(start, "t", "found", start)
+	require.True(t, out.Whole)
+	require.Equal(t, []recov.Task{{Index: 0, Agent: y, State: ledger.Finished}, {Index: 1, Agent: y, State: ledger.Started}}, out.Tasks)
+}
+
+func TestNothingIsFreshBeforeTheFence(t *testing.T) {
+	r := recov.New(cfg)
+	r.Union([]ident.Ident{x}, true)
+	r.Answer(x, 20, nil)
+	require.Equal(t, recov.Wait, verdict(r, start.Add(time.Hour), "other"))
+	r.Fence(start)
+	require.Equal(t, recov.Fresh, verdict(r, start, "other"))
+}
+
+func TestLaterJobsAreFreshWithoutEveryAgent(t *testing.T) {
+	r := recov.New(cfg)
+	r.Union([]ident.Ident{x}, false)
+	r.Fence(start)
+	edge := start.Add(2 * time.Second)
+	require.Equal(t, recov.Unknown, r.Lookup(edge, "t", "a", edge).Verdict)
+	require.Equal(t, recov.Fresh, r.Lookup(edge, "t", "a", edge.Add(1)).Verdict)
+}
+
+func TestReleaseReplacesTheWait(t *testing.T) {
+	release := recov.Release{Shard: 3, Epoch: 6, Complete: true, Jobs: []recov.Sent{{Team: "t", ID: "sent", Agents: []ident.Ident{x}}}}
+	for _, bad := range []recov.Release{
+		{Shard: 2, Epoch: 6, Complete: true},
+		{Shard: 3, Epoch: 5, Complete: true},
+		{Shard: 3, Epoch: 6},
+	} {
+		require.False(t, recov.New(cfg).Release(bad))
+	}
+	r := recov.New(cfg)
+	require.True(t, r.Release(release))
+	require.Equal(t, recov.Fresh, verdict(r, start, "other"))
+	require.Equal(t, recov.Wait, verdict(r, start, "sent"))
+	require.Equal(t, release.Jobs, r.Sent())
+	c := r.Clone()
+	c.Answer(x, 20, nil)
+	require.Equal(t, recov.Fresh, verdict(c, start, "sent"))
+	require.Equal(t, recov.Wait, verdict(r, start, "sent"))
+}
+
+func TestOverflowIsUnknown(t *testing.T) {
+	small := cfg
+	small.Jobs = 1
+	r := recov.New(small)
+	r.Union([]ident.Ident{x}, true)
+	r.Fence(start)
+	r.Answer(x, 20, []ledger.Job{job("a", ledger.Started), job("b", ledger.Started)})
+	require.False(t, r.Served())
+	require.Equal(t, recov.Unknown, verdict(r, start.Add(time.Hour), "other"))
+}
+
+func TestFirstMapHasNothingToRecover(t *testing.T) {
+	r := recov.New(recov.Config{First: true})
+	require.True(t, r.Served())
+	require.Empty(t, r.Asks())
+	require.Equal(t, recov.Fresh, verdict(r, start, "any"))
+}
