Bound the outage of a dead entry's shards, and read a log without its beginning

Cause: operators need the time until a dead entry's shards are served, and a log that has dropped its oldest records begins with one that may be void.

Change: TestOutage measures the time in the stepped cores and holds it to the sum of its parts; an entry shows no map before it has read the log's end; Group.Status dumps the state.

Ruled out: a shorter wait for a dead owner, which nobody can tell from one that is cut off.

--- a/core/group/adopt.go
+++ b/core/group/adopt.go
@@ -19,7 +19,7 @@
 	if g.first == 0 {
 		g.first = offset
 	}
-	if offset > g.Version() && g.follows(&m) {
+	if offset > g.fence.Version() && g.follows(&m) {
 		g.adopt(now, m.At(offset))
 	}
 	if m.ID() == g.pending.ID {
@@ -30,7 +30,7 @@
 
 // Learn takes a map that a peer carries, which a peer does only after it has read it from the log or learned it in turn.
 func (g *Group) Learn(now time.Time, m *shards.Map) {
-	if m.Version() > g.Version() {
+	if m.Version() > g.fence.Version() {
 		g.adopt(now, m)
 	}
 }
@@ -38,7 +38,7 @@
 // CaughtUp says that the log has been read up to the end that it had after this process started.
 func (g *Group) CaughtUp(now time.Time) {
 	g.entry.raise("caught-up")
-	if m := g.Map(); m != nil && m.Has(g.cfg.Self.Ident()) {
+	if m := g.fence.Map(); m != nil && m.Has(g.cfg.Self.Ident()) {
 		g.entry.raise("included")
 	}
 	g.amnesty = now
@@ -47,17 +47,17 @@
 // follows tells a valid record from a void one. Where the log has dropped its oldest records, the first base can't be checked;
 // there the record with the highest base wins, since nobody proposes on a version that wasn't valid.
 func (g *Group) follows(m *shards.Map) bool {
-	if m.Base() == g.Version() {
+	if m.Base() == g.fence.Version() {
 		return true
 	}
 	if g.entry.state != "reading" || m.Base() >= g.first {
 		return false
 	}
-	return g.Map() == nil || g.Map().Base() < m.Base()
+	return g.fence.Map() == nil || g.fence.Map().Base() < m.Base()
 }
 
 func (g *Group) adopt(now time.Time, m *shards.Map) {
-	before := g.Map()
+	before := g.fence.Map()
 	g.link(now, before, m)
 	g.fence.Adopt(m)
 	g.adopted = now
--- a/core/group/beat.go
+++ b/core/group/beat.go
@@ -42,7 +42,7 @@
 	g.fence.Answer(now, id, b.Version, b.Echo)
 	g.bury(p)
 	g.seal(now)
-	return b.Version > g.Version()
+	return b.Version > g.fence.Version()
 }
 
 // bury notes the members whose addresses the peer has bound. The returned stamp proves that the peer was alive after the member
@@ -57,10 +57,10 @@
 
 // everyone returns the members of the present map and of the earlier ones.
 func (g *Group) everyone() []member.Member {
-	if g.Map() == nil {
+	if g.fence.Map() == nil {
 		return nil
 	}
-	all := g.Map().Members()
+	all := g.fence.Map().Members()
 	for _, p := range g.preds {
 		all = append(all, p.members...)
 	}
--- a/core/group/group.go
+++ b/core/group/group.go
@@ -87,11 +87,22 @@
 // Proposal returns the state of the append chart: idle, appending or finding.
 func (g *Group) Proposal() string { return g.proposal.state }
 
-// Map returns the map that this process carries, or nil.
-func (g *Group) Map() *shards.Map { return g.fence.Map() }
+// Map returns the map that this process carries, or nil. While the log is still being read there is none to show, since a record
+// at the log's cut-off beginning may turn out to be void.
+func (g *Group) Map() *shards.Map {
+	if g.entry.state == "reading" {
+		return nil
+	}
+	return g.fence.Map()
+}
 
-// Version returns the version of the map that this process carries, or 0; answers to agents return it.
-func (g *Group) Version() int64 { return g.fence.Version() }
+// Version returns the version of Map, or 0; answers to agents return it.
+func (g *Group) Version() int64 {
+	if m := g.Map(); m != nil {
+		return m.Version()
+	}
+	return 0
+}
 
 // Holds reports whether this entry owns a shard and no other entry can have begun to serve it; only then may "not run" be said
 // of a job of the shard.
@@ -101,7 +112,7 @@
 		return false
 	}
 	self := g.cfg.Self.Ident()
-	g.fence.Answer(now, self, g.Version(), now)
+	g.fence.Answer(now, self, g.fence.Version(), now)
 	return g.fence.Admit(now, shard, gain.Epoch, self.Incarnation) == nil
 }
 
--- a/core/group/propose.go
+++ b/core/group/propose.go
@@ -32,10 +32,10 @@
 }
 
 func (g *Group) next(id string, members []member.Member) (*shards.Map, error) {
-	if g.Map() == nil {
+	if g.fence.Map() == nil {
 		return shards.First(id, g.cfg.Shards, g.cfg.Self)
 	}
-	return g.Map().Next(id, members, g.open(), g.dead())
+	return g.fence.Map().Next(id, members, g.open(), g.dead())
 }
 
 // dead returns the members of the present and of open maps that are known to have ended.
@@ -52,32 +52,32 @@
 // joined returns the members with this process among them. A process joins by itself when the log has no map, when it replaces
 // its own earlier incarnation, or when a majority of the members hears it.
 func (g *Group) joined(now time.Time) []member.Member {
-	if g.Map() == nil {
+	if g.fence.Map() == nil {
 		return []member.Member{g.cfg.Self}
 	}
-	old, taken := g.Map().Find(g.cfg.Self.Name)
+	old, taken := g.fence.Map().Find(g.cfg.Self.Name)
 	if taken && !g.cfg.Self.Replaces(old) || !taken && !g.welcome(now) {
 		return nil
 	}
-	rest := slices.DeleteFunc(g.Map().Members(), func(one member.Member) bool { return one.Name == g.cfg.Self.Name })
+	rest := slices.DeleteFunc(g.fence.Map().Members(), func(one member.Member) bool { return one.Name == g.cfg.Self.Name })
 	return append(rest, g.cfg.Self)
 }
 
 // welcome reports whether a majority of the members has lately returned a stamp of this process.
 func (g *Group) welcome(now time.Time) bool {
 	n := 0
-	for _, id := range g.Map().Idents() {
+	for _, id := range g.fence.Map().Idents() {
 		if p := g.peers[id]; p != nil && now.Sub(p.echoed) < g.cfg.Suspect {
 			n++
 		}
 	}
-	return n >= shards.Majority(g.Map().Size())
+	return n >= shards.Majority(g.fence.Map().Size())
 }
 
 // repaired returns the members without the suspected and the retired, where there is anything to change.
 func (g *Group) repaired(now time.Time) []member.Member {
 	rest := g.survivors(now)
-	if len(rest) < g.Map().Size() && g.canSeal(now) || g.unsaid() || g.stale(now) {
+	if len(rest) < g.fence.Map().Size() && g.canSeal(now) || g.unsaid() || g.stale(now) {
 		return rest
 	}
 	return nil
@@ -85,7 +85,7 @@
 
 // unsaid reports whether an operator's word about a member isn't in the map yet.
 func (g *Group) unsaid() bool {
-	said := g.Map().Ended()
+	said := g.fence.Map().Ended()
 	return slices.ContainsFunc(g.dead(), func(id ident.Ident) bool { return g.retired[id] && !slices.Contains(said, id) })
 }
 
@@ -96,7 +96,7 @@
 
 // without returns the members without this process and without the suspected; a lone member just leaves.
 func (g *Group) without(now time.Time) []member.Member {
-	rest := g.Map().Members()
+	rest := g.fence.Map().Members()
 	if g.canSeal(now) {
 		rest = g.survivors(now)
 	}
@@ -108,7 +108,7 @@
 }
 
 func (g *Group) survivors(now time.Time) []member.Member {
-	return slices.DeleteFunc(g.Map().Members(), func(one member.Member) bool {
+	return slices.DeleteFunc(g.fence.Map().Members(), func(one member.Member) bool {
 		return one != g.cfg.Self && (g.retired[one.Ident()] || g.suspected(now, one.Ident()))
 	})
 }
@@ -118,12 +118,12 @@
 func (g *Group) canSeal(now time.Time) bool {
 	alive := g.Alive(now)
 	n := 0
-	for _, id := range g.Map().Idents() {
+	for _, id := range g.fence.Map().Idents() {
 		if g.ended[id] || slices.Contains(alive, id) {
 			n++
 		}
 	}
-	return n >= shards.Carriers(g.Map().Size())
+	return n >= shards.Carriers(g.fence.Map().Size())
 }
 
 // suspected reports whether this entry and a majority of the other live members have not heard a member for the suspect
@@ -136,7 +136,7 @@
 	others, silent := 1, 1
 	for _, other := range g.Alive(now) {
 		p := g.peers[other]
-		if p == nil || other == id || !g.Map().Has(other) {
+		if p == nil || other == id || !g.fence.Map().Has(other) {
 			continue
 		}
 		others++
@@ -171,7 +171,7 @@
 		if id == g.cfg.Self.Ident() {
 			return n
 		}
-		if g.Map().Has(id) {
+		if g.fence.Map().Has(id) {
 			n++
 		}
 	}
--- a/core/group/roster.go
+++ b/core/group/roster.go
@@ -32,7 +32,7 @@
 
 // HearRoster takes a peer's list.
 func (g *Group) HearRoster(now time.Time, r Roster) {
-	if r.Version < g.Version() {
+	if r.Version < g.fence.Version() {
 		return
 	}
 	for _, agent := range r.Agents {
@@ -57,7 +57,7 @@
 // inform raises the informed version over each earlier map for which enough of its members have listed their agents.
 func (g *Group) inform() {
 	for _, r := range g.rosters {
-		g.informed = max(g.informed, min(r.Informed, g.Version()))
+		g.informed = max(g.informed, min(r.Informed, g.fence.Version()))
 	}
 	if g.informed < g.chain {
 		return
@@ -82,7 +82,7 @@
 
 // asks returns the live entries whose rosters are still wanted.
 func (g *Group) asks() []member.Member {
-	if g.informed >= g.Version() {
+	if g.informed >= g.fence.Version() {
 		return nil
 	}
 	wanted := make(map[ident.Ident]member.Member)
@@ -91,7 +91,7 @@
 			wanted[one.Ident()] = one
 		}
 	}
-	for _, one := range g.Map().Members() {
+	for _, one := range g.fence.Map().Members() {
 		wanted[one.Ident()] = one
 	}
 	var asks []member.Member
--- a/core/group/seal.go
+++ b/core/group/seal.go
@@ -114,7 +114,7 @@
 
 func (g *Group) carries(id ident.Ident) int64 {
 	if id == g.cfg.Self.Ident() {
-		return g.Version()
+		return g.fence.Version()
 	}
 	if p, ok := g.peers[id]; ok {
 		return p.version
--- /dev/null
+++ b/core/group/status.go
@@ -0,0 +1,48 @@
+package group
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"persimmonstage/core/ident"
+	"persimmonstage/core/member"
+)
+
+// Status is the group's state for the dump that operators ask for.
+type Status struct {
+	State    string          `json:"state"`    // of the entry chart
+	Proposal string          `json:"proposal"` // of the append chart
+	Version  int64           `json:"version"`
+	Members  []member.Member `json:"members"`
+	Alive    []ident.Ident   `json:"alive"`
+	Ended    []ident.Ident   `json:"ended"`    // members known to be dead
+	Unsealed []int64         `json:"unsealed"` // earlier maps that agents may still obey
+	Informed int64           `json:"informed"` // the agents of all maps below are known
+	Agents   int             `json:"agents"`   // known, every incarnation
+	Owned    []int           `json:"owned"`    // shards
+	Held     int             `json:"held"`     // owned shards of which "not run" may be said
+}
+
+// Status returns the present state.
+func (g *Group) Status(now time.Time) Status {
+	s := Status{
+		State: g.entry.state, Proposal: g.proposal.state, Version: g.Version(), Alive: g.Alive(now),
+		Ended: g.dead(), Informed: g.informed, Agents: len(g.known),
+		Owned: slices.Sorted(maps.Keys(g.gains)),
+	}
+	if m := g.fence.Map(); m != nil {
+		s.Members = m.Members()
+	}
+	for _, p := range g.preds {
+		if p.sealed.IsZero() {
+			s.Unsealed = append(s.Unsealed, p.version)
+		}
+	}
+	for _, shard := range s.Owned {
+		if g.Holds(now, shard) {
+			s.Held++
+		}
+	}
+	return s
+}
--- a/core/group/tick.go
+++ b/core/group/tick.go
@@ -42,7 +42,7 @@
 }
 
 func (g *Group) act(now time.Time, newID func() string, e *Effects) {
-	if g.Map() != nil {
+	if g.fence.Map() != nil {
 		g.inform()
 		e.Asks = g.asks()
 	}
--- a/core/proof/scenario_test.go
+++ b/core/proof/scenario_test.go
@@ -11,7 +11,7 @@
 
 // settled returns a world whose entries are all members, with no shard left to recover.
 func settled(t require.TestingT, f flaw, shards, entries, agents, jobs int) *world {
-	w := newWorld(f, shards, entries, agents, jobs)
+	w := newWorld(f, coarse, shards, entries, agents, jobs)
 	for range 12 {
 		w.advance()
 	}
@@ -221,3 +221,33 @@
 	_, complete = c.Agents(c.Version())
 	require.False(t, complete)
 }
+
+func TestLogWithoutItsBeginning(t *testing.T) {
+	w := settled(t, sound, 2, 3, 1, 0)
+	w.dropped = len(w.log)
+	w.log = append(w.log, w.log[1]) // void, and now the first record that is left
+	w.entries[2].up = false
+	w.run(10)
+	require.Greater(t, len(w.log), w.dropped+1)
+	e := w.entries[2]
+	w.boot(e)
+	require.NoError(t, e.g.Read(w.now, int64(w.dropped+1), w.log[w.dropped]))
+	require.Zero(t, e.g.Version(), "nothing is shown before the log's end")
+	w.boot(e)
+	w.run(10)
+	require.Equal(t, "member", e.g.State())
+	require.Equal(t, w.entries[0].g.Version(), e.g.Version())
+	require.Equal(t, 3, e.g.Map().Size())
+}
+
+func TestStatus(t *testing.T) {
+	w := settled(t, sound, 4, 3, 2, 0)
+	w.entries[1].up = false
+	w.boot(w.entries[1])
+	w.run(1)
+	s := w.entries[0].g.Status(w.now)
+	require.Equal(t, "member", s.State)
+	require.Len(t, s.Members, 3)
+	require.Equal(t, 2, s.Agents)
+	require.Len(t, s.Owned, s.Held)
+}
--- /dev/null
+++ b/core/proof/time_test.go
@@ -0,0 +1,60 @@
+package proof
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"persimmonstage/core/recov"
+)
+
+// outage returns how long no new job of a shard is taken after its owner was killed, and perhaps restarted half a second later,
+// in the time of the stepped world.
+func outage(t *testing.T, at timing, entries, phase int, restart bool) time.Duration {
+	w := newWorld(sound, at, 4, entries, 2, 1)
+	for range 100 + phase {
+		w.advance()
+	}
+	dead := w.entries[0]
+	shard := dead.g.Gains()[0].Shard
+	require.True(t, dead.g.Holds(w.now, shard))
+	dead.up = false
+	killed := w.now
+	for i := range 1000 {
+		if restart && i == int(time.Second/2/at.step) {
+			w.boot(dead)
+		}
+		w.advance()
+		if e := w.ownerOf(shard); e != nil {
+			if e.recovs[shard].Lookup(w.now, team, "new", w.now).Verdict == recov.Fresh {
+				return w.now.Sub(killed)
+			}
+		}
+	}
+	t.Fatal("never served again")
+	return 0
+}
+
+// TestOutage bounds the time by what it consists of: the suspect timeout, the grace with its margin, a heartbeat each for the
+// last one heard, for the rank of the proposer, for the retry interval and for the echo, and three steps of the log.
+func TestOutage(t *testing.T) {
+	const step, beat = 50 * time.Millisecond, 200 * time.Millisecond
+	for _, entries := range []int{2, 3} {
+		for _, at := range []timing{
+			{step: step, beat: beat, suspect: time.Second, grace: time.Second},
+			{step: step, beat: beat, suspect: 1500 * time.Millisecond, grace: 2 * time.Second},
+			{step: step, beat: beat, suspect: 3 * time.Second, grace: 4 * time.Second},
+		} {
+			var dead, restarted time.Duration
+			for phase := range 4 {
+				dead = max(dead, outage(t, at, entries, phase, false))
+				restarted = max(restarted, outage(t, at, entries, phase, true))
+			}
+			wait := at.grace + at.grace/16
+			require.LessOrEqual(t, dead, at.suspect+wait+4*beat+3*step)
+			require.LessOrEqual(t, restarted, time.Second/2+wait+4*beat+3*step)
+			t.Logf("%d entries, suspect %v, grace %v: dead %v, restarted after 500ms %v", entries, at.suspect, at.grace, dead, restarted)
+		}
+	}
+}
--- a/core/proof/world_test.go
+++ b/core/proof/world_test.go
@@ -44,9 +44,11 @@
 
 type world struct {
 	flaw    flaw
+	timing  timing
 	shards  int
 	now     time.Time
 	log     [][]byte
+	dropped int // records that the log has dropped
 	ids     int
 	entries []*entry
 	agents  []*agent
@@ -61,6 +63,14 @@
 	used     map[string]int        // actions of bounded number taken so far
 }
 
+// timing is how fast a world goes; each advance is one step.
+type timing struct {
+	step, beat, suspect, grace time.Duration
+}
+
+// coarse has one heartbeat per step, which keeps the search small.
+var coarse = timing{step: unit, beat: unit, suspect: 3 * unit, grace: 4 * unit}
+
 type owner struct {
 	shard int
 	epoch uint64
@@ -111,9 +121,9 @@
 	version        int64
 }
 
-func newWorld(f flaw, shards, entries, agents, jobs int) *world {
+func newWorld(f flaw, at timing, shards, entries, agents, jobs int) *world {
 	w := &world{
-		flaw: f, shards: shards, now: time.Unix(1_000_000, 0), cuts: map[[2]int]bool{}, served: map[int]uint64{}, owners: map[owner]string{},
+		flaw: f, timing: at, shards: shards, now: time.Unix(1_000_000, 0), cuts: map[[2]int]bool{}, served: map[int]uint64{}, owners: map[owner]string{},
 		used: map[string]int{},
 	}
 	for range entries {
@@ -138,12 +148,10 @@
 	return ident.Ident{Name: name, Incarnation: fmt.Sprintf("%s%d", name, x.life)}
 }
 
-const grace = 4 * unit
-
 func (w *world) boot(e *entry) {
 	e.life++
-	e.up, e.frozen, e.read, e.lose = true, false, 0, ""
-	cfg := group.Config{Self: e.self(), Shards: w.shards, Beat: unit, Suspect: 3 * unit, Grace: grace, Lifetime: time.Hour}
+	e.up, e.frozen, e.read, e.lose = true, false, w.dropped, ""
+	cfg := group.Config{Self: e.self(), Shards: w.shards, Beat: w.timing.beat, Suspect: w.timing.suspect, Grace: w.timing.grace, Lifetime: time.Hour}
 	if w.flaw == noGrace {
 		cfg.Grace = 1
 	}
@@ -168,7 +176,7 @@
 	if w.flaw != noIncarnation || x.life == 0 {
 		x.life++
 	}
-	x.fence, x.hold = fence.New(grace), -1
+	x.fence, x.hold = fence.New(w.timing.grace), -1
 	x.ledger = ledger.New(ledger.Config{Since: w.now, Margin: time.Hour})
 }
 
@@ -182,9 +190,9 @@
 	w.errs = append(w.errs, fmt.Sprintf(format, args...))
 }
 
-// advance lets one heartbeat interval pass.
+// advance lets one step pass.
 func (w *world) advance() {
-	w.now = w.now.Add(unit)
+	w.now = w.now.Add(w.timing.step)
 	var sends []group.Send
 	for _, e := range w.entries {
 		if w.runs(e) {
