--- a/core/day/day.go
+++ b/core/day/day.go
@@ -161,6 +161,10 @@
 	}
 	d.moments(g, spans)
 	d.gaps(g, spans, now)
+	g.Records = d.Records()
+	if to := d.countedTo(now); !to.IsZero() {
+		g.CountedTo = to.In(d.from.Location())
+	}
 	g.OverdueWorst = d.worst
 	g.Overdue = d.overdue(now)
 	g.Finish()
--- a/core/day/day_test.go
+++ b/core/day/day_test.go
@@ -87,6 +87,7 @@
 	require.Equal(t, "2026-03-02", g.Day)
 	require.Len(t, g.Slots, 96)
 	require.Empty(t, g.Gaps)
+	require.Zero(t, g.CountedTo, "the entry has stopped")
 	require.InEpsilon(t, 1.1, g.Kinds[0].Ideal99, 0.02)
 	require.EqualValues(t, 1, g.Turned[0].Jobs)
 }
@@ -195,6 +196,18 @@
 	require.Equal(t, digest.Well, g.Went)
 }
 
+func TestCountedToIsTheEarliestOfThoseWhoStillWrite(t *testing.T) {
+	var rs []*rollup.Rollup
+	for i, minutes := range []int{1, 29, 30} {
+		a := tally.New(fmt.Sprint("entry-", i), fmt.Sprint("i", i))
+		complete(a, noon)
+		a.Advance(noon.Add(time.Duration(minutes) * time.Minute))
+		rs = append(rs, records(a)...)
+	}
+	g := digestOf(rs, noon.Add(30*time.Minute))
+	require.True(t, noon.Add(29*time.Minute).Equal(g.CountedTo))
+}
+
 func TestStatedLossIsToldOnItsOwnDay(t *testing.T) {
 	midnight := time.Date(2026, 3, 3, 0, 0, 0, 0, auckland).UTC()
 	r := &rollup.Rollup{Entry: "entry-1", Incarnation: "i1", Seq: 9, From: midnight, To: midnight.Add(time.Minute)}
--- a/core/digest/build.go
+++ b/core/digest/build.go
@@ -178,11 +178,11 @@
 	case kind == "" && team == "":
 		return "unnamed work"
 	case kind == "":
-		return "work of " + team
+		return "work from " + team
 	case team == "":
 		return kind
 	default:
-		return kind + " of " + team
+		return kind + " from " + team
 	}
 }
 
--- a/core/digest/digest.go
+++ b/core/digest/digest.go
@@ -27,6 +27,10 @@
 	From  time.Time `json:"from"`
 	To    time.Time `json:"to"`
 	Asked time.Time `json:"asked"`
+	// CountedTo is until when every entry that still writes has written; zero when none does.
+	CountedTo time.Time `json:"counted-to,omitzero"`
+	// Records is how many records the account is made of.
+	Records int `json:"records"`
 	// Went is Well, Badly or Unsure, and Headline says it in a sentence.
 	Went     string `json:"went"`
 	Headline string `json:"headline"`
--- a/core/digest/digest_test.go
+++ b/core/digest/digest_test.go
@@ -24,7 +24,21 @@
 func TestDayWithoutWorkWentWell(t *testing.T) {
 	from := time.Date(2026, 3, 2, 0, 0, 0, 0, time.UTC)
 	g := digest.New(from, from.Add(24*time.Hour), from.Add(48*time.Hour))
+	g.Records = 1
 	g.Finish()
 	require.Equal(t, digest.Well, g.Went)
 	require.Equal(t, "Yes. The day went well: no work came, and nothing went wrong.", g.Headline)
 }
+
+func TestDayWithoutRecordsIsUnsure(t *testing.T) {
+	from := time.Date(2026, 3, 2, 0, 0, 0, 0, time.UTC)
+	for asked, want := range map[time.Time]string{
+		from.Add(48 * time.Hour): "Can't say: nothing is recorded for this day.",
+		from.Add(time.Minute):    "Can't say: nothing is recorded for today yet; the first record comes about a minute after the start.",
+	} {
+		g := digest.New(from, from.Add(24*time.Hour), asked)
+		g.Finish()
+		require.Equal(t, digest.Unsure, g.Went)
+		require.Equal(t, want, g.Headline)
+	}
+}
--- a/core/digest/judge.go
+++ b/core/digest/judge.go
@@ -20,6 +20,12 @@
 		if d.missing() > smallGap || d.jobsLost() > 0 {
 			d.Headline += " There may be more, as part of the account is missing."
 		}
+	case d.Records == 0:
+		d.Went = Unsure
+		d.Headline = "Can't say: nothing is recorded for this day."
+		if d.SoFar() {
+			d.Headline = "Can't say: nothing is recorded for today yet; the first record comes about a minute after the start."
+		}
 	case d.missing() > smallGap || d.jobsLost() > 0:
 		d.Went = Unsure
 		d.Headline = "Can't say: no job is known to have suffered, but part of the account is missing."
--- a/io/days/days.go
+++ b/io/days/days.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"time"
+	_ "time/tzdata" // hosts may have no files of time zones
 
 	"persimmonstage/core/day"
 	"persimmonstage/core/digest"
--- a/io/page/text.go
+++ b/io/page/text.go
@@ -27,10 +27,7 @@
 }
 
 func (v *view) textTop(b *bytes.Buffer) {
-	fmt.Fprintf(b, "%s (%s)", plain(v.Title), plain(v.Zone))
-	if v.SoFar() {
-		fmt.Fprintf(b, ", as of %s", clock(v.Asked))
-	}
+	fmt.Fprintf(b, "%s (%s)%s", plain(v.Title), plain(v.Zone), v.AsOf)
 	fmt.Fprintf(b, "\n\nDid the day go well?\n  %s\n  %s\n", plain(v.Headline), plain(v.Stuck))
 	for _, n := range v.Notes {
 		fmt.Fprintf(b, "  %s\n", plain(n))
--- a/io/page/view.go
+++ b/io/page/view.go
@@ -30,7 +30,7 @@
 	Title, Answer, Class string
 	Detail               string
 	Before, After        string
-	Stuck                string
+	Stuck, AsOf          string
 	Works                []workRow
 	Why                  []reasonRow
 	Turned               []reasonRow
@@ -76,7 +76,7 @@
 type gapRow struct{ When, Sentence string }
 
 func newView(d *digest.Digest) view {
-	v := view{Digest: d, Title: d.From.Format("Monday 2 January 2006"), Stuck: stuck(d)}
+	v := view{Digest: d, Title: d.From.Format("Monday 2 January 2006"), Stuck: stuck(d), AsOf: asOf(d)}
 	v.Answer, v.Class = answer(d)
 	v.Detail = detail(d.Headline)
 	v.Before = d.From.AddDate(0, 0, -1).Format(time.DateOnly)
@@ -128,6 +128,18 @@
 	return "Nothing is stuck: 0 jobs are open past their deadline."
 }
 
+// asOf says when the account of a day that still goes on was made, and up to when all entries have told theirs.
+func asOf(d *digest.Digest) string {
+	switch {
+	case !d.SoFar():
+		return ""
+	case d.CountedTo.IsZero():
+		return ", as of " + clock(d.Asked)
+	default:
+		return ", as of " + clock(d.Asked) + ", counted until " + clock(d.CountedTo)
+	}
+}
+
 func gapText(sentence string, jobs int64) string {
 	if jobs == 0 {
 		return sentence
@@ -192,7 +204,7 @@
 
 func (v *view) speeds() {
 	for _, k := range v.Kinds {
-		row := speedRow{Name: k.Name(), Jobs: digest.Count(k.Jobs), P50: "-", P99: "-", Ideal50: "-", Ideal99: "-"}
+		row := speedRow{Name: k.Name(), Jobs: digest.Count(k.Complete), P50: "-", P99: "-", Ideal50: "-", Ideal99: "-"}
 		if k.P99US > 0 {
 			row.P50, row.P99 = response(k.P50US), response(k.P99US)
 		}
