--- a/core/day/day_test.go
+++ b/core/day/day_test.go
@@ -237,6 +237,23 @@
 	require.Equal(t, 30*time.Minute, g.Moments[0].Until.Sub(g.Moments[0].At))
 }
 
+// A day has tens of thousands of changes of the configuration; they don't crowd out what explains harm.
+func TestNoticesDoNotCrowdOutWhatExplainsHarm(t *testing.T) {
+	a := tally.New("entry-1", "i1")
+	now := noon
+	for i := range 39_000 {
+		now = noon.Add(time.Duration(i) * time.Second)
+		a.Event(now, event.Event{Cause: cause.ConfigApplied, Subject: fmt.Sprint(i)})
+	}
+	a.Event(now, event.Event{Cause: cause.TargetLost, Subject: "runner-1"})
+	failed(cause.TargetLost)(a, now)
+	a.Close(now.Add(time.Second))
+	g := digestOf(records(a), now)
+	require.Equal(t, "The target runner-1, or the host it ran on, died or stopped answering.", g.Reasons[0].Sentence)
+	require.LessOrEqual(t, len(g.Moments), 200)
+	require.EqualValues(t, 39_001, int64(len(g.Moments))+g.MomentsMore)
+}
+
 func TestHarmsStayBoundedOnADayWhenAllSuffer(t *testing.T) {
 	d := day.Of(noon, auckland)
 	from := d.From()
--- a/core/day/events.go
+++ b/core/day/events.go
@@ -9,8 +9,10 @@
 )
 
 const (
-	// maxEvents bounds the events of a day, and maxMoments those that the owner is shown.
-	maxEvents  = 8192
+	// maxHarmful and maxNotices bound the events of a day, maxMoments those that the owner is shown.
+	// They are bounded apart, as a day has tens of thousands of changes of the configuration at the size that is aimed at.
+	maxHarmful = 16_384
+	maxNotices = 1024
 	maxMoments = 200
 	// sameTime is how far apart entries may notice the same thing.
 	sameTime = 2 * time.Minute
@@ -18,8 +20,9 @@
 
 // events holds what happened, by who told it; a span is told again with a later end until it is over.
 type events struct {
-	told map[toldKey]event.Event
-	lost int64
+	told    map[toldKey]event.Event
+	notices int // of told
+	lost    int64
 }
 
 type toldKey struct {
@@ -38,11 +41,21 @@
 		es.told[key] = laterTold(known, e)
 		return
 	}
-	if len(es.told) >= maxEvents {
+	if !es.room(e) {
 		es.lost++
 		return
 	}
 	es.told[key] = e
+	if !e.Cause.Harmful() {
+		es.notices++
+	}
+}
+
+func (es *events) room(e event.Event) bool {
+	if e.Cause.Harmful() {
+		return len(es.told)-es.notices < maxHarmful
+	}
+	return es.notices < maxNotices
 }
 
 // laterTold returns the account of a span that was told later; a closed one is final.
--- a/core/rollup/rollup.go
+++ b/core/rollup/rollup.go
@@ -59,7 +59,8 @@
 	r.Final = r.Final || o.Final
 }
 
-// AddEvent adds e, or draws out the span that e continues.
+// AddEvent adds e, or draws out the span that e continues. In a full record what explains harm takes the place of
+// what doesn't.
 func (r *Rollup) AddEvent(e event.Event) {
 	for i, known := range r.Events {
 		if known.Same(e) && known.At.Equal(e.At) {
@@ -67,11 +68,20 @@
 			return
 		}
 	}
-	if len(r.Events) >= MaxEvents {
-		r.EventsLost++
+	if len(r.Events) < MaxEvents {
+		r.Events = append(r.Events, e)
 		return
 	}
-	r.Events = append(r.Events, e)
+	r.EventsLost++
+	if !e.Cause.Harmful() {
+		return
+	}
+	for i, known := range r.Events {
+		if !known.Cause.Harmful() {
+			r.Events[i] = e
+			return
+		}
+	}
 }
 
 // Lose notes that jobs between from and to are counted in no record.
--- a/core/rollup/rollup_test.go
+++ b/core/rollup/rollup_test.go
@@ -40,6 +40,20 @@
 	require.Equal(t, data, again)
 }
 
+func TestFullRecordKeepsWhatExplainsHarm(t *testing.T) {
+	r := sample()
+	for i := range 2 * rollup.MaxEvents {
+		r.AddEvent(event.Event{At: at.Add(time.Duration(i)), Cause: cause.ConfigApplied})
+	}
+	down := event.Event{At: at, Until: at.Add(time.Second), Open: true, Cause: cause.LogDown}
+	r.AddEvent(down)
+	down.Until = at.Add(time.Minute)
+	r.AddEvent(down)
+	require.Contains(t, r.Events, down)
+	require.Len(t, r.Events, rollup.MaxEvents)
+	require.EqualValues(t, rollup.MaxEvents+2, r.EventsLost)
+}
+
 func zipped(text string) []byte {
 	var b bytes.Buffer
 	w := gzip.NewWriter(&b)
