Add the load command, and fleets to measure with it

There was no tool that offers work, and the placement policy was fixed in the code.

`load` offers jobs open loop from a seed to running entries on loopback, with mixes, jobs of 1 to 160 tasks, resubmissions, declared sizes that are off, and five kinds of flood; it prints a table and writes JSON and an SVG plot. `load compare` offers the same load to two sets of entries in turn. A response counts from the time at which the job was due. Two measures stand beside each other: response over the longest run time asked for, and over the least time in which the fleet could serve the job alone, as a job of 160 tasks on 80 slots can't reach the first. Cancellations in waves and declared run times have no place in the public API and are left out.

test/measure starts fleets with -measure and is skipped otherwise; test/fleet got options for targets' speeds, heartbeats and policy. The entry's settings got the key `placement`; its default is what was built in before.

--- /dev/null
+++ b/io/count/counts_test.go
@@ -0,0 +1,19 @@
+package count
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestParseAddsUpTheSeriesOfAName(t *testing.T) {
+	got := parse([]byte("# HELP a b\n# TYPE a counter\na{x=\"1 2\"} 3\na{x=\"2\"} 4\nb 1e+06\n\n"))
+	require.Equal(t, map[string]float64{"a": 7, "b": 1e6}, got)
+}
+
+// A withdrawn reservation costs two messages that lead to no start: its withdrawal and the reservation that it refuses.
+func TestWastedCountsAWithdrawnReservationTwice(t *testing.T) {
+	c := Counts{Orders: 10, Reserves: 20, Withdraws: 10, Refusals: 10, TargetStarts: 10}
+	require.InDelta(t, 2, c.Wasted(), 1e-9)
+	require.InDelta(t, 5, c.PerStart(), 1e-9)
+}
--- a/io/entryd/daemon.go
+++ b/io/entryd/daemon.go
@@ -100,7 +100,8 @@
 	}
 	d.roster = &roster.Roster{}
 	d.speeds = &speed.Table{}
-	d.placer = place.New(place.IdleFirst, d.roster, d.speeds, ms(set.Timing.RoundTripMS))
+	policy, _ := place.Named(set.Placement)
+	d.placer = place.New(policy, d.roster, d.speeds, ms(set.Timing.RoundTripMS))
 	seed := rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), rand.Uint64()))
 	d.owner = owner.New(effects{d}, d.placer, d.roster, &retry.Budget{}, seed)
 	d.agents = newAgents()
--- a/io/entset/settings.go
+++ b/io/entset/settings.go
@@ -1,6 +1,9 @@
 package entset
 
 import (
+	"strings"
+
+	"persimmonstage/core/place"
 	"persimmonstage/io/addr"
 	"persimmonstage/io/strict"
 )
@@ -15,7 +18,9 @@
 	Log        string   `toml:"log"`
 	Peers      []string `toml:"peers"`
 	TimeZone   string   `toml:"time-zone"`
-	Timing     struct {
+	// Placement names the policy by which tasks are placed.
+	Placement string `toml:"placement"`
+	Timing    struct {
 		HeartbeatMS int `toml:"heartbeat-ms"`
 		SuspectMS   int `toml:"suspect-ms"`
 		GraceMS     int `toml:"grace-ms"`
@@ -36,7 +41,7 @@
 
 // Load reads and checks the settings of file; the error is a *strict.Error with file, line and key.
 func Load(file string, data []byte) (*Settings, error) {
-	s := &Settings{TimeZone: "UTC"}
+	s := &Settings{TimeZone: "UTC", Placement: place.IdleFirst.String()}
 	s.Timing.HeartbeatMS = defaultHeartbeatMS
 	s.Timing.SuspectMS = defaultSuspectMS
 	s.Timing.GraceMS = defaultGraceMS
@@ -67,6 +72,9 @@
 	case !addr.Valid(s.Log):
 		return "log", form
 	}
+	if _, ok := place.Named(s.Placement); !ok {
+		return "placement", "not a policy; the policies are " + strings.Join(place.Names(), ", ")
+	}
 	for _, p := range s.Peers {
 		if !addr.Valid(p) {
 			return "peers", "\"" + p + "\" is " + form
--- /dev/null
+++ b/io/entset/settings_test.go
@@ -0,0 +1,20 @@
+package entset_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"persimmonstage/io/entset"
+)
+
+const base = "name = \"e\"\ndata-centre = \"d\"\nhttp = \"127.0.0.1:1\"\ncontrol = \"127.0.0.1:2\"\nbulk = \"127.0.0.1:3\"\nlog = \"127.0.0.1:4\"\n"
+
+func TestPlacementIsOneOfThePolicies(t *testing.T) {
+	s, err := entset.Load("e.toml", []byte(base))
+	require.NoError(t, err)
+	require.Equal(t, "idle-first", s.Placement)
+	_, err = entset.Load("e.toml", []byte(base+"placement = \"nearest\"\n"))
+	require.ErrorContains(t, err, "e.toml:7")
+	require.ErrorContains(t, err, "two-choices")
+}
--- a/io/verb/table.go
+++ b/io/verb/table.go
@@ -11,6 +11,7 @@
 		agent(),
 		submit(),
 		state(),
+		loadCommand(),
 		standIn(),
 	}
 }
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -36,6 +36,7 @@
 	logAddr string
 	bulk    []string
 	control []string
+	options Options
 }
 
 var (
@@ -46,11 +47,18 @@
 
 // New builds the program and starts the log, entries entries and agents agents; they end with the test.
 func New(t *testing.T, entries, agents int) *Fleet {
+	t.Helper()
+	return NewWith(t, entries, agents, Options{})
+}
+
+// NewWith is New with options.
+func NewWith(t *testing.T, entries, agents int, options Options) *Fleet {
 	t.Helper()
 	buildOnce.Do(build)
 	require.NoError(t, buildErr)
 	f := &Fleet{
 		t: t, dir: t.TempDir(), program: built, procs: map[string]*exec.Cmd{}, args: map[string][]string{}, HTTP: map[string]string{},
+		options: options,
 	}
 	t.Cleanup(f.end)
 	f.logAddr = freeAddr(t)
@@ -93,18 +101,18 @@
 	name := entryName(i)
 	f.HTTP[name] = freeAddr(f.t)
 	peers := append(append([]string{}, f.bulk[:i]...), f.bulk[i+1:]...)
-	f.settings(name, fmt.Sprintf("name = %q\ndata-centre = \"dc-%d\"\nhttp = %q\ncontrol = %q\nbulk = %q\nlog = %q\npeers = [%s]\n",
-		name, i%3+1, f.HTTP[name], f.control[i], f.bulk[i], f.logAddr, quoted(peers)))
+	f.settings(name, fmt.Sprintf("name = %q\ndata-centre = \"dc-%d\"\nhttp = %q\ncontrol = %q\nbulk = %q\nlog = %q\npeers = [%s]\n%s",
+		name, i%3+1, f.HTTP[name], f.control[i], f.bulk[i], f.logAddr, quoted(peers), f.options.entryKeys()))
 	f.Start(name, "entry", "--settings", f.path(name))
 }
 
 func (f *Fleet) startAgent(i int) {
 	name, target := agentName(i), targetName(i)
 	f.HTTP[target], f.HTTP[name] = freeAddr(f.t), freeAddr(f.t)
-	f.Start(target, "stand-in", "target", "--listen", f.HTTP[target])
+	f.Start(target, "stand-in", "target", "--listen", f.HTTP[target], "--speed", f.options.speed(i))
 	f.settings(name, fmt.Sprintf("name = %q\ndata-centre = \"dc-%d\"\nrack = \"rack-%d\"\ntarget = \"http://%s\"\nhttp = %q\nentries = [%s]\n"+
-		"[capacity]\nslots = %d\ncores = 64\nmemory-mb = 131072\n",
-		name, i%3+1, i/3+1, f.HTTP[target], f.HTTP[name], quoted(f.bulk), slotsEach))
+		"[capacity]\nslots = %d\ncores = 64\nmemory-mb = 131072\n%s",
+		name, i%3+1, i/3+1, f.HTTP[target], f.HTTP[name], quoted(f.bulk), slotsEach, f.options.agentKeys()))
 	f.Start(name, "agent", "--settings", f.path(name))
 }
 
--- /dev/null
+++ b/test/fleet/options.go
@@ -0,0 +1,52 @@
+package fleet
+
+import (
+	"fmt"
+	"strconv"
+)
+
+// Options are what a fleet may differ in; the zero value is the program's defaults.
+type Options struct {
+	// Speeds are the targets' speeds, over and over; none means 1.
+	Speeds []float64
+	// Placement is the entries' placement policy.
+	Placement string
+	// HeartbeatMS is the time between heartbeats of entries and agents.
+	HeartbeatMS int
+}
+
+func (o *Options) speed(i int) string {
+	if len(o.Speeds) == 0 {
+		return "1"
+	}
+	return strconv.FormatFloat(o.Speeds[i%len(o.Speeds)], 'g', -1, 64)
+}
+
+func (o *Options) entryKeys() string {
+	keys := ""
+	if o.Placement != "" {
+		keys = fmt.Sprintf("placement = %q\n", o.Placement)
+	}
+	return keys + o.timing()
+}
+
+func (o *Options) agentKeys() string { return o.timing() }
+
+func (o *Options) timing() string {
+	if o.HeartbeatMS == 0 {
+		return ""
+	}
+	return fmt.Sprintf("[timing]\nheartbeat-ms = %d\n", o.HeartbeatMS)
+}
+
+// PID gives the process id of a process, to measure it.
+func (f *Fleet) PID(name string) int { return f.proc(name).Process.Pid }
+
+// Names gives the names of n entries, n agents or n targets, by the word that they begin with.
+func Names(word string, n int) []string {
+	names := make([]string, n)
+	for i := range names {
+		names[i] = fmt.Sprintf("%s-%d", word, i+1)
+	}
+	return names
+}
