--- a/core/day/day.go
+++ b/core/day/day.go
@@ -40,7 +40,7 @@
 type workKey struct{ team, kind string }
 
 type slot struct {
-	from, to                            time.Time
+	from, to                             time.Time
 	fine, late, failed, refused, unknown int64
 }
 
--- a/io/entset/settings.go
+++ b/io/entset/settings.go
@@ -1,8 +1,10 @@
 package entset
 
 import (
+	"strings"
 	"time"
 
+	"persimmonstage/core/place"
 	"persimmonstage/io/addr"
 	"persimmonstage/io/strict"
 )
@@ -19,7 +21,9 @@
 	TimeZone   string   `toml:"time-zone"`
 	Access     string   `toml:"access"`
 	Bootstrap  string   `toml:"bootstrap"`
-	Timing     struct {
+	// Placement names the policy by which tasks are placed.
+	Placement string `toml:"placement"`
+	Timing    struct {
 		HeartbeatMS int `toml:"heartbeat-ms"`
 		SuspectMS   int `toml:"suspect-ms"`
 		GraceMS     int `toml:"grace-ms"`
@@ -40,7 +44,7 @@
 
 // Load reads and checks the settings of file; the error is a *strict.Error with file, line and key.
 func Load(file string, data []byte) (*Settings, error) {
-	s := &Settings{TimeZone: "UTC", Access: "tokens"}
+	s := &Settings{TimeZone: "UTC", Access: "tokens", Placement: place.Bounded.String()}
 	s.Timing.HeartbeatMS = defaultHeartbeatMS
 	s.Timing.SuspectMS = defaultSuspectMS
 	s.Timing.GraceMS = defaultGraceMS
@@ -77,6 +81,9 @@
 	if _, err := time.LoadLocation(s.TimeZone); err != nil {
 		return "time-zone", err.Error()
 	}
+	if _, ok := place.Named(s.Placement); !ok {
+		return "placement", "not a policy; the policies are " + strings.Join(place.Names(), ", ")
+	}
 	for _, p := range s.Peers {
 		if !addr.Valid(p) {
 			return "peers", "\"" + p + "\" is " + form
--- a/io/verb/table.go
+++ b/io/verb/table.go
@@ -13,6 +13,7 @@
 		state(),
 		config(),
 		report(),
+		loadCommand(),
 		standIn(),
 	}
 }
