Prove the graceful stop of entries and agents over real processes

Cause: a stop has to cut nothing, and that was only assumed. Change: three tests: an entry stopped under load at the others, an entry stopped with its own callers waiting, an agent stopped under load. Ruled out: nothing.

--- /dev/null
+++ b/test/faults/stop_test.go
@@ -0,0 +1,113 @@
+package faults
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"persimmonstage/test/fleet"
+)
+
+// underLoad sends jobs of a few tasks to every entry from several callers while f runs, and gives what they were told.
+func underLoad(f *fleet.Fleet, t *testing.T, entries []string, during func()) []outcome {
+	t.Helper()
+	all := &book{}
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for c := range callers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				o := outcome{id: fmt.Sprintf("s%d-%d", c, n), tasks: 3}
+				body, deadline := job(t, o.id, "sort", o.tasks, 150, lifetime)
+				r, err := submitOnce(f, entries[(c+n)%len(entries)], body, deadline)
+				if err != nil {
+					o.errs = append(o.errs, err)
+				} else {
+					o.answers = append(o.answers, r)
+				}
+				all.add(o)
+			}
+		}()
+	}
+	during()
+	close(stop)
+	wg.Wait()
+	return all.all
+}
+
+// A stopped entry answers every request that it has taken, and exits with 0; the jobs of its shards go on elsewhere.
+func TestGracefulStopOfAnEntryCutsNothing(t *testing.T) {
+	f := fleet.New(t, 3, chaosAgents)
+	var code int
+	got := underLoad(f, t, []string{"entry-1", "entry-2"}, func() {
+		time.Sleep(time.Second)
+		code = f.Stop("entry-3")
+		time.Sleep(time.Second)
+	})
+	require.Zero(t, code)
+	requireAllComplete(t, got)
+	judge(t, f.AllStarts(chaosAgents), got)
+}
+
+// Requests in progress at an entry that is stopped are answered whole, though the entry leaves.
+func TestGracefulStopAnswersItsOwnCallers(t *testing.T) {
+	f := fleet.New(t, 2, chaosAgents)
+	all := &book{}
+	var wg sync.WaitGroup
+	for n := range 20 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			o := outcome{id: fmt.Sprintf("own-%d", n), tasks: 2}
+			body, deadline := job(t, o.id, "sort", o.tasks, 1500, lifetime)
+			r, err := submitOnce(f, "entry-1", body, deadline)
+			if err != nil {
+				o.errs = append(o.errs, err)
+			} else {
+				o.answers = append(o.answers, r)
+			}
+			all.add(o)
+		}()
+	}
+	f.Await("the jobs are running", func() bool {
+		return len(f.AllStarts(chaosAgents)) > 20
+	})
+	require.Zero(t, f.Stop("entry-1"))
+	wg.Wait()
+	requireAllComplete(t, all.all)
+	judge(t, f.AllStarts(chaosAgents), all.all)
+}
+
+// A stopped agent ends what runs and refuses the rest, which goes to other targets; nothing fails.
+func TestGracefulStopOfAnAgentCutsNothing(t *testing.T) {
+	f := fleet.New(t, 2, chaosAgents)
+	var code int
+	got := underLoad(f, t, []string{"entry-1", "entry-2"}, func() {
+		time.Sleep(time.Second)
+		code = f.Stop("agent-1")
+		time.Sleep(time.Second)
+	})
+	require.Zero(t, code)
+	requireAllComplete(t, got)
+	judge(t, f.AllStarts(chaosAgents), got)
+}
+
+func requireAllComplete(t *testing.T, got []outcome) {
+	t.Helper()
+	require.NotEmpty(t, got)
+	for _, o := range got {
+		require.Empty(t, o.errs, o.id)
+		require.Len(t, o.answers, 1, o.id)
+		require.Equal(t, "complete", o.answers[0].Outcome, "%s: %s", o.id, o.answers[0].Reason)
+	}
+}
