Hand shards over with what was sent, so that a leaving entry costs no grace

Cause: after a stop or a join the next owner waited for the grace and for every agent, though the owner before was alive and knew what it had sent. Change: on losing a shard a live owner sends each job of which a start was sent, with the agents; the next owner asks only these about them, and takes the rest for fresh at once. Agents of a release are asked now. Ruled out: moving whole records; results stay with the agents, callers with their entry.

--- a/core/owner/effects.go
+++ b/core/owner/effects.go
@@ -21,6 +21,7 @@
 
 // bookings is the part of the roster that the owner keeps true: it ends what the placer booked.
 type bookings interface {
+	Name(id target.ID) string
 	Incarnation(id target.ID) string
 	SentClass(id target.ID, c rank.Class, v needs.Vector, work time.Duration)
 	EndedClass(id target.ID, c rank.Class, v needs.Vector, work time.Duration)
--- a/core/owner/owner.go
+++ b/core/owner/owner.go
@@ -7,6 +7,7 @@
 
 	"persimmonstage/core/admit"
 	"persimmonstage/core/answer"
+	"persimmonstage/core/ident"
 	"persimmonstage/core/job"
 	"persimmonstage/core/jobkey"
 	"persimmonstage/core/order"
@@ -153,9 +154,10 @@
 	o.next++
 	t := &r.tasks[p.Index]
 	t.state = stateStartSent
-	t.attempts = []attempt{{id: o.next, agent: p.Agent, resumed: true}}
+	t.attempts = []attempt{{id: o.next, agent: p.Agent.Incarnation, name: p.Agent.Name, resumed: true}}
+	t.sentTo = append(t.sentTo, p.Agent)
 	o.attempts[o.next] = ref{rec: r, index: p.Index}
-	o.out.Repeat(p.Agent, r.shard, r.key(), p.Index)
+	o.out.Repeat(p.Agent.Incarnation, r.shard, r.key(), p.Index)
 }
 
 // Lookup answers for a submission without submitting it; w is called exactly once.
@@ -273,6 +275,18 @@
 	return ids
 }
 
+// Sent calls f with each job of a shard of which a start was sent or found, and the agents that may have started it.
+func (o *Owner) Sent(shard int, f func(key jobkey.Key, agents []ident.Ident)) {
+	for key, r := range o.records {
+		if r.shard != shard {
+			continue
+		}
+		if agents := r.sentTo(); len(agents) > 0 {
+			f(key, agents)
+		}
+	}
+}
+
 // Disown drops the records of a shard that another entry owns now; their callers are told to ask there.
 func (o *Owner) Disown(shard int) {
 	for key, r := range o.records {
@@ -436,7 +450,7 @@
 func (o *Owner) attempt(r *record, i int, to target.ID) {
 	o.next++
 	t := &r.tasks[i]
-	t.attempts = append(t.attempts, attempt{id: o.next, to: to, agent: o.bookings.Incarnation(to)})
+	t.attempts = append(t.attempts, attempt{id: o.next, to: to, agent: o.bookings.Incarnation(to), name: o.bookings.Name(to)})
 	o.attempts[o.next] = ref{rec: r, index: i}
 }
 
--- a/core/owner/record.go
+++ b/core/owner/record.go
@@ -1,10 +1,12 @@
 package owner
 
 import (
+	"slices"
 	"time"
 
 	"persimmonstage/core/admit"
 	"persimmonstage/core/answer"
+	"persimmonstage/core/ident"
 	"persimmonstage/core/job"
 	"persimmonstage/core/jobkey"
 	"persimmonstage/core/target"
@@ -41,7 +43,9 @@
 	tries    int
 	granted  bool
 	// moves counts the refusals because of the wait; maxWait and delay go with the order.
-	moves   int
+	moves int
+	// sentTo lists the agents that may have started the task.
+	sentTo  []ident.Ident
 	maxWait time.Duration
 	delay   time.Duration
 }
@@ -51,6 +55,7 @@
 	id    uint64
 	to    target.ID
 	agent string
+	name  string
 	// resumed tells that an earlier owner ordered it, so that the agent does not know it by this id.
 	resumed bool
 }
@@ -75,6 +80,19 @@
 	return true
 }
 
+// sentTo lists the agents that may have started a task of the job, each once.
+func (r *record) sentTo() []ident.Ident {
+	var all []ident.Ident
+	for i := range r.tasks {
+		for _, a := range r.tasks[i].sentTo {
+			if !slices.Contains(all, a) {
+				all = append(all, a)
+			}
+		}
+	}
+	return all
+}
+
 // missing reports whether a task of the job is not known to have been started.
 func (r *record) missing() bool {
 	for i := range r.tasks {
--- a/core/owner/step.go
+++ b/core/owner/step.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"persimmonstage/core/answer"
+	"persimmonstage/core/ident"
 	"persimmonstage/core/place"
 	"persimmonstage/core/rank"
 )
@@ -77,6 +78,7 @@
 		}
 	case sendStart:
 		o.rebook(r, i)
+		t.sentTo = append(t.sentTo, ident.Ident{Name: t.attempts[0].name, Incarnation: t.attempts[0].agent})
 		o.out.Start(t.attempts[0].agent, o.order(r, i, &t.attempts[0]))
 	case withdrawOthers:
 		o.withdrawOthers(r, i)
--- a/io/entryd/bulk.go
+++ b/io/entryd/bulk.go
@@ -34,6 +34,8 @@
 		d.forwarded(b.Submit, s)
 	case *wire.Bulk_Fetch:
 		d.fetched(b.Fetch, s)
+	case *wire.Bulk_Releases:
+		d.releasesGot(b.Releases, s)
 	case *wire.Bulk_RosterAsk:
 		d.rosterAsked(s)
 	default:
--- a/io/entryd/daemon.go
+++ b/io/entryd/daemon.go
@@ -74,21 +74,23 @@
 	peers map[string]*bulk.Mux
 
 	// Only the loop touches these.
-	owner       *owner.Owner
-	roster      *roster.Roster
-	speeds      *speed.Table
-	placer      *place.Placer
-	group       *group.Group
-	gate        *admit.Gate
-	judge       *eject.Judge
-	recoveries  map[int]*recov.Recovery
-	agents      agents
-	links       map[string]*peer
-	dialled     map[uint64]chan struct{}
-	parked      []parked
-	nextAccount time.Time
-	nextSlow    time.Time
-	nextFade    time.Time
+	owner        *owner.Owner
+	roster       *roster.Roster
+	speeds       *speed.Table
+	placer       *place.Placer
+	group        *group.Group
+	gate         *admit.Gate
+	judge        *eject.Judge
+	recoveries   map[int]*recov.Recovery
+	agents       agents
+	released     map[int]recov.Release
+	links        map[string]*peer
+	dialled      map[uint64]chan struct{}
+	parked       []parked
+	nextAccount  time.Time
+	nextRecovery time.Time
+	nextSlow     time.Time
+	nextFade     time.Time
 
 	logs     *logcl.Client
 	logUp    atomic.Bool
@@ -132,6 +134,7 @@
 	})
 	d.recoveries = make(map[int]*recov.Recovery)
 	d.links = make(map[string]*peer)
+	d.released = make(map[int]recov.Release)
 	d.dialled = make(map[uint64]chan struct{})
 	d.logs = logcl.New(set.Log)
 	d.rules.Store(rules.Of(fold.Document{}))
--- a/io/entryd/members.go
+++ b/io/entryd/members.go
@@ -9,8 +9,10 @@
 	"go.uber.org/zap"
 
 	"persimmonstage/core/group"
+	"persimmonstage/core/ident"
 	"persimmonstage/io/logcl"
 	"persimmonstage/io/uptime"
+	"persimmonstage/io/wire"
 )
 
 const (
@@ -132,13 +134,21 @@
 		return
 	}
 	d.adopt(m)
+	handed := make(map[ident.Ident][]*wire.Release)
 	for s := range m.Shards() {
 		was := old != nil && old.Owner(s) == d.ident()
 		is := m.Owner(s) == d.ident()
-		if was && (!is || old.Epoch(s) != m.Epoch(s)) {
-			d.owner.Disown(s)
-			delete(d.recoveries, s)
+		if !was || is && old.Epoch(s) == m.Epoch(s) {
+			continue
+		}
+		if next := m.Owner(s); !is {
+			handed[next] = append(handed[next], d.releaseOf(s, old.Epoch(s)))
 		}
+		d.owner.Disown(s)
+		delete(d.recoveries, s)
+	}
+	for next, list := range handed {
+		go d.release(next, list)
 	}
 	d.gain()
 }
--- a/io/entryd/recover.go
+++ b/io/entryd/recover.go
@@ -32,14 +32,20 @@
 		d.recoveries[g.Shard] = recov.New(recov.Config{
 			Shard: g.Shard, Epoch: g.Epoch, Version: g.Version, First: g.First, Skew: d.limits.Load().IssuedSkew,
 		})
+		d.useRelease(g.Shard)
+		d.nextRecovery = time.Time{}
 	}
 }
 
 // tickRecoveries tells each recovery of the fence and of the agents to ask, and asks them.
 func (d *Daemon) tickRecoveries(now time.Time) {
+	if now.Before(d.nextRecovery) {
+		return
+	}
+	d.nextRecovery = now.Add(recordsPause)
 	asks := make(map[ident.Ident][]uint32)
 	for s, r := range d.recoveries {
-		if r.Served() {
+		if heard, all := r.Heard(); r.Config().First || r.Fenced() && r.Served() && heard == all {
 			continue
 		}
 		d.fenceRecovery(now, r)
@@ -123,7 +129,7 @@
 func pasts(out *recov.Outcome) []past.Past {
 	found := make([]past.Past, len(out.Tasks))
 	for i, t := range out.Tasks {
-		found[i] = past.Past{Agent: t.Agent.Incarnation, Index: int(t.Index), Digest: [job.DigestBytes]byte(out.Digest)}
+		found[i] = past.Past{Agent: t.Agent, Index: int(t.Index), Digest: [job.DigestBytes]byte(out.Digest)}
 	}
 	return found
 }
--- /dev/null
+++ b/io/entryd/release.go
@@ -0,0 +1,82 @@
+package entryd
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"go.uber.org/zap"
+
+	"persimmonstage/core/ident"
+	"persimmonstage/core/jobkey"
+	"persimmonstage/core/recov"
+	"persimmonstage/io/codec"
+	"persimmonstage/io/frame"
+	"persimmonstage/io/wire"
+)
+
+// releaseTries is how often a release is sent; without it the next owner waits for the grace and asks every agent.
+const releaseTries = 3
+
+// release hands shards that this live owner has lost to their next owners, after which it starts nothing for them.
+func (d *Daemon) release(next ident.Ident, list []*wire.Release) {
+	msg := &wire.Bulk{Body: &wire.Bulk_Releases{Releases: &wire.Releases{Shards: list}}}
+	for range releaseTries {
+		d.mu.RLock()
+		mux := d.peers[next.Incarnation]
+		d.mu.RUnlock()
+		if mux != nil {
+			ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+			_, err := mux.Ask(ctx, msg)
+			cancel()
+			if err == nil {
+				d.log.Info("shards released", zap.String("entry", next.Name), zap.Int("shards", len(list)))
+				return
+			}
+		}
+		time.Sleep(redialPause)
+	}
+	d.log.Warn("shards not released", zap.String("entry", next.Name), zap.Int("shards", len(list)))
+}
+
+// releaseOf describes a shard that this entry owned under epoch.
+func (d *Daemon) releaseOf(shard int, epoch uint64) *wire.Release {
+	out := recov.Release{Shard: shard, Epoch: epoch}
+	if r := d.recoveries[shard]; r != nil {
+		out.Complete = r.Config().First || r.Served()
+		out.Jobs = r.Sent()
+	}
+	d.owner.Sent(shard, func(key jobkey.Key, agents []ident.Ident) {
+		out.Jobs = append(out.Jobs, recov.Sent{Team: key.Team, ID: key.ID, Agents: agents})
+	})
+	return codec.ReleaseOut(&out)
+}
+
+// releasesGot takes what the owners before hand over; a release may come before the map that it belongs to.
+func (d *Daemon) releasesGot(m *wire.Releases, s net.Conn) {
+	defer s.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	ran := d.loop.Call(ctx, func(time.Time) {
+		for _, w := range m.Shards {
+			r := codec.ReleaseIn(w)
+			d.released[r.Shard] = r
+			d.useRelease(r.Shard)
+		}
+	})
+	if ran {
+		_ = frame.Write(s, &wire.Bulk{Body: &wire.Bulk_Released{Released: &wire.Released{}}})
+	}
+}
+
+// useRelease gives a shard's recovery the release that belongs to it.
+func (d *Daemon) useRelease(shard int) {
+	rel, ok := d.released[shard]
+	r := d.recoveries[shard]
+	if !ok || r == nil || rel.Epoch >= r.Config().Epoch {
+		return
+	}
+	delete(d.released, shard)
+	r.Release(rel)
+	d.nextRecovery = time.Time{}
+}
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"persimmonstage/io/caller"
+	_ "persimmonstage/io/verb" // a change of the program that is built here must run the tests again
 )
 
 const (
