Prove outages, lost answers, a frozen owner and cut answers over real processes

Cause: the promises under the platform's faults were untested on the running program. One test found a job of 160 refused for its wait: an entry counted only its equal part of the fleet though the others had no work there. Change: five tests; the entry's part of the fleet follows the work that each has there. Ruled out: a slow target (none had begun a task) and the deadline (4 s for 2 s of work).

--- a/core/roster/load.go
+++ b/core/roster/load.go
@@ -78,3 +78,12 @@
 	t.speed = math.Log2(factor) * stepsPerDoubling
 	r.relist(uint32(id.Index()))
 }
+
+// Work returns the expected run time of all work that this entry has at the targets, and of what the others have there.
+func (r *Roster) Work() (own, others time.Duration) {
+	for i := range r.rows {
+		own += r.rows[i].own.all.work
+		others += r.rows[i].others.all.work
+	}
+	return own, others
+}
--- a/io/entryd/admit.go
+++ b/io/entryd/admit.go
@@ -68,7 +68,8 @@
 	return answer.StatusUnavailable
 }
 
-// setFleet tells the gate this entry's part of what all targets do in a second.
+// setFleet tells the gate this entry's part of what all targets do in a second: the whole while the other entries have
+// no work there, and never less than an equal part.
 func (d *Daemon) setFleet() {
 	members := 1
 	if m := d.group.Map(); m != nil {
@@ -80,5 +81,7 @@
 			hosts += max(1, float64(l.hello.Capacity.GetSlots())/slotsPerHost)
 		}
 	}
-	d.gate.SetFleet(hosts / float64(members))
+	own, others := d.roster.Work()
+	part := (own + time.Second).Seconds() / (own + others + time.Second).Seconds()
+	d.gate.SetFleet(hosts * max(part, 1/float64(members)))
 }
--- /dev/null
+++ b/test/faults/outage_test.go
@@ -0,0 +1,129 @@
+package faults
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"persimmonstage/test/fleet"
+)
+
+// send submits n jobs one after another, round the entries, and gives what was told.
+func send(f *fleet.Fleet, t *testing.T, prefix string, n int, life time.Duration, entries ...string) []outcome {
+	t.Helper()
+	var all []outcome
+	for i := range n {
+		o := outcome{id: fmt.Sprintf("%s-%d", prefix, i), tasks: 2}
+		body, deadline := job(t, o.id, "sort", o.tasks, 10, life)
+		r, err := submitOnce(f, entries[i%len(entries)], body, deadline)
+		require.NoError(t, err)
+		o.answers = append(o.answers, r)
+		all = append(all, o)
+	}
+	return all
+}
+
+// While the log is down the owners carry on; the shards of an entry that dies meanwhile are answered without a false
+// "not run", and are served again when the log is back.
+func TestLogOutageWithAnOwnersDeath(t *testing.T) {
+	f := fleet.New(t, 3, chaosAgents)
+	f.LogFaults(`{"down": true}`)
+	all := send(f, t, "down", 40, lifetime, "entry-1", "entry-2", "entry-3")
+	requireAllComplete(t, all)
+
+	f.Kill("entry-3")
+	orphaned := 0
+	for _, o := range send(f, t, "dead", 12, 1500*time.Millisecond, "entry-1", "entry-2") {
+		r := o.answers[0]
+		require.Contains(t, []string{"complete", "unknown"}, r.Outcome, r.Reason)
+		require.Nil(t, r.NotRun)
+		if r.Outcome == "unknown" {
+			orphaned++
+		}
+		all = append(all, o)
+	}
+	require.Positive(t, orphaned, "some job belongs to the dead entry")
+
+	f.LogFaults(`{"down": false}`)
+	f.Await("the dead entry is out of the map", func() bool {
+		s, ok := f.State("entry-1")
+		return ok && len(s.Map.Members) == 2
+	})
+	after := send(f, t, "back", 40, lifetime, "entry-1", "entry-2")
+	requireAllComplete(t, after)
+	judge(t, f.AllStarts(chaosAgents), append(all, after...))
+}
+
+// An append whose answer was lost is found by its id: the map goes on, and nobody's takeover is done twice.
+func TestLostAnswersOfTheLog(t *testing.T) {
+	f := fleet.New(t, 3, chaosAgents)
+	f.LogFaults(`{"lose-answers": 2}`)
+	f.Kill("entry-3")
+	f.Await("the dead entry is out of the map", func() bool {
+		s, ok := f.State("entry-1")
+		return ok && len(s.Map.Members) == 2
+	})
+	all := send(f, t, "lost", 40, lifetime, "entry-1", "entry-2")
+	requireAllComplete(t, all)
+	judge(t, f.AllStarts(chaosAgents), all)
+}
+
+// An owner that stands still past its takeover and then goes on starts nothing twice.
+func TestFrozenOwnerIsTakenOverAndGoesOn(t *testing.T) {
+	f := fleet.New(t, 3, chaosAgents)
+	got := underLoad(f, t, []string{"entry-1", "entry-2"}, func() {
+		time.Sleep(500 * time.Millisecond)
+		f.Freeze("entry-3")
+		f.Await("the frozen entry is out of the map", func() bool {
+			s, ok := f.State("entry-1")
+			return ok && len(s.Map.Members) == 2
+		})
+		f.Thaw("entry-3")
+		f.Await("the entry is back in the map", func() bool {
+			s, ok := f.State("entry-1")
+			return ok && len(s.Map.Members) == 3
+		})
+		time.Sleep(time.Second)
+	})
+	requireAllComplete(t, got)
+	judge(t, f.AllStarts(chaosAgents), got)
+}
+
+// A job of the largest size that loses a target in its middle fails as a whole: no part of an answer is given.
+func TestAgentKilledInTheMiddleOfAJob(t *testing.T) {
+	f := fleet.New(t, 2, 2)
+	body, deadline := job(t, "middle", "sort", 160, 200, 4*time.Second)
+	told := make(chan reply, 1)
+	go func() {
+		r, err := submitOnce(f, "entry-1", body, deadline)
+		if err != nil {
+			r.Outcome = err.Error()
+		}
+		told <- r
+	}()
+	f.Await("tasks are running", func() bool { return len(f.AllStarts(2)) > 20 })
+	f.Kill("agent-1")
+	r := <-told
+	require.Equal(t, "failed", r.Outcome, r.Reason)
+	require.Empty(t, r.Results)
+	require.NotNil(t, r.NotRun)
+	require.False(t, *r.NotRun)
+	for task, n := range f.AllStarts(2) {
+		require.Equal(t, 1, n, task)
+	}
+}
+
+// An answer of a target that is cut short fails the job; it is never taken for a whole one.
+func TestTargetAnswerCutShort(t *testing.T) {
+	f := fleet.New(t, 1, 1)
+	f.TargetFaults("target-1", `{"cut-answers": 1}`)
+	body, deadline := job(t, "short", "sort", 1, 1, lifetime)
+	_, r, _ := post(t, f, "entry-1", body, deadline)
+	require.Equal(t, "failed", r.Outcome)
+	require.Contains(t, r.Reason, "no whole answer")
+	_, again, _ := post(t, f, "entry-1", body, deadline)
+	require.Equal(t, r, again)
+	require.Equal(t, map[string]int{"kits/short/0": 1}, f.AllStarts(1))
+}
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -219,6 +219,25 @@
 	f.t.Fatalf("nothing listens on %s", addr)
 }
 
+// LogFaults switches the faults of the stand-in log, such as {"down": true}.
+func (f *Fleet) LogFaults(faults string) {
+	f.t.Helper()
+	f.faults("http://"+f.logAddr, "/v1/faults", faults)
+}
+
+// TargetFaults switches the faults of a stand-in target, such as {"cut-answers": 1}.
+func (f *Fleet) TargetFaults(name, faults string) {
+	f.t.Helper()
+	f.faults(f.URL(name), "/faults", faults)
+}
+
+func (f *Fleet) faults(base, path, body string) {
+	f.t.Helper()
+	status, got, err := caller.New(base, "").Do("POST", path, []byte(body), time.Now().Add(readyTimeout))
+	require.NoError(f.t, err)
+	require.Less(f.t, status, 300, string(got))
+}
+
 // Dead lists the processes that ended without being told to.
 func (f *Fleet) Dead() []string {
 	f.mu.Lock()
