--- a/core/cfgerr/error.go
+++ b/core/cfgerr/error.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 )
 
 // Error says what is wrong with one key of a settings document, and where.
@@ -39,7 +40,7 @@
 	if e.key != "" {
 		s += ": " + e.key
 	}
-	return s + ": " + e.reason
+	return strings.TrimPrefix(s+": "+e.reason, ": ")
 }
 
 type jsonError struct {
--- a/core/rules/tokens.go
+++ b/core/rules/tokens.go
@@ -6,6 +6,9 @@
 	"encoding/hex"
 )
 
+// Anyone is the operator's name where no token is asked for.
+const Anyone = "anyone"
+
 // CallerAllowed tells whether token lets a caller act for the team; the time taken doesn't depend on the token.
 func (r *Rules) CallerAllowed(teamName, token string) bool {
 	if r.access("callers") == accessOpen {
@@ -19,7 +22,7 @@
 	return match == 1 && len(token) <= maxTokenBytes
 }
 
-// Operator returns the name of the operator whose token it is; with open access that is "anyone" for any token.
+// Operator returns the name of the operator whose token it is; with open access that is Anyone for any token.
 func (r *Rules) Operator(token string) (string, bool) {
 	hash := sha256.Sum256([]byte(token[:min(len(token), maxTokenBytes)]))
 	found := -1
@@ -30,7 +33,7 @@
 	case found >= 0 && len(token) <= maxTokenBytes:
 		return r.operators[found].name, true
 	case r.access("operators") == accessOpen:
-		return "anyone", true
+		return Anyone, true
 	}
 	return "", false
 }
--- a/io/conf/peers.go
+++ b/io/conf/peers.go
@@ -50,7 +50,7 @@
 	switch {
 	case !s.history.Complete():
 		return 0, true
-	case s.opts.Log == nil && version == 0, s.outage, s.heard > version:
+	case s.outage, s.heard > version:
 		return version, true
 	}
 	return 0, false
--- a/io/confap/handler.go
+++ b/io/confap/handler.go
@@ -214,7 +214,7 @@
 		return p, cfgerr.New("body", 0, "author", fmt.Sprintf("%d bytes: must be at most %d", len(p.Author), maxAuthorBytes))
 	case p.Author == "":
 		p.Author = operator
-	case p.Author != operator:
+	case p.Author != operator && operator != rules.Anyone:
 		p.Author += " (token of " + operator + ")"
 	}
 	if p.ID == "" {
