--- a/core/day/day_test.go
+++ b/core/day/day_test.go
@@ -87,6 +87,7 @@
 	require.Equal(t, "2026-03-02", g.Day)
 	require.Len(t, g.Slots, 96)
 	require.Empty(t, g.Gaps)
+	require.Zero(t, g.CountedTo, "the entry has stopped")
 	require.InEpsilon(t, 1.1, g.Kinds[0].Ideal99, 0.02)
 	require.EqualValues(t, 1, g.Turned[0].Jobs)
 }
@@ -195,6 +196,18 @@
 	require.Equal(t, digest.Well, g.Went)
 }
 
+func TestCountedToIsTheEarliestOfThoseWhoStillWrite(t *testing.T) {
+	var rs []*rollup.Rollup
+	for i, minutes := range []int{1, 29, 30} {
+		a := tally.New(fmt.Sprint("entry-", i), fmt.Sprint("i", i))
+		complete(a, noon)
+		a.Advance(noon.Add(time.Duration(minutes) * time.Minute))
+		rs = append(rs, records(a)...)
+	}
+	g := digestOf(rs, noon.Add(30*time.Minute))
+	require.True(t, noon.Add(29*time.Minute).Equal(g.CountedTo))
+}
+
 func TestStatedLossIsToldOnItsOwnDay(t *testing.T) {
 	midnight := time.Date(2026, 3, 3, 0, 0, 0, 0, auckland).UTC()
 	r := &rollup.Rollup{Entry: "entry-1", Incarnation: "i1", Seq: 9, From: midnight, To: midnight.Add(time.Minute)}
@@ -224,6 +237,23 @@
 	require.Equal(t, 30*time.Minute, g.Moments[0].Until.Sub(g.Moments[0].At))
 }
 
+// A day has tens of thousands of changes of the configuration; they don't crowd out what explains harm.
+func TestNoticesDoNotCrowdOutWhatExplainsHarm(t *testing.T) {
+	a := tally.New("entry-1", "i1")
+	now := noon
+	for i := range 39_000 {
+		now = noon.Add(time.Duration(i) * time.Second)
+		a.Event(now, event.Event{Cause: cause.ConfigApplied, Subject: fmt.Sprint(i)})
+	}
+	a.Event(now, event.Event{Cause: cause.TargetLost, Subject: "runner-1"})
+	failed(cause.TargetLost)(a, now)
+	a.Close(now.Add(time.Second))
+	g := digestOf(records(a), now)
+	require.Equal(t, "The target runner-1, or the host it ran on, died or stopped answering.", g.Reasons[0].Sentence)
+	require.LessOrEqual(t, len(g.Moments), 200)
+	require.EqualValues(t, 39_001, int64(len(g.Moments))+g.MomentsMore)
+}
+
 func TestHarmsStayBoundedOnADayWhenAllSuffer(t *testing.T) {
 	d := day.Of(noon, auckland)
 	from := d.From()
--- a/core/proof/owner_test.go
+++ b/core/proof/owner_test.go
@@ -58,7 +58,7 @@
 	r := e.recovs[gain.Shard]
 	if at, ok := e.g.Fenced(w.now, gain.Version); ok {
 		r.Fence(at)
-	} else if w.flaw == noSkew {
+	} else if w.flaw == noFence {
 		r.Fence(w.now)
 	}
 	agents, complete := e.g.Agents(gain.Version)
@@ -131,6 +131,9 @@
 		return
 	}
 	out := r.Lookup(w.now, team, fmt.Sprint(i), j.issued)
+	if w.verdicts != nil {
+		w.verdicts[out.Verdict]++
+	}
 	switch out.Verdict {
 	case recov.Fresh:
 		if j.starts > 0 && gain.Epoch > j.epoch {
--- a/core/proof/world_test.go
+++ b/core/proof/world_test.go
@@ -4,6 +4,7 @@
 // network glue must do. A flaw disables one mechanism by lying to the core from outside, so that the cores have no switches.
 
 import (
+	"encoding/json"
 	"fmt"
 	"time"
 
@@ -35,15 +36,19 @@
 	noLedger           // an agent doesn't record starts
 	noRefusal          // an agent doesn't record refusals
 	noEpoch            // an agent obeys whoever sends
-	noSkew             // a new owner counts later jobs from the takeover's record
+	noFence            // a new owner takes the map's record for the moment from which nobody else is obeyed
 	noRoster           // a new owner asks only the agents that it knows itself
+	noOpen             // a map lists only its direct predecessor
 	noIncarnation      // an agent that was restarted passes for the one before
 )
 
 type world struct {
 	flaw    flaw
+	timing  timing
+	shards  int
 	now     time.Time
 	log     [][]byte
+	dropped int // records that the log has dropped
 	ids     int
 	entries []*entry
 	agents  []*agent
@@ -53,9 +58,19 @@
 	served  map[int]uint64 // highest epoch under which a job of the shard was called fresh
 	owners  map[owner]string
 	errs    []string
-	used    map[string]int // actions of bounded number taken so far
+
+	verdicts map[recov.Verdict]int // how often each was given, kept only if not nil
+	used     map[string]int        // actions of bounded number taken so far
+}
+
+// timing is how fast a world goes; each advance is one step.
+type timing struct {
+	step, beat, suspect, grace time.Duration
 }
 
+// coarse has one heartbeat per step, which keeps the search small.
+var coarse = timing{step: unit, beat: unit, suspect: 3 * unit, grace: 4 * unit}
+
 type owner struct {
 	shard int
 	epoch uint64
@@ -106,15 +121,13 @@
 	version        int64
 }
 
-func newWorld(f flaw, entries, agents, jobs int) *world {
+func newWorld(f flaw, at timing, shards, entries, agents, jobs int) *world {
 	w := &world{
-		flaw: f, now: time.Unix(1_000_000, 0), cuts: map[[2]int]bool{}, served: map[int]uint64{}, owners: map[owner]string{},
+		flaw: f, timing: at, shards: shards, now: time.Unix(1_000_000, 0), cuts: map[[2]int]bool{}, served: map[int]uint64{}, owners: map[owner]string{},
 		used: map[string]int{},
 	}
-	for i := range entries {
-		e := &entry{node: i}
-		w.entries = append(w.entries, e)
-		w.boot(e)
+	for range entries {
+		w.addEntry()
 	}
 	for range agents {
 		w.addAgent()
@@ -135,12 +148,10 @@
 	return ident.Ident{Name: name, Incarnation: fmt.Sprintf("%s%d", name, x.life)}
 }
 
-const grace = 4 * unit
-
 func (w *world) boot(e *entry) {
 	e.life++
-	e.up, e.frozen, e.read, e.lose = true, false, 0, ""
-	cfg := group.Config{Self: e.self(), Shards: 2, Beat: unit, Suspect: 3 * unit, Grace: grace, Lifetime: time.Hour}
+	e.up, e.frozen, e.read, e.lose = true, false, w.dropped, ""
+	cfg := group.Config{Self: e.self(), Shards: w.shards, Beat: w.timing.beat, Suspect: w.timing.suspect, Grace: w.timing.grace, Lifetime: time.Hour}
 	if w.flaw == noGrace {
 		cfg.Grace = 1
 	}
@@ -149,6 +160,12 @@
 	e.releases = nil
 }
 
+func (w *world) addEntry() {
+	e := &entry{node: len(w.entries)}
+	w.entries = append(w.entries, e)
+	w.boot(e)
+}
+
 func (w *world) addAgent() {
 	x := &agent{node: agentsAt + len(w.agents)}
 	w.agents = append(w.agents, x)
@@ -159,7 +176,7 @@
 	if w.flaw != noIncarnation || x.life == 0 {
 		x.life++
 	}
-	x.fence, x.hold = fence.New(grace), -1
+	x.fence, x.hold = fence.New(w.timing.grace), -1
 	x.ledger = ledger.New(ledger.Config{Since: w.now, Margin: time.Hour})
 }
 
@@ -173,9 +190,9 @@
 	w.errs = append(w.errs, fmt.Sprintf(format, args...))
 }
 
-// advance lets one heartbeat interval pass.
+// advance lets one step pass.
 func (w *world) advance() {
-	w.now = w.now.Add(unit)
+	w.now = w.now.Add(w.timing.step)
 	var sends []group.Send
 	for _, e := range w.entries {
 		if w.runs(e) {
@@ -225,6 +242,9 @@
 }
 
 func (w *world) append(e *entry, a *group.Append) {
+	if w.flaw == noOpen {
+		a = &group.Append{ID: a.ID, Record: forgetful(a.Record)}
+	}
 	effect := e.lose != "nothing" && !w.cut(e.node, logNode)
 	if effect {
 		w.log = append(w.log, a.Record)
@@ -235,6 +255,22 @@
 	e.lose = ""
 }
 
+// forgetful drops all earlier maps but the last from a record.
+func forgetful(record []byte) []byte {
+	var doc map[string]any
+	if err := json.Unmarshal(record, &doc); err != nil {
+		panic(err)
+	}
+	if open, ok := doc["open"].([]any); ok {
+		doc["open"] = open[len(open)-1:]
+	}
+	record, err := json.Marshal(doc)
+	if err != nil {
+		panic(err)
+	}
+	return record
+}
+
 func (w *world) entry(who member.Member) *entry {
 	for _, e := range w.entries {
 		if e.up && e.self() == who {
--- a/core/queue/lend_test.go
+++ b/core/queue/lend_test.go
@@ -12,6 +12,12 @@
 func lendingQueue(t *testing.T, run time.Duration) *Queue[int] {
 	t.Helper()
 	q := &Queue[int]{}
+	prepareLending(t, q, run)
+	return q
+}
+
+func prepareLending(t *testing.T, q *Queue[int], run time.Duration) {
+	t.Helper()
 	q.SetWeight("a", "x", 1)
 	q.SetWeight("flood", "x", 1)
 	q.SetWeight("a", "", 7)
@@ -29,7 +35,6 @@
 		it.Run = run
 		push(t, q, it)
 	}
-	return q
 }
 
 // fill starts what the queue gives on the free ones of eight slots, and returns the teams of what started.
@@ -67,3 +72,36 @@
 	}
 	require.Equal(t, []string{"a", "a", "a", "a", "a"}, fill(q, 5))
 }
+
+// What wasn't lent is not saved up: once the flood may borrow again, service follows the weights at once.
+func TestAShareGetsNoCreditForWhatWasNotLent(t *testing.T) {
+	q := lendingQueue(t, 5*time.Second)
+	require.Len(t, fill(q, 8), 3)
+	for i := range 7000 {
+		push(t, q, work(fmt.Sprint("more", i), "a", "x"))
+		it, ok := q.Pop(always)
+		require.True(t, ok)
+		require.Equal(t, "a", it.Team)
+		q.Done(it, it.Run)
+	}
+	q.Expire(time.Unix(1005, 0))
+	q.Expire(time.Unix(1010, 0))
+	for i := range 100 {
+		it := work(fmt.Sprint("last", i), "a", "x")
+		it.Run = 5 * time.Second
+		push(t, q, it)
+	}
+	require.InDelta(t, 70, serve(t, q, 80)["a"], 1, "seven of eight")
+}
+
+func TestAShareWhoseTasksRunTenTimesAsDeclaredBorrowsLikeLongOnes(t *testing.T) {
+	q := &Queue[int]{}
+	for i := range 40 {
+		push(t, q, work(fmt.Sprint("before", i), "flood", "x"))
+		it, ok := q.Pop(always)
+		require.True(t, ok)
+		q.Done(it, 10*it.Run)
+	}
+	prepareLending(t, q, 500*time.Millisecond)
+	require.Len(t, fill(q, 8), 3)
+}
--- a/io/days/days_test.go
+++ b/io/days/days_test.go
@@ -219,7 +219,7 @@
 			"yesterday":  "YYYY-MM-DD",
 			"2026-13-01": "YYYY-MM-DD",
 			now.In(zone).AddDate(0, 0, 1).Format(time.DateOnly):          "has not begun",
-			now.In(zone).AddDate(0, 0, -days.Kept).Format(time.DateOnly): "8 days back",
+			now.In(zone).AddDate(0, 0, -days.Kept).Format(time.DateOnly): "before the last 8 days",
 		} {
 			_, _, err := d.Render(t.Context(), now, date, days.HTML)
 			var bad *days.Error
@@ -236,7 +236,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		d := days.New(&fakeLog{}, zone, nil)
 		defer d.Close()
-		for form, want := range map[string]string{days.HTML: "<!DOCTYPE html>", days.Text: "Did the day go well?", days.JSON: `"went": "well"`} {
+		for form, want := range map[string]string{days.HTML: "<!DOCTYPE html>", days.Text: "Did the day go well?", days.JSON: `"went": "unsure"`} {
 			contentType, body, err := d.Render(t.Context(), time.Now(), "", form)
 			require.NoError(t, err)
 			require.NotEmpty(t, contentType)
--- a/io/entset/settings.go
+++ b/io/entset/settings.go
@@ -1,6 +1,10 @@
 package entset
 
 import (
+	"strings"
+	"time"
+
+	"persimmonstage/core/place"
 	"persimmonstage/io/addr"
 	"persimmonstage/io/strict"
 )
@@ -15,7 +19,11 @@
 	Log        string   `toml:"log"`
 	Peers      []string `toml:"peers"`
 	TimeZone   string   `toml:"time-zone"`
-	Timing     struct {
+	Access     string   `toml:"access"`
+	Bootstrap  string   `toml:"bootstrap"`
+	// Placement names the policy by which tasks are placed.
+	Placement string `toml:"placement"`
+	Timing    struct {
 		HeartbeatMS int `toml:"heartbeat-ms"`
 		SuspectMS   int `toml:"suspect-ms"`
 		GraceMS     int `toml:"grace-ms"`
@@ -36,7 +44,7 @@
 
 // Load reads and checks the settings of file; the error is a *strict.Error with file, line and key.
 func Load(file string, data []byte) (*Settings, error) {
-	s := &Settings{TimeZone: "UTC"}
+	s := &Settings{TimeZone: "UTC", Access: "tokens", Placement: place.Bounded.String()}
 	s.Timing.HeartbeatMS = defaultHeartbeatMS
 	s.Timing.SuspectMS = defaultSuspectMS
 	s.Timing.GraceMS = defaultGraceMS
@@ -67,6 +75,15 @@
 	case !addr.Valid(s.Log):
 		return "log", form
 	}
+	if s.Access != "tokens" && s.Access != "open" {
+		return "access", "\"" + s.Access + "\" is neither \"tokens\" nor \"open\""
+	}
+	if _, err := time.LoadLocation(s.TimeZone); err != nil {
+		return "time-zone", err.Error()
+	}
+	if _, ok := place.Named(s.Placement); !ok {
+		return "placement", "not a policy; the policies are " + strings.Join(place.Names(), ", ")
+	}
 	for _, p := range s.Peers {
 		if !addr.Valid(p) {
 			return "peers", "\"" + p + "\" is " + form
--- a/io/verb/table.go
+++ b/io/verb/table.go
@@ -12,6 +12,8 @@
 		submit(),
 		state(),
 		config(),
+		report(),
+		loadCommand(),
 		standIn(),
 	}
 }
