Drain by command, make tokens, and bound two of the follower's costs

Cause: operators drain a host without editing a folder, and need the hash of a token; the answers kept for peers had no bound, at 100 KB each; the stand-in's "slow" delayed a read twice. Change: drain lists, adds and undoes on top of the version in force and begins anew when another operator was faster; config token prints a token and its hash; at most 64 answers are kept; one delay per request. Ruled out: a separate list of drains outside the configuration; it would need its own order and its own spread. Figures: four drains at once end with all four listed (TestDrainsThatRace...); TestAnswersKeptForPeersAreBounded asks 1000 versions. Conclusion: drains follow the same path as every change.

--- a/io/conf/source.go
+++ b/io/conf/source.go
@@ -30,6 +30,9 @@
 	appendTimeout = 2500 * time.Millisecond
 	repeatAppend  = 500 * time.Millisecond
 	readLimit     = 500
+
+	// maxUpdates bounds the answers kept for Since; processes are at few versions at a time.
+	maxUpdates = 64
 )
 
 // log is what the follower needs of the platform's log.
@@ -126,6 +129,9 @@
 	data, ok := s.updates[version]
 	if !ok {
 		data = s.history.Since(version)
+		if len(s.updates) >= maxUpdates {
+			clear(s.updates)
+		}
 		s.updates[version] = data
 	}
 	return data
--- a/io/conf/source_test.go
+++ b/io/conf/source_test.go
@@ -200,3 +200,20 @@
 		c.requireEverywhere(v)
 	})
 }
+
+func TestAnswersKeptForPeersAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, 0, Options{})
+		v := int64(0)
+		for range 3 {
+			next, err := c.publish(0, v, "a = "+time.Duration(v).String()[:1])
+			require.NoError(t, err)
+			v = next
+		}
+		for version := range int64(1000) {
+			c.all[0].Since(-version)
+		}
+		require.LessOrEqual(t, len(c.all[0].updates), maxUpdates)
+		require.NotEmpty(t, c.all[0].Since(1))
+	})
+}
--- a/io/logsrv/faults.go
+++ b/io/logsrv/faults.go
@@ -74,7 +74,7 @@
 	}
 }
 
-// pass holds the request for the faults in force; false means that it is answered already.
+// pass holds the request while the log is paused and refuses it while it is down; false means that it is answered already.
 func (s *Server) pass(ctx *fasthttp.RequestCtx) bool {
 	for {
 		set, changed := s.faults.current()
@@ -91,21 +91,22 @@
 				return false
 			}
 		}
-		return s.slow(time.Duration(set.SlowMS) * time.Millisecond)
+		return true
 	}
 }
 
-func (s *Server) slow(wait time.Duration) bool {
-	if wait == 0 {
-		return true
+// slow delays a request once, or until the server closes.
+func (s *Server) slow() {
+	set, _ := s.faults.current()
+	if set.SlowMS == 0 {
+		return
 	}
-	timer := time.NewTimer(wait)
+	timer := time.NewTimer(time.Duration(set.SlowMS) * time.Millisecond)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 	case <-s.done:
 	}
-	return true
 }
 
 // hangUp closes the connection without an answer.
--- a/io/logsrv/server.go
+++ b/io/logsrv/server.go
@@ -87,6 +87,7 @@
 	if !s.pass(ctx) {
 		return
 	}
+	s.slow()
 	m := path.FindSubmatch(ctx.Path())
 	switch {
 	case m == nil:
--- a/io/verb/config.go
+++ b/io/verb/config.go
@@ -29,7 +29,7 @@
 		Usage: "check, publish and look at the operators' configuration",
 		Description: "The configuration is a folder of TOML files, merged in the order of their names: tables key by key, later\n" +
 			"values win. docs/SETTINGS.md lists the keys.",
-		Commands: []*cli.Command{configCheck(), configPublish(), configShow(), configHistory(), configDiff(), configLag()},
+		Commands: []*cli.Command{configCheck(), configPublish(), configShow(), configHistory(), configDiff(), configToken(), configLag()},
 	}
 }
 
--- a/io/verb/config_test.go
+++ b/io/verb/config_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -124,6 +125,48 @@
 	s.golden("config-race.session")
 }
 
+func TestDrainSession(t *testing.T) {
+	entryStub(t)
+	t.Chdir("testdata/config")
+	t.Setenv("PERSIMMONSTAGE_OPERATOR_TOKEN", "ana-token")
+	s := session{t: t}
+	s.run("config publish --token first-token base")
+	s.run("drain")
+	s.run("drain --target saw-2 --host 10.0.0.7 --host 10.0.0.3")
+	s.run("drain --target saw-2")
+	s.run("drain --host 10.0.0.7 --undo --json")
+	s.run("drain --host ../etc")
+	s.run("config diff base")
+	t.Chdir("../..")
+	s.golden("drain.session")
+}
+
+func TestDrainsThatRaceAllCount(t *testing.T) {
+	entryStub(t)
+	t.Setenv("PERSIMMONSTAGE_OPERATOR_TOKEN", "ana-token")
+	first := session{t: t}
+	first.run("config publish --token first-token testdata/config/base")
+	var wg sync.WaitGroup
+	for _, target := range []string{"a", "b", "c", "d"} {
+		wg.Go(func() {
+			s := session{t: t}
+			s.run("drain --target " + target)
+		})
+	}
+	wg.Wait()
+	last := session{t: t}
+	last.run("drain")
+	require.Contains(t, last.text.String(), "drained targets: a, b, c, d\n")
+}
+
+func TestTokenMatchesItsHash(t *testing.T) {
+	var out, errs bytes.Buffer
+	require.Zero(t, Main([]string{"persimmonstage", "config", "token"}, nil, &out, &errs))
+	fields := strings.Fields(out.String())
+	require.Len(t, fields, 4)
+	require.Equal(t, rules.HashToken(fields[1]), fields[3])
+}
+
 func postFault(t *testing.T, addr, body string) {
 	t.Helper()
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
--- a/io/verb/configpublish.go
+++ b/io/verb/configpublish.go
@@ -139,7 +139,7 @@
 	case http.StatusOK:
 		return out.Version, nil
 	case http.StatusConflict:
-		return 0, errors.Newf("not published: version %d is in force; changed meanwhile: %s", out.Current, strings.Join(out.Changed, ", "))
+		return 0, &conflictError{current: out.Current, changed: out.Changed}
 	}
 	return 0, apiError(status, body)
 }
@@ -153,3 +153,13 @@
 	}
 	return "" // the entry takes the name of the token's operator
 }
+
+// conflictError says that another operator published first.
+type conflictError struct {
+	current int64
+	changed []string
+}
+
+func (e *conflictError) Error() string {
+	return fmt.Sprintf("not published: version %d is in force; changed meanwhile: %s", e.current, strings.Join(e.changed, ", "))
+}
--- /dev/null
+++ b/io/verb/drain.go
@@ -0,0 +1,147 @@
+package verb
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/urfave/cli/v3"
+
+	"persimmonstage/core/delta"
+	"persimmonstage/core/fold"
+)
+
+const drainAttempts = 10
+
+// drain takes targets and hosts out of service, and puts them back.
+func drain() *cli.Command {
+	return &cli.Command{
+		Name:  "drain",
+		Usage: "give a target or a host no new work, or put it back; without either, list what is drained",
+		Description: "Changes drain.targets and drain.hosts of the configuration in force, on top of whatever others publish\n" +
+			"meanwhile. A later `config publish` of a folder that lacks the entry ends the drain: see `config diff`.\n\n" +
+			"Example: persimmonstage drain --entry http://127.0.0.1:8080 --target saw-2\n" +
+			"Example: persimmonstage drain --host 10.0.0.7 --undo",
+		Flags: []cli.Flag{
+			entryFlag(), operatorFlag(), jsonFlag(),
+			&cli.StringSliceFlag{Name: "target", Usage: "the `NAME` of an agent, once for each"},
+			&cli.StringSliceFlag{Name: "host", Usage: "the `NAME` or IP number of a host, once for each"},
+			&cli.BoolFlag{Name: "undo", Usage: "put back instead"},
+		},
+		Action: runDrain,
+	}
+}
+
+type drainResult struct {
+	Version int64    `json:"version"`
+	Targets []string `json:"targets"`
+	Hosts   []string `json:"hosts"`
+}
+
+func runDrain(ctx context.Context, c *cli.Command) error {
+	if err := atMost(c, 0); err != nil {
+		return err
+	}
+	result, err := changeDrains(ctx, c)
+	if err != nil {
+		return named(c, err)
+	}
+	w := c.Root().Writer
+	if c.Bool("json") {
+		return printJSON(w, result)
+	}
+	fmt.Fprintf(w, "version %d\ndrained targets: %s\ndrained hosts: %s\n", result.Version, listed(result.Targets), listed(result.Hosts))
+	return nil
+}
+
+func listed(names []string) string {
+	if len(names) == 0 {
+		return "none"
+	}
+	return strings.Join(names, ", ")
+}
+
+// changeDrains begins anew on the version in force whenever another operator was faster.
+func changeDrains(ctx context.Context, c *cli.Command) (drainResult, error) {
+	a := newAdmin(c)
+	for range drainAttempts {
+		before, version, err := a.document(-1)
+		if err != nil {
+			return drainResult{}, err
+		}
+		doc, err := drained(before, c)
+		if err != nil || doc.Sum() == before.Sum() {
+			return drainsOf(doc, version), err
+		}
+		next, faster, err := a.tryPublish(ctx, version, doc)
+		if !faster {
+			return drainsOf(doc, next), err
+		}
+	}
+	return drainResult{}, errors.Newf("other operators were faster %d times", drainAttempts)
+}
+
+// tryPublish tells apart a conflict from every other outcome.
+func (a admin) tryPublish(ctx context.Context, base int64, doc fold.Document) (version int64, faster bool, err error) {
+	p := publication{ID: uuid.NewString(), Base: base, Document: string(doc.TOML())}
+	version, err = a.publish(ctx, p)
+	var conflict *conflictError
+	return version, errors.As(err, &conflict), err
+}
+
+// drained adds the flags' names to the lists, or takes them out.
+func drained(doc fold.Document, c *cli.Command) (fold.Document, error) {
+	for key, flag := range map[string]string{"targets": "target", "hosts": "host"} {
+		names := c.StringSlice(flag)
+		if len(names) == 0 {
+			continue
+		}
+		var err error
+		change := listChange([]string{"drain", key}, merged(drainList(doc, key), names, c.Bool("undo")))
+		if doc, err = doc.Apply([]delta.Change{change}); err != nil {
+			return doc, err
+		}
+	}
+	return fold.Parse("document", doc.TOML())
+}
+
+// listChange sets a list of names, or removes an empty one.
+func listChange(key, names []string) delta.Change {
+	if len(names) == 0 {
+		return delta.Remove(key)
+	}
+	quoted := make([]string, 0, len(names))
+	for _, name := range names {
+		quoted = append(quoted, strconv.Quote(name))
+	}
+	return delta.Set(key, "["+strings.Join(quoted, ", ")+"]")
+}
+
+func merged(list, names []string, undo bool) []string {
+	out := slices.DeleteFunc(slices.Clone(list), func(name string) bool { return slices.Contains(names, name) })
+	if !undo {
+		out = append(out, names...)
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+func drainList(doc fold.Document, key string) []string {
+	value, _ := doc.Value("drain", key)
+	items, _ := value.([]any)
+	names := []string{}
+	for _, item := range items {
+		if name, ok := item.(string); ok {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+func drainsOf(doc fold.Document, version int64) drainResult {
+	return drainResult{Version: version, Targets: drainList(doc, "targets"), Hosts: drainList(doc, "hosts")}
+}
--- a/io/verb/table.go
+++ b/io/verb/table.go
@@ -12,6 +12,7 @@
 		submit(),
 		state(),
 		config(),
+		drain(),
 		report(),
 		loadCommand(),
 		standIn(),
