--- a/core/rules/rules.go
+++ b/core/rules/rules.go
@@ -181,6 +181,22 @@
 	return slices.Sorted(maps.Keys(r.teams[teamName].kinds))
 }
 
+// TeamsSince returns the teams configured here or in the rules before, in order: one that is gone needs its defaults back.
+func (r *Rules) TeamsSince(before *Rules) []string {
+	return union(r.Teams(), before.Teams())
+}
+
+// KindsSince returns the team's kinds configured here or in the rules before, in order.
+func (r *Rules) KindsSince(before *Rules, team string) []string {
+	return union(r.Kinds(team), before.Kinds(team))
+}
+
+func union(a, b []string) []string {
+	out := append(slices.Clone(a), b...)
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 // TeamWeight returns the team's share of capacity against the other teams' (1 for a team that isn't configured).
 func (r *Rules) TeamWeight(name string) int { return r.team(name).weight }
 
--- a/core/rules/rules_test.go
+++ b/core/rules/rules_test.go
@@ -102,3 +102,15 @@
 	require.Equal(t, DefaultBodyBytes, r.BodyBytes())
 	require.True(t, read(t, "access = {callers = \"open\", operators = \"open\"}").CallersOpen())
 }
+
+func TestWhatIsGoneHasDefaultsAgain(t *testing.T) {
+	before := read(t, "[teams.a]\nweight = 9\nquota-running = 3\n[teams.b.kinds.x]\nweight = 4\n")
+	r := read(t, "[teams.b.kinds.y]\n")
+	require.Equal(t, []string{"a", "b"}, r.TeamsSince(before))
+	require.Equal(t, []string{"x", "y"}, r.KindsSince(before, "b"))
+	require.Equal(t, 1, r.TeamWeight("a"))
+	_, ok := r.QuotaRunning("a")
+	require.False(t, ok)
+	require.Equal(t, 1, r.KindWeight("b", "x"))
+	require.Equal(t, []string{"b"}, r.TeamsSince(&Rules{}))
+}
--- a/io/conf/snapshot.go
+++ b/io/conf/snapshot.go
@@ -1,6 +1,7 @@
 package conf
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -14,6 +15,10 @@
 	snapshotRetry  = 30 * time.Second
 	// snapshotTimeout is short because the log isn't read meanwhile.
 	snapshotTimeout = time.Second
+
+	// The retention taken for granted where the options state none; a platform that keeps less must be stated.
+	defaultRetainCount = 10_000
+	defaultRetainAge   = 24 * time.Hour
 )
 
 // writeSnapshot appends the state before retention drops the last record that carries it. The entries take turns by a
@@ -31,11 +36,9 @@
 func (s *Source) dueSnapshot(now time.Time) []byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	count := s.opts.RetainCount
-	if count == 0 {
-		count = 1 << 62
-	}
-	if !s.history.SnapshotDue(now, count, s.opts.RetainAge) {
+	count := cmp.Or(s.opts.RetainCount, defaultRetainCount)
+	age := cmp.Or(s.opts.RetainAge, defaultRetainAge)
+	if !s.history.SnapshotDue(now, count, age) {
 		s.snapshot = time.Time{}
 		return nil
 	}
--- a/io/conf/source.go
+++ b/io/conf/source.go
@@ -54,7 +54,7 @@
 	Peers  peers
 	// Self is the process's name; it spreads the snapshots of several entries in time.
 	Self string
-	// RetainCount and RetainAge are the platform's limits for the stream (0: none).
+	// RetainCount and RetainAge are the platform's limits for the stream (0: 10,000 records, 24 h).
 	RetainCount int64
 	RetainAge   time.Duration
 	// Deliver is called with each new version, in rising order and by one goroutine at a time.
--- a/io/conf/source_test.go
+++ b/io/conf/source_test.go
@@ -217,3 +217,16 @@
 		require.NotEmpty(t, c.all[0].Since(1))
 	})
 }
+
+func TestSnapshotsAreWrittenWithoutStatedRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, 0, Options{})
+		_, err := c.publish(0, 0, "a = 1")
+		require.NoError(t, err)
+		time.Sleep(defaultRetainAge/2 + time.Hour)
+		synctest.Wait()
+		c.log.mu.Lock()
+		defer c.log.mu.Unlock()
+		require.Len(t, c.log.records, 2)
+	})
+}
