--- a/core/day/day.go
+++ b/core/day/day.go
@@ -40,8 +40,8 @@
 type workKey struct{ team, kind string }
 
 type slot struct {
-	from, to                            time.Time
-	fine, late, failed, refused, unknow int64
+	from, to                             time.Time
+	fine, late, failed, refused, unknown int64
 }
 
 // Of returns the empty account of the day in loc that holds t; days of 23 and 25 hours are taken as they are.
@@ -157,7 +157,7 @@
 		g.AddSeries(s)
 	}
 	for _, s := range d.slots {
-		g.AddSlot(s.from, s.to, s.fine, s.late, s.failed, s.refused, s.unknow)
+		g.AddSlot(s.from, s.to, s.fine, s.late, s.failed, s.refused, s.unknown)
 	}
 	d.moments(g, spans)
 	d.gaps(g, spans, now)
--- a/core/day/harms.go
+++ b/core/day/harms.go
@@ -164,7 +164,7 @@
 		case what.Outcome == ended.Refused:
 			s.refused += n
 		case what.Outcome == ended.Unknown:
-			s.unknow += n
+			s.unknown += n
 		default:
 			s.late += n
 		}
