--- a/core/digest/judge.go
+++ b/core/digest/judge.go
@@ -28,7 +28,7 @@
 		}
 	case d.missing() > smallGap || d.jobsLost() > 0:
 		d.Went = Unsure
-		d.Headline = "Can't say: no job is known to have suffered, but part of the account is missing."
+		d.Headline = partial
 	case d.Totals.Jobs == 0:
 		d.Went = Well
 		d.Headline = "Yes. " + d.subject() + " went well: no work came, and nothing went wrong."
@@ -38,6 +38,16 @@
 	}
 }
 
+const partial = "Can't say: no job is known to have suffered, but part of the account is missing."
+
+// Doubt adds a note that part of the account is missing, after Finish; a day so far well is unsure by it.
+func (d *Digest) Doubt(note string) {
+	d.Notes = append(d.Notes, note)
+	if d.Went == Well {
+		d.Went, d.Headline = Unsure, partial
+	}
+}
+
 // SoFar reports whether the day was still going on when the account was made.
 func (d *Digest) SoFar() bool { return d.Asked.Before(d.To) }
 
