Say not run only while no other entry can serve the shard; step the running cores under faults

Change: at the deadline the owner asks the group's lease on the shard; without it the answer is unknown. test/stepped drives core/owner and core/agent themselves, with messages lost, doubled, overtaken, agents restarted and owners replaced while they run on. Ruled out: disowning alone, which comes only when the replaced owner hears of it. Without ledger, fence, lease or the memory of ended attempts a sequence is found that starts a task twice or says not run falsely.

--- a/core/owner/effects.go
+++ b/core/owner/effects.go
@@ -34,6 +34,14 @@
 	Next(now, deadline time.Time, attempt int, work time.Duration, rng *rand.Rand) (time.Time, bool)
 }
 
+// lease tells whether this entry is still the only one that can serve a shard.
+//
+// An owner that was cut off may have been replaced, and the next one may have started what this one never sent; without
+// the lease "not run" would be said of a job that ran.
+type lease interface {
+	Holds(shard int) bool
+}
+
 // gate bounds what is admitted; the owner tells it what becomes of each job that it admitted.
 type gate interface {
 	MayStart(team string) bool
--- a/core/owner/owner.go
+++ b/core/owner/owner.go
@@ -35,6 +35,7 @@
 	bookings bookings
 	retries  retries
 	gate     gate
+	lease    lease
 	rng      *rand.Rand
 
 	records  map[jobkey.Key]*record
@@ -50,9 +51,9 @@
 }
 
 // New returns an owner that acts through its arguments; rng makes its random choices repeatable.
-func New(out effects, p placer, b bookings, r retries, g gate, rng *rand.Rand) *Owner {
+func New(out effects, p placer, b bookings, r retries, g gate, l lease, rng *rand.Rand) *Owner {
 	return &Owner{
-		out: out, placer: p, bookings: b, retries: r, gate: g, rng: rng,
+		out: out, placer: p, bookings: b, retries: r, gate: g, lease: l, rng: rng,
 		records:  make(map[jobkey.Key]*record),
 		attempts: make(map[uint64]ref),
 		declared: make(map[string]time.Duration),
--- a/core/owner/step.go
+++ b/core/owner/step.go
@@ -202,7 +202,7 @@
 	case answerFailed, answerLost:
 		o.reply(now, r, answer.Failure(id, r.firstReason(), r.cause, false))
 	case answerLate:
-		o.reply(now, r, r.late())
+		o.reply(now, r, o.late(r))
 	case answerUncertain:
 		o.reply(now, r, answer.Uncertain(id, "an earlier owner of the shard may have run it", ownerChanged))
 	case cancelRest:
@@ -216,8 +216,12 @@
 }
 
 // late gives the answer of a job whose deadline has passed.
-func (r *record) late() answer.Answer {
-	if r.notRun() {
+func (o *Owner) late(r *record) answer.Answer {
+	switch {
+	case !r.notRun():
+	case !o.lease.Holds(r.shard):
+		return answer.Uncertain(r.key().ID, "another owner of the shard may have run it", ownerChanged)
+	default:
 		return answer.Failure(r.key().ID, "deadline passed before a target had room", neverPlaced, true)
 	}
 	return answer.Failure(r.key().ID, "deadline passed before every task had ended", deadlineShort, false)
--- a/io/entryd/daemon.go
+++ b/io/entryd/daemon.go
@@ -126,7 +126,7 @@
 	d.placer.DelayLarge(true)
 	d.gate = admit.New(seed)
 	d.judge = eject.New(d.roster)
-	d.owner = owner.New(effects{d}, d.placer, d.roster, &retry.Budget{}, d.gate, seed)
+	d.owner = owner.New(effects{d}, d.placer, d.roster, &retry.Budget{}, d.gate, lease{d}, seed)
 	d.agents = newAgents()
 	d.group = group.New(group.Config{
 		Self: d.self, Shards: shardCount, Beat: ms(set.Timing.HeartbeatMS), Suspect: ms(set.Timing.SuspectMS),
--- a/io/entryd/effects.go
+++ b/io/entryd/effects.go
@@ -9,12 +9,19 @@
 	"persimmonstage/core/order"
 	"persimmonstage/core/target"
 	"persimmonstage/io/codec"
+	"persimmonstage/io/uptime"
 	"persimmonstage/io/wire"
 )
 
 // notConnected is the reason of an attempt that never left this process.
 const notConnected = "not-connected"
 
+// lease is the group's word on a shard.
+type lease struct{ d *Daemon }
+
+// Holds reports whether no other entry can have begun to serve the shard.
+func (l lease) Holds(shard int) bool { return l.d.group.Holds(uptime.Now(), shard) }
+
 // effects carries out what the owner decides; it is called on the loop.
 type effects struct{ d *Daemon }
 
--- /dev/null
+++ b/test/stepped/sequence_test.go
@@ -0,0 +1,220 @@
+package stepped
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"persimmonstage/core/answer"
+	"persimmonstage/core/job"
+	"persimmonstage/core/jobkey"
+	"persimmonstage/core/needs"
+	"persimmonstage/core/task"
+)
+
+// The nightly run is: go test ./test/stepped -sequences 10000
+var sequences = flag.Int("sequences", 0, "number of sequences; 0 plays the fixed handful")
+
+const (
+	handful   = 300
+	longest   = 120
+	agentsAll = 3
+)
+
+// play takes the drawn steps one after another; each step is an action and a number that it chooses by.
+func play(t require.TestingT, f flaw, steps []int) *world {
+	w := newWorld(t, f, agentsAll)
+	for n, s := range steps {
+		w.step(s%actions, s/actions, n)
+		if w.doubled() != "" {
+			return w
+		}
+	}
+	w.finish()
+	return w
+}
+
+const actions = 16
+
+func (w *world) step(action, n, at int) {
+	h := w.agents[n%len(w.agents)]
+	switch action {
+	case 0, 1:
+		w.newJob(n)
+	case 2:
+		if len(w.jobs) > 0 {
+			w.submit(n % len(w.jobs))
+		}
+	case 3, 4, 5, 6, 7:
+		w.deliver(n, false)
+	case 8:
+		w.deliver(n, true)
+	case 9, 10:
+		h.end(n/3, n%7 != 0)
+	case 11:
+		w.tick(time.Duration(1+n%40) * time.Millisecond)
+	case 12:
+		w.owners[n%len(w.owners)].disconnect(h)
+	case 13:
+		w.owners[n%len(w.owners)].connect(h)
+	case 14:
+		if n%4 == 0 && len(w.owners) < 4 {
+			w.takeOver()
+		}
+	case 15:
+		if n%4 == 0 {
+			w.restart(h, 2+at)
+		}
+	}
+}
+
+func (w *world) newJob(n int) {
+	j := &job.Job{
+		Key: jobkey.Key{Team: "kits", ID: fmt.Sprint(len(w.jobs))}, Kind: "cut", Issued: w.now,
+		Deadline: w.now.Add(time.Duration(50+n%400) * time.Millisecond), Tasks: make([]task.Task, 1+n%4),
+	}
+	for i := range j.Tasks {
+		j.Tasks[i] = task.Task{Payload: []byte("p"), Needs: needs.Vector{Slots: 1}}
+	}
+	w.jobs = append(w.jobs, j)
+	w.submit(len(w.jobs) - 1)
+}
+
+// deliver takes the first message of a stream; kept, it will come again.
+func (w *world) deliver(n int, keep bool) {
+	var ready []*[]func()
+	for _, e := range w.owners {
+		for _, name := range append([]string{"self"}, w.incs()...) {
+			if l := e.lines[name]; l != nil {
+				for s := range l.streams {
+					if len(l.streams[s]) > 0 {
+						ready = append(ready, &l.streams[s])
+					}
+				}
+			}
+		}
+	}
+	if len(ready) == 0 {
+		return
+	}
+	s := ready[n%len(ready)]
+	m := (*s)[0]
+	*s = (*s)[1:]
+	if keep {
+		*s = append(*s, m)
+	}
+	m()
+}
+
+func (w *world) incs() []string {
+	out := make([]string, len(w.agents))
+	for i, h := range w.agents {
+		out[i] = h.inc
+	}
+	return out
+}
+
+// finish lets every job's time pass and everything that is under way arrive.
+func (w *world) finish() {
+	for range 60 {
+		w.tick(10 * time.Millisecond)
+		for n := range 200 {
+			w.deliver(n, false)
+		}
+		for _, h := range w.agents {
+			h.end(0, true)
+		}
+	}
+}
+
+func (w *world) doubled() string {
+	for name, n := range w.starts {
+		if n > 1 {
+			return name
+		}
+	}
+	return ""
+}
+
+// faults lists what the promises forbid.
+func (w *world) faults() string {
+	if name := w.doubled(); name != "" {
+		return name + " started twice"
+	}
+	for i, j := range w.jobs {
+		if len(w.told[i]) == 0 || len(w.owners) == 1 && len(w.told[i]) != w.asked[i] {
+			return fmt.Sprintf("job %d: %d answers to %d requests", i, len(w.told[i]), w.asked[i])
+		}
+		for _, a := range w.told[i] {
+			if fault := w.lie(j, &a); fault != "" {
+				return fmt.Sprintf("job %d: %s", i, fault)
+			}
+		}
+	}
+	return ""
+}
+
+func (w *world) lie(j *job.Job, a *answer.Answer) string {
+	started := 0
+	for k := range j.Tasks {
+		started += w.starts[output(j.Key, k)]
+	}
+	if a.NotRunKnown && a.NotRun && started > 0 {
+		return "not run was said: " + a.Reason
+	}
+	if a.Outcome != answer.Complete {
+		if len(a.Results) > 0 {
+			return "a partial answer"
+		}
+		return ""
+	}
+	if len(a.Results) != len(j.Tasks) || started != len(j.Tasks) {
+		return "complete without every task"
+	}
+	for k, r := range a.Results {
+		if string(r) != output(j.Key, k) {
+			return "a result of another task"
+		}
+	}
+	return ""
+}
+
+func drawn() *rapid.Generator[[]int] {
+	return rapid.SliceOfN(rapid.IntRange(0, actions*1000), 1, longest)
+}
+
+// Example draws by a seed, so that every run plays the same sequences.
+func TestSequences(t *testing.T) {
+	n := handful
+	if *sequences > 0 {
+		n = *sequences
+	}
+	complete, steps := 0, drawn()
+	for seed := range n {
+		w := play(t, none, steps.Example(seed))
+		require.Empty(t, w.faults(), "seed %d", seed)
+		for _, told := range w.told {
+			if told[0].Outcome == answer.Complete {
+				complete++
+			}
+		}
+	}
+	t.Logf("%d sequences, %d jobs complete", n, complete)
+	require.Greater(t, complete, n/4, "the sequences must let work through")
+}
+
+// Each mechanism is missed when it is disabled: some sequence breaks a promise.
+func TestSequencesFindFlaws(t *testing.T) {
+	for _, f := range []flaw{noLedger, noFence, noLease, forgetful} {
+		found := ""
+		for seed := 0; seed < 20*handful && found == ""; seed++ {
+			found = play(t, f, drawn().Example(seed)).faults()
+		}
+		require.NotEmpty(t, found, "flaw %d is not found", f)
+		t.Logf("flaw %d: %s", f, found)
+	}
+}
