Vary the number of entries in random sequences, and require that they settle

Cause: a protocol that never starts anything is safe as well; and small groups have their own rules (one of one, one of two).

Change: sequences run with 1 to 4 entries and 2 to 4 shards; when the faults end, every entry must become a member and hold its shards within 40 heartbeats.

Ruled out: drawing the number of agents too, since three already give agents that are unknown, restarted and cut off at once.

--- a/core/proof/sequence_test.go
+++ b/core/proof/sequence_test.go
@@ -15,6 +15,7 @@
 	sequenceJobs   = 4
 	sequenceSteps  = 120 // at most
 	flawSequences  = 300
+	settleSteps    = 40
 	defaultChecks  = "20" // sequences; the nightly command passes -rapid.checks=10000
 	defaultSeed    = "1"
 	weightsInTotal = 100
@@ -108,12 +109,13 @@
 	}
 }
 
-// play runs one sequence until something goes wrong.
+// play runs one sequence until something goes wrong; its first number gives the number of entries and shards.
 func play(t require.TestingT, f flaw, sequence []int) *world {
-	w := settled(t, f, 2, 3, 3, sequenceJobs)
+	size := sequence[0]
+	w := settled(t, f, 2+size/4%3, 1+size%4, 3, sequenceJobs)
 	w.errs, w.verdicts = nil, map[recov.Verdict]int{}
 	for i := range w.jobs {
-		w.jobs[i].shard = i % 2
+		w.jobs[i].shard = i % w.shards
 	}
 	table := events()
 	for _, n := range sequence {
@@ -132,6 +134,30 @@
 	return w
 }
 
+// settle ends all faults and requires that every entry becomes a member and every shard is served or at least fenced: nothing
+// is stuck.
+func (w *world) settle(t require.TestingT) {
+	w.cuts = map[[2]int]bool{}
+	for _, e := range w.entries {
+		e.frozen = false
+		if !e.up || e.g.Left() || e.g.State() == "leaving" {
+			w.boot(e)
+		}
+	}
+	w.run(settleSteps)
+	require.Empty(t, w.errs)
+	owned := 0
+	for _, e := range w.entries {
+		require.Equal(t, "member", e.g.State(), e.self().Incarnation)
+		owned += len(e.owned)
+		for shard := range e.owned {
+			require.True(t, e.recovs[shard].Fenced(), "shard %d of %s", shard, e.self().Incarnation)
+			require.True(t, e.g.Holds(w.now, shard), "shard %d of %s", shard, e.self().Incarnation)
+		}
+	}
+	require.Equal(t, w.shards, owned)
+}
+
 func sequences() *rapid.Generator[[]int] {
 	return rapid.SliceOfN(rapid.IntRange(0, 1<<20), sequenceSteps/2, sequenceSteps)
 }
@@ -142,6 +168,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		w := play(rt, sound, sequences().Draw(rt, "sequence"))
 		require.Empty(rt, w.errs)
+		w.settle(rt)
 		maps += len(w.log)
 		for _, j := range w.jobs {
 			starts += j.starts
