Count an answer only for the incarnation that gave it

Cause: a process that dials a dead member's addresses reaches its successor. If the successor's answers count as the member's, the map before isn't sealed by the member's end: a restarted entry that has read the log but is then cut off from it goes on answering under that map.

Change: the heartbeat between entries names the incarnation that it is meant for, and is dropped by another; the search has the scenario, with the identity of who answers an agent as one more mechanism.

Ruled out: relying on the connection, since it is made by address.

--- a/core/group/beat.go
+++ b/core/group/beat.go
@@ -14,17 +14,18 @@
 // returned by the other.
 type Beat struct {
 	From    member.Member
+	To      ident.Ident   // the incarnation that it is meant for; zero only if the connection is known to end there
 	Stamp   time.Time     // of the sender's clock
 	Echo    time.Time     // of the receiver's clock: its youngest stamp that the sender has heard, zero if none
 	Version int64         // the map that the sender carries
 	Hears   []ident.Ident // entries heard within the suspect timeout
 }
 
-// Hear takes a peer's heartbeat and reports whether the peer carries a newer map, which the caller then fetches from it and
+// Hear takes a peer's heartbeat, unless it is meant for an earlier process on the same addresses, and reports whether the peer carries a newer map, which the caller then fetches from it and
 // gives to Learn.
 func (g *Group) Hear(now time.Time, b Beat) (newer bool) {
 	id := b.From.Ident()
-	if id == g.cfg.Self.Ident() || b.Echo.After(now) {
+	if id == g.cfg.Self.Ident() || b.Echo.After(now) || !b.To.IsZero() && b.To != g.cfg.Self.Ident() {
 		return false
 	}
 	p := g.peers[id]
@@ -88,7 +89,7 @@
 	hears := g.Alive(now)
 	sends := make([]Send, 0, len(to))
 	for id, one := range to {
-		b := Beat{From: g.cfg.Self, Stamp: now, Version: g.Version(), Hears: hears}
+		b := Beat{From: g.cfg.Self, To: id, Stamp: now, Version: g.Version(), Hears: hears}
 		if p := g.peers[id]; p != nil {
 			b.Echo = p.stamp
 		}
--- a/core/proof/fault_test.go
+++ b/core/proof/fault_test.go
@@ -128,6 +128,20 @@
 			},
 			faults: []action{isolate(1), restartAgent(0)},
 		},
+		{
+			name: "restarted entry answers under the map before", submits: 2, depth: 8, breaks: []flaw{noIdentity},
+			setup: func(w *world) {
+				w.boot(w.entries[1])
+				w.entries[1].lose = "nothing"
+				w.run(1)
+				cutOff("restarted entry from the log", both(1, logNode)...).apply(w)
+				w.run(2)
+				w.split([]int{0, 1, agentsAt}, []int{2, agentsAt + 1, logNode})
+				w.cuts[[2]int{1, 2}] = false
+				w.run(8)
+			},
+			faults: []action{heal(), restartAgent(1)},
+		},
 		{
 			name: "majority stays with an earlier map", shards: 4, submits: 2, depth: 7, breaks: []flaw{noOpen},
 			setup: func(w *world) {
--- a/core/proof/scenario_test.go
+++ b/core/proof/scenario_test.go
@@ -251,3 +251,12 @@
 	require.Equal(t, 2, s.Agents)
 	require.Len(t, s.Owned, s.Held)
 }
+
+func TestBeatForAnEarlierIncarnationIsNotHeard(t *testing.T) {
+	w := settled(t, sound, 2, 3, 1, 0)
+	a, b := w.entries[0], w.entries[1]
+	meant := group.Beat{From: b.self(), To: a.self().Ident(), Stamp: w.now, Echo: w.now, Version: b.g.Version() + 1}
+	require.True(t, a.g.Hear(w.now, meant))
+	w.boot(a)
+	require.False(t, a.g.Hear(w.now, meant), "the returned stamp is of another process")
+}
--- a/core/proof/search_test.go
+++ b/core/proof/search_test.go
@@ -142,6 +142,6 @@
 func (f flaw) String() string {
 	return [...]string{
 		"sound", "no majority", "no stamp", "no grace", "no seal", "no asking", "no ledger", "no refusal", "no epoch", "no fence",
-		"no roster", "no open", "no incarnation",
+		"no roster", "no open", "no identity", "no incarnation",
 	}[f]
 }
--- a/core/proof/world_test.go
+++ b/core/proof/world_test.go
@@ -39,6 +39,7 @@
 	noFence            // a new owner takes the map's record for the moment from which nobody else is obeyed
 	noRoster           // a new owner asks only the agents that it knows itself
 	noOpen             // a map lists only its direct predecessor
+	noIdentity         // an agent takes whoever answers at a member's address for this member
 	noIncarnation      // an agent that was restarted passes for the one before
 )
 
@@ -315,6 +316,11 @@
 		m.stamp = w.now
 	}
 	who := ident.Ident{Name: e.self().Name, Incarnation: m.sender}
+	if w.flaw == noIdentity && x.fence.Map() != nil {
+		if one, ok := x.fence.Map().Find(who.Name); ok {
+			who = one.Ident()
+		}
+	}
 	if x.fence.Answer(w.now, who, m.version, m.stamp) && w.runs(e) && w.joined(e.node, x.node) {
 		x.fence.Adopt(e.g.Map())
 		x.fence.Answer(w.now, who, m.version, m.stamp)
