--- a/io/conf/peers.go
+++ b/io/conf/peers.go
@@ -1,9 +1,6 @@
 package conf
 
-import (
-	"context"
-	"time"
-)
+import "context"
 
 // Hint tells that a peer has the given version in force; a Source that is behind asks its peers at once.
 func (s *Source) Hint(version int64) {
@@ -23,22 +20,29 @@
 	}
 }
 
+// followPeers sleeps until it is woken, and then asks until nothing is lacking.
 func (s *Source) followPeers(ctx context.Context) {
 	if s.opts.Peers == nil {
 		return
 	}
-	ticker := time.NewTicker(peerInterval)
-	defer ticker.Stop()
-	for ctx.Err() == nil {
+	for {
 		select {
 		case <-s.kick:
-		case <-ticker.C:
+			s.catchUp(ctx)
 		case <-ctx.Done():
 			return
 		}
-		if version, ok := s.lacks(); ok {
-			s.ask(ctx, version)
+	}
+}
+
+func (s *Source) catchUp(ctx context.Context) {
+	for ctx.Err() == nil {
+		version, ok := s.lacks()
+		if !ok {
+			return
 		}
+		s.ask(ctx, version)
+		pause(ctx, peerInterval)
 	}
 }
 
--- a/io/conf/source.go
+++ b/io/conf/source.go
@@ -184,6 +184,7 @@
 	switch {
 	case errors.As(err, &truncated):
 		s.change(func() { s.history.Skip(truncated.First()) })
+		s.wake()
 		return nil
 	case err != nil:
 		return err
