Keep invented names and early ends off the page

Requests without a valid token were counted under the team that they claimed, so 1,024 invented names in a minute put every real team under "(others)": they are counted under "(unknown)" now.

--- a/core/day/day_test.go
+++ b/core/day/day_test.go
@@ -237,6 +237,21 @@
 	require.Equal(t, 30*time.Minute, g.Moments[0].Until.Sub(g.Moments[0].At))
 }
 
+// Two parts of an entry may judge differently whether the log is down; the span is what the last of them knew.
+func TestSpanThatWasEndedTooEarlyIsDrawnOut(t *testing.T) {
+	a := tally.New("entry-1", "i1")
+	down := event.Event{Cause: cause.LogDown, At: noon}
+	a.Begin(noon, down)
+	a.End(noon.Add(10*time.Second), down)
+	a.Begin(noon.Add(2*time.Minute), down)
+	a.End(noon.Add(10*time.Minute), down)
+	a.Close(noon.Add(20 * time.Minute))
+	g := digestOf(records(a), noon.Add(time.Hour))
+	require.Len(t, g.Moments, 1)
+	require.Equal(t, 10*time.Minute, g.Moments[0].Until.Sub(g.Moments[0].At))
+	require.False(t, g.Moments[0].Open)
+}
+
 // A day has tens of thousands of changes of the configuration; they don't crowd out what explains harm.
 func TestNoticesDoNotCrowdOutWhatExplainsHarm(t *testing.T) {
 	a := tally.New("entry-1", "i1")
--- a/core/day/events.go
+++ b/core/day/events.go
@@ -58,16 +58,12 @@
 	return es.notices < maxNotices
 }
 
-// laterTold returns the account of a span that was told later; a closed one is final.
+// laterTold returns the account of a span that reaches further; of two that end together, the one that says it is over.
 func laterTold(a, b event.Event) event.Event {
-	switch {
-	case !a.Open:
-		return a
-	case !b.Open || b.Until.After(a.Until):
+	if b.Until.After(a.Until) || (b.Until.Equal(a.Until) && a.Open) {
 		return b
-	default:
-		return a
 	}
+	return a
 }
 
 // merged returns what happened in the order of time, with what several entries noticed as one.
--- a/core/tally/tally.go
+++ b/core/tally/tally.go
@@ -23,6 +23,8 @@
 	maxSpans = rollup.MaxEvents
 	// Others is the team and the kind of the shared account.
 	Others = "(others)"
+	// Unknown is the team of requests that didn't prove whose they are.
+	Unknown = "(unknown)"
 )
 
 // Tally is the account of one incarnation of an entry; the zero value counts for an entry without a name.
@@ -71,8 +73,12 @@
 	}
 }
 
-// Refused counts one job of which nothing was run.
+// Refused counts one job of which nothing was run. A request that was turned away before it proved whose it is
+// counts under Unknown, so that invented names can't take the accounts of teams.
 func (t *Tally) Refused(now time.Time, team, kind string, c cause.Cause) {
+	if c == cause.Unauthorised || c == cause.BadRequest {
+		team, kind = Unknown, ""
+	}
 	t.account(now, team, kind).Job(ended.Refused, c, 0, 1)
 	if lacksRoom(c) {
 		t.surge.Lacked(team, kind)
--- a/core/tally/tally_test.go
+++ b/core/tally/tally_test.go
@@ -195,6 +195,19 @@
 	require.LessOrEqual(t, len(got[0].Series), 1025)
 }
 
+func TestInventedNamesTakeNoAccounts(t *testing.T) {
+	a := tally.New("e1", "i1")
+	for i := range 3000 {
+		a.Refused(start, fmt.Sprint("team-", i), "label", cause.Unauthorised)
+	}
+	a.Refused(start, "castle-kits", "label", cause.OverQuota)
+	a.Close(start)
+	got := drain(a)
+	require.Len(t, got[0].Series, 2)
+	require.Equal(t, tally.Unknown, got[0].Series[0].Team())
+	require.Equal(t, "castle-kits", got[0].Series[1].Team())
+}
+
 func TestSplitIsTheSameEachTimeAndLosesNothing(t *testing.T) {
 	a := tally.New("e1", "i1")
 	for i := range 10 {
