--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -247,10 +247,3 @@
 
 // Client gives a client of an entry.
 func (f *Fleet) Client(name string) *caller.Client { return caller.New(f.URL(name), "") }
-
-func freeAddr(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
-}
--- a/test/measure/measure_test.go
+++ b/test/measure/measure_test.go
@@ -125,6 +125,7 @@
 // TestSlope prints what entries and agents use at a rate of jobs.
 func TestSlope(t *testing.T) {
 	r := newRig(t)
+	require.NoError(t, r.load(*rate, warmUp).Phase(t.Context(), "warm-up"))
 	r.spend(t, "at rate", func() float64 {
 		l := r.load(*rate, *seconds)
 		require.NoError(t, l.Phase(t.Context(), "rate"))
