Run golden sessions, and name field, line and limit of bad input

Cause: there was no session that an operator or caller can read, and none that fails when a message changes. A new table of bad inputs, run first, failed in: a payload one byte over the limit was accepted; a need of 2^32+1 slots passed the check and would have become 1 on the wire; an issue time before 1678 overflowed the wire's nanoseconds and could come out later than a takeover, which decides whether a job is fresh; a wrong type showed names of Go types; broken JSON had no line; an entry with an unknown time zone started; times in the settings above 292 years of nanoseconds overflowed; a missing address was called malformed; a usage error printed the whole help on standard output and no verb.

Change: test/golden runs each folder of test/cases through testscript, the program as processes of its own, and compares the transcript after ids, times, durations and addresses are replaced. make accept takes the present transcripts. The faults above are mended in io/submit, io/entset, io/agtset and io/verb.

The test of strict.At for a missing key at the top level asked for no line; the issue asks for file, line and key, so it now asks for line 1, where the table that should hold the key begins. It is as strict as before.

Ruled out: polling the log files of processes for readiness (await asks readyz and the list of targets); suggestions of verbs (several candidates, not always the same).

--- a/io/agtset/settings.go
+++ b/io/agtset/settings.go
@@ -1,6 +1,9 @@
 package agtset
 
 import (
+	"math"
+	"strconv"
+
 	"persimmonstage/core/needs"
 	"persimmonstage/io/addr"
 	"persimmonstage/io/strict"
@@ -28,6 +31,8 @@
 	defaultGraceMS     = 2000
 	defaultDrainMS     = 30_000
 	minHeartbeatMS     = 50
+	maxTimingMS        = 3_600_000
+	maxCapacity        = math.MaxInt32
 )
 
 // Load reads and checks the settings of file; the error is a *strict.Error with file, line and key.
@@ -45,33 +50,68 @@
 	return s, nil
 }
 
+const (
+	missing    = "missing"
+	notAddress = " is not an address of the form IP:PORT"
+)
+
 func (s *Settings) check() (key, reason string) {
 	switch {
 	case s.Name == "":
-		return "name", "missing"
+		return "name", missing
 	case s.DataCentre == "":
-		return "data-centre", "missing"
+		return "data-centre", missing
+	case s.Target == "":
+		return "target", missing
 	case !addr.ValidBase(s.Target):
-		return "target", "not a URL of the form http://IP:PORT"
+		return "target", strconv.Quote(s.Target) + " is not a URL of the form http://IP:PORT"
+	case s.HTTP == "":
+		return "http", missing
 	case !addr.Valid(s.HTTP):
-		return "http", "not an address of the form IP:PORT"
+		return "http", strconv.Quote(s.HTTP) + notAddress
 	case len(s.Entries) == 0:
 		return "entries", "missing, at least 1"
+	}
+	for _, e := range s.Entries {
+		if !addr.Valid(e) {
+			return "entries", strconv.Quote(e) + notAddress
+		}
+	}
+	if key, reason = s.checkCapacity(); key != "" {
+		return key, reason
+	}
+	return s.checkTiming()
+}
+
+func (s *Settings) checkCapacity() (key, reason string) {
+	most := needs.Vector{Slots: maxCapacity, Cores: maxCapacity, MemoryMB: maxCapacity, Accelerators: maxCapacity}
+	switch {
 	case s.Capacity == (needs.Vector{}):
 		return "capacity", "missing, at least 1 of something"
 	case s.Capacity.Negative() != "":
 		return "capacity." + s.Capacity.Negative(), "negative, at least 0"
-	case s.Timing.HeartbeatMS < minHeartbeatMS:
+	case s.Capacity.Lacks(most) != "":
+		return "capacity." + s.Capacity.Lacks(most), "too large, at most " + strconv.Itoa(maxCapacity)
+	}
+	return "", ""
+}
+
+func (s *Settings) checkTiming() (key, reason string) {
+	t := &s.Timing
+	tooLong := "too long, at most " + strconv.Itoa(maxTimingMS)
+	switch {
+	case t.HeartbeatMS < minHeartbeatMS:
 		return "timing.heartbeat-ms", "too short, at least 50"
-	case s.Timing.GraceMS < 2*s.Timing.HeartbeatMS:
+	case t.HeartbeatMS > maxTimingMS:
+		return "timing.heartbeat-ms", tooLong
+	case t.GraceMS < 2*t.HeartbeatMS:
 		return "timing.grace-ms", "too short, at least two heartbeats"
-	case s.Timing.DrainMS < 0:
+	case t.GraceMS > maxTimingMS:
+		return "timing.grace-ms", tooLong
+	case t.DrainMS < 0:
 		return "timing.drain-ms", "negative, at least 0"
-	}
-	for _, e := range s.Entries {
-		if !addr.Valid(e) {
-			return "entries", "\"" + e + "\" is not an address of the form IP:PORT"
-		}
+	case t.DrainMS > maxTimingMS:
+		return "timing.drain-ms", tooLong
 	}
 	return "", ""
 }
--- a/io/entset/settings.go
+++ b/io/entset/settings.go
@@ -1,6 +1,9 @@
 package entset
 
 import (
+	"strconv"
+	"time"
+
 	"persimmonstage/io/addr"
 	"persimmonstage/io/strict"
 )
@@ -32,6 +35,7 @@
 	defaultDrainMS     = 30_000
 	defaultRoundTripMS = 2
 	minHeartbeatMS     = 50
+	maxTimingMS        = 3_600_000
 )
 
 // Load reads and checks the settings of file; the error is a *strict.Error with file, line and key.
@@ -51,27 +55,36 @@
 	return s, nil
 }
 
+const (
+	missing    = "missing"
+	notAddress = " is not an address of the form IP:PORT"
+)
+
 func (s *Settings) check() (key, reason string) {
-	const form = "not an address of the form IP:PORT"
 	switch {
 	case s.Name == "":
-		return "name", "missing"
+		return "name", missing
 	case s.DataCentre == "":
-		return "data-centre", "missing"
-	case !addr.Valid(s.HTTP):
-		return "http", form
-	case !addr.Valid(s.Control):
-		return "control", form
-	case !addr.Valid(s.Bulk):
-		return "bulk", form
-	case !addr.Valid(s.Log):
-		return "log", form
+		return "data-centre", missing
+	}
+	for _, a := range []struct{ key, value string }{
+		{"http", s.HTTP}, {"control", s.Control}, {"bulk", s.Bulk}, {"log", s.Log},
+	} {
+		if a.value == "" {
+			return a.key, missing
+		}
+		if !addr.Valid(a.value) {
+			return a.key, strconv.Quote(a.value) + notAddress
+		}
 	}
 	for _, p := range s.Peers {
 		if !addr.Valid(p) {
-			return "peers", "\"" + p + "\" is " + form
+			return "peers", strconv.Quote(p) + notAddress
 		}
 	}
+	if _, err := time.LoadLocation(s.TimeZone); err != nil {
+		return "time-zone", strconv.Quote(s.TimeZone) + " is not a known time zone"
+	}
 	return s.checkTiming()
 }
 
@@ -89,5 +102,24 @@
 	case t.RoundTripMS < 0:
 		return "timing.round-trip-ms", "negative, at least 0"
 	}
+	return s.checkLongest()
+}
+
+func (s *Settings) checkLongest() (key, reason string) {
+	t := &s.Timing
+	for _, v := range []struct {
+		key string
+		ms  int
+	}{
+		{"heartbeat-ms", t.HeartbeatMS},
+		{"suspect-ms", t.SuspectMS},
+		{"grace-ms", t.GraceMS},
+		{"drain-ms", t.DrainMS},
+		{"round-trip-ms", t.RoundTripMS},
+	} {
+		if v.ms > maxTimingMS {
+			return "timing." + v.key, "too long, at most " + strconv.Itoa(maxTimingMS)
+		}
+	}
 	return "", ""
 }
--- a/io/strict/decode.go
+++ b/io/strict/decode.go
@@ -28,9 +28,10 @@
 	return locate(file, data, err)
 }
 
-// At returns the *Error for a key of file, on the line that sets it or the table that should hold it.
+// At returns the *Error for a key of file, on the line that sets it or the table that should hold it; the top level, which
+// holds a key without a table, begins on line 1.
 func At(file string, data []byte, key, reason string) *Error {
-	line := lines.Of(data).Line(strings.Split(key, ".")...)
+	line := max(1, lines.Of(data).Line(strings.Split(key, ".")...))
 	return cfgerr.New(file, line, key, reason)
 }
 
--- a/io/submit/decode.go
+++ b/io/submit/decode.go
@@ -1,17 +1,12 @@
 package submit
 
 import (
-	"bytes"
 	"encoding/base64"
-	"encoding/json"
 	"fmt"
-	"io"
+	"math"
 	"strconv"
-	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"persimmonstage/core/job"
 	"persimmonstage/core/jobkey"
 	"persimmonstage/core/limits"
@@ -48,7 +43,7 @@
 		}
 	}
 	var r request
-	if err := strict(body, &r); err != nil {
+	if err := parse(body, &r); err != nil {
 		return nil, err
 	}
 	if err := r.checkNames(lim); err != nil {
@@ -61,40 +56,12 @@
 	if err := r.times(j, lim, now); err != nil {
 		return nil, err
 	}
-	if err := r.decodeTasks(j); err != nil {
+	if err := r.decodeTasks(j, lim); err != nil {
 		return nil, err
 	}
 	return j, nil
 }
 
-func strict(body []byte, r *request) error {
-	d := json.NewDecoder(bytes.NewReader(body))
-	d.DisallowUnknownFields()
-	if err := d.Decode(r); err != nil {
-		return malformed(err)
-	}
-	if _, err := d.Token(); err != io.EOF {
-		return &Error{field: "body", reason: "more than one JSON value", status: statusMalformed}
-	}
-	return nil
-}
-
-func malformed(err error) error {
-	var wrongType *json.UnmarshalTypeError
-	if errors.As(err, &wrongType) {
-		field := wrongType.Field
-		if field == "" {
-			field = "body"
-		}
-		return &Error{field: field, reason: fmt.Sprintf("%s where %s is expected", wrongType.Value, wrongType.Type), status: statusMalformed}
-	}
-	const unknown = "json: unknown field "
-	if name, ok := strings.CutPrefix(err.Error(), unknown); ok {
-		return &Error{field: strings.Trim(name, `"`), reason: "unknown key", status: statusMalformed}
-	}
-	return &Error{field: "body", reason: "not valid JSON: " + err.Error(), status: statusMalformed}
-}
-
 func (r *request) checkNames(lim limits.Limits) error {
 	for _, f := range []struct{ field, value string }{{"id", r.ID}, {"team", r.Team}, {"kind", r.Kind}} {
 		if err := checkName(f.field, f.value, lim.NameBytes); err != nil {
@@ -146,10 +113,7 @@
 		return &Error{field: field + "payload", reason: "missing", status: statusMalformed}
 	}
 	if n := base64.StdEncoding.DecodedLen(len(*t.Payload)); n > lim.PayloadBytes+base64Slack {
-		return &Error{
-			field: field + "payload", reason: fmt.Sprintf("%d bytes", n),
-			limit: strconv.Itoa(lim.PayloadBytes), status: statusTooLarge,
-		}
+		return payloadTooLarge(field, n, lim)
 	}
 	if t.Needs == nil {
 		t.Needs = &needs.Vector{Slots: 1}
@@ -157,15 +121,29 @@
 	if name := t.Needs.Negative(); name != "" {
 		return &Error{field: field + "needs." + name, reason: "negative", limit: "at least 0", status: statusMalformed}
 	}
+	if name := t.Needs.Lacks(maxNeeds); name != "" {
+		return &Error{
+			field: field + "needs." + name, reason: strconv.Itoa(t.Needs.Amount(name)),
+			limit: strconv.Itoa(maxNeed), status: statusMalformed,
+		}
+	}
 	if *t.Needs == (needs.Vector{}) {
 		return &Error{field: field + "needs", reason: "nothing is needed", limit: "at least 1 of something", status: statusMalformed}
 	}
 	return nil
 }
 
+// maxNeed keeps each dimension, and the sum of a job's, inside the integers of the protocol between processes.
+const maxNeed = math.MaxInt32
+
+var maxNeeds = needs.Vector{Slots: maxNeed, Cores: maxNeed, MemoryMB: maxNeed, Accelerators: maxNeed}
+
 // base64Slack is how much DecodedLen may exceed the true length because of padding.
 const base64Slack = 2
 
+// epoch is the earliest time of issue; earlier ones would overflow the nanoseconds of the protocol and come out later.
+var epoch = time.Unix(0, 0).UTC()
+
 func (r *request) times(j *job.Job, lim limits.Limits, now time.Time) error {
 	var err error
 	if j.Issued, err = parseTime("issued", r.Issued); err != nil {
@@ -174,6 +152,12 @@
 	if j.Deadline, err = parseTime("deadline", r.Deadline); err != nil {
 		return err
 	}
+	if j.Issued.Before(epoch) {
+		return &Error{
+			field: "issued", reason: j.Issued.Format(time.RFC3339), limit: "at least " + epoch.Format(time.RFC3339),
+			status: statusMalformed,
+		}
+	}
 	if j.Issued.After(now.Add(lim.IssuedSkew)) {
 		return &Error{
 			field: "issued", reason: "in the future by " + j.Issued.Sub(now).Round(time.Millisecond).String(),
@@ -203,14 +187,24 @@
 	return t, nil
 }
 
-func (r *request) decodeTasks(j *job.Job) error {
+func (r *request) decodeTasks(j *job.Job, lim limits.Limits) error {
 	j.Tasks = make([]task.Task, len(r.Tasks))
 	for i := range r.Tasks {
 		payload, err := base64.StdEncoding.DecodeString(*r.Tasks[i].Payload)
 		if err != nil {
 			return &Error{field: fmt.Sprintf("tasks[%d].payload", i), reason: "not base64: " + err.Error(), status: statusMalformed}
 		}
+		if len(payload) > lim.PayloadBytes {
+			return payloadTooLarge(fmt.Sprintf("tasks[%d].", i), len(payload), lim)
+		}
 		j.Tasks[i] = task.Task{Payload: payload, Needs: *r.Tasks[i].Needs}
 	}
 	return nil
 }
+
+func payloadTooLarge(field string, n int, lim limits.Limits) error {
+	return &Error{
+		field: field + "payload", reason: fmt.Sprintf("%d bytes", n),
+		limit: strconv.Itoa(lim.PayloadBytes), status: statusTooLarge,
+	}
+}
--- a/io/verb/common.go
+++ b/io/verb/common.go
@@ -16,18 +16,24 @@
 	}
 }
 
-// named puts the command's name before an error.
+// verbOf gives the words that name the command, without the program's.
+func verbOf(c *cli.Command) string {
+	_, words, _ := strings.Cut(c.FullName(), " ")
+	return words
+}
+
+// named puts the command's words before an error.
 func named(c *cli.Command, err error) error {
-	if err == nil {
-		return nil
+	if words := verbOf(c); err != nil && words != "" {
+		return errors.Wrap(err, words)
 	}
-	return errors.Wrap(err, c.Name)
+	return err
 }
 
 // atMost refuses more than n arguments and names the first one too many.
 func atMost(c *cli.Command, n int) error {
 	if c.Args().Len() > n {
-		return errors.Newf("%s: unexpected argument %q", c.Name, c.Args().Get(n))
+		return named(c, errors.Newf("unexpected argument %q", c.Args().Get(n)))
 	}
 	return nil
 }
@@ -38,11 +44,11 @@
 func readSettings(c *cli.Command) (string, []byte, error) {
 	file := c.String("settings")
 	if file == "" {
-		return "", nil, errors.Newf("%s: --settings: missing", c.Name)
+		return "", nil, named(c, errors.New("--settings: missing"))
 	}
 	data, err := os.ReadFile(file)
 	if err != nil {
-		return file, nil, errors.Wrapf(err, "%s: --settings", c.Name)
+		return file, nil, named(c, errors.Wrap(err, "--settings"))
 	}
 	return file, data, nil
 }
--- a/io/verb/state.go
+++ b/io/verb/state.go
@@ -31,7 +31,7 @@
 				return named(c, err)
 			}
 			if status != statusOK {
-				return errors.Newf("%s: answer %d: %s", c.Name, status, body)
+				return named(c, errors.Newf("answer %d: %s", status, body))
 			}
 			fmt.Fprintf(c.Root().Writer, "%s\n", body)
 			return nil
--- /dev/null
+++ b/test/golden/fill_test.go
@@ -0,0 +1,54 @@
+package golden
+
+import (
+	"encoding/base64"
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+var variable = regexp.MustCompile(`\$\{([A-Za-z0-9_]+)(?:([:+-])([0-9a-z]+))?\}`)
+
+// fill FILE... replaces in the files ${NAME} by the variable's value, ${now+1m} and ${now-1m} by an RFC 3339 time,
+// ${payload:N} by the base64 text of N bytes and ${tasks:N} by N small tasks.
+func fill(ts *testscript.TestScript, _ bool, files []string) {
+	for _, file := range files {
+		text := variable.ReplaceAllStringFunc(ts.ReadFile(file), func(found string) string {
+			m := variable.FindStringSubmatch(found)
+			return value(ts, m[1], m[2], m[3])
+		})
+		ts.Check(os.WriteFile(ts.MkAbs(file), []byte(text), 0o600))
+	}
+}
+
+func value(ts *testscript.TestScript, name, operator, operand string) string {
+	switch name {
+	case "now":
+		return moment(ts, operator+operand)
+	case "payload":
+		return base64.StdEncoding.EncodeToString(make([]byte, count(ts, operand)))
+	case "tasks":
+		return strings.TrimSuffix(strings.Repeat(`{"payload": "eA=="},`, count(ts, operand)), ",")
+	}
+	return ts.Getenv(name)
+}
+
+func moment(ts *testscript.TestScript, offset string) string {
+	now := time.Now().UTC()
+	if offset != "" {
+		d, err := time.ParseDuration(offset)
+		ts.Check(err)
+		now = now.Add(d)
+	}
+	return now.Format(time.RFC3339Nano)
+}
+
+func count(ts *testscript.TestScript, text string) int {
+	n, err := strconv.Atoi(text)
+	ts.Check(err)
+	return n
+}
