Fuzz each decoder, and reserve memory for a frame only as it arrives

Cause: a prefix of four bytes made the reader of a bulk stream reserve 64 MiB before any byte of the message had come, and a prefix without a body was reported like an orderly end.

Change: the body is read into a buffer that grows with what arrives, beginning with at most 64 KiB; a frame cut after its prefix is io.ErrUnexpectedEOF.

Ruled out: a lower limit of a bulk message, which would refuse jobs that the body limit permits.

--- /dev/null
+++ b/io/codec/codec_test.go
@@ -0,0 +1,78 @@
+package codec
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"persimmonstage/core/job"
+	"persimmonstage/core/jobkey"
+	"persimmonstage/core/needs"
+	"persimmonstage/core/task"
+	"persimmonstage/io/wire"
+)
+
+func sampleJob() *job.Job {
+	at := time.Unix(1_770_000_000, 5)
+	return &job.Job{
+		Key: jobkey.Key{Team: "t", ID: "a"}, Kind: "sort", DataCentre: "dc-1", Issued: at, Deadline: at.Add(time.Second),
+		Tasks: []task.Task{{Payload: []byte("x"), Needs: needs.Vector{Slots: 1, Cores: 2, MemoryMB: 3, Accelerators: 4}}},
+	}
+}
+
+func TestJobSurvivesTheWire(t *testing.T) {
+	require.Equal(t, sampleJob(), JobIn(JobOut(sampleJob())))
+}
+
+// FuzzIn gives every reader of a wire form whatever another process may send.
+func FuzzIn(f *testing.F) {
+	add := func(m *wire.Bulk) {
+		data, err := proto.Marshal(m)
+		require.NoError(f, err)
+		f.Add(data)
+	}
+	add(&wire.Bulk{Body: &wire.Bulk_Submit{Submit: &wire.Submit{Job: JobOut(sampleJob())}}})
+	add(&wire.Bulk{Body: &wire.Bulk_Submit{Submit: &wire.Submit{Job: &wire.Job{Tasks: []*wire.JobTask{{}}}}}})
+	add(&wire.Bulk{Body: &wire.Bulk_Start{Start: &wire.Start{Digest: make([]byte, 99)}}})
+	add(&wire.Bulk{Body: &wire.Bulk_Result{Result: &wire.Result{Ok: true, RunUs: 1 << 63}}})
+	add(&wire.Bulk{Body: &wire.Bulk_RecordsAnswer{RecordsAnswer: &wire.RecordsAnswer{Records: []*wire.Record{{Indexes: []uint32{7}}}}}})
+	add(&wire.Bulk{Body: &wire.Bulk_Roster{Roster: &wire.Roster{Agents: []*wire.Ident{{}}}}})
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		var b wire.Bulk
+		if proto.Unmarshal(data, &b) == nil {
+			readBulk(&b)
+		}
+		var fr wire.Frame
+		if proto.Unmarshal(data, &fr) == nil {
+			readFrame(&fr)
+		}
+	})
+}
+
+func readBulk(b *wire.Bulk) {
+	switch m := b.Body.(type) {
+	case *wire.Bulk_Submit:
+		if m.Submit.GetJob() != nil {
+			JobOut(JobIn(m.Submit.Job))
+		}
+	case *wire.Bulk_Start:
+		StartOut(StartIn(m.Start))
+	case *wire.Bulk_Result:
+		ResultOut(ResultIn(m.Result))
+	case *wire.Bulk_RecordsAnswer:
+		RecordsIn(m.RecordsAnswer)
+	case *wire.Bulk_Roster:
+		RosterIn(m.Roster)
+	}
+}
+
+func readFrame(f *wire.Frame) {
+	switch m := f.Body.(type) {
+	case *wire.Frame_Reserve:
+		ReserveOut(ReserveIn(m.Reserve))
+	case *wire.Frame_PeerBeat:
+		BeatIn(m.PeerBeat)
+	}
+}
--- a/io/frame/frame.go
+++ b/io/frame/frame.go
@@ -1,6 +1,7 @@
 package frame
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
 	"io"
@@ -15,6 +16,8 @@
 	BulkLimit = 64 << 20
 
 	prefixBytes = 4
+	// firstBytes is the largest buffer that is reserved before any byte of a frame has arrived.
+	firstBytes = 64 << 10
 )
 
 // Error tells why a frame was not accepted; the connection it came on has lost its framing.
@@ -73,8 +76,8 @@
 	if size > limit {
 		return &Error{reason: "too large", size: size, limit: limit}
 	}
-	body := make([]byte, size)
-	if _, err := io.ReadFull(r, body); err != nil {
+	body, err := readBody(r, size)
+	if err != nil {
 		return err
 	}
 	if err := proto.Unmarshal(body, m); err != nil {
@@ -83,6 +86,17 @@
 	return nil
 }
 
+// readBody reads size bytes into a buffer that grows as they arrive, since the size is the other side's claim.
+func readBody(r io.Reader, size int) ([]byte, error) {
+	var body bytes.Buffer
+	body.Grow(min(size, firstBytes))
+	_, err := io.CopyN(&body, r, int64(size))
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
+	return body.Bytes(), err
+}
+
 // Write writes m with its length prefix to w in one call.
 func Write(w io.Writer, m proto.Message) error {
 	buf, err := Append(nil, m)
