Name the process that answers a heartbeat, and settle old recoveries

Cause: an agent took the answers of a restarted entry for its dead predecessor's, as the connection's address was all it knew; the search finds an old owner obeyed by that (flaw 'no identity', 23 states). A recovery was kept until the next epoch. Change: answers carry name and incarnation, peers' heartbeats the one they are meant for; a recovery past the longest record lifetime holds nothing any more. Ruled out: trusting the map's entry for an address, which a restart in place keeps.

--- a/io/agentd/frames.go
+++ b/io/agentd/frames.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"persimmonstage/core/ident"
 	"persimmonstage/io/codec"
 	"persimmonstage/io/uptime"
 	"persimmonstage/io/wire"
@@ -59,7 +60,8 @@
 }
 
 func (d *Daemon) answered(l *link, a *wire.HeartbeatAnswer) {
-	newer := d.fence.Answer(uptime.Now(), l.ident(), a.MapVersion, time.Unix(0, a.Stamp))
+	from := ident.Ident{Name: a.Name, Incarnation: a.Incarnation}
+	newer := d.fence.Answer(uptime.Now(), from, a.MapVersion, time.Unix(0, a.Stamp))
 	if newer {
 		d.fetchSoon(l)
 	}
--- a/io/agentd/link.go
+++ b/io/agentd/link.go
@@ -7,7 +7,6 @@
 
 	"go.uber.org/zap"
 
-	"persimmonstage/core/ident"
 	"persimmonstage/core/jobkey"
 	"persimmonstage/core/member"
 	"persimmonstage/core/shards"
@@ -217,8 +216,6 @@
 	return nil
 }
 
-func (l *link) ident() ident.Ident { return l.member.Ident() }
-
 func sleep(ctx context.Context, dur time.Duration) {
 	t := time.NewTimer(dur)
 	defer t.Stop()
--- a/io/codec/beat.go
+++ b/io/codec/beat.go
@@ -58,7 +58,7 @@
 func BeatOut(b *group.Beat) *wire.PeerBeat {
 	return &wire.PeerBeat{
 		From: memberOut(b.From), Stamp: stampOut(b.Stamp), Echo: stampOut(b.Echo),
-		Version: b.Version, Hears: identsOut(b.Hears),
+		Version: b.Version, Hears: identsOut(b.Hears), To: &wire.Ident{Name: b.To.Name, Incarnation: b.To.Incarnation},
 	}
 }
 
@@ -67,6 +67,7 @@
 	return group.Beat{
 		From: memberIn(b.From), Stamp: stampIn(b.Stamp), Echo: stampIn(b.Echo),
 		Version: b.Version, Hears: identsIn(b.Hears),
+		To: ident.Ident{Name: b.To.GetName(), Incarnation: b.To.GetIncarnation()},
 	}
 }
 
--- a/io/entryd/daemon.go
+++ b/io/entryd/daemon.go
@@ -44,8 +44,9 @@
 	tickPeriod  = 20 * time.Millisecond
 	wireVersion = 1
 	shardCount  = 64
-	// recordMargin is how long the agents' records outlive a job's deadline.
-	recordMargin = time.Minute
+	// recordLifetime is the longest time from a task's start to the expiry of its record: the longest deadline that a
+	// configuration can allow, and the margin by which records outlive it.
+	recordLifetime = 24*time.Hour + time.Minute
 	// mapRefresh is the age at which the map is appended again, so that the log's retention never drops it.
 	mapRefresh = time.Hour
 )
@@ -130,7 +131,7 @@
 	d.agents = newAgents()
 	d.group = group.New(group.Config{
 		Self: d.self, Shards: shardCount, Beat: ms(set.Timing.HeartbeatMS), Suspect: ms(set.Timing.SuspectMS),
-		Grace: ms(set.Timing.GraceMS), Lifetime: lim.MaxDeadline + recordMargin, Refresh: mapRefresh,
+		Grace: ms(set.Timing.GraceMS), Lifetime: recordLifetime, Refresh: mapRefresh,
 	})
 	d.recoveries = make(map[int]*recov.Recovery)
 	d.links = make(map[string]*peer)
--- a/io/entryd/frames.go
+++ b/io/entryd/frames.go
@@ -107,6 +107,7 @@
 	d.group.Known(uptime.Now(), l.who)
 	d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_HeartbeatAnswer{HeartbeatAnswer: &wire.HeartbeatAnswer{
 		Stamp: h.Stamp, MapVersion: d.group.Version(), ConfigVersion: d.configVersion(),
+		Name: d.self.Name, Incarnation: d.self.Incarnation,
 	}}})
 	if l.id == 0 {
 		return
