--- a/io/verb/config.go
+++ b/io/verb/config.go
@@ -100,13 +100,16 @@
 	return cfgerr.New("", 0, "", err.Error())
 }
 
-// faultList renders the faults one a line.
-func faultList(faults []*cfgerr.Error) error {
-	texts := make([]string, 0, len(faults))
+// faulty prints the faults one a line to the error output and returns the error that counts them.
+func faulty(c *cli.Command, faults []*cfgerr.Error) error {
 	for _, f := range faults {
-		texts = append(texts, f.Error())
+		fmt.Fprintln(c.Root().ErrWriter, f)
 	}
-	return errors.Newf("%d wrong in the configuration:\n%s", len(faults), strings.Join(texts, "\n"))
+	return countFaults(faults)
+}
+
+func countFaults(faults []*cfgerr.Error) error {
+	return errors.Newf("faults in the configuration: %d", len(faults))
 }
 
 // admin is one request to the administration API.
--- a/io/verb/configcheck.go
+++ b/io/verb/configcheck.go
@@ -7,6 +7,7 @@
 	"io"
 	"slices"
 
+	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 
 	"persimmonstage/core/cfgerr"
@@ -50,20 +51,24 @@
 	}
 	doc, faults := mergeFolder(files)
 	result := checkResult{OK: len(faults) == 0, Faults: append([]*cfgerr.Error{}, faults...), Values: origins(doc)}
-	w := c.Root().Writer
 	if c.Bool("json") {
-		if err := printJSON(w, result); err != nil {
-			return err
-		}
-	} else {
-		printCheck(w, result, len(files))
+		return errors.CombineErrors(printJSON(c.Root().Writer, result), verdict(c, faults))
 	}
+	printCheck(c.Root().Writer, result, len(files))
 	if !result.OK {
-		return named(c, faultList(faults))
+		return named(c, faulty(c, faults))
 	}
 	return nil
 }
 
+// verdict makes the exit code 1 where the faults themselves are in the JSON.
+func verdict(c *cli.Command, faults []*cfgerr.Error) error {
+	if len(faults) == 0 {
+		return nil
+	}
+	return named(c, countFaults(faults))
+}
+
 func origins(doc fold.Document) []originLine {
 	out := []originLine{}
 	doc.Each(func(key []string, literal string, _ any, file string, line int) {
--- a/io/verb/configdiff.go
+++ b/io/verb/configdiff.go
@@ -66,7 +66,7 @@
 	}
 	doc, faults := mergeFolder(files)
 	if len(faults) > 0 {
-		return comparedConfig{}, faultList(faults)
+		return comparedConfig{}, faulty(c, faults)
 	}
 	current, version, err := newAdmin(c).document(-1)
 	return comparedConfig{From: version, Folder: dir, Changes: difference(current, doc)}, err
--- a/io/verb/configpublish.go
+++ b/io/verb/configpublish.go
@@ -66,7 +66,7 @@
 	}
 	doc, faults := mergeFolder(files)
 	if len(faults) > 0 {
-		return named(c, faultList(faults))
+		return named(c, faulty(c, faults))
 	}
 	result, err := publishDocument(ctx, c, doc)
 	if err != nil {
