--- a/core/owner/owner.go
+++ b/core/owner/owner.go
@@ -5,7 +5,9 @@
 	"slices"
 	"time"
 
+	"persimmonstage/core/admit"
 	"persimmonstage/core/answer"
+	"persimmonstage/core/ident"
 	"persimmonstage/core/job"
 	"persimmonstage/core/jobkey"
 	"persimmonstage/core/order"
@@ -20,6 +22,8 @@
 	digestBytes = job.DigestBytes
 	// recordMargin is how long a record outlives its job's deadline, for resubmissions under way.
 	recordMargin = 30 * time.Second
+	// placeFailures is how many tasks in a row may find no room before the rest wait for the next try.
+	placeFailures = 8
 	// budgetPause is the time between two tries to get a token for a retry.
 	budgetPause = 50 * time.Millisecond
 )
@@ -30,6 +34,7 @@
 	placer   placer
 	bookings bookings
 	retries  retries
+	gate     gate
 	rng      *rand.Rand
 
 	records  map[jobkey.Key]*record
@@ -38,15 +43,16 @@
 	timers   timers.Timers[ref]
 	waiting  []ref
 	running  int
+	pumpSoon bool
 	choices  []place.Choice
 	asks     []place.Task
 	declared map[string]time.Duration
 }
 
 // New returns an owner that acts through its arguments; rng makes its random choices repeatable.
-func New(out effects, p placer, b bookings, r retries, rng *rand.Rand) *Owner {
+func New(out effects, p placer, b bookings, r retries, g gate, rng *rand.Rand) *Owner {
 	return &Owner{
-		out: out, placer: p, bookings: b, retries: r, rng: rng,
+		out: out, placer: p, bookings: b, retries: r, gate: g, rng: rng,
 		records:  make(map[jobkey.Key]*record),
 		attempts: make(map[uint64]ref),
 		declared: make(map[string]time.Duration),
@@ -82,10 +88,11 @@
 
 // Submit accepts a job of a shard, joins it to its record, or answers from the record; w is called exactly once.
 //
-// found lists what agents started of it for earlier owners; whole tells that nothing else of it can have been started,
+// admitted is what the gate took of it, nil if it was not asked. found lists what agents started of it for earlier owners; whole tells that nothing else of it can have been started,
 // without which the tasks that are not in found are never started and the answer is that the job may have run.
 func (o *Owner) Submit(
-	now time.Time, j *job.Job, shard int, epoch uint64, found []past.Past, whole bool, w func(answer.Answer),
+	now time.Time, j *job.Job, shard int, epoch uint64, found []past.Past, whole bool, admitted *admit.Request,
+	w func(answer.Answer),
 ) {
 	digest := j.Digest()
 	if r := o.records[j.Key]; r != nil {
@@ -100,6 +107,9 @@
 	}
 	r := o.enter(now, j, digest, shard, epoch)
 	r.waiters = append(r.waiters, w)
+	if admitted != nil {
+		r.request, r.gated = *admitted, true
+	}
 	for i := range found {
 		o.resume(r, &found[i])
 	}
@@ -144,9 +154,10 @@
 	o.next++
 	t := &r.tasks[p.Index]
 	t.state = stateStartSent
-	t.attempts = []attempt{{id: o.next, agent: p.Agent, resumed: true}}
+	t.attempts = []attempt{{id: o.next, agent: p.Agent.Incarnation, name: p.Agent.Name, resumed: true}}
+	t.sentTo = append(t.sentTo, p.Agent)
 	o.attempts[o.next] = ref{rec: r, index: p.Index}
-	o.out.Repeat(p.Agent, r.shard, r.key(), p.Index)
+	o.out.Repeat(p.Agent.Incarnation, r.shard, r.key(), p.Index)
 }
 
 // Lookup answers for a submission without submitting it; w is called exactly once.
@@ -199,6 +210,10 @@
 	}
 	t.reason = reason
 	o.taskEvent(now, at.rec, at.index, onRefused)
+	if o.pumpSoon {
+		o.pumpSoon = false
+		o.Pump(now)
+	}
 }
 
 // Granted takes an agent's word that a reservation's turn has come; one that is no longer wanted is withdrawn.
@@ -260,6 +275,18 @@
 	return ids
 }
 
+// Sent calls f with each job of a shard of which a start was sent or found, and the agents that may have started it.
+func (o *Owner) Sent(shard int, f func(key jobkey.Key, agents []ident.Ident)) {
+	for key, r := range o.records {
+		if r.shard != shard {
+			continue
+		}
+		if agents := r.sentTo(); len(agents) > 0 {
+			f(key, agents)
+		}
+	}
+}
+
 // Disown drops the records of a shard that another entry owns now; their callers are told to ask there.
 func (o *Owner) Disown(shard int) {
 	for key, r := range o.records {
@@ -269,7 +296,9 @@
 		if r.running() {
 			o.running--
 		}
+		o.leaveGate(r)
 		for i := range r.tasks {
+			o.unbook(r, i)
 			o.forgetAttempts(r, i)
 		}
 		waiters := r.waiters
@@ -313,6 +342,7 @@
 }
 
 func (o *Owner) forget(r *record) {
+	o.leaveGate(r)
 	for i := range r.tasks {
 		o.unbook(r, i)
 		o.forgetAttempts(r, i)
@@ -330,22 +360,31 @@
 
 // Pump places waiting tasks for which there is room now, in the order of their arrival.
 func (o *Owner) Pump(now time.Time) {
-	n := len(o.waiting)
-	for i := 0; i < n; i++ {
-		at := o.waiting[i]
+	failures := 0
+	kept := 0
+	for i, at := range o.waiting {
+		if failures == placeFailures {
+			kept += copy(o.waiting[kept:], o.waiting[i:])
+			break
+		}
 		if !at.rec.running() || at.rec.tasks[at.index].state != stateWaiting {
 			continue
 		}
-		if !o.placeTask(now, at) {
-			o.waiting = append(o.waiting[:0], o.waiting[i:]...)
-			return
+		if o.gate.MayStart(at.rec.key().Team) {
+			if o.placeTask(now, at) {
+				continue
+			}
+			failures++
 		}
+		o.waiting[kept] = at
+		kept++
 	}
-	o.waiting = append(o.waiting[:0], o.waiting[n:]...)
+	clear(o.waiting[kept:])
+	o.waiting = o.waiting[:kept]
 }
 
 func (o *Owner) ask(r *record) place.Ask {
-	return place.Ask{Kind: r.job.Kind, DataCentre: r.job.DataCentre}
+	return place.Ask{Kind: r.job.Kind, DataCentre: r.job.DataCentre, Deadline: r.job.Deadline}
 }
 
 func (o *Owner) declaredRun(r *record) time.Duration {
@@ -357,9 +396,14 @@
 	o.asks = o.asks[:0]
 	var index []int
 	for i := range r.tasks {
-		if r.tasks[i].state == stateWaiting {
+		if r.tasks[i].state != stateWaiting {
+			continue
+		}
+		if o.gate.MayStart(r.key().Team) {
 			index = append(index, i)
 			o.asks = append(o.asks, place.Task{Needs: r.job.Tasks[i].Needs, Declared: o.declaredRun(r)})
+		} else {
+			o.waiting = append(o.waiting, ref{rec: r, index: i})
 		}
 	}
 	ask.Tasks = o.asks
@@ -377,6 +421,8 @@
 
 func (o *Owner) placeTask(now time.Time, at ref) bool {
 	ask := o.ask(at.rec)
+	t := &at.rec.tasks[at.index]
+	ask.Attempt, ask.Delay = t.moves, t.delay
 	o.asks = append(o.asks[:0], place.Task{Needs: at.rec.job.Tasks[at.index].Needs, Declared: o.declaredRun(at.rec)})
 	ask.Tasks = o.asks
 	o.choices = o.placer.Place(now, o.rng, &ask, o.choices[:0])
@@ -389,7 +435,7 @@
 
 func (o *Owner) send(now time.Time, r *record, i int, c *place.Choice) {
 	t := &r.tasks[i]
-	t.booked, t.work = c.Target(), c.Work()
+	t.booked, t.work, t.maxWait, t.delay = c.Target(), c.Work(), c.MaxWait(), c.Delay()
 	for _, id := range c.Reserve() {
 		o.attempt(r, i, id)
 	}
@@ -404,7 +450,7 @@
 func (o *Owner) attempt(r *record, i int, to target.ID) {
 	o.next++
 	t := &r.tasks[i]
-	t.attempts = append(t.attempts, attempt{id: o.next, to: to, agent: o.bookings.Incarnation(to)})
+	t.attempts = append(t.attempts, attempt{id: o.next, to: to, agent: o.bookings.Incarnation(to), name: o.bookings.Name(to)})
 	o.attempts[o.next] = ref{rec: r, index: i}
 }
 
@@ -413,6 +459,7 @@
 	return &order.Order{
 		Attempt: a.id, Key: r.key(), Index: i, Shard: r.shard, Epoch: r.epoch, Kind: r.job.Kind,
 		Needs: t.Needs, Deadline: r.job.Deadline, Expected: r.tasks[i].work, Payload: t.Payload, Digest: r.digest,
+		MaxWait: r.tasks[i].maxWait, Delay: r.tasks[i].delay,
 	}
 }
 
--- a/core/owner/record.go
+++ b/core/owner/record.go
@@ -1,9 +1,12 @@
 package owner
 
 import (
+	"slices"
 	"time"
 
+	"persimmonstage/core/admit"
 	"persimmonstage/core/answer"
+	"persimmonstage/core/ident"
 	"persimmonstage/core/job"
 	"persimmonstage/core/jobkey"
 	"persimmonstage/core/target"
@@ -24,6 +27,9 @@
 	forget   time.Time
 	longest  time.Duration
 	cause    string
+	// request is what the gate admitted; gated tells that it still holds room of the gate.
+	request admit.Request
+	gated   bool
 }
 
 // taskRow is one task of a record.
@@ -36,6 +42,12 @@
 	reason   string
 	tries    int
 	granted  bool
+	// moves counts the refusals because of the wait; maxWait and delay go with the order.
+	moves int
+	// sentTo lists the agents that may have started the task.
+	sentTo  []ident.Ident
+	maxWait time.Duration
+	delay   time.Duration
 }
 
 // attempt is one order or reservation that was sent for a task.
@@ -43,6 +55,7 @@
 	id    uint64
 	to    target.ID
 	agent string
+	name  string
 	// resumed tells that an earlier owner ordered it, so that the agent does not know it by this id.
 	resumed bool
 }
@@ -67,6 +80,19 @@
 	return true
 }
 
+// sentTo lists the agents that may have started a task of the job, each once.
+func (r *record) sentTo() []ident.Ident {
+	var all []ident.Ident
+	for i := range r.tasks {
+		for _, a := range r.tasks[i].sentTo {
+			if !slices.Contains(all, a) {
+				all = append(all, a)
+			}
+		}
+	}
+	return all
+}
+
 // missing reports whether a task of the job is not known to have been started.
 func (r *record) missing() bool {
 	for i := range r.tasks {
--- a/core/owner/step.go
+++ b/core/owner/step.go
@@ -4,13 +4,18 @@
 	"time"
 
 	"persimmonstage/core/answer"
+	"persimmonstage/core/ident"
+	"persimmonstage/core/place"
+	"persimmonstage/core/rank"
 )
 
 // taskEvent moves one task along its chart and carries out the actions.
 func (o *Owner) taskEvent(now time.Time, r *record, i, event int) {
 	t := &r.tasks[i]
-	next, actions := taskChart.Step(t.state, event)
+	before := t.state
+	next, actions := taskChart.Step(before, event)
 	t.state = next
+	o.tellGate(r, before, next)
 	for _, a := range actions {
 		o.taskAction(now, r, i, a)
 	}
@@ -21,6 +26,47 @@
 	if r.running() {
 		o.afterTask(now, r, event)
 	}
+	if r.open == 0 {
+		o.leaveGate(r)
+	}
+}
+
+// tellGate tells the gate what a task's step means for the room and the quota that its job holds.
+func (o *Owner) tellGate(r *record, before, next int) {
+	if !r.gated || before == next {
+		return
+	}
+	sent := before == stateStartSent || before == stateWithdrawing
+	switch {
+	case !sent && next == stateStartSent:
+		o.gate.Sent(r.request)
+	case sent && next == stateWaiting:
+		o.gate.Back(r.request)
+	case sent && next == stateNotRun:
+		o.gate.Back(r.request)
+		o.gate.Drop(r.request, 1)
+	case sent && taskChart.FinalID(next):
+		o.gate.Done(r.request)
+	case !sent && taskChart.FinalID(next):
+		o.gate.Drop(r.request, 1)
+	}
+}
+
+// leaveGate gives back what a record still holds of the gate.
+func (o *Owner) leaveGate(r *record) {
+	if !r.gated {
+		return
+	}
+	for i := range r.tasks {
+		switch s := r.tasks[i].state; {
+		case s == stateStartSent || s == stateWithdrawing:
+			o.gate.Done(r.request)
+		case !taskChart.FinalID(s):
+			o.gate.Drop(r.request, 1)
+		}
+	}
+	r.gated = false
+	o.gate.End(r.request)
 }
 
 func (o *Owner) taskAction(now time.Time, r *record, i int, action string) {
@@ -32,6 +78,7 @@
 		}
 	case sendStart:
 		o.rebook(r, i)
+		t.sentTo = append(t.sentTo, ident.Ident{Name: t.attempts[0].name, Incarnation: t.attempts[0].agent})
 		o.out.Start(t.attempts[0].agent, o.order(r, i, &t.attempts[0]))
 	case withdrawOthers:
 		o.withdrawOthers(r, i)
@@ -50,9 +97,21 @@
 	}
 }
 
+// busy is the reason of an agent that expects a longer wait than the order's bound.
+const busy = "busy"
+
 // retryLater sets when a refused task is placed again; without a token of the budget it asks for one again.
 func (o *Owner) retryLater(now time.Time, r *record, i int) {
 	t := &r.tasks[i]
+	if t.reason == busy && t.moves < place.LastAttempt {
+		t.moves++
+		if !o.retries.Take() {
+			t.moves = place.LastAttempt
+		}
+		o.waiting = append(o.waiting, ref{rec: r, index: i})
+		o.pumpSoon = true
+		return
+	}
 	at, ok := o.retries.Next(now, r.job.Deadline, t.tries, t.work, o.rng)
 	t.granted = ok
 	if ok {
@@ -71,7 +130,7 @@
 	}
 	o.unbook(r, i)
 	t.booked = t.attempts[0].to
-	o.bookings.Sent(t.booked, r.job.Tasks[i].Needs, t.work)
+	o.bookings.SentClass(t.booked, rank.Of(t.delay), r.job.Tasks[i].Needs, t.work)
 }
 
 func (o *Owner) unbook(r *record, i int) {
@@ -79,7 +138,7 @@
 	if t.booked == 0 {
 		return
 	}
-	o.bookings.Ended(t.booked, r.job.Tasks[i].Needs, t.work)
+	o.bookings.EndedClass(t.booked, rank.Of(t.delay), r.job.Tasks[i].Needs, t.work)
 	t.booked = 0
 }
 
@@ -181,7 +240,7 @@
 	for _, w := range waiters {
 		w(a)
 	}
-	o.out.Closed(now, r.key(), r.job.Kind, len(r.tasks), r.accepted, r.longest, &r.answer)
+	o.out.Closed(now, r.key(), r.job.Kind, len(r.tasks), r.accepted, r.job.Deadline, r.longest, &r.answer)
 	if a.Outcome == answer.Complete {
 		r.release()
 	}
--- a/core/roster/announce.go
+++ b/core/roster/announce.go
@@ -10,6 +10,7 @@
 // Announce enters a target and returns its ID; the same incarnation keeps its ID and its load, a new one replaces the
 // old, and whether it did is the second result.
 func (r *Roster) Announce(name, incarnation, dataCentre, rack string, capacity needs.Vector, now time.Time) (target.ID, bool) {
+	r.now = now
 	if r.byName == nil {
 		r.byName = map[string]uint32{}
 	}
@@ -22,14 +23,19 @@
 	replaced := found && t.incarnation != incarnation
 	if !found || replaced {
 		r.unlist(i)
+		r.uncount(t)
 		*t = row{generation: t.generation + 1, known: true, name: name, incarnation: incarnation}
 	}
 	if t.capacity != capacity || t.dataCentre != dataCentre {
 		r.unlist(i)
+		r.uncount(t)
 	}
 	t.dataCentre = dataCentre
 	t.rack = rack
 	t.capacity = capacity
+	if !t.counted && !t.leaving {
+		r.count(t)
+	}
 	r.deadline[i] = now.Add(r.patience())
 	r.relist(i)
 	return r.id(i), replaced
@@ -39,6 +45,7 @@
 func (r *Roster) Leave(id target.ID) {
 	if t := r.row(id); t != nil {
 		t.leaving = true
+		r.uncount(t)
 		r.relist(uint32(id.Index()))
 	}
 }
@@ -50,6 +57,7 @@
 		return
 	}
 	i := uint32(id.Index())
+	r.uncount(t)
 	r.unlist(i)
 	delete(r.byName, t.name)
 	*t = row{generation: t.generation}
@@ -73,8 +81,17 @@
 	}
 }
 
+// Drain takes a target out of placement for as long as operators want it, or puts it back.
+func (r *Roster) Drain(id target.ID, out bool) {
+	if t := r.row(id); t != nil {
+		t.drained = out
+		r.relist(uint32(id.Index()))
+	}
+}
+
 // Tick removes the targets whose deadline for a heartbeat has passed, and calls gone with each before its ID is void.
 func (r *Roster) Tick(now time.Time, gone func(target.ID)) {
+	r.now = now
 	for i, d := range r.deadline {
 		if d.IsZero() || now.Before(d) {
 			continue
@@ -85,6 +102,7 @@
 		}
 		r.Remove(id)
 	}
+	r.forgetSizes()
 }
 
 func (r *Roster) patience() time.Duration {
--- a/core/rules/rules.go
+++ b/core/rules/rules.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"maps"
 	"slices"
 	"time"
 
@@ -175,6 +176,27 @@
 	return names
 }
 
+// Kinds returns the names of the configured kinds of a team in order.
+func (r *Rules) Kinds(teamName string) []string {
+	return slices.Sorted(maps.Keys(r.teams[teamName].kinds))
+}
+
+// TeamsSince returns the teams configured here or in the rules before, in order: one that is gone needs its defaults back.
+func (r *Rules) TeamsSince(before *Rules) []string {
+	return union(r.Teams(), before.Teams())
+}
+
+// KindsSince returns the team's kinds configured here or in the rules before, in order.
+func (r *Rules) KindsSince(before *Rules, team string) []string {
+	return union(r.Kinds(team), before.Kinds(team))
+}
+
+func union(a, b []string) []string {
+	out := append(slices.Clone(a), b...)
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 // TeamWeight returns the team's share of capacity against the other teams' (1 for a team that isn't configured).
 func (r *Rules) TeamWeight(name string) int { return r.team(name).weight }
 
--- a/io/verb/table.go
+++ b/io/verb/table.go
@@ -11,6 +11,10 @@
 		agent(),
 		submit(),
 		state(),
+		config(),
+		drain(),
+		report(),
+		loadCommand(),
 		standIn(),
 	}
 }
