--- a/io/entset/settings_test.go
+++ b/io/entset/settings_test.go
@@ -52,6 +52,15 @@
 	}
 }
 
+func TestPlacementIsOneOfThePolicies(t *testing.T) {
+	s, err := Load("e.toml", []byte(whole))
+	require.NoError(t, err)
+	require.Equal(t, "bounded", s.Placement, "the policy that docs/design/placement.md chooses")
+	_, err = Load("e.toml", []byte(whole+"placement = \"nearest\"\n"))
+	require.ErrorContains(t, err, "e.toml:7")
+	require.ErrorContains(t, err, "two-choices")
+}
+
 func FuzzLoad(f *testing.F) {
 	f.Add([]byte(whole))
 	f.Add([]byte(whole + "[timing]\ngrace-ms = 4000\n"))
