--- /dev/null
+++ b/core/owner/handover.go
@@ -0,0 +1,73 @@
+package owner
+
+import (
+	"slices"
+
+	"persimmonstage/core/answer"
+	"persimmonstage/core/ident"
+	"persimmonstage/core/jobkey"
+)
+
+// Reconnected settles what an earlier connection to an agent's incarnation may have left without an answer.
+func (o *Owner) Reconnected(agent string) {
+	var ids []uint64
+	for _, id := range o.attemptsAt(agent) {
+		at := o.attempts[id]
+		if a := at.rec.tasks[at.index].find(id); a.resumed {
+			o.out.Repeat(agent, at.rec.shard, at.rec.key(), at.index)
+		} else {
+			ids = append(ids, id)
+		}
+	}
+	if len(ids) > 0 {
+		o.out.Query(agent, ids)
+	}
+}
+
+// attemptsAt lists the attempts at an agent's incarnation whose end is not known, in the order in which they were made.
+func (o *Owner) attemptsAt(agent string) []uint64 {
+	var ids []uint64
+	for id, at := range o.attempts {
+		if a := at.rec.tasks[at.index].find(id); a != nil && a.agent == agent {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Sent calls f with each job of a shard of which a start was sent or found, and the agents that may have started it.
+func (o *Owner) Sent(shard int, f func(key jobkey.Key, agents []ident.Ident)) {
+	for key, r := range o.records {
+		if r.shard != shard {
+			continue
+		}
+		if agents := r.sentTo(); len(agents) > 0 {
+			f(key, agents)
+		}
+	}
+}
+
+// Disown drops the records of a shard that another entry owns now; their callers are told to ask there.
+func (o *Owner) Disown(shard int) {
+	for key, r := range o.records {
+		if r.shard != shard {
+			continue
+		}
+		if r.running() {
+			o.running--
+		}
+		o.leaveGate(r)
+		for i := range r.tasks {
+			o.unbook(r, i)
+			o.forgetAttempts(r, i)
+		}
+		waiters := r.waiters
+		r.waiters = nil
+		r.state = disowned
+		delete(o.records, key)
+		for _, w := range waiters {
+			w(answer.Elsewhere())
+		}
+	}
+}
--- a/core/owner/record.go
+++ b/core/owner/record.go
@@ -127,3 +127,33 @@
 	deadlineTimer = -1
 	forgetTimer   = -2
 )
+
+// find gives one attempt of the row.
+func (t *taskRow) find(id uint64) *attempt {
+	for i := range t.attempts {
+		if t.attempts[i].id == id {
+			return &t.attempts[i]
+		}
+	}
+	return nil
+}
+
+// drop takes one attempt out of the row.
+func (t *taskRow) drop(id uint64) {
+	for i := range t.attempts {
+		if t.attempts[i].id == id {
+			t.attempts = append(t.attempts[:i], t.attempts[i+1:]...)
+			return
+		}
+	}
+}
+
+// first moves one attempt to the front of the row.
+func (t *taskRow) first(id uint64) {
+	for i := range t.attempts {
+		if t.attempts[i].id == id {
+			t.attempts[0], t.attempts[i] = t.attempts[i], t.attempts[0]
+			return
+		}
+	}
+}
