Look at few waiting tasks at a time, and take no more jobs than the fleet's slots can wait for

Cause: under a patient flood of 10 times capacity an entry held 50,000 waiting tasks, walked and copied them at each end of a task, and sent 5 orders for each start; the other work's p99 was 6 times that without the flood. Change: a bounded look at the waiting tasks, without copying; the gate's room follows the fleet: 64 waiting tasks a slot, between 4,096 and a million.

--- a/core/owner/owner.go
+++ b/core/owner/owner.go
@@ -20,6 +20,8 @@
 	recordMargin = 30 * time.Second
 	// placeFailures is how many tasks in a row may find no room before the rest wait for the next try.
 	placeFailures = 8
+	// pumpLooks is how many waiting tasks are looked at in one go.
+	pumpLooks = 64
 	// budgetPause is the time between two tries to get a token for a retry.
 	budgetPause = 50 * time.Millisecond
 )
--- a/core/owner/place.go
+++ b/core/owner/place.go
@@ -8,29 +8,37 @@
 	"persimmonstage/core/target"
 )
 
-// Pump places waiting tasks for which there is room now, in the order of their arrival.
+// Pump places waiting tasks for which there is room now, in the order of their arrival. It looks at a bounded number of
+// them, as it runs at every end of a task and a flood can leave any number waiting.
 func (o *Owner) Pump(now time.Time) {
-	failures := 0
-	kept := 0
-	for i, at := range o.waiting {
-		if failures == placeFailures {
-			kept += copy(o.waiting[kept:], o.waiting[i:])
-			break
-		}
-		if !at.rec.running() || at.rec.tasks[at.index].state != stateWaiting {
-			continue
-		}
-		if o.gate.MayStart(at.rec.key().Team) {
-			if o.placeTask(now, at) {
-				continue
-			}
+	failures, looked := 0, 0
+	var still []ref
+	for looked < len(o.waiting) && looked < pumpLooks && failures < placeFailures {
+		at := o.waiting[looked]
+		looked++
+		switch {
+		case !at.rec.running() || at.rec.tasks[at.index].state != stateWaiting:
+		case !o.gate.MayStart(at.rec.key().Team):
+			still = append(still, at)
+		case !o.placeTask(now, at):
 			failures++
+			still = append(still, at)
 		}
-		o.waiting[kept] = at
-		kept++
 	}
-	clear(o.waiting[kept:])
-	o.waiting = o.waiting[:kept]
+	first := looked - len(still)
+	copy(o.waiting[first:looked], still)
+	clear(o.waiting[:first])
+	o.waiting = o.waiting[first:]
+	o.rotate(len(still))
+}
+
+// rotate lets the tasks behind those that can't start come first the next time, when all that were looked at are blocked.
+func (o *Owner) rotate(blocked int) {
+	if blocked < pumpLooks {
+		return
+	}
+	head := append([]ref(nil), o.waiting[:blocked]...)
+	o.waiting = append(o.waiting[blocked:], head...)
 }
 
 func (o *Owner) ask(r *record) place.Ask {
--- a/io/entryd/admit.go
+++ b/io/entryd/admit.go
@@ -15,6 +15,12 @@
 	// slotPart is the part of a target, in thousandths, that a task with one slot of eight takes.
 	slotPart     = 125
 	slotsPerHost = 8
+	// waitingPerSlot is how many tasks of jobs without an answer an entry takes for each slot of the fleet: more would wait
+	// so long that the memory and the messages that they cost serve nobody.
+	waitingPerSlot  = 64
+	minWaiting      = 4096
+	maxWaiting      = 1_000_000
+	maxWaitingBytes = 512 << 20
 	// taskOverhead is the memory that a task holds besides its payload, in bytes.
 	taskOverhead = 512
 )
@@ -75,13 +81,15 @@
 	if m := d.group.Map(); m != nil {
 		members = max(m.Size(), 1)
 	}
-	hosts := 0.0
+	hosts, slots := 0.0, int64(0)
 	for id, l := range d.agents.byTarget {
 		if d.roster.Usable(id) {
+			slots += int64(l.hello.Capacity.GetSlots())
 			hosts += max(1, float64(l.hello.Capacity.GetSlots())/slotsPerHost)
 		}
 	}
 	own, others := d.roster.Work()
 	part := (own + time.Second).Seconds() / (own + others + time.Second).Seconds()
+	d.gate.SetBounds(min(max(slots*waitingPerSlot, minWaiting), maxWaiting), maxWaitingBytes)
 	d.gate.SetFleet(hosts * max(part, 1/float64(members)))
 }
