--- a/test/golden/commands_test.go
+++ b/test/golden/commands_test.go
@@ -40,17 +40,6 @@
 
 func sessionOf(ts *testscript.TestScript) *session { return ts.Value(sessionKey{}).(*session) }
 
-// ports NAME... sets each variable to a free address on the loopback.
-func ports(ts *testscript.TestScript, _ bool, names []string) {
-	for _, name := range names {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		ts.Check(err)
-		defer l.Close() // all stay bound until the last is known, so no two are the same
-		ts.Setenv(name, l.Addr().String())
-		sessionOf(ts).name(l.Addr().String(), name)
-	}
-}
-
 // run ARGS... runs the program and adds its streams and its exit code to the transcript; "! run" wants a code other than 0.
 func run(ts *testscript.TestScript, neg bool, args []string) {
 	err := ts.Exec("persimmonstage", args...)
