--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -6,10 +6,10 @@
 )
 
 const (
-	startShare = 0.1 // retries that each start pays for
-	mostTokens = 100 // retries that can be saved up
-	firstWait  = 5 * time.Millisecond
-	longWait   = 250 * time.Millisecond
+	defaultShare = 0.1 // retries that each start pays for
+	mostTokens   = 100 // retries that can be saved up
+	firstWait    = 5 * time.Millisecond
+	longWait     = 250 * time.Millisecond
 )
 
 // Budget bounds retries to a share of the starts: each start adds a part of a token, each retry takes one. When a data
@@ -17,15 +17,31 @@
 // The zero value is a full budget. A Budget belongs to one goroutine.
 type Budget struct {
 	spent  float64 // tokens below a full budget
+	share  float64 // zero is the default, negative none
 	pacing pacing
 }
 
 // Started takes a start.
 func (b *Budget) Started(now time.Time) {
-	b.spent = max(0, b.spent-startShare)
+	b.spent = max(0, b.spent-b.earned())
 	b.pacing.started(now)
 }
 
+// SetShare sets the retries that each start pays for, 0 to 1.
+func (b *Budget) SetShare(share float64) {
+	b.share = share
+	if share <= 0 {
+		b.share = -1
+	}
+}
+
+func (b *Budget) earned() float64 {
+	if b.share == 0 {
+		return defaultShare
+	}
+	return max(b.share, 0)
+}
+
 // Tokens returns how many retries the budget has left.
 func (b *Budget) Tokens() int {
 	return int(mostTokens - b.spent)
--- a/core/retry/budget_test.go
+++ b/core/retry/budget_test.go
@@ -102,3 +102,17 @@
 		b.Next(start, start.Add(time.Minute), 1, time.Second, rng)
 	}
 }
+
+func TestTheShareIsSetByTheConfiguration(t *testing.T) {
+	for _, c := range []struct {
+		share float64
+		want  int
+	}{{0.5, 50}, {0, 0}, {1, 100}} {
+		b := spent()
+		b.SetShare(c.share)
+		for range 100 {
+			b.Started(start)
+		}
+		require.Equal(t, c.want, b.Tokens(), "share %v", c.share)
+	}
+}
--- a/io/agentd/config.go
+++ b/io/agentd/config.go
@@ -47,10 +47,12 @@
 // configured puts a version in force: weights of the shares, and urgencies inside them.
 func (d *Daemon) configured(version int64, r *rules.Rules) {
 	d.log.Info("configuration in force", zap.Int64("version", version))
+	before := d.rules
+	d.rules = r
 	d.loop.Post(func(time.Time) {
-		for _, team := range r.Teams() {
+		for _, team := range r.TeamsSince(before) {
 			d.core.SetWeight(team, "", int64(r.TeamWeight(team)))
-			for _, kind := range r.Kinds(team) {
+			for _, kind := range r.KindsSince(before, team) {
 				d.core.SetWeight(team, kind, int64(r.KindWeight(team, kind)))
 			}
 		}
--- a/io/agentd/daemon.go
+++ b/io/agentd/daemon.go
@@ -12,8 +12,10 @@
 
 	"persimmonstage/core/agent"
 	"persimmonstage/core/fence"
+	"persimmonstage/core/fold"
 	"persimmonstage/core/ident"
 	"persimmonstage/core/ledger"
+	"persimmonstage/core/rules"
 	"persimmonstage/io/agtset"
 	"persimmonstage/io/conf"
 	"persimmonstage/io/ctrl"
@@ -47,6 +49,7 @@
 	nextBeat time.Time
 	nextKeep time.Time
 	config   *conf.Source
+	rules    *rules.Rules // only the follower of the configuration touches it
 
 	draining atomic.Bool
 	ready    atomic.Bool
@@ -70,6 +73,7 @@
 	}
 	d.core = agent.New(effects{d}, bootFence{d.fence}, d.ledger, set.Capacity)
 	d.control = ctrl.New(frames{d}, log)
+	d.rules = rules.Of(fold.Document{})
 	d.config = d.newSource()
 	d.metrics = newMetrics(d, prometheus.NewRegistry())
 	return d, nil
--- a/io/entryd/account.go
+++ b/io/entryd/account.go
@@ -20,6 +20,16 @@
 	})
 }
 
+// countUnanswered enters a job that no owner answered in time; the entry that its caller reached counts it.
+func (d *Daemon) countUnanswered(q *question) {
+	if q.job == nil {
+		return
+	}
+	now := time.Now()
+	a := answer.Uncertain(q.key.ID, "", "owner-lost")
+	d.countJob(now, q.key, q.job.Kind, len(q.job.Tasks), q.job.Issued, q.job.Deadline, 0, &a)
+}
+
 // countRefusal enters a refused job.
 func (d *Daemon) countRefusal(team, kind, why string) {
 	now := time.Now()
--- a/io/entryd/config.go
+++ b/io/entryd/config.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/url"
+	"strconv"
 	"strings"
 	"time"
 
@@ -13,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"persimmonstage/core/admit"
+	"persimmonstage/core/cause"
 	"persimmonstage/core/rules"
 	"persimmonstage/io/bulk"
 	"persimmonstage/io/conf"
@@ -63,18 +65,23 @@
 	now := time.Now()
 	lim.MaxDeadline, lim.IssuedSkew = r.LatestDeadline(now).Sub(now), r.LatestIssued(now).Sub(now)
 	d.limits.Store(&lim)
-	d.rules.Store(r)
+	before := d.rules.Swap(r)
 	d.log.Info("configuration in force", zap.Int64("version", version))
-	d.loop.Post(func(time.Time) { d.applyRules(r) })
+	d.loop.Post(func(now time.Time) {
+		d.applyRules(r, before)
+		d.note(now, cause.ConfigApplied, strconv.FormatInt(version, 10))
+	})
 }
 
-// applyRules gives the teams their weights, quotas and expected run times.
-func (d *Daemon) applyRules(r *rules.Rules) {
+// applyRules gives the teams their weights, quotas and expected run times; what the rules before had and these have not
+// gets the defaults back. A quota is divided by the members of the map, so it is applied again when they change.
+func (d *Daemon) applyRules(r, before *rules.Rules) {
+	d.retries.SetShare(r.RetryShare())
 	members := 1
 	if m := d.group.Map(); m != nil {
 		members = max(m.Size(), 1)
 	}
-	for _, team := range r.Teams() {
+	for _, team := range r.TeamsSince(before) {
 		d.gate.SetWeight(team, "", int64(r.TeamWeight(team)))
 		var q admit.Quota
 		if n, ok := r.QuotaStarts(team); ok {
@@ -84,7 +91,7 @@
 			q.Running = int64((n + members - 1) / members)
 		}
 		d.gate.SetQuota(team, q)
-		for _, kind := range r.Kinds(team) {
+		for _, kind := range r.KindsSince(before, team) {
 			d.gate.SetWeight(team, kind, int64(r.KindWeight(team, kind)))
 			expected, _ := r.Expected(team, kind)
 			d.owner.Declare(team, kind, expected)
--- a/io/entryd/daemon.go
+++ b/io/entryd/daemon.go
@@ -80,6 +80,7 @@
 	speeds       *speed.Table
 	placer       *place.Placer
 	group        *group.Group
+	retries      retry.Budget
 	gate         *admit.Gate
 	judge        *eject.Judge
 	recoveries   map[int]*recov.Recovery
@@ -127,7 +128,7 @@
 	d.placer.DelayLarge(true)
 	d.gate = admit.New(seed)
 	d.judge = eject.New(d.roster)
-	d.owner = owner.New(effects{d}, d.placer, d.roster, &retry.Budget{}, d.gate, lease{d}, seed)
+	d.owner = owner.New(effects{d}, d.placer, d.roster, &d.retries, d.gate, lease{d}, seed)
 	d.agents = newAgents()
 	d.group = group.New(group.Config{
 		Self: d.self, Shards: shardCount, Beat: ms(set.Timing.HeartbeatMS), Suspect: ms(set.Timing.SuspectMS),
--- a/io/entryd/members.go
+++ b/io/entryd/members.go
@@ -8,8 +8,10 @@
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 
+	"persimmonstage/core/cause"
 	"persimmonstage/core/group"
 	"persimmonstage/core/ident"
+	"persimmonstage/core/shards"
 	"persimmonstage/io/logcl"
 	"persimmonstage/io/uptime"
 	"persimmonstage/io/wire"
@@ -134,6 +136,8 @@
 		return
 	}
 	d.adopt(m)
+	d.noteMembers(old, m)
+	d.applyRules(d.rules.Load(), d.rules.Load())
 	handed := make(map[ident.Ident][]*wire.Release)
 	for s := range m.Shards() {
 		was := old != nil && old.Owner(s) == d.ident()
@@ -153,6 +157,19 @@
 	d.gain()
 }
 
+// noteMembers enters the entries that a map no longer lists into the account of the day; one that left by itself is
+// reported by its own account.
+func (d *Daemon) noteMembers(old, m *shards.Map) {
+	if old == nil {
+		return
+	}
+	for _, who := range old.Members() {
+		if _, stays := m.Find(who.Name); !stays && who.Ident() != d.ident() {
+			d.note(time.Now(), cause.EntryLost, who.Name)
+		}
+	}
+}
+
 // fetchMap asks a peer for the newer map that it carries.
 func (d *Daemon) fetchMap(p *peer) {
 	mux := p.mux
--- a/io/entryd/submit.go
+++ b/io/entryd/submit.go
@@ -73,6 +73,7 @@
 			}
 		}
 		if !time.Now().Before(q.before) {
+			d.countUnanswered(q)
 			return q.unanswered()
 		}
 		select {
