Retire a dead entry over the API and by a command; the list of changes

Cause: after the loss of a majority on hosts that don't come back nothing started any more; the core took an operator's word but nothing reached it (docs/design/at-most-one-start.md, limits).

--- a/io/entryd/admin.go
+++ b/io/entryd/admin.go
@@ -56,6 +56,8 @@
 		d.days.Handle(ctx, days.JSON)
 	case "teams":
 		d.adminTeams(ctx)
+	case "retire":
+		d.adminRetire(ctx)
 	case "state":
 		d.adminState(ctx)
 	case "targets":
--- a/io/verb/table.go
+++ b/io/verb/table.go
@@ -16,6 +16,7 @@
 		teams(),
 		drain(),
 		undrain(),
+		retire(),
 		report(),
 		loadCommand(),
 		standIn(),
--- a/io/verb/targets_test.go
+++ b/io/verb/targets_test.go
@@ -44,6 +44,8 @@
 	refused := session{t: t}
 	refused.run("targets")
 	require.Contains(t, refused.text.String(), "persimmonstage: targets: answer 401: Authorization: an operator's token is required")
+	refused.run("retire --dead entry-2")
+	require.Contains(t, refused.text.String(), "persimmonstage: retire: answer 401: Authorization: an operator's token is required")
 
 	t.Setenv("PERSIMMONSTAGE_OPERATOR_TOKEN", "ana-token")
 	list := until(t, "targets", "2 of 2 usable")
