--- a/io/count/counts.go
+++ b/io/count/counts.go
@@ -125,7 +125,8 @@
 	c.StartedTwice += factor * other.StartedTwice
 }
 
-// Starts gives the starts as counted nearest to the targets, of those who were asked.
+// Starts gives the starts as counted nearest to the targets, of those who were asked; of entries alone they are the orders
+// that were not refused, a refusal that answers a withdrawal left out.
 func (c *Counts) Starts() float64 {
 	switch {
 	case c.TargetStarts > 0:
@@ -133,7 +134,7 @@
 	case c.AgentStarts > 0:
 		return c.AgentStarts
 	}
-	return c.Orders
+	return c.Orders - max(0, c.Refusals-c.Withdraws)
 }
 
 // PerStart gives the messages of placement per start: orders, reservations, withdrawals, questions and refusals.
--- a/io/count/counts_test.go
+++ b/io/count/counts_test.go
@@ -17,3 +17,9 @@
 	require.InDelta(t, 2, c.Wasted(), 1e-9)
 	require.InDelta(t, 5, c.PerStart(), 1e-9)
 }
+
+// Entries alone count orders; one that was refused and sent again is one start.
+func TestStartsOfEntriesAloneLeaveRefusedOrdersOut(t *testing.T) {
+	c := Counts{Orders: 138, Refusals: 5, Withdraws: 3}
+	require.InDelta(t, 136, c.Starts(), 1e-9)
+}
