--- a/io/entryd/daemon.go
+++ b/io/entryd/daemon.go
@@ -91,6 +91,7 @@
 	parked       []parked
 	nextAccount  time.Time
 	nextRecovery time.Time
+	nextTick     time.Time
 	nextSlow     time.Time
 	nextFade     time.Time
 
@@ -245,16 +246,23 @@
 const leavePoll = 20 * time.Millisecond
 
 func (d *Daemon) tick(now time.Time) {
-	d.tickGroup()
-	d.tickRecoveries(now)
 	d.unpark(now)
 	d.owner.Tick(now)
+	if now.Before(d.nextTick) {
+		return
+	}
+	d.nextTick = now.Add(ms(d.set.Timing.HeartbeatMS) / ticksPerBeat)
+	d.tickGroup()
+	d.tickRecoveries(now)
 	d.roster.Tick(now, d.agentSilent)
 	d.dropPeers(now)
 	d.tickAccount(now)
 	d.tickSlow(now)
 }
 
+// ticksPerBeat is how often membership is stepped in a heartbeat interval; deadlines of jobs are looked at more often.
+const ticksPerBeat = 8
+
 // tickSlow does what is due about once a second.
 func (d *Daemon) tickSlow(now time.Time) {
 	if now.Before(d.nextSlow) {
