An entry's metrics say whether the log can be read

Cause: an entry logs the beginning of an outage once and its end never, and nothing at all when it starts in one; there was nothing to alert on. Ruled out: repeating the log line, which is a poor thing to alert on. Conclusion: both ends of an outage are seen from the outside.

--- a/io/entryd/metrics.go
+++ b/io/entryd/metrics.go
@@ -48,6 +48,14 @@
 		}, func() float64 {
 			in, out := d.control.Bytes()
 			return float64(in + out)
+		}),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "persimmonstage_entry_log_up", Help: "1 while the platform's log can be read, else 0.",
+		}, func() float64 {
+			if d.logUp.Load() {
+				return 1
+			}
+			return 0
 		}))
 	return m
 }
