--- a/io/entryd/daemon.go
+++ b/io/entryd/daemon.go
@@ -44,8 +44,9 @@
 	tickPeriod  = 20 * time.Millisecond
 	wireVersion = 1
 	shardCount  = 64
-	// recordMargin is how long the agents' records outlive a job's deadline.
-	recordMargin = time.Minute
+	// recordLifetime is the longest time from a task's start to the expiry of its record: the longest deadline that a
+	// configuration can allow, and the margin by which records outlive it.
+	recordLifetime = 24*time.Hour + time.Minute
 	// mapRefresh is the age at which the map is appended again, so that the log's retention never drops it.
 	mapRefresh = time.Hour
 )
@@ -79,6 +80,7 @@
 	speeds       *speed.Table
 	placer       *place.Placer
 	group        *group.Group
+	retries      retry.Budget
 	gate         *admit.Gate
 	judge        *eject.Judge
 	recoveries   map[int]*recov.Recovery
@@ -89,6 +91,7 @@
 	parked       []parked
 	nextAccount  time.Time
 	nextRecovery time.Time
+	nextTick     time.Time
 	nextSlow     time.Time
 	nextFade     time.Time
 
@@ -126,11 +129,11 @@
 	d.placer.DelayLarge(true)
 	d.gate = admit.New(seed)
 	d.judge = eject.New(d.roster)
-	d.owner = owner.New(effects{d}, d.placer, d.roster, &retry.Budget{}, d.gate, lease{d}, seed)
+	d.owner = owner.New(effects{d}, d.placer, d.roster, &d.retries, d.gate, lease{d}, seed)
 	d.agents = newAgents()
 	d.group = group.New(group.Config{
 		Self: d.self, Shards: shardCount, Beat: ms(set.Timing.HeartbeatMS), Suspect: ms(set.Timing.SuspectMS),
-		Grace: ms(set.Timing.GraceMS), Lifetime: lim.MaxDeadline + recordMargin, Refresh: mapRefresh,
+		Grace: ms(set.Timing.GraceMS), Lifetime: recordLifetime, Refresh: mapRefresh,
 	})
 	d.recoveries = make(map[int]*recov.Recovery)
 	d.links = make(map[string]*peer)
@@ -243,16 +246,23 @@
 const leavePoll = 20 * time.Millisecond
 
 func (d *Daemon) tick(now time.Time) {
-	d.tickGroup()
-	d.tickRecoveries(now)
 	d.unpark(now)
 	d.owner.Tick(now)
+	if now.Before(d.nextTick) {
+		return
+	}
+	d.nextTick = now.Add(ms(d.set.Timing.HeartbeatMS) / ticksPerBeat)
+	d.tickGroup()
+	d.tickRecoveries(now)
 	d.roster.Tick(now, d.agentSilent)
 	d.dropPeers(now)
 	d.tickAccount(now)
 	d.tickSlow(now)
 }
 
+// ticksPerBeat is how often membership is stepped in a heartbeat interval; deadlines of jobs are looked at more often.
+const ticksPerBeat = 8
+
 // tickSlow does what is due about once a second.
 func (d *Daemon) tickSlow(now time.Time) {
 	if now.Before(d.nextSlow) {
