--- a/core/answer/answer.go
+++ b/core/answer/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -53,6 +54,7 @@
 // Body gives the JSON body.
 func (a *Answer) Body() []byte {
 	b := body{Outcome: a.Outcome, ID: a.ID, Reason: a.Reason, Cause: a.Cause, Results: a.Results}
+	b.Results = present(a.Results)
 	b.RetryAfterMS = a.RetryAfter.Milliseconds()
 	if a.NotRunKnown {
 		b.NotRun = &a.NotRun
@@ -64,6 +66,17 @@
 	return out
 }
 
+// present gives an empty result in place of nil, which JSON would write as null.
+func present(results [][]byte) [][]byte {
+	out := slices.Clone(results)
+	for i := range out {
+		if out[i] == nil {
+			out[i] = []byte{}
+		}
+	}
+	return out
+}
+
 // Refusal gives an answer that says not run; status is one of the statuses that refuse.
 func Refusal(status int, id, reason, cause string, retryAfter time.Duration) Answer {
 	return Answer{
--- a/core/roster/fits.go
+++ b/core/roster/fits.go
@@ -16,7 +16,7 @@
 
 // Error names the need, what was wanted and the largest that there is.
 func (e *TooLargeError) Error() string {
-	return fmt.Sprintf("needs %s %d: the largest that a known target has is %d", e.need, e.wanted, e.largest)
+	return fmt.Sprintf("needs.%s: %d, the largest that a known target has is %d", e.need, e.wanted, e.largest)
 }
 
 // Need returns the name of the need that is too large.
--- a/io/agentd/state.go
+++ b/io/agentd/state.go
@@ -92,7 +92,7 @@
 
 func (d *Daemon) serveHTTP() {
 	prom := fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(d.metrics.registry, promhttp.HandlerOpts{}))
-	server := &fasthttp.Server{NoDefaultServerHeader: true, Handler: func(ctx *fasthttp.RequestCtx) {
+	server := &fasthttp.Server{NoDefaultServerHeader: true, Logger: zap.NewStdLog(d.log), Handler: func(ctx *fasthttp.RequestCtx) {
 		switch string(ctx.Path()) {
 		case "/healthz":
 			ctx.SetBodyString("ok\n")
--- a/io/bulk/mux.go
+++ b/io/bulk/mux.go
@@ -97,6 +97,7 @@
 	for {
 		s, err := m.session.Accept()
 		if err != nil {
+			m.logEnd(err)
 			_ = m.session.Close()
 			return
 		}
@@ -104,6 +105,14 @@
 	}
 }
 
+// logEnd logs why a connection ended, unless either side closed it.
+func (m *Mux) logEnd(err error) {
+	if errors.Is(err, io.EOF) || errors.Is(err, yamux.ErrSessionShutdown) {
+		return
+	}
+	m.log.Warn("bulk connection refused", zap.String("peer", m.session.RemoteAddr().String()), zap.Error(err))
+}
+
 func (m *Mux) first(s net.Conn) {
 	_ = s.SetReadDeadline(time.Now().Add(helloTimeout))
 	var b wire.Bulk
--- a/io/caller/client.go
+++ b/io/caller/client.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"encoding/json"
 	"time"
 
@@ -33,7 +34,10 @@
 func Fill(text []byte, now time.Time) ([]byte, time.Time, error) {
 	var fields map[string]json.RawMessage
 	if err := json.Unmarshal(text, &fields); err != nil {
-		return nil, time.Time{}, errors.Wrap(err, "body: not valid JSON")
+		return nil, time.Time{}, malformed(text, err)
+	}
+	if fields == nil {
+		return nil, time.Time{}, errors.New("body: null where an object is expected")
 	}
 	deadline := now.Add(defaultLifetime)
 	for key, value := range map[string]string{
@@ -51,8 +55,21 @@
 	return body, deadline, err
 }
 
-// Submit posts a job and waits for its answer until shortly after the deadline.
+// malformed names the line of a syntax error.
+func malformed(text []byte, err error) error {
+	var syntax *json.SyntaxError
+	if !errors.As(err, &syntax) {
+		return errors.New("body: not a JSON object")
+	}
+	before := text[:min(max(syntax.Offset-1, 0), int64(len(text)))]
+	return errors.Newf("body: line %d: not valid JSON: %s", 1+bytes.Count(before, []byte{'\n'}), syntax.Error())
+}
+
+// Submit posts a job and waits for its answer until shortly after the deadline, or after now when the deadline is past.
 func (c *Client) Submit(body []byte, deadline time.Time) (status int, answer []byte, err error) {
+	if now := time.Now(); deadline.Before(now) {
+		deadline = now
+	}
 	return c.Do(fasthttp.MethodPost, "/v1/jobs", body, deadline.Add(answerSlack))
 }
 
--- a/io/entryd/http.go
+++ b/io/entryd/http.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
 
 	"persimmonstage/core/answer"
 	"persimmonstage/core/jobkey"
@@ -27,6 +28,7 @@
 	return &fasthttp.Server{
 		Handler:               d.route,
 		ErrorHandler:          d.refuseRequest,
+		Logger:                zap.NewStdLog(d.log),
 		MaxRequestBodySize:    max(lim.BodyBytes, maxBodyBytes),
 		ReadBufferSize:        lim.HeaderBytes,
 		IdleTimeout:           idleTimeout,
--- a/io/runner/server.go
+++ b/io/runner/server.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"io"
+	"log"
 	"net"
 	"strconv"
 	"sync"
@@ -53,6 +55,7 @@
 	s.http.Handler = s.handle
 	s.http.MaxRequestBodySize = maxBodyBytes
 	s.http.NoDefaultServerHeader = true
+	s.http.Logger = log.New(io.Discard, "", 0)
 	s.http.CloseOnShutdown = true
 	return s.http.Serve(l)
 }
