--- a/io/codec/codec_test.go
+++ b/io/codec/codec_test.go
@@ -7,8 +7,8 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
-	"persimmonstage/core/job"
 	"persimmonstage/core/ident"
+	"persimmonstage/core/job"
 	"persimmonstage/core/jobkey"
 	"persimmonstage/core/member"
 	"persimmonstage/core/needs"
