--- a/Makefile
+++ b/Makefile
@@ -18,8 +18,10 @@
 build:
 	go build ./...
 
+# The search goes less deep under the race detector, so it is run without it as well.
 test:
 	go test -race ./...
+	go test ./core/proof
 
 # Regenerates the committed protobuf code; needs protoc on the machine.
 wire:
--- a/io/codec/codec_test.go
+++ b/io/codec/codec_test.go
@@ -1,6 +1,7 @@
 package codec
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"persimmonstage/core/jobkey"
 	"persimmonstage/core/member"
 	"persimmonstage/core/needs"
+	"persimmonstage/core/order"
 	"persimmonstage/core/task"
 	"persimmonstage/io/wire"
 )
@@ -35,6 +37,15 @@
 	}
 }
 
+func TestABoundNeverBecomesNone(t *testing.T) {
+	for d, want := range map[time.Duration]time.Duration{
+		0: 0, time.Microsecond: time.Millisecond, 5 * time.Second: 5 * time.Second,
+		math.MaxInt64: math.MaxUint32 * time.Millisecond,
+	} {
+		require.Equal(t, want, StartIn(StartOut(&order.Order{MaxWait: d})).MaxWait)
+	}
+}
+
 // FuzzIn gives every reader of a wire form whatever another process may send.
 func FuzzIn(f *testing.F) {
 	add := func(m *wire.Bulk) {
--- a/io/codec/order.go
+++ b/io/codec/order.go
@@ -1,6 +1,7 @@
 package codec
 
 import (
+	"math"
 	"time"
 
 	"persimmonstage/core/jobkey"
@@ -31,7 +32,7 @@
 		Attempt: o.Attempt, Team: o.Key.Team, Id: o.Key.ID, Index: uint32(o.Index), Shard: uint32(o.Shard),
 		Epoch: o.Epoch, Kind: o.Kind, Needs: NeedsOut(o.Needs), DeadlineNs: o.Deadline.UnixNano(),
 		ExpectedMs: uint32(o.Expected.Milliseconds()), Payload: o.Payload, Digest: o.Digest[:],
-		MaxWaitMs: uint32(o.MaxWait.Milliseconds()), DelayMs: uint32(o.Delay.Milliseconds()),
+		MaxWaitMs: boundOut(o.MaxWait), DelayMs: boundOut(o.Delay),
 	}
 }
 
@@ -64,3 +65,18 @@
 		Expected: time.Duration(r.ExpectedMs) * time.Millisecond,
 	}
 }
+
+// boundOut gives a bound in milliseconds, where 0 means none: a positive one is never rounded to 0, and one that the wire
+// can't hold is the largest that it can.
+func boundOut(d time.Duration) uint32 {
+	switch ms := d.Milliseconds(); {
+	case d <= 0:
+		return 0
+	case ms < 1:
+		return 1
+	case ms > math.MaxUint32:
+		return math.MaxUint32
+	default:
+		return uint32(ms)
+	}
+}
--- a/io/entryd/http.go
+++ b/io/entryd/http.go
@@ -30,7 +30,8 @@
 		ErrorHandler:          d.refuseRequest,
 		Logger:                zap.NewStdLog(d.log),
 		MaxRequestBodySize:    max(lim.BodyBytes, maxBodyBytes),
-		ReadBufferSize:        lim.HeaderBytes,
+		ReadBufferSize:        maxHeaderBytes,
+		ReduceMemoryUsage:     true,
 		IdleTimeout:           idleTimeout,
 		ReadTimeout:           readTimeout,
 		NoDefaultServerHeader: true,
@@ -43,6 +44,8 @@
 	maxConnections = 100_000
 	// maxBodyBytes is the most that a configuration can allow; the limit in force is checked before decoding.
 	maxBodyBytes = 64 << 20
+	// maxHeaderBytes is likewise the most that a configuration can allow; a connection that waits holds no buffer.
+	maxHeaderBytes = 64 << 10
 )
 
 // refuseRequest answers a request that could not be read.
@@ -81,6 +84,10 @@
 func (d *Daemon) route(ctx *fasthttp.RequestCtx) {
 	d.requests.Add(1)
 	defer d.requests.Add(-1)
+	if n, limit := len(ctx.Request.Header.RawHeaders()), d.limits.Load().HeaderBytes; n > limit {
+		d.refuse(ctx, fasthttp.StatusRequestEntityTooLarge, fmt.Sprintf("header: %d bytes, limit %d", n, limit))
+		return
+	}
 	path := string(ctx.Path())
 	switch {
 	case path == jobsPath:
