Let a kind borrow from its own team before it counts as another team's borrower

Cause: a kind above its own part was taken for a borrower though its team ran less than its part, so cut-sheets waited behind a flood of other teams. Ruled out: a larger part for long tasks, which operators can set by weight.

--- a/core/queue/pop.go
+++ b/core/queue/pop.go
@@ -97,8 +97,11 @@
 	t.running += e.item.size()
 }
 
-// greedy reports whether a share runs its part of the host and has a backlog besides.
+// greedy reports whether a share runs its part of the host and has a backlog besides. A kind above its own part borrows
+// from other teams only when its team runs its part too; before that it takes what its team leaves.
 func (q *Queue[T]) greedy(k *kind[T]) bool {
-	return float64(k.running) >= q.teamPart(k.team)*k.part()*wholeHost &&
+	team := q.teamPart(k.team) * wholeHost
+	return float64(k.team.running) >= team &&
+		float64(k.running) >= team*k.part() &&
 		k.work() >= q.rate(k)*greedyBacklog.Seconds()
 }
