--- a/test/faults/outage_test.go
+++ b/test/faults/outage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -25,6 +26,29 @@
 	return all
 }
 
+// sendAtOnce is send with all jobs under way together.
+func sendAtOnce(f *fleet.Fleet, t *testing.T, prefix string, n int, life time.Duration, entries ...string) []outcome {
+	t.Helper()
+	all := make([]outcome, n)
+	var wg sync.WaitGroup
+	for i := range n {
+		body, deadline := job(t, fmt.Sprintf("%s-%d", prefix, i), "sort", 2, 10, life)
+		wg.Go(func() {
+			o := outcome{id: fmt.Sprintf("%s-%d", prefix, i), tasks: 2}
+			r, err := submitOnce(f, entries[i%len(entries)], body, deadline)
+			if err == nil {
+				o.answers = append(o.answers, r)
+			}
+			all[i] = o
+		})
+	}
+	wg.Wait()
+	for _, o := range all {
+		require.Len(t, o.answers, 1, "%s has no answer", o.id)
+	}
+	return all
+}
+
 // While the log is down the owners carry on; the shards of an entry that dies meanwhile are answered without a false
 // "not run", and are served again when the log is back.
 func TestLogOutageWithAnOwnersDeath(t *testing.T) {
@@ -35,7 +59,7 @@
 
 	f.Kill("entry-3")
 	orphaned := 0
-	for _, o := range send(f, t, "dead", 12, 1500*time.Millisecond, "entry-1", "entry-2") {
+	for _, o := range sendAtOnce(f, t, "dead", 60, 1500*time.Millisecond, "entry-1", "entry-2") {
 		r := o.answers[0]
 		require.Contains(t, []string{"complete", "unknown"}, r.Outcome, r.Reason)
 		require.Nil(t, r.NotRun)
--- a/test/faults/whole_test.go
+++ b/test/faults/whole_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
@@ -39,6 +40,14 @@
 	Results [][]byte `json:"results"`
 }
 
+func decode(t *testing.T, resp *http.Response) reply {
+	t.Helper()
+	defer resp.Body.Close()
+	var r reply
+	require.NoError(t, json.NewDecoder(resp.Body).Decode(&r))
+	return r
+}
+
 func post(t *testing.T, f *fleet.Fleet, entry string, body []byte, deadline time.Time) (int, reply, []byte) {
 	t.Helper()
 	status, got, err := f.Client(entry).Submit(body, deadline)
