Say in the reference what each setting means

Cause: the column was empty for entries and agents. Change: the settings carry their meaning; the page is generated from them as before. Ruled out: a page by hand.

--- a/core/needs/vector.go
+++ b/core/needs/vector.go
@@ -15,10 +15,10 @@
 
 // Vector is an amount of each thing that a task takes from a target; it is plain data, comparable, and zero is nothing.
 type Vector struct {
-	Slots        int `json:"slots" toml:"slots"`
-	Cores        int `json:"cores" toml:"cores"`
-	MemoryMB     int `json:"memory-mb" toml:"memory-mb"`
-	Accelerators int `json:"accelerators" toml:"accelerators"`
+	Slots        int `json:"slots" toml:"slots" doc:"tasks at once; 1 a task by default"`
+	Cores        int `json:"cores" toml:"cores" doc:"processor cores"`
+	MemoryMB     int `json:"memory-mb" toml:"memory-mb" doc:"memory in MB"`
+	Accelerators int `json:"accelerators" toml:"accelerators" doc:"accelerators"`
 }
 
 // Add returns the sum of v and w.
--- a/io/agtset/settings.go
+++ b/io/agtset/settings.go
@@ -11,18 +11,18 @@
 
 // Settings is what an agent reads from its TOML file; times are in milliseconds.
 type Settings struct {
-	Name       string       `toml:"name"`
-	DataCentre string       `toml:"data-centre"`
-	Host       string       `toml:"host"`
-	Rack       string       `toml:"rack"`
-	Target     string       `toml:"target"`
-	HTTP       string       `toml:"http"`
-	Entries    []string     `toml:"entries"`
+	Name       string       `toml:"name" doc:"the target's name everywhere; required"`
+	DataCentre string       `toml:"data-centre" doc:"the data centre where it stands; required"`
+	Host       string       `toml:"host" doc:"the host's name or IP, by which it can be drained"`
+	Rack       string       `toml:"rack" doc:"the rack, over which the tasks of a job are spread"`
+	Target     string       `toml:"target" doc:"the target's URL, http://IP:PORT; required"`
+	HTTP       string       `toml:"http" doc:"IP:PORT for readiness, state and metrics; required"`
+	Entries    []string     `toml:"entries" doc:"bulk addresses of entries, of which one has to answer at the start; required"`
 	Capacity   needs.Vector `toml:"capacity"`
 	Timing     struct {
-		HeartbeatMS int `toml:"heartbeat-ms"`
-		GraceMS     int `toml:"grace-ms"`
-		DrainMS     int `toml:"drain-ms"`
+		HeartbeatMS int `toml:"heartbeat-ms" doc:"time between heartbeats to each entry, at least 50; default 500"`
+		GraceMS     int `toml:"grace-ms" doc:"how long an answered heartbeat is trusted, at least two heartbeats and the same at every entry and agent; default 2000"`
+		DrainMS     int `toml:"drain-ms" doc:"the longest time from SIGTERM to the end; default 30000"`
 	} `toml:"timing"`
 }
 
--- a/io/entset/settings.go
+++ b/io/entset/settings.go
@@ -12,24 +12,24 @@
 
 // Settings is what an entry reads from its TOML file; times are in milliseconds.
 type Settings struct {
-	Name       string   `toml:"name"`
-	DataCentre string   `toml:"data-centre"`
-	HTTP       string   `toml:"http"`
-	Control    string   `toml:"control"`
-	Bulk       string   `toml:"bulk"`
-	Log        string   `toml:"log"`
-	Peers      []string `toml:"peers"`
-	TimeZone   string   `toml:"time-zone"`
-	Access     string   `toml:"access"`
-	Bootstrap  string   `toml:"bootstrap"`
+	Name       string   `toml:"name" doc:"the entry's name, the same after a restart; required"`
+	DataCentre string   `toml:"data-centre" doc:"the data centre where it stands; required"`
+	HTTP       string   `toml:"http" doc:"IP:PORT for callers, operators, the page and metrics; required"`
+	Control    string   `toml:"control" doc:"IP:PORT for small frames of agents and entries; required"`
+	Bulk       string   `toml:"bulk" doc:"IP:PORT for jobs, results, maps and configuration; required"`
+	Log        string   `toml:"log" doc:"IP:PORT of the platform's log; required"`
+	Peers      []string `toml:"peers" doc:"the other entries' bulk addresses, asked for map and configuration while the log is down"`
+	TimeZone   string   `toml:"time-zone" doc:"the owner's, an IANA name; default UTC"`
+	Access     string   "toml:\"access\" doc:\"`open`: nobody needs a token until a configuration is published; default `tokens`\""
+	Bootstrap  string   `toml:"bootstrap" doc:"SHA-256 in hex of the token that may publish the first configuration"`
 	// Placement names the policy by which tasks are placed.
-	Placement string `toml:"placement"`
+	Placement string "toml:\"placement\" doc:\"the policy by which tasks are placed; default `bounded`\""
 	Timing    struct {
-		HeartbeatMS int `toml:"heartbeat-ms"`
-		SuspectMS   int `toml:"suspect-ms"`
-		GraceMS     int `toml:"grace-ms"`
-		DrainMS     int `toml:"drain-ms"`
-		RoundTripMS int `toml:"round-trip-ms"`
+		HeartbeatMS int `toml:"heartbeat-ms" doc:"time between heartbeats to another entry, at least 50; default 500"`
+		SuspectMS   int `toml:"suspect-ms" doc:"silence after which a member is suspected, at least two heartbeats; default 2000"`
+		GraceMS     int `toml:"grace-ms" doc:"how long an agent trusts an answered heartbeat, the same at every entry and agent; default 2000"`
+		DrainMS     int `toml:"drain-ms" doc:"the longest time from SIGTERM to the end; default 30000"`
+		RoundTripMS int `toml:"round-trip-ms" doc:"the expected round trip between data centres; default 2"`
 	} `toml:"timing"`
 }
 
