Refuse agents and entries whose grace differs

Cause: a takeover waits for the grace of the new owner's settings; an agent that trusts answers longer could obey the replaced owner after it, and nothing checked it. Change: hellos carry the grace; an entry refuses an agent with a longer one and an entry with another, and logs both values. Ruled out: taking the grace from the configuration, which may change while a takeover waits.

--- a/io/agentd/link.go
+++ b/io/agentd/link.go
@@ -179,7 +179,7 @@
 func (d *Daemon) hello() *wire.Hello {
 	return &wire.Hello{
 		Version: wireVersion, Role: wire.Role_ROLE_AGENT, Name: d.self.Name, Incarnation: d.self.Incarnation,
-		DataCentre: d.set.DataCentre, Rack: d.set.Rack, Host: d.set.Host, Capacity: codec.NeedsOut(d.set.Capacity),
+		DataCentre: d.set.DataCentre, Rack: d.set.Rack, Host: d.set.Host, GraceMs: uint32(d.set.Timing.GraceMS), Capacity: codec.NeedsOut(d.set.Capacity),
 		Leaving: d.draining.Load(),
 	}
 }
--- a/io/entryd/frames.go
+++ b/io/entryd/frames.go
@@ -1,6 +1,7 @@
 package entryd
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -101,6 +102,10 @@
 		d.refuseConn(conn, "unknown role")
 		return
 	}
+	if h.GraceMs > uint32(d.set.Timing.GraceMS) {
+		d.refuseConn(conn, fmt.Sprintf("agent %s: timing.grace-ms: %d, limit %d as at this entry", h.Name, h.GraceMs, d.set.Timing.GraceMS))
+		return
+	}
 	d.control.Send(conn, &wire.Frame{Body: &wire.Frame_HelloAnswer{HelloAnswer: &wire.HelloAnswer{
 		Self: codec.IdentOut(d.ident()),
 	}}})
--- a/io/entryd/peers.go
+++ b/io/entryd/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"time"
 
 	"go.uber.org/zap"
@@ -82,7 +83,7 @@
 	}
 	defer d.control.Drop(conn)
 	d.control.Send(conn, &wire.Frame{Body: &wire.Frame_PeerHello{PeerHello: &wire.PeerHello{
-		From: codec.MemberOut(d.self), To: codec.IdentOut(p.who.Ident()),
+		From: codec.MemberOut(d.self), To: codec.IdentOut(p.who.Ident()), GraceMs: uint32(d.set.Timing.GraceMS),
 	}}})
 	d.mu.Lock()
 	d.peers[p.who.Incarnation] = mux
@@ -121,6 +122,10 @@
 		d.refuseConn(conn, "meant for another incarnation")
 		return
 	}
+	if h.GraceMs != uint32(d.set.Timing.GraceMS) {
+		d.refuseConn(conn, fmt.Sprintf("entry %s: timing.grace-ms: %d, here %d", h.From.GetName(), h.GraceMs, d.set.Timing.GraceMS))
+		return
+	}
 	d.heardFrom[conn] = codec.MemberIn(h.From)
 }
 
