Begin an attempt in one place, and sleep in one place

Cause: the same steps stood twice in the agent's core, and the same wait in both daemons. Change: begin serves the turn and the granted order; loop.Sleep serves both daemons. Ruled out: one package for both settings files; they share only their shape.

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -307,15 +307,19 @@
 	}
 }
 
-// turn gives an attempt its capacity; an order is recorded as started first, and is not started if it can't be.
-func (a *Agent) turn(now time.Time, at *attempt) {
+// turn gives an attempt its capacity.
+func (a *Agent) turn(now time.Time, at *attempt) { a.begin(now, at, onTurn) }
+
+// begin takes the event that starts or grants an attempt; an order is recorded as started first, and is not started if it
+// can't be.
+func (a *Agent) begin(now time.Time, at *attempt, event int) {
 	switch reason, known := a.claim(now, at); {
 	case known:
 		a.step(now, at, onKnown)
 	case reason != "":
 		a.bar(now, at, reason)
 	default:
-		a.step(now, at, onTurn)
+		a.step(now, at, event)
 	}
 }
 
@@ -355,14 +359,7 @@
 }
 
 func (a *Agent) startGranted(now time.Time, at *attempt) {
-	switch reason, known := a.claim(now, at); {
-	case known:
-		a.step(now, at, onKnown)
-	case reason != "":
-		a.bar(now, at, reason)
-	default:
-		a.step(now, at, onOrder)
-	}
+	a.begin(now, at, onOrder)
 	a.Pump(now)
 }
 
--- a/io/agentd/link.go
+++ b/io/agentd/link.go
@@ -14,6 +14,7 @@
 	"persimmonstage/io/bulk"
 	"persimmonstage/io/codec"
 	"persimmonstage/io/frame"
+	"persimmonstage/io/loop"
 	"persimmonstage/io/outbox"
 	"persimmonstage/io/wire"
 )
@@ -58,7 +59,7 @@
 			if err == nil {
 				return
 			}
-			sleep(ctx, redialPause)
+			loop.Sleep(ctx, redialPause)
 		}
 	}()
 }
@@ -129,7 +130,7 @@
 			d.log.Info("entry not connected", zap.String("entry", l.member.Name), zap.Error(err))
 		}
 		reported = err != nil
-		sleep(ctx, redialPause)
+		loop.Sleep(ctx, redialPause)
 	}
 }
 
@@ -218,12 +219,3 @@
 	}
 	return nil
 }
-
-func sleep(ctx context.Context, dur time.Duration) {
-	t := time.NewTimer(dur)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/io/entryd/daemon.go
+++ b/io/entryd/daemon.go
@@ -241,7 +241,7 @@
 		if alone || !left.IsZero() && time.Now().After(left) {
 			return
 		}
-		sleep(ctx, leavePoll)
+		loop.Sleep(ctx, leavePoll)
 	}
 }
 
--- a/io/entryd/members.go
+++ b/io/entryd/members.go
@@ -13,6 +13,7 @@
 	"persimmonstage/core/ident"
 	"persimmonstage/core/shards"
 	"persimmonstage/io/logcl"
+	"persimmonstage/io/loop"
 	"persimmonstage/io/uptime"
 	"persimmonstage/io/wire"
 )
@@ -88,7 +89,7 @@
 	if d.logUp.Swap(false) && ctx.Err() == nil {
 		d.log.Warn("log not readable", zap.Error(err))
 	}
-	sleep(ctx, readPause)
+	loop.Sleep(ctx, readPause)
 	return from
 }
 
@@ -178,12 +179,3 @@
 	}
 	go d.learnFrom(mux)
 }
-
-func sleep(ctx context.Context, dur time.Duration) {
-	t := time.NewTimer(dur)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/io/entryd/peers.go
+++ b/io/entryd/peers.go
@@ -13,6 +13,7 @@
 	"persimmonstage/core/shards"
 	"persimmonstage/io/bulk"
 	"persimmonstage/io/codec"
+	"persimmonstage/io/loop"
 	"persimmonstage/io/uptime"
 	"persimmonstage/io/wire"
 )
@@ -65,7 +66,7 @@
 			d.log.Info("entry not connected", zap.String("entry", p.who.Name), zap.Error(err))
 		}
 		reported = err != nil
-		sleep(ctx, redialPause)
+		loop.Sleep(ctx, redialPause)
 	}
 }
 
@@ -194,7 +195,7 @@
 			d.learnFrom(mux)
 			mux.Close()
 		}
-		sleep(ctx, redialPause)
+		loop.Sleep(ctx, redialPause)
 	}
 }
 
--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -74,3 +74,13 @@
 		}
 	}
 }
+
+// Sleep waits for dur or until ctx ends.
+func Sleep(ctx context.Context, dur time.Duration) {
+	t := time.NewTimer(dur)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
