Hash a job off the control goroutine, and undo what the read-through found twice

Cause: the owner hashed every payload of a job, and of each resubmission, on the goroutine that decides for all jobs; forgetting a record stood twice, two steps each kept a timer of one second, a list of links was built to read one field. Change: the goroutine that received the job seals its digest before it is posted; Disown uses forget; the account is stepped with the other things of each second; dead conditions and a max with a constant are gone. Ruled out: a hash without payloads, which would take other content for the same.

--- a/core/job/job.go
+++ b/core/job/job.go
@@ -21,6 +21,16 @@
 	Tasks    []task.Task
 	// DataCentre is that of the entry which the caller reached; it is no part of the content.
 	DataCentre string
+
+	digest [DigestBytes]byte
+	sealed bool
+}
+
+// Seal hashes the content once, so that Digest costs nothing on the goroutine that decides; the content must not change
+// afterwards.
+func (j *Job) Seal() {
+	j.digest = j.Digest()
+	j.sealed = true
 }
 
 // Digest gives a hash of everything that the caller sent but the key.
@@ -28,6 +38,9 @@
 // The time of issue is part of it: a resubmission that restamps its time of issue could pass for a
 // job that was never accepted after a takeover, so it counts as different content.
 func (j *Job) Digest() [DigestBytes]byte {
+	if j.sealed {
+		return j.digest
+	}
 	h := sha256.New()
 	var num [8]byte
 	put := func(n int64) {
--- /dev/null
+++ b/core/job/job_test.go
@@ -0,0 +1,48 @@
+package job_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"persimmonstage/core/job"
+	"persimmonstage/core/needs"
+	"persimmonstage/core/task"
+)
+
+const payloadBytes = 64 << 10
+
+func large() *job.Job {
+	j := &job.Job{Kind: "cut", Issued: time.Unix(1, 0), Deadline: time.Unix(2, 0), Tasks: make([]task.Task, 160)}
+	for i := range j.Tasks {
+		j.Tasks[i] = task.Task{Payload: make([]byte, payloadBytes), Needs: needs.Vector{Slots: 1}}
+	}
+	return j
+}
+
+func TestSealingChangesNoDigest(t *testing.T) {
+	j := large()
+	want := j.Digest()
+	j.Seal()
+	require.Equal(t, want, j.Digest())
+	other := large()
+	other.Issued = other.Issued.Add(1)
+	other.Seal()
+	require.NotEqual(t, want, other.Digest(), "the time of issue is content")
+}
+
+func BenchmarkDigest(b *testing.B) {
+	j := large()
+	b.Run("unsealed", func(b *testing.B) {
+		for b.Loop() {
+			_ = j.Digest()
+		}
+	})
+	j.Seal()
+	b.Run("sealed", func(b *testing.B) {
+		for b.Loop() {
+			_ = j.Digest()
+		}
+	})
+}
--- a/core/owner/handover.go
+++ b/core/owner/handover.go
@@ -50,22 +50,16 @@
 
 // Disown drops the records of a shard that another entry owns now; their callers are told to ask there.
 func (o *Owner) Disown(shard int) {
-	for key, r := range o.records {
+	for _, r := range o.records {
 		if r.shard != shard {
 			continue
 		}
 		if r.running() {
 			o.running--
 		}
-		o.leaveGate(r)
-		for i := range r.tasks {
-			o.unbook(r, i)
-			o.forgetAttempts(r, i)
-		}
 		waiters := r.waiters
 		r.waiters = nil
-		r.state = disowned
-		delete(o.records, key)
+		o.forget(r)
 		for _, w := range waiters {
 			w(answer.Elsewhere())
 		}
--- a/core/owner/owner.go
+++ b/core/owner/owner.go
@@ -87,8 +87,9 @@
 
 // Submit accepts a job of a shard, joins it to its record, or answers from the record; w is called exactly once.
 //
-// admitted is what the gate took of it, nil if it was not asked. found lists what agents started of it for earlier owners; whole tells that nothing else of it can have been started,
-// without which the tasks that are not in found are never started and the answer is that the job may have run.
+// admitted is what the gate took of it, nil if it was not asked. found lists what agents started of it for earlier owners;
+// whole tells that nothing else of it can have been started, without which the tasks that are not in found are never
+// started and the answer is that the job may have run.
 func (o *Owner) Submit(
 	now time.Time, j *job.Job, shard int, epoch uint64, found []past.Past, whole bool, admitted *admit.Request,
 	w func(answer.Answer),
--- a/core/owner/step.go
+++ b/core/owner/step.go
@@ -19,7 +19,7 @@
 	for _, a := range actions {
 		o.taskAction(now, r, i, a)
 	}
-	if next == stateWaiting || !taskChart.FinalID(next) {
+	if !taskChart.FinalID(next) {
 		return
 	}
 	o.forgetAttempts(r, i)
--- a/io/agentd/config.go
+++ b/io/agentd/config.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"persimmonstage/core/rules"
+	"persimmonstage/io/bulk"
 	"persimmonstage/io/conf"
 	"persimmonstage/io/wire"
 )
@@ -25,18 +26,18 @@
 
 // Config asks one entry for what a process at the version lacks.
 func (c configPeers) Config(ctx context.Context, version int64) ([]byte, error) {
-	var list []*link
+	var list []*bulk.Mux
 	c.d.loop.Call(ctx, func(time.Time) {
 		for _, l := range c.d.links {
 			if l.mux != nil {
-				list = append(list, &link{mux: l.mux})
+				list = append(list, l.mux)
 			}
 		}
 	})
 	if len(list) == 0 {
 		return nil, errNoEntry
 	}
-	mux := list[rand.IntN(len(list))].mux
+	mux := list[rand.IntN(len(list))]
 	got, err := mux.Ask(ctx, &wire.Bulk{Body: &wire.Bulk_Fetch{Fetch: &wire.Fetch{What: fetchConfig, Version: version}}})
 	if err != nil {
 		return nil, err
--- a/io/entryd/account.go
+++ b/io/entryd/account.go
@@ -43,10 +43,6 @@
 
 // tickAccount notes outages of the log and closes minutes.
 func (d *Daemon) tickAccount(now time.Time) {
-	if now.Before(d.nextAccount) {
-		return
-	}
-	d.nextAccount = now.Add(accountPeriod)
 	overdue := d.owner.Overdue(now)
 	down := !d.logUp.Load() && d.mapVersion() != 0
 	d.account.Tell(func(t *tally.Tally) {
@@ -60,5 +56,3 @@
 		t.Advance(now)
 	})
 }
-
-const accountPeriod = time.Second
--- a/io/entryd/daemon.go
+++ b/io/entryd/daemon.go
@@ -90,7 +90,6 @@
 	heardFrom    map[uint64]member.Member // by accepted connection
 	dialled      map[uint64]chan struct{}
 	parked       []parked
-	nextAccount  time.Time
 	nextRecovery time.Time
 	nextTick     time.Time
 	nextSlow     time.Time
@@ -258,7 +257,6 @@
 	d.tickRecoveries(now)
 	d.roster.Tick(now, d.agentSilent)
 	d.dropPeers(now)
-	d.tickAccount(now)
 	d.tickSlow(now)
 }
 
@@ -271,6 +269,7 @@
 		return
 	}
 	d.nextSlow = now.Add(time.Second)
+	d.tickAccount(now)
 	d.gate.Expire(now)
 	d.judge.Tick(now, d.probe)
 	d.setFleet()
--- a/io/entryd/http.go
+++ b/io/entryd/http.go
@@ -24,12 +24,11 @@
 
 // server makes the HTTP server for callers and operators; bodies and headers over the limits never reach a handler.
 func (d *Daemon) server() *fasthttp.Server {
-	lim := d.limits.Load()
 	return &fasthttp.Server{
 		Handler:               d.route,
 		ErrorHandler:          d.refuseRequest,
 		Logger:                zap.NewStdLog(d.log),
-		MaxRequestBodySize:    max(lim.BodyBytes, maxBodyBytes),
+		MaxRequestBodySize:    maxBodyBytes,
 		ReadBufferSize:        maxHeaderBytes,
 		ReduceMemoryUsage:     true,
 		IdleTimeout:           idleTimeout,
--- a/io/entryd/submit.go
+++ b/io/entryd/submit.go
@@ -51,6 +51,7 @@
 
 // submit asks the owner of the job's shard, whichever entry that is, until the job's deadline.
 func (d *Daemon) submit(j *job.Job) reply {
+	j.Seal()
 	return d.ask(&question{
 		key: j.Key, job: j, shard: shards.Of(j.Key.Team, j.Key.ID, shardCount), before: j.Deadline.Add(answerMargin),
 	})
@@ -231,6 +232,7 @@
 	var j *job.Job
 	if ask.Job != nil {
 		j = codec.JobIn(ask.Job)
+		j.Seal()
 	}
 	got := make(chan answer.Answer, 1)
 	if !d.loop.Post(func(now time.Time) { d.accept(now, key, j, func(a answer.Answer) { got <- a }) }) {
