Count an announced target in the admission at once

Cause: the gate's rate of the fleet was computed once a second, so in the second after an announcement a job was judged by the targets of before. TestAgentKilledInTheMiddleOfAJob failed for it: its 160 tasks of 200 ms with 4 s to the deadline fit sixteen slots (2 s), and were refused as deadline-too-near (3.97 s) when they came before the tick that counted the second agent. Change: the roster keeps the sum of what the usable targets are as they come and go; the gate is told it before each decision, at constant cost. A target with fewer than eight slots no longer counts as a whole host, which had doubled the rate of one with four. Only the entry's part of the work is still found once a second, as it looks at every row. Ruled out: waiting in the test until a tick has passed (callers would still meet the refusal); recomputing at each announcement (26,000 announcements after a start would look at 26,000 rows each).

--- a/core/roster/group.go
+++ b/core/roster/group.go
@@ -102,6 +102,7 @@
 		list = &g.room
 	}
 	r.total = r.total.Add(t.capacity)
+	r.hosts += hosts(t.capacity)
 	t.position = len(*list)
 	t.inRoom = room
 	t.listed = true
@@ -115,6 +116,7 @@
 		return
 	}
 	r.total = r.total.Sub(t.capacity)
+	r.hosts -= hosts(t.capacity)
 	g := &r.groups[t.groupIndex]
 	list := &g.full
 	if t.inRoom {
@@ -180,3 +182,16 @@
 	drop := max(0, bits.Len(uint(n))-significantBits)
 	return n >> drop << drop
 }
+
+const (
+	wholeHost = 1000 // thousandths
+	slotPart  = 125  // of a host that a slot is, in thousandths
+)
+
+// hosts returns how much of a host a target is, in thousandths.
+func hosts(capacity needs.Vector) int64 {
+	if capacity.Slots == 0 {
+		return wholeHost
+	}
+	return int64(capacity.Slots) * slotPart
+}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -80,6 +80,7 @@
 	silence  time.Duration
 	sizes    map[needs.Vector]size
 	total    needs.Vector // capacity of the usable targets
+	hosts    int64        // parts of a host that the usable targets are, in thousandths
 	now      time.Time    // of the last call that told it
 }
 
@@ -153,6 +154,13 @@
 	return max(1, v.Times(r.total))
 }
 
+// Capacity returns the sum of what the usable targets have.
+func (r *Roster) Capacity() needs.Vector { return r.total }
+
+// Hosts returns how many hosts the usable targets are, in thousandths: a slot is an eighth of a host, and a target without
+// slots is a whole one.
+func (r *Roster) Hosts() int64 { return r.hosts }
+
 // InFlight returns how many of the entry's own tasks a target holds.
 func (r *Roster) InFlight(id target.ID) int {
 	if t := r.row(id); t != nil {
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -132,7 +132,9 @@
 
 func checkLists(t *rapid.T, r *roster.Roster, ids []target.ID) {
 	listed := map[target.ID]bool{}
+	hosts := int64(0)
 	see := func(id target.ID, room bool) {
+		hosts += int64(r.Free(id).Slots+r.InFlight(id)) * 125
 		require.False(t, listed[id])
 		require.True(t, r.Usable(id))
 		require.Equal(t, room, r.Free(id).Slots > 0)
@@ -146,6 +148,7 @@
 			see(r.FullAt(g, i), false)
 		}
 	}
+	require.Equal(t, hosts, r.Hosts())
 	for _, id := range ids {
 		require.Equal(t, r.Usable(id), listed[id])
 	}
--- a/io/entryd/admit.go
+++ b/io/entryd/admit.go
@@ -13,8 +13,8 @@
 
 const (
 	// slotPart is the part of a target, in thousandths, that a task with one slot of eight takes.
-	slotPart     = 125
-	slotsPerHost = 8
+	slotPart  = 125
+	wholeHost = 1000.0
 	// waitingPerSlot is how many tasks of jobs without an answer an entry takes for each slot of the fleet: more would wait
 	// so long that the memory and the messages that they cost serve nobody.
 	waitingPerSlot  = 64
@@ -36,6 +36,7 @@
 	urgency := d.rules.Load().Urgency(j.Key.Team, j.Kind)
 	d.account.Tell(func(t *tally.Tally) { t.Asked(now, j.Key.Team, j.Kind, urgency, len(j.Tasks)) })
 	r := d.request(j)
+	d.setFleet()
 	_, err := d.gate.Admit(r, now)
 	var refused *admit.RefusedError
 	switch {
@@ -74,22 +75,20 @@
 	return answer.StatusUnavailable
 }
 
-// setFleet tells the gate this entry's part of what all targets do in a second: the whole while the other entries have
-// no work there, and never less than an equal part.
+// setFleet tells the gate this entry's part of what all targets do in a second. It costs next to nothing, so it is called
+// before each decision: what was announced or lost a moment ago counts.
 func (d *Daemon) setFleet() {
 	members := 1
 	if m := d.group.Map(); m != nil {
 		members = max(m.Size(), 1)
 	}
-	hosts, slots := 0.0, int64(0)
-	for id, l := range d.agents.byTarget {
-		if d.roster.Usable(id) {
-			slots += int64(l.hello.Capacity.GetSlots())
-			hosts += max(1, float64(l.hello.Capacity.GetSlots())/slotsPerHost)
-		}
-	}
-	own, others := d.roster.Work()
-	part := (own + time.Second).Seconds() / (own + others + time.Second).Seconds()
+	slots := int64(d.roster.Capacity().Slots)
 	d.gate.SetBounds(min(max(slots*waitingPerSlot, minWaiting), maxWaiting), maxWaitingBytes)
-	d.gate.SetFleet(hosts * max(part, 1/float64(members)))
+	d.gate.SetFleet(float64(d.roster.Hosts()) / wholeHost * max(d.part, 1/float64(members)))
+}
+
+// setPart finds this entry's part of the targets' work: the whole while the other entries have none there.
+func (d *Daemon) setPart() {
+	own, others := d.roster.Work()
+	d.part = (own + time.Second).Seconds() / (own + others + time.Second).Seconds()
 }
--- a/io/entryd/daemon.go
+++ b/io/entryd/daemon.go
@@ -82,6 +82,7 @@
 	group        *group.Group
 	retries      retry.Budget
 	gate         *admit.Gate
+	part         float64 // of the targets' work that is this entry's
 	judge        *eject.Judge
 	recoveries   map[int]*recov.Recovery
 	agents       agents
@@ -272,7 +273,7 @@
 	d.tickAccount(now)
 	d.gate.Expire(now)
 	d.judge.Tick(now, d.probe)
-	d.setFleet()
+	d.setPart()
 	if !now.Before(d.nextFade) {
 		d.nextFade = now.Add(fadePeriod)
 		d.speeds.Fade(func(id target.ID) { d.roster.Rate(id, d.speeds.Factor(id)) })
