Cancel a job: withdraw what has not started, a batch to each agent

Ruled out: answering at once (nearly every job would have to be told that it may have run); a closed connection as a cancellation (a caller that hangs up and comes again would find its job ended). The answer now leaves not-run out and says 'before any task started' as its reason; TestACancelledJobComesAgainAtTheNextOwner failed first. The refusals that answer withdrawals are still one message each.

--- a/core/owner/chart.go
+++ b/core/owner/chart.go
@@ -26,12 +26,15 @@
 	answerLost      = "answer-lost"
 	answerLate      = "answer-late"
 	answerUncertain = "answer-uncertain"
+	answerCancelled = "answer-cancelled"
 	cancelRest      = "cancel-rest"
+	release         = "release"
 )
 
 var (
 	taskChart = load(taskChartFile, sendReserves, sendStart, withdrawOthers, withdrawStart, unbook, tryLater, countEnd)
-	jobChart  = load(jobChartFile, answerComplete, answerFailed, answerLost, answerLate, answerUncertain, cancelRest)
+	jobChart  = load(jobChartFile, answerComplete, answerFailed, answerLost, answerLate, answerUncertain, answerCancelled,
+		cancelRest, release)
 
 	stateWaiting     = state(taskChart, "waiting")
 	stateReserving   = state(taskChart, "reserving")
@@ -49,13 +52,16 @@
 	onVanished  = event(taskChart, "vanished")
 	onCancel    = event(taskChart, "cancel")
 
-	stateRunning = state(jobChart, "running")
+	stateRunning    = state(jobChart, "running")
+	stateCancelling = state(jobChart, "cancelling")
 
 	onAllDone    = event(jobChart, "all-done")
 	onTaskFailed = event(jobChart, "task-failed")
 	onTaskLost   = event(jobChart, "task-lost")
 	onDeadline   = event(jobChart, "deadline")
 	onUnsure     = event(jobChart, "unsure")
+	onCancelJob  = event(jobChart, "cancel")
+	onAllEnded   = event(jobChart, "all-ended")
 )
 
 // notRun reports whether a task in state certainly never started.
--- a/core/owner/owner.go
+++ b/core/owner/owner.go
@@ -173,6 +173,14 @@
 	}
 }
 
+// Cancel withdraws what has not started of a submission; w is called exactly once, with the answer that its callers get.
+func (o *Owner) Cancel(now time.Time, key jobkey.Key, w func(answer.Answer)) {
+	o.Lookup(key, w)
+	if r := o.records[key]; r != nil {
+		o.jobEvent(now, r, onCancelJob)
+	}
+}
+
 // Result takes the end of a started task from its agent.
 func (o *Owner) Result(now time.Time, res *result.Result) {
 	r := o.records[res.Key]
--- a/core/owner/record.go
+++ b/core/owner/record.go
@@ -68,7 +68,18 @@
 
 func (r *record) key() jobkey.Key { return r.job.Key }
 
-func (r *record) running() bool { return r.state == stateRunning }
+// running reports whether the job has no answer yet.
+func (r *record) running() bool { return r.state == stateRunning || r.state == stateCancelling }
+
+// endEvent gives the event of a job whose tasks have all ended.
+func (r *record) endEvent() int {
+	for i := range r.tasks {
+		if r.tasks[i].state != stateDone {
+			return onAllEnded
+		}
+	}
+	return onAllDone
+}
 
 // notRun reports whether no task of the job can have started.
 func (r *record) notRun() bool {
--- a/core/owner/step.go
+++ b/core/owner/step.go
@@ -165,10 +165,9 @@
 	case onVanished:
 		r.cause = targetLost
 		o.jobEvent(now, r, onTaskLost)
-	default:
-		if r.open == 0 {
-			o.jobEvent(now, r, onAllDone)
-		}
+	}
+	if r.running() && r.open == 0 {
+		o.jobEvent(now, r, r.endEvent())
 	}
 }
 
@@ -179,6 +178,7 @@
 	deadlineShort  = "deadline"
 	neverPlaced    = "no-room"
 	ownerChanged   = "owner-changed"
+	cancelled      = "cancelled"
 )
 
 // jobEvent moves a job along its chart, answers its callers and cancels what is left of it.
@@ -188,7 +188,9 @@
 		return
 	}
 	r.state = next
-	o.running--
+	if jobChart.FinalID(next) {
+		o.running--
+	}
 	for _, a := range actions {
 		o.jobAction(now, r, a)
 	}
@@ -205,16 +207,34 @@
 		o.reply(now, r, o.late(r))
 	case answerUncertain:
 		o.reply(now, r, answer.Uncertain(id, "an earlier owner of the shard may have run it", ownerChanged))
+	case answerCancelled:
+		o.reply(now, r, o.cancelled(r))
 	case cancelRest:
 		for i := range r.tasks {
 			if !taskChart.FinalID(r.tasks[i].state) {
 				o.taskEvent(now, r, i, onCancel)
 			}
 		}
+	case release:
 		r.release()
 	}
 }
 
+// cancelled gives the answer of a cancelled job, each of whose tasks has ended or is proved not started. It never says "not
+// run": should this entry die, its record is lost, and a submission of the job that is still under way runs at the next owner.
+func (o *Owner) cancelled(r *record) answer.Answer {
+	id := r.key().ID
+	switch {
+	case !r.notRun():
+		return answer.Failure(id, "cancelled by the caller after a task had started", cancelled, false)
+	case !o.lease.Holds(r.shard):
+		return answer.Uncertain(id, "another owner of the shard may have run it", ownerChanged)
+	}
+	a := answer.Failure(id, "cancelled by the caller before any task started", cancelled, false)
+	a.NotRunKnown = false
+	return a
+}
+
 // late gives the answer of a job whose deadline has passed.
 func (o *Owner) late(r *record) answer.Answer {
 	switch {
--- a/io/entryd/daemon.go
+++ b/io/entryd/daemon.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"persimmonstage/core/admit"
+	"persimmonstage/core/cancel"
 	"persimmonstage/core/eject"
 	"persimmonstage/core/fold"
 	"persimmonstage/core/group"
@@ -82,6 +83,8 @@
 	group        *group.Group
 	retries      retry.Budget
 	gate         *admit.Gate
+	withdrawals  cancel.Batch
+	withdrawing  bool    // a timer for the next batch is set
 	part         float64 // of the targets' work that is this entry's
 	judge        *eject.Judge
 	recoveries   map[int]*recov.Recovery
@@ -90,7 +93,7 @@
 	links        map[string]*peer
 	heardFrom    map[uint64]member.Member // by accepted connection
 	dialled      map[uint64]chan struct{}
-	parked       []parked
+	parked       []request
 	nextRecovery time.Time
 	nextTick     time.Time
 	nextSlow     time.Time
--- a/io/entryd/effects.go
+++ b/io/entryd/effects.go
@@ -48,12 +48,10 @@
 	e.d.refuseLater(o.Attempt)
 }
 
-// Withdraw sends a withdrawal on the control connection.
+// Withdraw holds a withdrawal for a moment, as those of one job, and of a wave of jobs, share a message to each agent.
 func (e effects) Withdraw(agent string, attempts []uint64) {
-	e.d.metrics.withdraws.Inc()
-	if l := e.d.agents.byIncarnation[agent]; l != nil && l.conn != 0 {
-		e.d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_Withdraw{Withdraw: &wire.Withdraw{Attempts: attempts}}})
-	}
+	e.d.withdrawals.Add(agent, attempts, time.Now())
+	e.d.withdrawSoon()
 }
 
 // Query asks an agent for attempts whose answers may be lost.
--- a/io/entryd/http.go
+++ b/io/entryd/http.go
@@ -92,7 +92,7 @@
 	case path == jobsPath:
 		d.postJob(ctx)
 	case strings.HasPrefix(path, jobsPath+"/"):
-		d.getJob(ctx, path[len(jobsPath)+1:])
+		d.oneJob(ctx, path[len(jobsPath)+1:])
 	case strings.HasPrefix(path, adminPath):
 		d.admin(ctx, path[len(adminPath):])
 	case path == "/healthz":
@@ -141,9 +141,10 @@
 	return replyOf(a)
 }
 
-func (d *Daemon) getJob(ctx *fasthttp.RequestCtx, rest string) {
+// oneJob asks what became of a submission, or cancels it.
+func (d *Daemon) oneJob(ctx *fasthttp.RequestCtx, rest string) {
 	team, id, ok := strings.Cut(rest, "/")
-	if !ctx.IsGet() || !ok || team == "" || id == "" {
+	if !ctx.IsGet() && !ctx.IsDelete() || !ok || team == "" || id == "" {
 		ctx.Error("no such path\n", fasthttp.StatusNotFound)
 		return
 	}
@@ -151,7 +152,7 @@
 		d.refuse(ctx, status, reason)
 		return
 	}
-	send(ctx, d.lookup(jobkey.Key{Team: team, ID: id}))
+	send(ctx, d.lookup(jobkey.Key{Team: team, ID: id}, ctx.IsDelete()))
 }
 
 func (d *Daemon) readyz(ctx *fasthttp.RequestCtx) {
--- a/io/entryd/submit.go
+++ b/io/entryd/submit.go
@@ -41,10 +41,11 @@
 	return reply{status: a.Status, body: a.Body(), retryAfter: a.RetryAfter}
 }
 
-// question is a submission, or with no job a lookup, on its way to the owner of its shard.
+// question is a submission, or with no job a lookup or a cancellation, on its way to the owner of its shard.
 type question struct {
 	key    jobkey.Key
 	job    *job.Job
+	cancel bool
 	shard  int
 	before time.Time
 }
@@ -57,10 +58,10 @@
 	})
 }
 
-// lookup asks the owner for what became of a submission.
-func (d *Daemon) lookup(key jobkey.Key) reply {
+// lookup asks the owner for what became of a submission, and withdraws what has not started of it if cancel is set.
+func (d *Daemon) lookup(key jobkey.Key, cancel bool) reply {
 	return d.ask(&question{
-		key: key, shard: shards.Of(key.Team, key.ID, shardCount), before: time.Now().Add(lookupTime),
+		key: key, cancel: cancel, shard: shards.Of(key.Team, key.ID, shardCount), before: time.Now().Add(lookupTime),
 	})
 }
 
@@ -119,7 +120,9 @@
 // callers when it loses the shard.
 func (d *Daemon) askSelf(q *question) (reply, bool) {
 	got := make(chan answer.Answer, 1)
-	if !d.loop.Post(func(now time.Time) { d.accept(now, q.key, q.job, func(a answer.Answer) { got <- a }) }) {
+	if !d.loop.Post(func(now time.Time) {
+		d.accept(now, request{q.key, q.job, q.cancel, func(a answer.Answer) { got <- a }})
+	}) {
 		return reply{}, false
 	}
 	timeout := time.NewTimer(time.Until(q.before))
@@ -134,7 +137,7 @@
 }
 
 func (d *Daemon) askPeer(ctx context.Context, mux *bulk.Mux, q *question) (reply, bool) {
-	ask := &wire.Submit{Team: q.key.Team, Id: q.key.ID}
+	ask := &wire.Submit{Team: q.key.Team, Id: q.key.ID, Cancel: q.cancel}
 	if q.job != nil {
 		ask.Job = codec.JobOut(q.job)
 	}
@@ -148,43 +151,42 @@
 	}, true
 }
 
-// parked is a submission or lookup that waits for the recovery of its shard.
-type parked struct {
-	key jobkey.Key
-	job *job.Job
-	w   func(answer.Answer)
+// request is a submission, or with no job a lookup or a cancellation, at the owner of its shard; w is called exactly once.
+type request struct {
+	key    jobkey.Key
+	job    *job.Job
+	cancel bool
+	w      func(answer.Answer)
 }
 
-// accept steps the owner with a job or a lookup if this entry owns the shard; w is called exactly once.
-func (d *Daemon) accept(now time.Time, key jobkey.Key, j *job.Job, w func(answer.Answer)) {
-	shard := shards.Of(key.Team, key.ID, shardCount)
+// accept steps the owner with a request if this entry owns the shard; until the shard is recovered the request waits.
+func (d *Daemon) accept(now time.Time, r request) {
+	shard := shards.Of(r.key.Team, r.key.ID, shardCount)
 	m := d.group.Map()
-	if m == nil || m.Owner(shard) != d.ident() {
-		w(answer.Elsewhere())
-		return
-	}
-	if d.owner.Known(key) {
-		d.known(now, key, j, w)
-		return
+	switch {
+	case m == nil || m.Owner(shard) != d.ident():
+		r.w(answer.Elsewhere())
+	case d.owner.Known(r.key):
+		d.known(now, r)
+	case !d.group.Holds(uptime.Now(), shard):
+		d.park(now, r)
+	case r.job == nil:
+		d.known(now, r)
+	default:
+		d.submitNew(now, r.job, shard, m.Epoch(shard), r.w)
 	}
-	if !d.group.Holds(uptime.Now(), shard) {
-		d.park(now, parked{key, j, w})
-		return
-	}
-	if j == nil {
-		d.owner.Lookup(key, w)
-		return
-	}
-	d.submitNew(now, j, shard, m.Epoch(shard), w)
 }
 
-// known joins a submission or lookup to its record.
-func (d *Daemon) known(now time.Time, key jobkey.Key, j *job.Job, w func(answer.Answer)) {
-	if j == nil {
-		d.owner.Lookup(key, w)
-		return
+// known joins a request to the record of its job, if there is one.
+func (d *Daemon) known(now time.Time, r request) {
+	switch {
+	case r.cancel:
+		d.owner.Cancel(now, r.key, r.w)
+	case r.job == nil:
+		d.owner.Lookup(r.key, r.w)
+	default:
+		d.owner.Submit(now, r.job, 0, 0, nil, true, nil, r.w)
 	}
-	d.owner.Submit(now, j, 0, 0, nil, true, nil, w)
 }
 
 // submitNew gives the owner a job that it has no record of, with what earlier owners did of it; only a job that is
@@ -192,7 +194,7 @@
 func (d *Daemon) submitNew(now time.Time, j *job.Job, shard int, epoch uint64, w func(answer.Answer)) {
 	found, whole, wait := d.earlier(now, shard, j.Key, j.Issued)
 	if wait {
-		d.park(now, parked{j.Key, j, w})
+		d.park(now, request{key: j.Key, job: j, w: w})
 		return
 	}
 	var admitted *admit.Request
@@ -209,23 +211,23 @@
 }
 
 // park keeps a request until its shard is recovered; past its deadline it is sent back.
-func (d *Daemon) park(now time.Time, p parked) {
-	if p.job == nil || now.After(p.job.Deadline) {
-		p.w(answer.Elsewhere())
+func (d *Daemon) park(now time.Time, r request) {
+	if r.job == nil || now.After(r.job.Deadline) {
+		r.w(answer.Elsewhere())
 		return
 	}
-	d.parked = append(d.parked, p)
+	d.parked = append(d.parked, r)
 }
 
 func (d *Daemon) unpark(now time.Time) {
 	list := d.parked
 	d.parked = nil
-	for _, p := range list {
-		d.accept(now, p.key, p.job, p.w)
+	for _, r := range list {
+		d.accept(now, r)
 	}
 }
 
-// forwarded answers another entry's submission or lookup on its stream.
+// forwarded answers another entry's request on its stream.
 func (d *Daemon) forwarded(ask *wire.Submit, s net.Conn) {
 	defer s.Close()
 	key := jobkey.Key{Team: ask.Team, ID: ask.Id}
@@ -235,7 +237,7 @@
 		j.Seal()
 	}
 	got := make(chan answer.Answer, 1)
-	if !d.loop.Post(func(now time.Time) { d.accept(now, key, j, func(a answer.Answer) { got <- a }) }) {
+	if !d.loop.Post(func(now time.Time) { d.accept(now, request{key, j, ask.Cancel, func(a answer.Answer) { got <- a }}) }) {
 		return
 	}
 	r := replyOf(<-got)
--- a/io/load/load.go
+++ b/io/load/load.go
@@ -42,6 +42,8 @@
 	Resubmit float64
 	// SizesOff is by how much the declared sizes are off at most, to both sides; 0 declares none.
 	SizesOff float64
+	// Cancel is the share of the jobs that their callers cancel, all at the next whole second.
+	Cancel float64
 	// Progress gets a line now and then; nil for none.
 	Progress io.Writer
 
--- a/io/load/phase.go
+++ b/io/load/phase.go
@@ -18,6 +18,9 @@
 	tooManyOpen = "not-sent-too-many-open"
 	resubmitted = 100 // submissions of one job in a flood of resubmissions
 	sizesSeed   = 13
+	cancelsSeed = 17
+	// wavePeriod is the time between two waves of cancellations.
+	wavePeriod = time.Second
 )
 
 // phase is what was collected under one name.
@@ -41,6 +44,7 @@
 	repeat  bool
 	begun   time.Time
 	sizes   *rand.Rand
+	cancels *rand.Rand
 	open    *atomic.Int64
 	offered *atomic.Int64
 	wait    sync.WaitGroup
@@ -82,7 +86,7 @@
 func (l *Load) stream(p *phase, m *mix.Mix, begun time.Time, open, offered *atomic.Int64) *stream {
 	return &stream{
 		load: l, phase: p, mix: m, begun: begun, open: open, offered: offered,
-		sizes: rand.New(rand.NewPCG(l.Seed, sizesSeed)), pending: make(map[*score.Ending]struct{}),
+		sizes: rand.New(rand.NewPCG(l.Seed, sizesSeed)), cancels: rand.New(rand.NewPCG(l.Seed, cancelsSeed)), pending: make(map[*score.Ending]struct{}),
 	}
 }
 
@@ -117,6 +121,9 @@
 	s.mu.Unlock()
 	s.wait.Add(1)
 	job := s.last
+	if s.cancels.Float64() < s.load.Cancel {
+		s.cancel(job, e, int(number+1)%len(s.load.Entries))
+	}
 	go func() {
 		defer s.wait.Done()
 		late := time.Since(due)
@@ -127,6 +134,19 @@
 	}()
 }
 
+// cancel withdraws a job with the next wave, if it is open then.
+func (s *stream) cancel(job *sent, e *score.Ending, entry int) {
+	wave := wavePeriod - time.Since(s.begun)%wavePeriod
+	time.AfterFunc(wave, func() {
+		s.mu.Lock()
+		_, open := s.pending[e]
+		s.mu.Unlock()
+		if open {
+			s.load.cancel(job, entry)
+		}
+	})
+}
+
 // ended counts a job that was answered before the stream was closed.
 func (s *stream) ended(e *score.Ending, late time.Duration) {
 	s.mu.Lock()
--- a/io/load/submit.go
+++ b/io/load/submit.go
@@ -19,10 +19,12 @@
 	meanMemoryMB = 1024
 	answerSlack  = 2 * time.Second
 	partial      = "partial"
+	jobsPath     = "/v1/jobs"
 )
 
 // sent is a submission that may be made more than once; complete answers to it must be the same bytes.
 type sent struct {
+	path     string
 	body     []byte
 	deadline time.Time
 	first    score.Ending
@@ -63,8 +65,10 @@
 	if l.Slots > 0 {
 		sub.first.Floor = time.Duration(float64(total) / l.Slots)
 	}
+	id := fmt.Sprintf("%s-%d-%s-%d", l.run, l.Seed, j.Kind.Name, j.Number)
+	sub.path = jobsPath + "/" + j.Kind.Team + "/" + id
 	text, _ := json.Marshal(map[string]any{
-		"id": fmt.Sprintf("%s-%d-%s-%d", l.run, l.Seed, j.Kind.Name, j.Number), "team": j.Kind.Team, "kind": j.Kind.Name, "tasks": tasks,
+		"id": id, "team": j.Kind.Team, "kind": j.Kind.Name, "tasks": tasks,
 		"deadline": due.Add(j.Kind.Window).UTC().Format(time.RFC3339Nano),
 	})
 	sub.body, sub.deadline, _ = caller.Fill(text, time.Now())
@@ -118,16 +122,25 @@
 }
 
 func (l *Load) post(s *sent, entry int) ([]byte, error) {
+	return l.do(fasthttp.MethodPost, l.Entries[entry]+jobsPath, s.body, s.deadline)
+}
+
+// cancel withdraws a submission at one entry; how the job ended is what its submission is told.
+func (l *Load) cancel(s *sent, entry int) {
+	_, _ = l.do(fasthttp.MethodDelete, l.Entries[entry]+s.path, nil, s.deadline)
+}
+
+func (l *Load) do(method, target string, body []byte, deadline time.Time) ([]byte, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	req.Header.SetMethod(fasthttp.MethodPost)
-	req.SetRequestURI(l.Entries[entry] + "/v1/jobs")
+	req.Header.SetMethod(method)
+	req.SetRequestURI(target)
 	if l.Token != "" {
 		req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+l.Token)
 	}
-	req.SetBodyRaw(s.body)
-	if err := l.http.DoDeadline(req, resp, s.deadline.Add(answerSlack)); err != nil {
+	req.SetBodyRaw(body)
+	if err := l.http.DoDeadline(req, resp, deadline.Add(answerSlack)); err != nil {
 		return nil, err
 	}
 	return bytes.Clone(resp.Body()), nil
--- a/io/verb/answer.go
+++ b/io/verb/answer.go
@@ -51,6 +51,18 @@
 	return errors.Newf("%s (%d): %s", a.Outcome, status, a.Reason)
 }
 
+// printEnd prints how a job ended; one that did not end is an error.
+func printEnd(w io.Writer, status int, body []byte, asJSON bool) error {
+	err := printAnswer(w, status, body, asJSON)
+	if err == nil || status != statusOK {
+		return err
+	}
+	if !asJSON {
+		fmt.Fprintln(w, err)
+	}
+	return nil
+}
+
 func printResults(w io.Writer, a *answerText) {
 	if a.Outcome != "complete" {
 		return
--- a/io/verb/load.go
+++ b/io/verb/load.go
@@ -44,6 +44,7 @@
 		&cli.IntFlag{Name: "tasks", Usage: "tasks of each job, in place of 1 to 160 drawn at random"},
 		&cli.IntFlag{Name: "run-ms", Usage: "middle of the run times, in place of 50 ms to 2 s by kind"},
 		&cli.FloatFlag{Name: "resubmit", Usage: "share of the jobs that are submitted twice, at two entries"},
+		&cli.FloatFlag{Name: "cancel", Usage: "share of the jobs that are cancelled, all together at the next whole second"},
 		&cli.FloatFlag{Name: "sizes-off", Usage: "declare sizes that are up to this many times off"},
 		&cli.StringFlag{Name: "flood", Usage: "least, most, small-jobs, huge-jobs or resubmissions"},
 		&cli.FloatFlag{Name: "factor", Value: 10, Usage: "times the capacity of --slots that the flood asks for"},
@@ -63,7 +64,7 @@
 		Entries: trimmed(entries), Agents: trimmed(c.StringSlice("agent")), Targets: trimmed(c.StringSlice("target")), Token: c.String("token"),
 		Kinds: mix.Fixed(c.Int("tasks"), time.Duration(c.Int("run-ms"))*time.Millisecond),
 		Rate:  c.Float("rate"), Seconds: c.Float("seconds"), Seed: c.Uint64("seed"), Slots: c.Float("slots"),
-		Resubmit: c.Float("resubmit"), SizesOff: c.Float("sizes-off"), Progress: c.Root().ErrWriter,
+		Resubmit: c.Float("resubmit"), SizesOff: c.Float("sizes-off"), Cancel: c.Float("cancel"), Progress: c.Root().ErrWriter,
 	}
 	if c.Int("tasks") > mix.MaxTasks {
 		return nil, errors.Newf("tasks: %d, at most %d", c.Int("tasks"), mix.MaxTasks)
--- a/io/verb/table.go
+++ b/io/verb/table.go
@@ -10,6 +10,7 @@
 		entry(),
 		agent(),
 		submit(),
+		cancel(),
 		state(),
 		config(),
 		targets(),
--- a/test/measure/measure_test.go
+++ b/test/measure/measure_test.go
@@ -29,6 +29,7 @@
 	rate      = flag.Float64("rate", 200, "jobs per second, where the load isn't given as a share")
 	heartbeat = flag.Int("heartbeat-ms", 0, "time between heartbeats")
 	floodKind = flag.String("flood", "least", "kind of the flood")
+	cancel    = flag.Float64("cancel", 0, "share of the jobs that are cancelled in waves")
 	factor    = flag.Float64("factor", 10, "times the capacity that the flood asks for")
 )
 
@@ -72,7 +73,7 @@
 func (r *rig) load(rate, seconds float64) *load.Load {
 	return &load.Load{
 		Entries: r.urls(r.entries), Agents: r.urls(r.agents), Targets: r.urls(r.targets), Kinds: kinds(), Rate: rate, Seconds: seconds,
-		Seed: 1, Slots: r.slots,
+		Seed: 1, Slots: r.slots, Cancel: *cancel,
 	}
 }
 
--- a/test/stepped/sequence_test.go
+++ b/test/stepped/sequence_test.go
@@ -38,7 +38,7 @@
 	return w
 }
 
-const actions = 16
+const actions = 17
 
 func (w *world) step(action, n, at int) {
 	h := w.agents[n%len(w.agents)]
@@ -65,6 +65,10 @@
 		if n%4 == 0 && len(w.owners) < 4 {
 			w.takeOver()
 		}
+	case 16:
+		if len(w.jobs) > 0 {
+			w.cancel(n % len(w.jobs))
+		}
 	case 15:
 		if n%4 == 0 {
 			w.restart(h, 2+at)
@@ -207,6 +211,22 @@
 	require.Greater(t, complete, n/4, "the sequences must let work through")
 }
 
+// What a caller is told of a cancelled job must stay true when the owner's record is lost and the same job comes again.
+func TestACancelledJobComesAgainAtTheNextOwner(t *testing.T) {
+	w := newWorld(t, none, agentsAll)
+	for _, h := range w.agents {
+		w.present().disconnect(h)
+	}
+	w.newJob(399)
+	w.cancel(0)
+	require.Len(t, w.told[0], 2)
+	w.takeOver()
+	w.submit(0)
+	w.finish()
+	require.Empty(t, w.faults())
+	require.Equal(t, answer.Complete, w.told[0][len(w.told[0])-1].Outcome)
+}
+
 // Each mechanism is missed when it is disabled: some sequence breaks a promise.
 func TestSequencesFindFlaws(t *testing.T) {
 	for _, f := range []flaw{noLedger, noFence, noLease, forgetful} {
--- a/test/stepped/world_test.go
+++ b/test/stepped/world_test.go
@@ -228,6 +228,11 @@
 	e.core.Submit(w.now, &j, 0, e.epoch, found, whole, nil, func(a answer.Answer) { w.told[i] = append(w.told[i], a) })
 }
 
+func (w *world) cancel(i int) {
+	w.asked[i]++
+	w.present().core.Cancel(w.now, w.jobs[i].Key, func(a answer.Answer) { w.told[i] = append(w.told[i], a) })
+}
+
 func (w *world) found(j *job.Job) []past.Past {
 	var all []past.Past
 	if w.flaw == noLedger {
