Drop the setting idempotent, which nothing reads

Cause: teams.NAME.kinds.NAME.idempotent was checked, kept and shown, but no decision looked at it: a task starts at most once whatever its kind, so an operator who sets it gets nothing. The reference also said that a task above the retry budget fails; it waits. The text of retries.share says what happens.

--- a/core/rules/rules.go
+++ b/core/rules/rules.go
@@ -40,10 +40,9 @@
 )
 
 type kind struct {
-	weight     int
-	urgency    int
-	expected   time.Duration
-	idempotent bool
+	weight   int
+	urgency  int
+	expected time.Duration
 }
 
 type team struct {
@@ -139,8 +138,6 @@
 		k.urgency = whole(value, k.urgency)
 	case "expected-ms":
 		k.expected = time.Duration(whole(value, 0)) * time.Millisecond
-	case "idempotent":
-		k.idempotent, _ = value.(bool)
 	}
 }
 
@@ -224,11 +221,6 @@
 	return d, d > 0
 }
 
-// Idempotent tells whether running a task of the kind twice does no harm.
-func (r *Rules) Idempotent(teamName, kindName string) bool {
-	return r.kind(teamName, kindName).idempotent
-}
-
 func (r *Rules) team(name string) team {
 	if t, ok := r.teams[name]; ok {
 		return t
--- a/core/schema/operators.go
+++ b/core/schema/operators.go
@@ -60,7 +60,7 @@
 		},
 		{
 			path: strings.Split("retries.share", "."), kind: number, min: 0, max: 1, fallback: "0.1",
-			doc: "retries as a share of starts; above it a task fails instead",
+			doc: "retries as a share of starts; above it a task waits, until its deadline, for starts that pay for one",
 		},
 		{
 			path: strings.Split("teams.NAME.token-hashes", "."), kind: list, max: maxHashes, form: hashForm, formName: hashName,
@@ -70,10 +70,6 @@
 		whole("teams.NAME.quota-starts-per-second", 0, maxQuota, "0", "the most task starts a second; 0: no quota"),
 		whole("teams.NAME.weight", 1, maxWeight, "1", "the team's share of capacity against the other teams'"),
 		whole("teams.NAME.kinds.NAME.expected-ms", 0, maxRunTimeMS, "0", "the run time expected of a task, in milliseconds; 0: learned"),
-		{
-			path: strings.Split("teams.NAME.kinds.NAME.idempotent", "."), kind: boolean, fallback: "false",
-			doc: "whether running a task twice does no harm",
-		},
 		whole("teams.NAME.kinds.NAME.urgency", 0, maxUrgency, "5", "the order inside the team's share; 9 goes first"),
 		whole("teams.NAME.kinds.NAME.weight", 1, maxWeight, "1", "the kind's share of the team's share"),
 	}}
@@ -158,8 +154,6 @@
 		return fmt.Sprintf("%d to %d", int64(math.Round(r.min)), int64(math.Round(r.max)))
 	case number:
 		return fmt.Sprintf("%g to %g", r.min, r.max)
-	case boolean:
-		return "`true` or `false`"
 	case list:
 		return fmt.Sprintf("at most %d items", int(r.max))
 	}
--- a/core/schema/table.go
+++ b/core/schema/table.go
@@ -25,7 +25,6 @@
 const (
 	integer kind = "integer"
 	number  kind = "number"
-	boolean kind = "boolean"
 	text    kind = "string"
 	list    kind = "list of strings"
 )
@@ -133,10 +132,6 @@
 		if r.kind == number {
 			return r.inRange(v, fmt.Sprint(v))
 		}
-	case bool:
-		if r.kind == boolean {
-			return ""
-		}
 	case string:
 		if r.kind == text {
 			return r.matches(v)
