--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -154,8 +154,8 @@
 	return max(1, v.Times(r.total))
 }
 
-// Capacity returns the sum of what the usable targets have.
-func (r *Roster) Capacity() needs.Vector { return r.total }
+// Total returns the sum of what the usable targets have.
+func (r *Roster) Total() needs.Vector { return r.total }
 
 // Hosts returns how many hosts the usable targets are, in thousandths: a slot is an eighth of a host, and a target without
 // slots is a whole one.
--- a/io/entryd/admit.go
+++ b/io/entryd/admit.go
@@ -82,7 +82,7 @@
 	if m := d.group.Map(); m != nil {
 		members = max(m.Size(), 1)
 	}
-	slots := int64(d.roster.Capacity().Slots)
+	slots := int64(d.roster.Total().Slots)
 	d.gate.SetBounds(min(max(slots*waitingPerSlot, minWaiting), maxWaiting), maxWaitingBytes)
 	d.gate.SetFleet(float64(d.roster.Hosts()) / wholeHost * max(d.part, 1/float64(members)))
 }
