Leave a host alone that is full within its declared memory

Cause: the guard compared the projected use with 95% of the capacity, and a lease without a report counts with all that it holds. So on a host whose declared sizes filled it, which the placement allows, the first round stopped the least urgent task before any usage report had come.

Change: memory is relieved, and starts are held back, only while some lease uses more than it holds. While none does, the sum of what is held is at most the capacity. SetCheckpointing and Expiring serve the agent, which learns both after the hold.

Ruled out: not counting leases without a report, since a host that runs short would then look emptier than it is.

--- a/core/slots/guard.go
+++ b/core/slots/guard.go
@@ -54,7 +54,7 @@
 	actions = s.relieveMemory(actions, victims, now)
 	actions = s.relieveCores(actions, victims, now)
 	actions = s.resume(actions, victims, now)
-	s.pressed = s.memory(now) > memoryStart
+	s.pressed = s.memory(now) > memoryStart && s.exceeded(now)
 	return actions
 }
 
@@ -104,8 +104,21 @@
 
 func (h *hold) excess() int { return max(h.used.MemoryMB-h.holds.MemoryMB, 0) }
 
+// exceeded reports whether some lease uses more memory than it holds; while none does, the host has room for all, however full.
+func (s *Slots) exceeded(now time.Time) bool {
+	for _, h := range s.holds {
+		if h.gone.IsZero() && h.memory(now) > float64(h.holds.MemoryMB) {
+			return true
+		}
+	}
+	return false
+}
+
 // relieveMemory evicts while the host is about to run out, and throttles one growing task a round before that.
 func (s *Slots) relieveMemory(actions []Action, victims []*hold, now time.Time) []Action {
+	if !s.exceeded(now) {
+		return actions
+	}
 	level := s.memory(now)
 	if level > memoryEvict {
 		return s.evict(actions, victims, level, now)
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"persimmonstage/core/needs"
@@ -100,6 +101,25 @@
 	return true
 }
 
+// SetCheckpointing says whether the platform can checkpoint the task of a lease.
+func (s *Slots) SetCheckpointing(key string, can bool) {
+	if h, ok := s.holds[key]; ok {
+		h.lease.Checkpointing = can
+	}
+}
+
+// Expiring returns the leases in force that end before a time, in the order of their keys.
+func (s *Slots) Expiring(before time.Time) []string {
+	var keys []string
+	for key, h := range s.holds {
+		if h.gone.IsZero() && !h.lease.Expires.IsZero() && h.lease.Expires.Before(before) {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
 // End gives back what a lease held; reports on it are still learned from for the longest lag.
 func (s *Slots) End(key string, now time.Time) bool {
 	h, ok := s.holds[key]
--- a/core/slots/slots_test.go
+++ b/core/slots/slots_test.go
@@ -174,6 +174,17 @@
 	require.Empty(t, s.Guard(start))
 }
 
+// The guard stopped tasks of a host that was full by what they had declared, before any report had come.
+func TestAHostWhoseMemoryIsFullWithinTheNeedsIsLeftAlone(t *testing.T) {
+	s := host()
+	for i := range 8 {
+		take(t, s, lease(fmt.Sprint(i), i, 16_000))
+	}
+	require.Empty(t, s.Guard(start))
+	s.Report("0", memoryMB(16_000), start)
+	require.Empty(t, s.Guard(start))
+}
+
 func TestALapsedLeaseIsStoppedButHoldsUntilItsEnd(t *testing.T) {
 	s := host()
 	l := lease("1", 9, 100_000)
