Start tasks of a worker under leases of the platform

Cause: core/slots decided what fits and what the guard does, but nothing asked it, and the platform's lease service had no client and no stand-in.

Change: an agent whose settings name the service (`leases`) takes a lease for each start, renews and ends it, reports the lagged usage to the host's slots and sends the guard's actions. The chart of an attempt has a state for it, "leasing", before the record of the start: an attempt that gets no lease was never recorded, and its refusal stays a proof. A stopped task has failed with a reason that begins with the cause, which the owner hands on; the ledger keeps it, so that it never starts again. `stand-in leases` stands for the service, with faults and counts. Without `leases` starts are as before.

Ruled out: the record before the lease, since an outage of the service would then fail work that had not run. Leases by the task's key, since a late end of a refused attempt would end the lease of the next.

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -56,6 +56,7 @@
 	popped time.Time
 	began  time.Time
 	reason string
+	leased bool // a lease was asked for
 	result *result.Result
 }
 
@@ -64,11 +65,14 @@
 	out      effects
 	fence    fence
 	starts   starts
+	room     room
+	leases   leases // nil if starts need none
 	capacity needs.Vector
 
 	queue    queue.Queue[*attempt]
 	attempts map[attemptKey]*attempt
 	running  map[string]*attempt
+	leased   map[string]*attempt // by the key of their lease
 	voids    map[attemptKey]bool
 	grants   timers.Timers[*attempt]
 	expiry   timers.Timers[attemptKey]
@@ -86,13 +90,16 @@
 
 // New returns an agent of a target with the given capacity.
 func New(out effects, f fence, s starts, capacity needs.Vector) *Agent {
-	return &Agent{
+	a := &Agent{
 		out: out, fence: f, starts: s, capacity: capacity,
 		attempts: make(map[attemptKey]*attempt),
 		running:  make(map[string]*attempt),
+		leased:   make(map[string]*attempt),
 		voids:    make(map[attemptKey]bool),
 		byOwner:  make(map[string]*share),
 	}
+	a.room = plain{a}
+	return a
 }
 
 // SetWeight sets the weight of a kind inside its team, or of the team when kind is empty.
@@ -310,9 +317,18 @@
 // turn gives an attempt its capacity.
 func (a *Agent) turn(now time.Time, at *attempt) { a.begin(now, at, onTurn) }
 
-// begin takes the event that starts or grants an attempt; an order is recorded as started first, and is not started if it
-// can't be.
+// begin takes the event that starts or grants an attempt; the order's lease comes before it, where one is needed.
 func (a *Agent) begin(now time.Time, at *attempt, event int) {
+	if a.leases != nil && at.state != stateReserved {
+		a.askLease(now, at)
+		return
+	}
+	a.record(now, at, event)
+}
+
+// record takes the event that starts or grants an attempt; an order is recorded as started first, and is not started if it
+// can't be.
+func (a *Agent) record(now time.Time, at *attempt, event int) {
 	switch reason, known := a.claim(now, at); {
 	case known:
 		a.step(now, at, onKnown)
@@ -344,7 +360,8 @@
 }
 
 func (a *Agent) fits(item *queue.Item[*attempt], _ bool) bool {
-	return item.Value.order.Needs.Fits(a.capacity.Sub(a.held))
+	o := item.Value.order
+	return a.room.Fits(o.Key.Team, o.Kind, o.Needs)
 }
 
 // late gives the reason why an attempt whose turn has come may not start any more.
--- a/core/agent/chart.go
+++ b/core/agent/chart.go
@@ -15,6 +15,7 @@
 	dequeue = "dequeue"
 	hold    = "hold"
 	free    = "free"
+	lease   = "lease"
 	start   = "start"
 	grant   = "grant"
 	refuse  = "refuse"
@@ -28,18 +29,21 @@
 	onReserve = mustEvent("reserve")
 	onOrder   = mustEvent("order")
 	onTurn    = mustEvent("turn")
+	onLease   = mustEvent("lease")
+	onLeased  = mustEvent("leased")
 	onBar     = mustEvent("bar")
 	onKnown   = mustEvent("known")
 	onEnd     = mustEvent("end")
 
 	stateReserved = attemptChart.StateID("reserved")
 	stateGranted  = attemptChart.StateID("granted")
+	stateLeasing  = attemptChart.StateID("leasing")
 	stateStarted  = attemptChart.StateID("started")
 	stateEnded    = attemptChart.StateID("ended")
 )
 
 func mustLoad() *chart.Chart {
-	c, err := chart.Load(chartFile, enqueue, dequeue, hold, free, start, grant, refuse, report, repeat)
+	c, err := chart.Load(chartFile, enqueue, dequeue, hold, free, lease, start, grant, refuse, report, repeat)
 	if err != nil {
 		panic(err)
 	}
--- a/core/agent/effects.go
+++ b/core/agent/effects.go
@@ -4,8 +4,10 @@
 	"time"
 
 	"persimmonstage/core/ledger"
+	"persimmonstage/core/needs"
 	"persimmonstage/core/order"
 	"persimmonstage/core/result"
+	"persimmonstage/core/slots"
 )
 
 // fence says whether the owner that sent an order may still be obeyed.
@@ -31,3 +33,22 @@
 	// End tells the owner, and the present owner of the shard if that is another, how a task ended.
 	End(owner string, shard int, r *result.Result)
 }
+
+// room is what the target has free; slots.Slots corrects the declared needs, plain takes them as they are.
+type room interface {
+	// Fits reports whether a task can start now.
+	Fits(team, kind string, declared needs.Vector) bool
+	// Size returns the part of the target that a task takes, in thousandths.
+	Size(team, kind string, declared needs.Vector) int64
+	// Take holds what a task needs until End; both are called only where starts need a lease.
+	Take(l slots.Lease) error
+	End(key string, now time.Time) bool
+}
+
+// leases asks the platform for leases; the calls return at once.
+type leases interface {
+	// Take asks for a lease, which is of no use after a time; the answer comes by Leased.
+	Take(l slots.Lease, until time.Time)
+	// End gives back a lease that was asked for, whether or not its answer has come.
+	End(key string)
+}
--- /dev/null
+++ b/core/agent/lease_test.go
@@ -0,0 +1,133 @@
+package agent_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"persimmonstage/core/agent"
+	"persimmonstage/core/jobkey"
+	"persimmonstage/core/ledger"
+	"persimmonstage/core/needs"
+	"persimmonstage/core/order"
+	"persimmonstage/core/result"
+	"persimmonstage/core/slots"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// host is an agent of a worker, and what it made happen.
+type host struct {
+	core    *agent.Agent
+	slots   slots.Slots
+	ledger  *ledger.Ledger
+	asked   []string
+	ended   []string
+	ran     []int
+	refused []string
+	results []string
+}
+
+func (h *host) Run(o *order.Order)                       { h.ran = append(h.ran, o.Index) }
+func (h *host) Grant(string, uint64)                     {}
+func (h *host) Refuse(_ string, _ uint64, reason string) { h.refused = append(h.refused, reason) }
+func (h *host) End(_ string, _ int, r *result.Result)    { h.results = append(h.results, r.Reason) }
+
+func (h *host) Admit(time.Time, int, uint64, string) error { return nil }
+
+// platform records what the agent asks of the lease service.
+type platform struct{ h *host }
+
+func (p platform) Take(l slots.Lease, _ time.Time) { p.h.asked = append(p.h.asked, l.Key) }
+func (p platform) End(key string)                  { p.h.ended = append(p.h.ended, key) }
+
+func newHost() *host {
+	h := &host{ledger: ledger.New(ledger.Config{Since: start})}
+	capacity := needs.Vector{Slots: 4, MemoryMB: 8000}
+	h.slots.SetCapacity(capacity)
+	h.core = agent.New(h, h, h.ledger, capacity)
+	h.core.SetLeases(&h.slots, platform{h})
+	return h
+}
+
+func (h *host) order(index, memory int) {
+	h.core.Order(start, "entry", &order.Order{
+		Attempt: uint64(index), Key: jobkey.Key{Team: "kits", ID: "a"}, Index: index, Kind: "cut",
+		Needs: needs.Vector{Slots: 1, MemoryMB: memory}, Deadline: start.Add(time.Minute),
+	})
+}
+
+func (h *host) lease(key string) { h.core.Leased(start, key, start.Add(10*time.Second), "") }
+
+func (h *host) known(index uint32) bool {
+	_, ok := h.ledger.Task(ledger.Key{Team: "kits", ID: "a", Index: index}, 0)
+	return ok
+}
+
+func TestAStartIsRecordedAndSentOnlyUnderALease(t *testing.T) {
+	h := newHost()
+	h.order(1, 1000)
+	require.Equal(t, []string{"entry/1"}, h.asked)
+	require.False(t, h.known(1))
+	h.lease("entry/1")
+	h.lease("entry/1")
+	require.Equal(t, []int{1}, h.ran)
+	require.True(t, h.known(1))
+	h.core.Ended(start, &result.Result{Key: jobkey.Key{Team: "kits", ID: "a"}, Index: 1, OK: true})
+	require.Equal(t, []string{"entry/1"}, h.ended)
+	require.Equal(t, 8000, h.slots.Free().MemoryMB)
+}
+
+// What got no lease, got one that has lapsed or was withdrawn meanwhile is refused, was never recorded, and gives its lease back.
+func TestAnOrderWithoutALeaseIsRefusedTruthfully(t *testing.T) {
+	h := newHost()
+	for i := range 4 {
+		h.order(i, 1000)
+	}
+	h.core.Leased(start, "entry/0", time.Time{}, "lease-service-down")
+	h.core.Leased(start, "entry/1", start, "")
+	h.core.Withdraw(start, "entry", []uint64{2})
+	h.lease("entry/2")
+	h.core.Stopped(start, "entry/3", slots.MemoryShort)
+	require.Equal(t, []string{"lease-service-down", "lease-lapsed", "withdrawn", "memory-short"}, h.refused)
+	require.Equal(t, []string{"entry/0", "entry/1", "entry/2", "entry/3"}, h.ended)
+	require.Empty(t, h.ran)
+	for i := range uint32(4) {
+		require.False(t, h.known(i))
+	}
+}
+
+func TestCorrectedSizesAndAPressedHostHoldStartsBack(t *testing.T) {
+	h := newHost()
+	h.order(1, 1000)
+	h.lease("entry/1")
+	h.slots.Report("entry/1", needs.Vector{MemoryMB: 5000}, start)
+	h.order(2, 1000)
+	require.Len(t, h.asked, 2, "1000 MB were learned to be 3000, which fit")
+	h.order(3, 1000)
+	require.Len(t, h.asked, 2, "3000 more don't")
+	h.core.Stopped(start, "entry/2", slots.MemoryShort)
+	require.Len(t, h.asked, 3, "the room of the second goes to the third")
+
+	h.slots.Report("entry/1", needs.Vector{MemoryMB: 7900}, start)
+	h.slots.Guard(start)
+	h.order(4, 0)
+	require.Len(t, h.asked, 3, "no starts while the host is short of memory")
+}
+
+func TestAStoppedTaskHasFailedAndNeverStartsAgain(t *testing.T) {
+	h := newHost()
+	h.order(1, 1000)
+	h.lease("entry/1")
+	h.core.Stopped(start, "entry/1", slots.MemoryShort)
+	h.core.Stopped(start, "entry/1", slots.MemoryShort)
+	h.core.Ended(start, &result.Result{Key: jobkey.Key{Team: "kits", ID: "a"}, Index: 1, OK: true})
+	require.Equal(t, []string{"guard-stopped: memory-short"}, h.results)
+	h.core.Order(start, "other", &order.Order{
+		Attempt: 9, Key: jobkey.Key{Team: "kits", ID: "a"}, Index: 1, Needs: needs.Vector{Slots: 1}, Deadline: start.Add(time.Minute),
+	})
+	require.Len(t, h.ran, 1)
+	require.Equal(t, h.results[0], h.results[1], "the second owner is told the same")
+	require.Len(t, h.asked, 1)
+}
--- /dev/null
+++ b/core/agent/room.go
@@ -0,0 +1,35 @@
+package agent
+
+import (
+	"time"
+
+	"persimmonstage/core/needs"
+	"persimmonstage/core/slots"
+)
+
+// plain is the room of a target without leases: its capacity less the declared needs of what it holds.
+type plain struct{ a *Agent }
+
+// Fits compares with the declared needs that are held.
+func (p plain) Fits(_, _ string, declared needs.Vector) bool {
+	return declared.Fits(p.a.capacity.Sub(p.a.held))
+}
+
+// Size gives the dominant share of the target that the needs take.
+func (p plain) Size(_, _ string, n needs.Vector) int64 {
+	part := func(need, capacity int) int64 {
+		if capacity == 0 {
+			return 0
+		}
+		return int64(need) * wholeHost / int64(capacity)
+	}
+	capacity := p.a.capacity
+	return max(part(n.Slots, capacity.Slots), part(n.Cores, capacity.Cores),
+		part(n.MemoryMB, capacity.MemoryMB), part(n.Accelerators, capacity.Accelerators))
+}
+
+// Take does nothing, since the agent itself counts the declared needs.
+func (plain) Take(slots.Lease) error { return nil }
+
+// End does nothing.
+func (plain) End(string, time.Time) bool { return true }
--- a/core/agent/step.go
+++ b/core/agent/step.go
@@ -1,12 +1,10 @@
 package agent
 
 import (
-	"strconv"
 	"time"
 
 	"persimmonstage/core/ledger"
 	"persimmonstage/core/load"
-	"persimmonstage/core/needs"
 	"persimmonstage/core/queue"
 	"persimmonstage/core/rank"
 	"persimmonstage/core/result"
@@ -28,9 +26,12 @@
 	case dequeue:
 		a.dequeue(at)
 	case hold:
-		a.held = a.held.Add(at.order.Needs)
+		a.take(at)
 	case free:
-		a.free(at)
+		a.free(now, at)
+	case lease:
+		at.leased = true
+		a.leases.Take(a.leaseOf(at), at.order.Deadline)
 	case grant:
 		a.grants.Add(now.Add(grantTimeout), at)
 		a.out.Grant(at.key.owner, at.key.id)
@@ -49,8 +50,8 @@
 
 func (a *Agent) enqueue(now time.Time, at *attempt) {
 	at.item = queue.Item[*attempt]{
-		Key: at.key.owner + "/" + strconv.FormatUint(at.key.id, 10), Team: at.order.Key.Team, Kind: at.order.Kind,
-		Turn: now.Add(at.order.Delay), Deadline: at.order.Deadline, Run: at.order.Expected, Size: a.size(at.order.Needs),
+		Key: at.key.String(), Team: at.order.Key.Team, Kind: at.order.Kind,
+		Turn: now.Add(at.order.Delay), Deadline: at.order.Deadline, Run: at.order.Expected, Size: max(a.room.Size(at.order.Key.Team, at.order.Kind, at.order.Needs), 1),
 		Bytes: int64(len(at.order.Payload)), Value: at,
 	}
 	if a.urgency != nil {
@@ -62,18 +63,6 @@
 	}
 }
 
-// size gives the dominant share of the target that the needs take, in thousandths.
-func (a *Agent) size(n needs.Vector) int64 {
-	part := func(need, capacity int) int64 {
-		if capacity == 0 {
-			return 0
-		}
-		return int64(need) * wholeHost / int64(capacity)
-	}
-	return max(part(n.Slots, a.capacity.Slots), part(n.Cores, a.capacity.Cores),
-		part(n.MemoryMB, a.capacity.MemoryMB), part(n.Accelerators, a.capacity.Accelerators), 1)
-}
-
 // dequeue takes an attempt out of the queue, or gives back its charge when it was popped already.
 func (a *Agent) dequeue(at *attempt) {
 	a.count(at, -1)
@@ -84,8 +73,8 @@
 	a.queue.Done(at.item, 0)
 }
 
-func (a *Agent) free(at *attempt) {
-	a.held = a.held.Sub(at.order.Needs)
+func (a *Agent) free(now time.Time, at *attempt) {
+	a.giveBack(now, at)
 	a.count(at, -1)
 	ran := time.Duration(0)
 	if at.result != nil {
--- a/core/agent/wait.go
+++ b/core/agent/wait.go
@@ -8,7 +8,7 @@
 
 // busy reports whether an order's expected wait here passes the bound that it carries.
 func (a *Agent) busy(now time.Time, o *order.Order) bool {
-	if o.MaxWait <= 0 || a.queue.Len() == 0 && o.Needs.Fits(a.capacity.Sub(a.held)) {
+	if o.MaxWait <= 0 || a.queue.Len() == 0 && a.room.Fits(o.Key.Team, o.Kind, o.Needs) {
 		return false
 	}
 	return a.queue.Wait(o.Key.Team, o.Kind)+a.firstEnd(now) > o.MaxWait
--- a/core/cause/reason.go
+++ b/core/cause/reason.go
@@ -1,5 +1,7 @@
 package cause
 
+import "strings"
+
 // The statuses of the public API that say by themselves whose fault a refusal is.
 const (
 	statusMalformed    = 400
@@ -43,6 +45,18 @@
 	return Cause(reason)
 }
 
+// OfFailure returns the cause behind the reason of a task that started and failed: what stopped it, if the reason begins with
+// that, else the work itself.
+func OfFailure(reason string) Cause {
+	name, _, _ := strings.Cut(reason, ":")
+	switch c := Cause(name); c {
+	case GuardStopped, LeaseLapsed:
+		return c
+	default:
+		return TaskFailed
+	}
+}
+
 // OfStatus returns the cause that the status of an answer tells when the answer names none; empty when it tells none.
 func OfStatus(status int) Cause {
 	switch status {
--- a/core/owner/step.go
+++ b/core/owner/step.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"persimmonstage/core/answer"
+	"persimmonstage/core/cause"
 	"persimmonstage/core/ident"
 	"persimmonstage/core/place"
 	"persimmonstage/core/rank"
@@ -160,7 +161,7 @@
 func (o *Owner) afterTask(now time.Time, r *record, event int) {
 	switch event {
 	case onBroke:
-		r.cause = failedAtTarget
+		r.cause = string(cause.OfFailure(r.firstReason()))
 		o.jobEvent(now, r, onTaskFailed)
 	case onVanished:
 		r.cause = targetLost
@@ -174,11 +175,10 @@
 
 // Causes that an answer gives.
 const (
-	failedAtTarget = "task-failed"
-	targetLost     = "target-lost"
-	deadlineShort  = "deadline"
-	neverPlaced    = "no-room"
-	ownerChanged   = "owner-changed"
+	targetLost    = "target-lost"
+	deadlineShort = "deadline"
+	neverPlaced   = "no-room"
+	ownerChanged  = "owner-changed"
 )
 
 // jobEvent moves a job along its chart, answers its callers and cancels what is left of it.
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -108,6 +108,12 @@
 	}
 }
 
+// InForce reports whether a lease is held and has not been given back.
+func (s *Slots) InForce(key string) bool {
+	h, ok := s.holds[key]
+	return ok && h.gone.IsZero()
+}
+
 // Expiring returns the leases in force that end before a time, in the order of their keys.
 func (s *Slots) Expiring(before time.Time) []string {
 	var keys []string
--- a/io/agentd/daemon.go
+++ b/io/agentd/daemon.go
@@ -37,6 +37,7 @@
 	loop    *loop.Loop
 	control *ctrl.Engine
 	target  *target.Client
+	keeper  *keeper // nil where starts need no lease
 	metrics *metrics
 	web     net.Listener
 
@@ -72,6 +73,10 @@
 		conns:  make(map[uint64]*link),
 	}
 	d.core = agent.New(effects{d}, bootFence{d.fence}, d.ledger, set.Capacity)
+	if set.Leases != "" {
+		d.keeper = newKeeper(d, set.Leases)
+		d.core.SetLeases(&d.keeper.slots, d.keeper)
+	}
 	d.control = ctrl.New(frames{d}, log)
 	d.rules = rules.Of(fold.Document{})
 	d.config = d.newSource()
@@ -92,10 +97,16 @@
 		d.seed(inner, addr)
 	}
 	go d.config.Run(inner)
+	if d.keeper != nil {
+		go d.keeper.run(inner)
+	}
 	go d.serveHTTP()
 	d.log.Info("agent started", zap.String("incarnation", d.self.Incarnation), zap.String("http", d.Addr()))
 	<-ctx.Done()
 	d.drain()
+	if d.keeper != nil {
+		d.keeper.ends.flush(d.keeper.client)
+	}
 	_ = d.web.Close()
 	stop()
 	d.control.Stop(context.Background())
--- /dev/null
+++ b/io/agentd/keeper.go
@@ -0,0 +1,205 @@
+package agentd
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"persimmonstage/core/needs"
+	"persimmonstage/core/slots"
+	"persimmonstage/io/lease"
+	"persimmonstage/io/loop"
+)
+
+const (
+	guardPeriod = time.Second
+	leaseTerm   = 10 * time.Second
+	// renewBefore is how long before its end a lease is renewed; a short outage of the service falls in between.
+	renewBefore = 7 * time.Second
+	endRetry    = 200 * time.Millisecond
+)
+
+// Reasons of a start that got no lease.
+const (
+	leaseRefused = "lease-refused"
+	leasesDown   = "lease-service-down"
+)
+
+// keeper holds the leases of the tasks at the target: it takes one for each start, renews them, reports their usage to the
+// host's slots, and carries out what the guard asks for.
+//
+// A lease is ended only when its take has been answered or given up, so that the end never overtakes the take. While a take
+// was given up and nothing was answered since, further starts are refused at once.
+type keeper struct {
+	d      *Daemon
+	client *lease.Client
+
+	// Only the loop touches these.
+	slots  slots.Slots
+	taking map[string]bool // true if the attempt has ended meanwhile
+	retry  map[string]slots.Action
+	down   bool
+
+	ends ends
+}
+
+func newKeeper(d *Daemon, addr string) *keeper {
+	k := &keeper{
+		d: d, client: lease.New(addr), taking: make(map[string]bool), retry: make(map[string]slots.Action),
+		ends: ends{wake: make(chan struct{}, 1), keys: make(map[string]time.Time)},
+	}
+	k.slots.SetCapacity(d.set.Capacity)
+	return k
+}
+
+// Take asks for a lease on a goroutine of its own.
+func (k *keeper) Take(l slots.Lease, until time.Time) {
+	k.taking[l.Key] = false
+	l.Expires = time.Now().Add(leaseTerm)
+	down := k.down
+	go func() {
+		err := errors.New(leasesDown)
+		got := l
+		if !down {
+			got, err = k.client.Take(context.Background(), l, until)
+		}
+		k.d.loop.Post(func(now time.Time) { k.taken(now, got, err, down) })
+	}()
+}
+
+// taken hands the answer to the core, or gives the lease back if nothing wants it any more.
+func (k *keeper) taken(now time.Time, l slots.Lease, err error, known bool) {
+	over := k.taking[l.Key]
+	delete(k.taking, l.Key)
+	if over {
+		k.End(l.Key)
+		return
+	}
+	if err == nil {
+		k.slots.Renew(l.Key, l.Expires)
+		k.slots.SetCheckpointing(l.Key, l.Checkpointing)
+		k.d.core.Leased(now, l.Key, l.Expires, "")
+		return
+	}
+	k.d.core.Leased(now, l.Key, time.Time{}, k.failed(err, known))
+}
+
+// failed gives the reason of a start that got no lease; known says that the service wasn't asked.
+func (k *keeper) failed(err error, known bool) string {
+	var e *lease.Error
+	if errors.As(err, &e) && e.Refused() {
+		k.d.log.Warn("lease refused", zap.Error(err))
+		return leaseRefused
+	}
+	if !known && !k.down {
+		k.down = true
+		k.d.log.Warn("lease service gives no answer, starts are refused", zap.Error(err))
+	}
+	return leasesDown
+}
+
+// End gives a lease back, once its take is settled.
+func (k *keeper) End(key string) {
+	delete(k.retry, key)
+	if _, open := k.taking[key]; open {
+		k.taking[key] = true
+		return
+	}
+	k.ends.put(key, time.Now().Add(leaseTerm))
+}
+
+// run keeps the leases until ctx ends.
+func (k *keeper) run(ctx context.Context) {
+	go k.ends.run(ctx, k.client)
+	for ctx.Err() == nil {
+		k.round(ctx)
+		loop.Sleep(ctx, guardPeriod)
+	}
+}
+
+// round renews, reads the usage and lets the guard act.
+func (k *keeper) round(ctx context.Context) {
+	var due []string
+	k.d.loop.Call(ctx, func(now time.Time) { due = k.slots.Expiring(now.Add(renewBefore)) })
+	expires := time.Now().Add(leaseTerm)
+	var gone []string
+	var failed error
+	if len(due) > 0 {
+		gone, failed = k.client.Renew(due, expires)
+	}
+	usage, err := k.client.Usage()
+	var actions []slots.Action
+	k.d.loop.Call(ctx, func(now time.Time) {
+		if failed == nil {
+			k.renewed(now, due, gone, expires)
+		}
+		k.report(usage, err)
+		actions = k.actions(now)
+	})
+	k.act(actions)
+}
+
+// renewed moves the ends of leases; one that the service has no more has lapsed.
+func (k *keeper) renewed(now time.Time, due, gone []string, expires time.Time) {
+	for _, key := range due {
+		k.slots.Renew(key, expires)
+	}
+	for _, key := range gone {
+		k.slots.Renew(key, now)
+	}
+}
+
+func (k *keeper) report(usage []lease.Usage, err error) {
+	if err != nil {
+		return
+	}
+	if k.down {
+		k.down = false
+		k.d.log.Info("lease service answers again")
+	}
+	for _, u := range usage {
+		k.slots.Report(u.Key, needs.Vector{Cores: u.Cores, MemoryMB: u.MemoryMB}, u.At)
+	}
+}
+
+// actions gives what the guard asks for now, and what it asked for earlier without an answer.
+func (k *keeper) actions(now time.Time) []slots.Action {
+	actions := k.slots.Guard(now)
+	for _, a := range actions {
+		delete(k.retry, a.Key)
+	}
+	for _, key := range slices.Sorted(maps.Keys(k.retry)) {
+		actions = append(actions, k.retry[key])
+	}
+	clear(k.retry)
+	return actions
+}
+
+// act asks the service for all actions at once and waits for the answers.
+func (k *keeper) act(actions []slots.Action) {
+	var wg sync.WaitGroup
+	for _, a := range actions {
+		wg.Go(func() {
+			err := k.client.Act(a)
+			k.d.log.Info("guard acts", zap.String("verb", string(a.Verb)), zap.String("lease", a.Key), zap.String("cause", a.Cause), zap.Error(err))
+			k.d.loop.Post(func(now time.Time) { k.acted(now, a, err) })
+		})
+	}
+	wg.Wait()
+}
+
+// acted ends a task that the platform has stopped; an action without an answer is asked for again.
+func (k *keeper) acted(now time.Time, a slots.Action, err error) {
+	switch {
+	case !k.slots.InForce(a.Key):
+	case err != nil:
+		k.retry[a.Key] = a
+	case a.Verb == slots.Stop || a.Verb == slots.Checkpoint:
+		k.d.core.Stopped(now, a.Key, a.Cause)
+	}
+}
--- a/io/agtset/settings.go
+++ b/io/agtset/settings.go
@@ -18,6 +18,7 @@
 	Target     string       `toml:"target" doc:"the target's URL, http://IP:PORT; required"`
 	HTTP       string       `toml:"http" doc:"IP:PORT for readiness, state and metrics; required"`
 	Entries    []string     `toml:"entries" doc:"bulk addresses of entries, of which one has to answer at the start; required"`
+	Leases     string       `toml:"leases" doc:"IP:PORT of the platform's lease service of this worker; empty where starts need no lease"`
 	Capacity   needs.Vector `toml:"capacity"`
 	Timing     struct {
 		HeartbeatMS int `toml:"heartbeat-ms" doc:"time between heartbeats to each entry, at least 50; default 500"`
@@ -70,6 +71,8 @@
 		return "http", missing
 	case !addr.Valid(s.HTTP):
 		return "http", strconv.Quote(s.HTTP) + notAddress
+	case s.Leases != "" && !addr.Valid(s.Leases):
+		return "leases", strconv.Quote(s.Leases) + notAddress
 	case len(s.Entries) == 0:
 		return "entries", "missing, at least 1"
 	}
--- a/io/agtset/settings_test.go
+++ b/io/agtset/settings_test.go
@@ -36,6 +36,7 @@
 		{"negative capacity", whole + "cores = -1\n", "agent.toml:8: capacity.cores: negative, at least 0"},
 		{"capacity overflow", whole + "cores = 4294967296\n", "agent.toml:8: capacity.cores: too large, at most 2147483647"},
 		{"no target", "name = \"a\"\ndata-centre = \"d\"\n", "agent.toml:1: target: missing"},
+		{"leases", "leases = \"worker-1\"\n" + whole, `agent.toml:1: leases: "worker-1" is not an address of the form IP:PORT`},
 		{"grace", whole + "[timing]\ngrace-ms = 999\n", "agent.toml:9: timing.grace-ms: too short, at least two heartbeats"},
 		{"overflow", whole + "[timing]\ngrace-ms = 9223372036854775\n", "agent.toml:9: timing.grace-ms: too long, at most 3600000"},
 	}
--- /dev/null
+++ b/io/lessor/server.go
@@ -0,0 +1,241 @@
+package lessor
+
+import (
+	"bytes"
+	"encoding/json"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	maxBodyBytes = 4 << 20
+	// idleTimeout must exceed that of the client's pool, which would otherwise send on a closed connection.
+	idleTimeout = 2 * time.Minute
+	// DefaultLag is by how much a usage report is late.
+	DefaultLag = 2 * time.Second
+)
+
+// Server is the stand-in of the lease service of one worker.
+//
+//	POST /v1/leases            takes a lease; idempotent by its key
+//	POST /v1/leases/renew      moves the ends of leases and names those that are not in force
+//	POST /v1/leases/end        ends leases
+//	POST /v1/leases/VERB       throttles, resumes, checkpoints or stops the task of a lease
+//	GET  /v1/usage             reports what each task used a lag ago
+//	POST /faults, GET /counts  for tests
+type Server struct {
+	lag           time.Duration
+	checkpointing bool
+	http          fasthttp.Server
+	listener      net.Listener
+	done          chan struct{}
+	served        chan error
+	once          sync.Once
+
+	mu     sync.Mutex
+	faults setting
+	book   book
+}
+
+// Start serves on addr ("IP:PORT", port 0 picks a free one); usage is reported late by lag, and checkpointing says whether the
+// tasks can be checkpointed.
+func Start(addr string, lag time.Duration, checkpointing bool) (*Server, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{
+		lag: lag, checkpointing: checkpointing, listener: ln, done: make(chan struct{}), served: make(chan error, 1),
+		book: book{leases: map[string]*entry{}, live: map[string]*entry{}, counts: counts{Stopped: map[string]int{}}},
+	}
+	s.http = fasthttp.Server{
+		Handler: s.handle, Name: "stand-in-leases", IdleTimeout: idleTimeout, MaxRequestBodySize: maxBodyBytes,
+		NoDefaultDate: true, CloseOnShutdown: true,
+	}
+	go func() { s.served <- s.http.Serve(ln) }()
+	return s, nil
+}
+
+// Addr returns the address it listens on, as "IP:PORT".
+func (s *Server) Addr() string { return s.listener.Addr().String() }
+
+// Close answers what is in progress and stops; its leases are gone.
+func (s *Server) Close() error {
+	var err error
+	s.once.Do(func() {
+		close(s.done)
+		err = s.http.Shutdown()
+		<-s.served
+	})
+	return err
+}
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Method()) + " " + string(ctx.Path()) {
+	case "POST /faults":
+		s.setFaults(ctx)
+		return
+	case "GET /counts":
+		s.report(ctx)
+		return
+	}
+	if s.pass(ctx) {
+		s.serve(ctx)
+	}
+}
+
+func (s *Server) serve(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Method()) + " " + string(ctx.Path()) {
+	case "POST /v1/leases":
+		s.take(ctx)
+	case "POST /v1/leases/renew":
+		s.renew(ctx)
+	case "POST /v1/leases/end":
+		s.end(ctx)
+	case "POST /v1/leases/throttle", "POST /v1/leases/resume", "POST /v1/leases/checkpoint", "POST /v1/leases/stop":
+		s.act(ctx, strings.TrimPrefix(string(ctx.Path()), "/v1/leases/"))
+	case "GET /v1/usage":
+		s.usage(ctx)
+	default:
+		refuse(ctx, fasthttp.StatusNotFound, "no such path or method")
+	}
+}
+
+type taken struct {
+	lease
+	Checkpointing bool `json:"checkpointing"`
+}
+
+func (s *Server) take(ctx *fasthttp.RequestCtx) {
+	var l lease
+	if !decode(ctx, &l) {
+		return
+	}
+	now := time.Now()
+	if l.Key == "" || !l.Expires.After(now) {
+		refuse(ctx, fasthttp.StatusBadRequest, "a lease has a key and an end to come")
+		return
+	}
+	s.mu.Lock()
+	got, ok := s.book.take(l, now)
+	s.mu.Unlock()
+	if !ok {
+		refuse(ctx, fasthttp.StatusGone, "the lease has ended")
+		return
+	}
+	s.happened(ctx, taken{got, s.checkpointing})
+}
+
+type many struct {
+	Keys    []string  `json:"keys"`
+	Expires time.Time `json:"expires"`
+}
+
+type gone struct {
+	Gone []string `json:"gone"`
+}
+
+func (s *Server) renew(ctx *fasthttp.RequestCtx) {
+	var m many
+	if !decode(ctx, &m) {
+		return
+	}
+	s.mu.Lock()
+	out := gone{Gone: m.Keys}
+	if !s.faults.RefuseRenewals {
+		out.Gone = s.book.renew(m.Keys, m.Expires, time.Now())
+	}
+	s.mu.Unlock()
+	s.happened(ctx, out)
+}
+
+func (s *Server) end(ctx *fasthttp.RequestCtx) {
+	var m many
+	if !decode(ctx, &m) {
+		return
+	}
+	s.mu.Lock()
+	s.book.end(m.Keys, time.Now())
+	s.mu.Unlock()
+	s.happened(ctx, struct{}{})
+}
+
+type one struct {
+	Key string `json:"key"`
+}
+
+func (s *Server) act(ctx *fasthttp.RequestCtx, verb string) {
+	var o one
+	if !decode(ctx, &o) {
+		return
+	}
+	s.mu.Lock()
+	s.book.act(verb, o.Key, time.Now())
+	s.mu.Unlock()
+	s.happened(ctx, struct{}{})
+}
+
+type used struct {
+	Usage []usage `json:"usage"`
+}
+
+func (s *Server) usage(ctx *fasthttp.RequestCtx) {
+	s.mu.Lock()
+	out := used{s.book.usage(s.faults, s.lag, time.Now())}
+	s.mu.Unlock()
+	answer(ctx, out)
+}
+
+func (s *Server) report(ctx *fasthttp.RequestCtx) {
+	s.mu.Lock()
+	s.book.counts.InForce = s.book.inForce(time.Now())
+	data, err := json.Marshal(s.book.counts)
+	s.mu.Unlock()
+	write(ctx, data, err)
+}
+
+// happened answers a request that has taken effect, unless the answer is to be lost.
+func (s *Server) happened(ctx *fasthttp.RequestCtx, body any) {
+	if s.loseAnswer() {
+		hangUp(ctx)
+		return
+	}
+	answer(ctx, body)
+}
+
+func decode(ctx *fasthttp.RequestCtx, into any) bool {
+	d := json.NewDecoder(bytes.NewReader(ctx.PostBody()))
+	d.DisallowUnknownFields()
+	if err := d.Decode(into); err != nil {
+		refuse(ctx, fasthttp.StatusBadRequest, err.Error())
+		return false
+	}
+	return true
+}
+
+func answer(ctx *fasthttp.RequestCtx, body any) {
+	data, err := json.Marshal(body)
+	write(ctx, data, err)
+}
+
+func write(ctx *fasthttp.RequestCtx, data []byte, err error) {
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(data)
+}
+
+type refusal struct {
+	Reason string `json:"reason"`
+}
+
+func refuse(ctx *fasthttp.RequestCtx, status int, reason string) {
+	answer(ctx, refusal{Reason: reason})
+	ctx.SetStatusCode(status)
+}
--- a/io/verb/table.go
+++ b/io/verb/table.go
@@ -28,6 +28,6 @@
 	return &cli.Command{
 		Name:     "stand-in",
 		Usage:    "run one of the project's own small fakes of the platform",
-		Commands: []*cli.Command{standLog(), standTarget()},
+		Commands: []*cli.Command{standLog(), standTarget(), standLeases()},
 	}
 }
