Test workers under leases with real processes

Cause: nothing showed that the guard's decisions reach the platform, nor what faults of the lease service do to starts.

A worker's state dump lists its leases, what they use and the sizes learned. The fleet's option Leases gives each agent a service.

Ruled out: counting leases in force at once at the service to see the correction, since an end is sent a moment after the room was given to the next; the target's own count is exact. Switching the factor before the work, since the first report then decides how much of it starts.

--- a/core/agent/effects.go
+++ b/core/agent/effects.go
@@ -43,6 +43,8 @@
 	// Take holds what a task needs until End; both are called only where starts need a lease.
 	Take(l slots.Lease) error
 	End(key string, now time.Time) bool
+	// Snapshot describes it for a state dump; nil if there is nothing to add.
+	Snapshot() *slots.Snapshot
 }
 
 // leases asks the platform for leases; the calls return at once.
--- a/core/agent/room.go
+++ b/core/agent/room.go
@@ -33,3 +33,6 @@
 
 // End does nothing.
 func (plain) End(string, time.Time) bool { return true }
+
+// Snapshot adds nothing to the agent's own.
+func (plain) Snapshot() *slots.Snapshot { return nil }
--- a/core/agent/snapshot.go
+++ b/core/agent/snapshot.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"persimmonstage/core/needs"
+	"persimmonstage/core/slots"
 )
 
 // Snapshot is the agent's part of a state dump.
@@ -13,6 +14,8 @@
 	Running  []attemptState `json:"running"`
 	Queued   int            `json:"queued"`
 	Known    int            `json:"attempts-remembered"`
+	// Leases is left out where starts need none.
+	Leases *slots.Snapshot `json:"leases,omitempty"`
 }
 
 type attemptState struct {
@@ -24,7 +27,7 @@
 
 // Snapshot describes what runs and how much waits.
 func (a *Agent) Snapshot(time.Time) *Snapshot {
-	s := &Snapshot{Capacity: a.capacity, Held: a.held, Queued: a.queue.Len(), Known: len(a.attempts)}
+	s := &Snapshot{Capacity: a.capacity, Held: a.held, Queued: a.queue.Len(), Known: len(a.attempts), Leases: a.room.Snapshot()}
 	for name, at := range a.running {
 		s.Running = append(s.Running, attemptState{
 			Task: name, Kind: at.order.Kind, Owner: at.key.owner, Deadline: at.order.Deadline,
--- a/io/lessor/book.go
+++ b/io/lessor/book.go
@@ -54,8 +54,9 @@
 	InForce     int `json:"in-force"`
 	Most        int `json:"most-at-once"`
 
-	// Stopped lists the kinds of the stopped and checkpointed tasks.
-	Stopped map[string]int `json:"stopped-by-kind"`
+	// Throttled and Stopped count by kind; checkpointed tasks count as stopped.
+	Throttled map[string]int `json:"throttled-by-kind"`
+	Stopped   map[string]int `json:"stopped-by-kind"`
 }
 
 // book holds the leases; the server's lock guards it.
@@ -113,6 +114,7 @@
 	case "throttle":
 		if e.throttled.IsZero() {
 			b.counts.Throttles++
+			b.counts.Throttled[e.lease.Kind]++
 			e.throttled = now
 		}
 	case "resume":
--- a/io/lessor/server.go
+++ b/io/lessor/server.go
@@ -50,7 +50,7 @@
 	}
 	s := &Server{
 		lag: lag, checkpointing: checkpointing, listener: ln, done: make(chan struct{}), served: make(chan error, 1),
-		book: book{leases: map[string]*entry{}, live: map[string]*entry{}, counts: counts{Stopped: map[string]int{}}},
+		book: book{leases: map[string]*entry{}, live: map[string]*entry{}, counts: counts{Throttled: map[string]int{}, Stopped: map[string]int{}}},
 	}
 	s.http = fasthttp.Server{
 		Handler: s.handle, Name: "stand-in-leases", IdleTimeout: idleTimeout, MaxRequestBodySize: maxBodyBytes,
--- a/test/faults/whole_test.go
+++ b/test/faults/whole_test.go
@@ -36,6 +36,7 @@
 type reply struct {
 	Outcome string   `json:"outcome"`
 	Reason  string   `json:"reason"`
+	Cause   string   `json:"cause"`
 	NotRun  *bool    `json:"not-run"`
 	Results [][]byte `json:"results"`
 }
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -111,9 +111,9 @@
 	name, target := agentName(i), targetName(i)
 	f.HTTP[target], f.HTTP[name] = freeAddr(f.t), freeAddr(f.t)
 	f.Start(target, "stand-in", "target", "--listen", f.HTTP[target], "--speed", f.options.speed(i))
-	f.settings(name, fmt.Sprintf("name = %q\ndata-centre = \"dc-%d\"\nrack = \"rack-%d\"\ntarget = \"http://%s\"\nhttp = %q\nentries = [%s]\n"+
+	f.settings(name, fmt.Sprintf("name = %q\ndata-centre = \"dc-%d\"\nrack = \"rack-%d\"\ntarget = \"http://%s\"\nhttp = %q\nentries = [%s]\n%s"+
 		"[capacity]\nslots = %d\ncores = 64\nmemory-mb = 131072\n%s",
-		name, i%3+1, i/3+1, f.HTTP[target], f.HTTP[name], quoted(f.bulk), slotsEach, f.options.agentKeys()))
+		name, i%3+1, i/3+1, f.HTTP[target], f.HTTP[name], quoted(f.bulk), f.startLeases(i), slotsEach, f.options.agentKeys()))
 	f.Start(name, "agent", "--settings", f.path(name))
 }
 
@@ -225,7 +225,7 @@
 	f.faults("http://"+f.logAddr, "/v1/faults", faults)
 }
 
-// TargetFaults switches the faults of a stand-in target, such as {"cut-answers": 1}.
+// TargetFaults switches the faults of a stand-in target or lease service, such as {"cut-answers": 1}.
 func (f *Fleet) TargetFaults(name, faults string) {
 	f.t.Helper()
 	f.faults(f.URL(name), "/faults", faults)
--- a/test/fleet/options.go
+++ b/test/fleet/options.go
@@ -13,6 +13,8 @@
 	Placement string
 	// HeartbeatMS is the time between heartbeats of entries and agents.
 	HeartbeatMS int
+	// Leases gives each agent a stand-in lease service, called leases-1 and so on.
+	Leases bool
 }
 
 func (o *Options) speed(i int) string {
@@ -30,6 +32,21 @@
 	return keys + o.timing()
 }
 
+// usageLag is by how much the lease services' usage reports are late.
+const usageLag = "200ms"
+
+// startLeases starts the lease service of an agent, if it has one, and gives the agent's key for it.
+func (f *Fleet) startLeases(i int) string {
+	if !f.options.Leases {
+		return ""
+	}
+	name := fmt.Sprintf("leases-%d", i+1)
+	f.HTTP[name] = freeAddr(f.t)
+	f.Start(name, "stand-in", "leases", "--listen", f.HTTP[name], "--lag", usageLag)
+	f.awaitPort(f.HTTP[name])
+	return fmt.Sprintf("leases = %q\n", f.HTTP[name])
+}
+
 func (o *Options) agentKeys() string { return o.timing() }
 
 func (o *Options) timing() string {
