--- a/io/agentd/daemon.go
+++ b/io/agentd/daemon.go
@@ -73,14 +73,14 @@
 		conns:  make(map[uint64]*link),
 	}
 	d.core = agent.New(effects{d}, bootFence{d.fence}, d.ledger, set.Capacity)
-	if set.Leases != "" {
-		d.keeper = newKeeper(d, set.Leases)
-		d.core.SetLeases(&d.keeper.slots, d.keeper)
-	}
 	d.control = ctrl.New(frames{d}, log)
 	d.rules = rules.Of(fold.Document{})
 	d.config = d.newSource()
 	d.metrics = newMetrics(d, prometheus.NewRegistry())
+	if set.Leases != "" {
+		d.keeper = newKeeper(d, set.Leases)
+		d.core.SetLeases(&d.keeper.slots, d.keeper)
+	}
 	return d, nil
 }
 
--- a/io/agentd/keeper.go
+++ b/io/agentd/keeper.go
@@ -5,9 +5,11 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	"persimmonstage/core/needs"
@@ -43,9 +45,10 @@
 	slots  slots.Slots
 	taking map[string]bool // true if the attempt has ended meanwhile
 	retry  map[string]slots.Action
-	down   bool
 
+	down atomic.Bool // written by the loop
 	ends ends
+	acts *prometheus.CounterVec
 }
 
 func newKeeper(d *Daemon, addr string) *keeper {
@@ -54,14 +57,29 @@
 		ends: ends{wake: make(chan struct{}, 1), keys: make(map[string]time.Time)},
 	}
 	k.slots.SetCapacity(d.set.Capacity)
+	k.register(d.metrics.registry)
 	return k
 }
 
+func (k *keeper) register(r *prometheus.Registry) {
+	k.acts = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "persimmonstage_agent_guard_actions_total", Help: "Actions of the guard that the lease service took, by verb.",
+	}, []string{"verb"})
+	r.MustRegister(k.acts, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "persimmonstage_agent_leases_up", Help: "1 while the lease service answers, else 0 and starts are refused.",
+	}, func() float64 {
+		if k.down.Load() {
+			return 0
+		}
+		return 1
+	}))
+}
+
 // Take asks for a lease on a goroutine of its own.
 func (k *keeper) Take(l slots.Lease, until time.Time) {
 	k.taking[l.Key] = false
 	l.Expires = time.Now().Add(leaseTerm)
-	down := k.down
+	down := k.down.Load()
 	go func() {
 		err := errors.New(leasesDown)
 		got := l
@@ -96,8 +114,8 @@
 		k.d.log.Warn("lease refused", zap.Error(err))
 		return leaseRefused
 	}
-	if !known && !k.down {
-		k.down = true
+	if !known && !k.down.Load() {
+		k.down.Store(true)
 		k.d.log.Warn("lease service gives no answer, starts are refused", zap.Error(err))
 	}
 	return leasesDown
@@ -158,8 +176,7 @@
 	if err != nil {
 		return
 	}
-	if k.down {
-		k.down = false
+	if k.down.Swap(false) {
 		k.d.log.Info("lease service answers again")
 	}
 	for _, u := range usage {
@@ -186,6 +203,9 @@
 	for _, a := range actions {
 		wg.Go(func() {
 			err := k.client.Act(a)
+			if err == nil {
+				k.acts.WithLabelValues(string(a.Verb)).Inc()
+			}
 			k.d.log.Info("guard acts", zap.String("verb", string(a.Verb)), zap.String("lease", a.Key), zap.String("cause", a.Cause), zap.Error(err))
 			k.d.loop.Post(func(now time.Time) { k.acted(now, a, err) })
 		})
