--- a/test/faults/guard_test.go
+++ b/test/faults/guard_test.go
@@ -108,6 +108,7 @@
 		require.Equal(t, 1, n, task)
 	}
 	c := counted(t, f)
+	t.Logf("counts: %+v", c)
 	require.Positive(t, c.Stopped[lesser])
 	require.Zero(t, c.Stopped[urgent])
 	f.Await("every lease is given back", func() bool { return counted(t, f).InForce == 0 })
@@ -119,6 +120,7 @@
 	first, second := grow(t, f, 2, needs.Vector{Cores: 12}, `{"cores-factor": 1.5}`)
 	requireAllComplete(t, append(first, second...))
 	c := counted(t, f)
+	t.Logf("counts: %+v", c)
 	require.Positive(t, c.Throttled[lesser])
 	require.Zero(t, c.Throttled[urgent])
 }
@@ -132,6 +134,7 @@
 	require.Len(t, starts, 40)
 	judge(t, starts, all)
 	c := counted(t, f)
+	t.Logf("counts: %+v", c)
 	require.Equal(t, 40, c.Leases)
 	require.Greater(t, c.Takes, c.Leases)
 	f.Await("every lease is given back", func() bool { return counted(t, f).InForce == 0 })
