--- a/io/agentd/keeper.go
+++ b/io/agentd/keeper.go
@@ -42,18 +42,24 @@
 	client *lease.Client
 
 	// Only the loop touches these.
-	slots  slots.Slots
-	taking map[string]bool // true if the attempt has ended meanwhile
-	retry  map[string]slots.Action
+	slots slots.Slots
+	asked map[string]*asked // by key, until the lease is given back
+	retry map[string]slots.Action
 
 	down atomic.Bool // written by the loop
 	ends ends
 	acts *prometheus.CounterVec
 }
 
+// asked is a lease that the service was asked for.
+type asked struct {
+	settled bool // answered or given up
+	over    bool // nothing wants it any more
+}
+
 func newKeeper(d *Daemon, addr string) *keeper {
 	k := &keeper{
-		d: d, client: lease.New(addr), taking: make(map[string]bool), retry: make(map[string]slots.Action),
+		d: d, client: lease.New(addr), asked: make(map[string]*asked), retry: make(map[string]slots.Action),
 		ends: ends{wake: make(chan struct{}, 1), keys: make(map[string]time.Time)},
 	}
 	k.slots.SetCapacity(d.set.Capacity)
@@ -77,24 +83,23 @@
 
 // Take asks for a lease on a goroutine of its own.
 func (k *keeper) Take(l slots.Lease, until time.Time) {
-	k.taking[l.Key] = false
+	if k.down.Load() {
+		go k.d.loop.Post(func(now time.Time) { k.d.core.Leased(now, l.Key, time.Time{}, leasesDown) })
+		return
+	}
+	k.asked[l.Key] = &asked{}
 	l.Expires = time.Now().Add(leaseTerm)
-	down := k.down.Load()
 	go func() {
-		err := errors.New(leasesDown)
-		got := l
-		if !down {
-			got, err = k.client.Take(context.Background(), l, until)
-		}
-		k.d.loop.Post(func(now time.Time) { k.taken(now, got, err, down) })
+		got, err := k.client.Take(context.Background(), l, until)
+		k.d.loop.Post(func(now time.Time) { k.taken(now, got, err) })
 	}()
 }
 
 // taken hands the answer to the core, or gives the lease back if nothing wants it any more.
-func (k *keeper) taken(now time.Time, l slots.Lease, err error, known bool) {
-	over := k.taking[l.Key]
-	delete(k.taking, l.Key)
-	if over {
+func (k *keeper) taken(now time.Time, l slots.Lease, err error) {
+	ask := k.asked[l.Key]
+	ask.settled = true
+	if ask.over {
 		k.End(l.Key)
 		return
 	}
@@ -104,30 +109,34 @@
 		k.d.core.Leased(now, l.Key, l.Expires, "")
 		return
 	}
-	k.d.core.Leased(now, l.Key, time.Time{}, k.failed(err, known))
+	k.d.core.Leased(now, l.Key, time.Time{}, k.failed(err))
 }
 
-// failed gives the reason of a start that got no lease; known says that the service wasn't asked.
-func (k *keeper) failed(err error, known bool) string {
+// failed gives the reason of a start that got no lease.
+func (k *keeper) failed(err error) string {
 	var e *lease.Error
 	if errors.As(err, &e) && e.Refused() {
 		k.d.log.Warn("lease refused", zap.Error(err))
 		return leaseRefused
 	}
-	if !known && !k.down.Load() {
-		k.down.Store(true)
+	if !k.down.Swap(true) {
 		k.d.log.Warn("lease service gives no answer, starts are refused", zap.Error(err))
 	}
 	return leasesDown
 }
 
-// End gives a lease back, once its take is settled.
+// End gives a lease back, once its take is settled; one that was never asked for needs no end.
 func (k *keeper) End(key string) {
 	delete(k.retry, key)
-	if _, open := k.taking[key]; open {
-		k.taking[key] = true
+	ask := k.asked[key]
+	switch {
+	case ask == nil:
+		return
+	case !ask.settled:
+		ask.over = true
 		return
 	}
+	delete(k.asked, key)
 	k.ends.put(key, time.Now().Add(leaseTerm))
 }
 
