--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"persimmonstage/core/needs"
@@ -50,6 +51,14 @@
 // Free returns what no lease holds; a dimension is negative when tasks use more than they were given.
 func (s *Slots) Free() needs.Vector { return s.capacity.Sub(s.taken) }
 
+// Room returns what can still be given away: nothing while the guard wants no starts.
+func (s *Slots) Room() needs.Vector {
+	if s.pressed {
+		return needs.Vector{}
+	}
+	return s.Free().Max(needs.Vector{})
+}
+
 // Lacks names the first declared need that is larger than the whole host, or returns "".
 func (s *Slots) Lacks(declared needs.Vector) string { return declared.Lacks(s.capacity) }
 
@@ -100,6 +109,31 @@
 	return true
 }
 
+// SetCheckpointing says whether the platform can checkpoint the task of a lease.
+func (s *Slots) SetCheckpointing(key string, can bool) {
+	if h, ok := s.holds[key]; ok {
+		h.lease.Checkpointing = can
+	}
+}
+
+// InForce reports whether a lease is held and has not been given back.
+func (s *Slots) InForce(key string) bool {
+	h, ok := s.holds[key]
+	return ok && h.gone.IsZero()
+}
+
+// Expiring returns the leases in force that end before a time, in the order of their keys.
+func (s *Slots) Expiring(before time.Time) []string {
+	var keys []string
+	for key, h := range s.holds {
+		if h.gone.IsZero() && !h.lease.Expires.IsZero() && h.lease.Expires.Before(before) {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
 // End gives back what a lease held; reports on it are still learned from for the longest lag.
 func (s *Slots) End(key string, now time.Time) bool {
 	h, ok := s.holds[key]
