Choose targets by the team's own work beside a flood

Cause, found by stepping the real owners, agents, gates and rosters in passed time (test/stepped, 3 owners, 10 agents of 8 slots, messages 0.5 ms, load reports every 500 ms, load 0.3): beside a flood every target is full, and the placer chose by the whole backlog, which isn't what a task waits for at an agent that serves shares. So the long tasks of one team heaped up by chance: prices waited 924 ms at an agent that ran 5 cut-sheets while 5 of 10 agents ran nothing of their team, and cut-sheets 4.3 to 6.2 s where 3 ran already. What was left waited for the ends of the flood's tasks that ran on lent slots.

Change: at a target with more waiting than running, the expected wait is that for the end of a running task, and for what the team itself has there over its part. The bound that goes with the order is half of the run time there, the agent refuses past it before the start, and the next choice avoids that agent.

--- a/core/admit/wait.go
+++ b/core/admit/wait.go
@@ -77,3 +77,12 @@
 	}
 	return seconds(math.Min(work/rate, year.Seconds()))
 }
+
+// Part returns the part of the fleet, 0 to 1, that a team gets beside those that have work at this entry now.
+func (g *Gate) Part(teamName string) float64 {
+	t := g.teams[teamName]
+	if t == nil {
+		return 0
+	}
+	return t.activePart(g.weights)
+}
--- a/core/owner/effects.go
+++ b/core/owner/effects.go
@@ -14,8 +14,10 @@
 	"persimmonstage/core/target"
 )
 
-// placer chooses targets and books what it chooses.
+// placer chooses targets and books what it chooses; the owner ends it there, and books where a task goes elsewhere.
 type placer interface {
+	Sent(team string, id target.ID, c rank.Class, work time.Duration)
+	Ended(team string, id target.ID, c rank.Class, work time.Duration)
 	Place(now time.Time, rng *rand.Rand, ask *place.Ask, out []place.Choice) []place.Choice
 }
 
@@ -45,6 +47,7 @@
 // gate bounds what is admitted; the owner tells it what becomes of each job that it admitted.
 type gate interface {
 	MayStart(team string) bool
+	Part(team string) float64
 	Sent(r admit.Request)
 	Back(r admit.Request)
 	Done(r admit.Request)
--- a/core/owner/place.go
+++ b/core/owner/place.go
@@ -42,7 +42,10 @@
 }
 
 func (o *Owner) ask(r *record) place.Ask {
-	return place.Ask{Kind: r.job.Kind, DataCentre: r.job.DataCentre, Deadline: r.job.Deadline}
+	team := r.key().Team
+	return place.Ask{
+		Team: team, Part: o.gate.Part(team), Kind: r.job.Kind, DataCentre: r.job.DataCentre, Deadline: r.job.Deadline,
+	}
 }
 
 func (o *Owner) declaredRun(r *record) time.Duration {
@@ -81,6 +84,9 @@
 	ask := o.ask(at.rec)
 	t := &at.rec.tasks[at.index]
 	ask.Attempt, ask.Delay = t.moves, t.delay
+	if t.reason == busy {
+		ask.Avoid = t.last
+	}
 	o.asks = append(o.asks[:0], place.Task{Needs: at.rec.job.Tasks[at.index].Needs, Declared: o.declaredRun(at.rec)})
 	ask.Tasks = o.asks
 	o.choices = o.placer.Place(now, o.rng, &ask, o.choices[:0])
@@ -94,6 +100,7 @@
 func (o *Owner) send(now time.Time, r *record, i int, c *place.Choice) {
 	t := &r.tasks[i]
 	t.booked, t.work, t.maxWait, t.delay = c.Target(), c.Work(), c.MaxWait(), c.Delay()
+	t.last = t.booked
 	for _, id := range c.Reserve() {
 		o.attempt(r, i, id)
 	}
--- a/core/owner/record.go
+++ b/core/owner/record.go
@@ -42,8 +42,9 @@
 	reason   string
 	tries    int
 	granted  bool
-	// moves counts the refusals because of the wait; maxWait and delay go with the order.
+	// moves counts the refusals because of the wait, of which last gave the last one; maxWait and delay go with the order.
 	moves int
+	last  target.ID
 	// sentTo lists the agents that may have started the task.
 	sentTo  []ident.Ident
 	maxWait time.Duration
--- a/core/owner/step.go
+++ b/core/owner/step.go
@@ -131,6 +131,7 @@
 	o.unbook(r, i)
 	t.booked = t.attempts[0].to
 	o.bookings.SentClass(t.booked, rank.Of(t.delay), r.job.Tasks[i].Needs, t.work)
+	o.placer.Sent(r.key().Team, t.booked, rank.Of(t.delay), t.work)
 }
 
 func (o *Owner) unbook(r *record, i int) {
@@ -139,6 +140,7 @@
 		return
 	}
 	o.bookings.EndedClass(t.booked, rank.Of(t.delay), r.job.Tasks[i].Needs, t.work)
+	o.placer.Ended(r.key().Team, t.booked, rank.Of(t.delay), t.work)
 	t.booked = 0
 }
 
--- a/core/place/ask.go
+++ b/core/place/ask.go
@@ -16,8 +16,11 @@
 
 // Ask is a job to place: its tasks are all of one kind and come from a caller in one data centre.
 type Ask struct {
+	Team       string
+	Part       float64 // of a target, 0 to 1, that the team gets beside those that have work now; zero is unknown
 	Kind       string
 	DataCentre string
+	Avoid      target.ID     // the target that refused the tasks because of the wait; zero is none
 	Attempt    int           // how often the tasks were refused because of the wait, at most LastAttempt
 	Deadline   time.Time     // zero is none
 	Delay      time.Duration // of the job's first placement, for tasks of it that are placed again
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -66,6 +66,7 @@
 	racks      map[string]int // tasks of the present job, by rack
 	placed     int            // tasks of the present job
 	best       [maxReserve]candidate
+	teams      teams
 	kept       int
 }
 
@@ -79,6 +80,7 @@
 		sample:    defaultSample,
 		reserves:  defaultReserves,
 		racks:     map[string]int{},
+		teams:     teams{},
 	}
 }
 
@@ -114,7 +116,7 @@
 
 // one chooses for one task and books it.
 func (p *Placer) one(rng *rand.Rand, ask *Ask, kind int, delay time.Duration, t *Task) Choice {
-	q := query{kind: kind, class: rank.Of(delay), dataCentre: ask.DataCentre, task: t}
+	q := query{kind: kind, class: rank.Of(delay), dataCentre: ask.DataCentre, ask: ask, avoid: ask.Avoid, task: t}
 	p.kept = 0
 	switch p.policy {
 	case Random:
@@ -125,6 +127,10 @@
 		p.anyOf(rng, &q, p.reserves)
 	default:
 		p.search(rng, &q)
+		if p.kept == 0 && q.avoid != 0 {
+			q.avoid = 0
+			p.search(rng, &q)
+		}
 	}
 	if p.kept == 0 {
 		return Choice{}
@@ -143,6 +149,7 @@
 		}
 	}
 	p.roster.SentClass(first.id, c.Class(), t.Needs, first.run)
+	p.Sent(ask.Team, first.id, c.Class(), first.run)
 	if len(ask.Tasks) > 1 {
 		p.racks[p.roster.Rack(first.id)]++
 		p.placed++
@@ -162,11 +169,16 @@
 }
 
 // maxWait returns for how long a task should wait at the best candidate before it is worth a refusal and another placement.
+// At a crowded target only the agent knows when a task of this share can start, so the bound is the least that makes up for a
+// refusal.
 func (p *Placer) maxWait(attempt int, class rank.Class) time.Duration {
 	if p.policy != Bounded || class > 0 || attempt >= LastAttempt || p.kept < 2 {
 		return math.MaxInt64
 	}
 	first, second := &p.best[0], &p.best[1]
+	if first.crowded {
+		return 2*p.roundTrip + first.run/2
+	}
 	gain := time.Duration(second.cost - first.cost)
 	return first.wait + gain + 2*p.roundTrip + first.run + first.wait/2
 }
--- a/core/place/search.go
+++ b/core/place/search.go
@@ -26,16 +26,19 @@
 	kind       int
 	class      rank.Class
 	dataCentre string
+	ask        *Ask
+	avoid      target.ID
 	task       *Task
 	mean       float64 // run time at a target of mean speed
 }
 
 // candidate is a target with the parts of its expected completion.
 type candidate struct {
-	id   target.ID
-	wait time.Duration
-	run  time.Duration
-	cost float64
+	id      target.ID
+	wait    time.Duration
+	run     time.Duration
+	cost    float64
+	crowded bool
 }
 
 // search keeps the best candidates of a sample of the groups that could hold the task: first of the targets with room, then
@@ -135,9 +138,13 @@
 // weigh returns the candidate of a target, with its expected completion as cost.
 func (p *Placer) weigh(q *query, g int, id target.ID) candidate {
 	wait := p.roster.Wait(id, q.task.Needs, q.class)
-	if wait == math.MaxInt64 {
+	if wait == math.MaxInt64 || id == q.avoid {
 		return candidate{}
 	}
+	crowded := q.ask.Part > 0 && q.ask.Part < 1 && p.crowded(q, id)
+	if crowded {
+		wait = p.shareWait(q, id)
+	}
 	run := p.speeds.Expect(id, q.kind, q.task.Declared)
 	cost := float64(wait + run)
 	if p.roster.GroupDataCentre(g) != q.dataCentre {
@@ -149,7 +156,7 @@
 	if p.placed > 0 {
 		cost += rackShare * float64(run) * p.rackLoad(id)
 	}
-	return candidate{id: id, wait: wait, run: run, cost: cost}
+	return candidate{id: id, wait: wait, run: run, cost: cost, crowded: crowded}
 }
 
 // rackLoad returns the share of the job's tasks placed so far that are in the rack of a target.
--- a/core/queue/pop.go
+++ b/core/queue/pop.go
@@ -103,5 +103,5 @@
 	team := q.teamPart(k.team) * wholeHost
 	return float64(k.team.running) >= team &&
 		float64(k.running) >= team*k.part() &&
-		k.work() >= q.rate(k)*greedyBacklog.Seconds()
+		k.behind() >= q.rate(k)*greedyBacklog.Seconds()
 }
--- a/core/queue/share.go
+++ b/core/queue/share.go
@@ -86,6 +86,12 @@
 // work returns the host-seconds that wait, by what was learned.
 func (k *kind[T]) work() float64 { return k.backlog * (1 + k.drift) }
 
+// behind returns the host-seconds that wait behind the head: one long task alone isn't a backlog.
+func (k *kind[T]) behind() float64 {
+	head := &k.items.Min().item
+	return k.work() - head.cost(k.expected(head))
+}
+
 // weights sums the weights of a parent's shares.
 type weights struct {
 	known  int64
--- a/core/timers/timers.go
+++ b/core/timers/timers.go
@@ -42,3 +42,11 @@
 	}
 	return t.heap.Remove(0).value, true
 }
+
+// Next gives the time of the earliest value, and false if there is none.
+func (t *Timers[T]) Next() (time.Time, bool) {
+	if t.Len() == 0 {
+		return time.Time{}, false
+	}
+	return t.heap.Min().at, true
+}
--- /dev/null
+++ b/test/stepped/flood_test.go
@@ -0,0 +1,112 @@
+package stepped
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"persimmonstage/core/mix"
+	"persimmonstage/core/score"
+)
+
+var (
+	floodSeeds = flag.Int("flood-seeds", 0, "seeds of the comparison of floods; 0 leaves it out")
+	floodSpan  = flag.Duration("flood-span", 60*time.Second, "how long jobs arrive in each run of the comparison")
+	floodLoad  = flag.Float64("flood-load", 0.3, "share of the capacity that the other work takes")
+	calmSlow   = flag.Float64("calm-slow", 1, "how many times slower every second target is")
+)
+
+const floodFactor = 10
+
+// phase offers the other work, and a flood beside it if it is named, and gives how the jobs of a span ended.
+func (f *fleet) phase(seed uint64, load float64, span time.Duration, flood string) *score.Score {
+	f.score = &score.Score{}
+	kinds := mix.Fixed(1, 0)
+	slots := float64(fleetAgents * fleetSlots)
+	until := f.now.Add(span)
+	f.offer(mix.New(kinds, load*slots/mix.MeanWork(kinds).Seconds(), seed), until)
+	if k, ok := mix.Flood(flood); ok {
+		rate := floodFactor * slots / mix.MeanWork([]mix.Kind{k}).Seconds()
+		f.offer(mix.New([]mix.Kind{k}, rate, seed+1), until)
+	}
+	f.run(until)
+	f.run(until.Add(10 * time.Second))
+	return f.score
+}
+
+// TestFloodsCompared prints what the other work keeps beside each flood.
+func TestFloodsCompared(t *testing.T) {
+	if *floodSeeds == 0 {
+		t.Skip("compares only with -flood-seeds")
+	}
+	for _, flood := range []string{"least", "most", "small-jobs", "huge-jobs"} {
+		worst := map[string]score.Kept{}
+		sum := map[string]float64{}
+		busy, refused := 0, 0
+		for seed := range *floodSeeds {
+			f := newFleet(uint64(seed), 1)
+			f.phase(uint64(seed)+100, *floodLoad, 10*time.Second, "")
+			calm := f.phase(uint64(seed)+200, *floodLoad, *floodSpan, "")
+			before, back := f.starts, f.refusals
+			beside := f.phase(uint64(seed)+200, *floodLoad, *floodSpan, flood)
+			busy += f.starts - before
+			refused += f.refusals - back
+			for _, k := range score.Compare(calm, beside) {
+				name := k.Team + "/" + k.Kind
+				sum[name] += k.P99
+				w, ok := worst[name]
+				if !ok || k.P99 > w.P99 {
+					w.P99 = k.P99
+				}
+				if !ok || k.Throughput < w.Throughput {
+					w.Throughput = k.Throughput
+				}
+				worst[name] = w
+			}
+		}
+		line := fmt.Sprintf("%-10s", flood)
+		for _, name := range []string{"senandung/stock", "senandung/renewal", "kowhai/price", "kowhai/label", "kowhai/cut"} {
+			w := worst[name]
+			line += fmt.Sprintf(" | %s %.3f %.2f %.2f", name, w.Throughput, sum[name]/float64(*floodSeeds), w.P99)
+		}
+		t.Logf("%s | starts %d refusals %d", line, busy, refused)
+	}
+}
+
+// TestCalmCompared prints response over ideal without a flood.
+func TestCalmCompared(t *testing.T) {
+	if *floodSeeds == 0 {
+		t.Skip("compares only with -flood-seeds")
+	}
+	var s score.Score
+	starts, refused := 0, 0
+	for seed := range *floodSeeds {
+		f := newFleet(uint64(seed), *calmSlow)
+		share := *floodLoad * (1 + 1 / *calmSlow) / 2
+		f.phase(uint64(seed)+100, share, 20*time.Second, "")
+		starts, refused = starts-f.starts, refused-f.refusals
+		s.Merge(f.phase(uint64(seed)+200, share, *floodSpan, ""))
+		starts, refused = starts+f.starts, refused+f.refusals
+	}
+	line := fmt.Sprintf("load %.2f slow %.0f", *floodLoad, *calmSlow)
+	for _, r := range s.Rows() {
+		line += fmt.Sprintf(" | %s %.2f %.2f", r.Kind, r.OverIdeal.P50, r.OverIdeal.P99)
+	}
+	t.Logf("%s | wasted %.3f", line, 2*float64(refused)/float64(starts))
+}
+
+// TestOtherWorkKeepsItsPlaceBesideAFlood holds the other work to what is asked: 95% of its throughput, and at most twice its p99.
+func TestOtherWorkKeepsItsPlaceBesideAFlood(t *testing.T) {
+	for _, flood := range []string{"least", "most", "small-jobs"} {
+		f := newFleet(1, 1)
+		f.phase(1, 0.3, 10*time.Second, "")
+		calm := f.phase(2, 0.3, 60*time.Second, "")
+		for _, k := range score.Compare(calm, f.phase(2, 0.3, 60*time.Second, flood)) {
+			require.GreaterOrEqual(t, k.Throughput, 0.95, "%s beside %s", k.Kind, flood)
+			require.LessOrEqual(t, k.P99, 2.0, "%s beside %s", k.Kind, flood)
+		}
+	}
+}
