Send no task before its team's quota covers it

Cause: the gate's Admit gives the time from which the quota of starts covers a job, and the entry dropped it, so a team over its quota had every admitted job sent at once. Change: the owner takes that time with the job and places it by a timer; the deadline, cancellations and lookups go on meanwhile, and the answer past the deadline is "not run".

A field of the request was ruled out: it is what the gate is asked.

--- a/core/owner/owner.go
+++ b/core/owner/owner.go
@@ -87,12 +87,12 @@
 
 // Submit accepts a job of a shard, joins it to its record, or answers from the record; w is called exactly once.
 //
-// admitted is what the gate took of it, nil if it was not asked. found lists what agents started of it for earlier owners;
+// admitted is what the gate took of it, nil if it was not asked, and no task is sent before ready. found lists what agents started of it for earlier owners;
 // whole tells that nothing else of it can have been started, without which the tasks that are not in found are never
 // started and the answer is that the job may have run.
 func (o *Owner) Submit(
 	now time.Time, j *job.Job, shard int, epoch uint64, found []past.Past, whole bool, admitted *admit.Request,
-	w func(answer.Answer),
+	ready time.Time, w func(answer.Answer),
 ) {
 	digest := j.Digest()
 	if r := o.records[j.Key]; r != nil {
@@ -117,6 +117,10 @@
 		o.jobEvent(now, r, onUnsure)
 		return
 	}
+	if ready.After(now) {
+		o.timers.Add(ready, ref{rec: r, index: readyTimer})
+		return
+	}
 	o.placeJob(now, r)
 }
 
@@ -269,6 +273,10 @@
 		if r.running() {
 			o.jobEvent(now, r, onDeadline)
 		}
+	case at.index == readyTimer:
+		if r.running() {
+			o.placeJob(now, r)
+		}
 	case !r.running() || r.tasks[at.index].state != stateWaiting:
 	case r.tasks[at.index].granted:
 		o.waiting = append(o.waiting, at)
--- a/core/owner/record.go
+++ b/core/owner/record.go
@@ -127,6 +127,7 @@
 	// A ref with one of these in place of a task's index is a timer of the whole record.
 	deadlineTimer = -1
 	forgetTimer   = -2
+	readyTimer    = -3
 )
 
 // find gives one attempt of the row.
--- a/io/entryd/admit.go
+++ b/io/entryd/admit.go
@@ -25,32 +25,33 @@
 	taskOverhead = 512
 )
 
-// admit takes a new job through the gate, or gives the refusal of one that can't be served.
-func (d *Daemon) admit(now time.Time, j *job.Job) (*admit.Request, *answer.Answer) {
+// admit takes a new job through the gate, which gives the time before which the team's quota doesn't cover it, or gives the
+// refusal of one that can't be served.
+func (d *Daemon) admit(now time.Time, j *job.Job) (*admit.Request, time.Time, *answer.Answer) {
 	for i := range j.Tasks {
 		if err := d.roster.FitsEver(j.Tasks[i].Needs); err != nil {
 			a := answer.Refusal(answer.StatusMalformed, j.Key.ID, taskField(i)+err.Error(), "never-fits", 0)
-			return nil, &a
+			return nil, time.Time{}, &a
 		}
 	}
 	urgency := d.rules.Load().Urgency(j.Key.Team, j.Kind)
 	d.account.Tell(func(t *tally.Tally) { t.Asked(now, j.Key.Team, j.Kind, urgency, len(j.Tasks)) })
 	r := d.request(j)
-	_, err := d.gate.Admit(r, now)
+	ready, err := d.gate.Admit(r, now)
 	var refused *admit.RefusedError
 	switch {
 	case err == nil:
-		return &r, nil
+		return &r, ready, nil
 	case errors.As(err, &refused):
 		retry := time.Duration(0)
 		if !refused.Retry.IsZero() {
 			retry = refused.Retry.Sub(now)
 		}
 		a := answer.Refusal(refusalStatus(refused.Reason), j.Key.ID, refused.Error(), refused.Reason, retry)
-		return nil, &a
+		return nil, time.Time{}, &a
 	}
 	a := answer.Refusal(answer.StatusUnavailable, j.Key.ID, err.Error(), "", time.Second)
-	return nil, &a
+	return nil, time.Time{}, &a
 }
 
 // request describes a job to the gate: its run time is the configured one, or what was learned of its kind.
--- a/io/entryd/submit.go
+++ b/io/entryd/submit.go
@@ -184,7 +184,7 @@
 		d.owner.Lookup(key, w)
 		return
 	}
-	d.owner.Submit(now, j, 0, 0, nil, true, nil, w)
+	d.owner.Submit(now, j, 0, 0, nil, true, nil, time.Time{}, w)
 }
 
 // submitNew gives the owner a job that it has no record of, with what earlier owners did of it; only a job that is
@@ -196,16 +196,17 @@
 		return
 	}
 	var admitted *admit.Request
+	var ready time.Time
 	if whole && len(found) == 0 {
-		r, refusal := d.admit(now, j)
+		r, at, refusal := d.admit(now, j)
 		if refusal != nil {
 			d.countRefusal(j.Key.Team, j.Kind, refusal.Cause)
 			w(*refusal)
 			return
 		}
-		admitted = r
+		admitted, ready = r, at
 	}
-	d.owner.Submit(now, j, shard, epoch, found, whole, admitted, w)
+	d.owner.Submit(now, j, shard, epoch, found, whole, admitted, ready, w)
 }
 
 // park keeps a request until its shard is recovered; past its deadline it is sent back.
--- a/test/stepped/fleet_test.go
+++ b/test/stepped/fleet_test.go
@@ -170,14 +170,15 @@
 		end.Ideal = max(end.Ideal, w)
 		j.Tasks[i].Needs = needs.Vector{Slots: 1}
 	}
-	if _, err := e.gate.Admit(r, f.now); err != nil {
+	ready, err := e.gate.Admit(r, f.now)
+	if err != nil {
 		end.Outcome = answer.Refused
 		s.Add(&end)
 		return
 	}
 	f.work[j.Key] = from.Work
 	f.open++
-	e.core.Submit(f.now, j, 0, 1, nil, true, &r, func(a answer.Answer) {
+	e.core.Submit(f.now, j, 0, 1, nil, true, &r, ready, func(a answer.Answer) {
 		f.open--
 		end.Outcome, end.Response = a.Outcome, f.now.Sub(j.Issued)
 		s.Add(&end)
--- a/test/stepped/world_test.go
+++ b/test/stepped/world_test.go
@@ -225,7 +225,7 @@
 		whole = w.lostAt.IsZero() || j.Issued.After(w.moved)
 	}
 	j.Tasks = append(j.Tasks[:0:0], j.Tasks...)
-	e.core.Submit(w.now, &j, 0, e.epoch, found, whole, nil, func(a answer.Answer) { w.told[i] = append(w.told[i], a) })
+	e.core.Submit(w.now, &j, 0, e.epoch, found, whole, nil, time.Time{}, func(a answer.Answer) { w.told[i] = append(w.told[i], a) })
 }
 
 func (w *world) found(j *job.Job) []past.Past {
