Don't refuse a task for whom capacity was kept free

Cause: an agent took an order for late when anything waited there, adding the time until a running task ends. But what the lending rule keeps free beside a flood is free just while the flood waits, so stock checks were refused where they could start at once, and after two refusals stayed where they couldn't.

Change: an order that fits what is free is late only by its own share's backlog. With that the lending rule needs less: half of the peak is kept from tasks of 250 ms (was 125) and from 300 ms of backlog (was 250).

Ruled out: four tries in place of two, and a wait that counts a share's debt while nothing of it waits: both within the spread.

--- a/core/agent/wait.go
+++ b/core/agent/wait.go
@@ -6,12 +6,17 @@
 	"persimmonstage/core/order"
 )
 
-// busy reports whether an order's expected wait here passes the bound that it carries.
+// busy reports whether an order's expected wait here passes the bound that it carries. What is free is so because it is kept
+// from the shares that wait, or too small for them, so an order that fits doesn't wait for the end of a running task.
 func (a *Agent) busy(now time.Time, o *order.Order) bool {
-	if o.MaxWait <= 0 || a.queue.Len() == 0 && o.Needs.Fits(a.capacity.Sub(a.held)) {
+	if o.MaxWait <= 0 {
 		return false
 	}
-	return a.queue.Wait(o.Key.Team, o.Kind)+a.firstEnd(now) > o.MaxWait
+	wait := a.queue.Wait(o.Key.Team, o.Kind)
+	if !o.Needs.Fits(a.capacity.Sub(a.held)) {
+		wait += a.firstEnd(now)
+	}
+	return wait > o.MaxWait
 }
 
 // firstEnd gives the expected time until the first of the running tasks ends; one that is overdue says nothing.
--- a/core/queue/lend.go
+++ b/core/queue/lend.go
@@ -4,9 +4,9 @@
 
 const (
 	// greedyBacklog is the backlog, in time at the share's rate, from which a share above its part counts as a borrower.
-	greedyBacklog = 250 * time.Millisecond
+	greedyBacklog = 300 * time.Millisecond
 	// lendingRun is the run time at which half of the others' unused peak is kept from a borrower.
-	lendingRun = 125 * time.Millisecond
+	lendingRun = 250 * time.Millisecond
 	// peakWindow is the length of each of the two windows in which the peak is remembered.
 	peakWindow = 5 * time.Second
 )
