--- a/core/owner/record.go
+++ b/core/owner/record.go
@@ -42,8 +42,9 @@
 	reason   string
 	tries    int
 	granted  bool
-	// moves counts the refusals because of the wait; maxWait and delay go with the order.
+	// moves counts the refusals because of the wait, of which last gave the last one; maxWait and delay go with the order.
 	moves int
+	last  target.ID
 	// sentTo lists the agents that may have started the task.
 	sentTo  []ident.Ident
 	maxWait time.Duration
@@ -137,6 +138,7 @@
 	// A ref with one of these in place of a task's index is a timer of the whole record.
 	deadlineTimer = -1
 	forgetTimer   = -2
+	readyTimer    = -3
 )
 
 // find gives one attempt of the row.
--- a/io/entryd/admit_test.go
+++ b/io/entryd/admit_test.go
@@ -41,6 +41,6 @@
 		j.Tasks = append(j.Tasks, task.Task{Needs: needs.Vector{Slots: 1}})
 	}
 	d.speeds.Learn(0, "sort", 0, 200*time.Millisecond)
-	_, refusal := d.admit(now, j)
+	_, _, refusal := d.admit(now, j)
 	require.Nil(t, refusal)
 }
--- a/io/entryd/submit.go
+++ b/io/entryd/submit.go
@@ -185,7 +185,7 @@
 	case r.job == nil:
 		d.owner.Lookup(r.key, r.w)
 	default:
-		d.owner.Submit(now, r.job, 0, 0, nil, true, nil, r.w)
+		d.owner.Submit(now, r.job, 0, 0, nil, true, nil, time.Time{}, r.w)
 	}
 }
 
@@ -198,16 +198,17 @@
 		return
 	}
 	var admitted *admit.Request
+	var ready time.Time
 	if whole && len(found) == 0 {
-		r, refusal := d.admit(now, j)
+		r, at, refusal := d.admit(now, j)
 		if refusal != nil {
 			d.countRefusal(j.Key.Team, j.Kind, refusal.Cause)
 			w(*refusal)
 			return
 		}
-		admitted = r
+		admitted, ready = r, at
 	}
-	d.owner.Submit(now, j, shard, epoch, found, whole, admitted, w)
+	d.owner.Submit(now, j, shard, epoch, found, whole, admitted, ready, w)
 }
 
 // park keeps a request until its shard is recovered; past its deadline it is sent back.
