Tell the judge of refused starts, take back what waits at a sick target, and name it

Change: the owner tells Sent, Ended and Dropped, one end for each start; the judge's outcomes are Whole and Failed, a drop speaks neither for nor against; rows of targets that are gone are void; at an ejection the entry withdraws what has not started there, which is placed again; the judge tells a watcher of ejections and returns, which the entry notes as a span (failing: target-fails, hanging: target-slow, restarting: target-lost); `out` in /v1/admin/targets, /v1/admin/state and `targets`. Failed work during a hang is put down to the target. Ruled out: polling the judge for changes; a Lost outcome, as Tick finds the same sooner; progress on a refusal, which would hide a hang as long as others are refused there.

--- a/core/day/explain.go
+++ b/core/day/explain.go
@@ -27,7 +27,7 @@
 	cause.Overload:       short,
 	cause.RetriesSpent:   short,
 	cause.Straggler:      {cause.TargetSlow},
-	cause.TaskFailed:     {cause.KindFails, cause.TargetFails},
+	cause.TaskFailed:     {cause.KindFails, cause.TargetFails, cause.TargetSlow},
 	cause.NoTargets:      {cause.RegionCut, cause.TargetFails, cause.TargetLost, cause.LogDown, cause.Drained},
 	cause.AnswerLost:     {cause.EntryLost, cause.EntryPaused, cause.RegionCut, cause.TargetLost, cause.LogDown},
 	cause.TargetLost:     {cause.RegionCut},
--- a/core/eject/ended.go
+++ b/core/eject/ended.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"persimmonstage/core/cause"
 	"persimmonstage/core/target"
 )
 
@@ -21,6 +22,13 @@
 	reasonFlapping = "restarts again and again"
 )
 
+// causes says what the owner of the day is told of an ejection.
+var causes = map[string]cause.Cause{
+	reasonFailing:  cause.TargetFails,
+	reasonHanging:  cause.TargetSlow,
+	reasonFlapping: cause.TargetLost,
+}
+
 // Ended takes the end of a task of a kind at a target.
 func (j *Judge) Ended(id target.ID, kind string, o Outcome, now time.Time) {
 	r := j.row(id)
@@ -35,17 +43,6 @@
 	case Failed:
 		r.progress = now
 		j.failed(j.kind(kind), id, r, now)
-	case Unstarted:
-		r.progress = now
-	case Lost:
-		j.lost(id, r, now)
-	}
-}
-
-// lost ejects a target that answers nothing at all; one that ends other tasks may have had a straggler.
-func (j *Judge) lost(id target.ID, r *row, now time.Time) {
-	if r.overdue(now) {
-		j.eject(id, r, reasonHanging, now)
 	}
 }
 
--- a/core/eject/judge.go
+++ b/core/eject/judge.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"persimmonstage/core/cause"
 	"persimmonstage/core/names"
 	"persimmonstage/core/target"
 )
@@ -17,6 +18,14 @@
 	Len() int
 }
 
+// watcher is told which targets are out; the entry notes them in the account of the day.
+type watcher interface {
+	// Ejected tells that a target was taken out until a probe finds it well, and what the owner of the day is told of it.
+	Ejected(now time.Time, id target.ID, c cause.Cause)
+	// Returned tells that an ejected target has come back or is gone.
+	Returned(now time.Time, id target.ID)
+}
+
 // Outcome is how a task ended at a target.
 type Outcome int
 
@@ -26,10 +35,6 @@
 	Whole Outcome = iota
 	// Failed is a task that started and failed.
 	Failed
-	// Unstarted is a refusal or a withdrawal before the start; it says nothing against the target.
-	Unstarted
-	// Lost is a task whose deadline passed without an answer.
-	Lost
 )
 
 // state is where a target stands.
@@ -54,6 +59,7 @@
 // row is what is known of one target.
 type row struct {
 	generation uint32
+	gone       bool // its ID is void
 	state      state
 	trial      bool // since a probe found it well: it gets one task at a time until one is whole
 	reason     string
@@ -78,6 +84,7 @@
 // A Judge belongs to one goroutine.
 type Judge struct {
 	gate  gate
+	watch watcher
 	rows  []row
 	names *names.Index
 	kinds []kindRow
@@ -85,9 +92,9 @@
 	out   int
 }
 
-// New returns a Judge that ejects targets at g.
-func New(g gate) *Judge {
-	return &Judge{gate: g, names: names.New(maxKinds), flaps: map[string]flap{}}
+// New returns a Judge that ejects targets at g and tells w of it.
+func New(g gate, w watcher) *Judge {
+	return &Judge{gate: g, watch: w, names: names.New(maxKinds), flaps: map[string]flap{}}
 }
 
 // Out reports whether a target is paused or ejected, and why.
@@ -101,7 +108,7 @@
 
 // Sent takes a task sent to a target, which is expected to end there after expected, its wait included.
 func (j *Judge) Sent(id target.ID, expected time.Duration, now time.Time) {
-	r := j.take(id)
+	r := j.take(id, now)
 	if r == nil {
 		return
 	}
@@ -113,24 +120,32 @@
 	r.longest = max(r.longest, expected)
 }
 
-// Gone forgets a target that has left or fallen silent.
-func (j *Judge) Gone(id target.ID) {
+// Dropped takes back a task that was refused or withdrawn before its start, which says nothing of the target.
+func (j *Judge) Dropped(id target.ID) {
 	if r := j.row(id); r != nil {
-		j.reset(r, r.generation)
+		r.inFlight = max(0, r.inFlight-1)
+	}
+}
+
+// Gone forgets a target that has left or fallen silent; late outcomes of its tasks count for nothing.
+func (j *Judge) Gone(id target.ID, now time.Time) {
+	if r := j.row(id); r != nil {
+		j.reset(id, r, now)
+		r.gone = true
 	}
 }
 
 // row returns the row of a present ID, or nil.
 func (j *Judge) row(id target.ID) *row {
 	i := id.Index()
-	if i >= len(j.rows) || j.rows[i].generation != id.Generation() {
+	if i >= len(j.rows) || j.rows[i].generation != id.Generation() || j.rows[i].gone {
 		return nil
 	}
 	return &j.rows[i]
 }
 
-// take returns the row of an ID, a fresh one if the ID is a later incarnation, and nil if it is an earlier one.
-func (j *Judge) take(id target.ID) *row {
+// take returns the row of an ID, a fresh one if the ID is a later incarnation, and nil if it is an earlier one or gone.
+func (j *Judge) take(id target.ID, now time.Time) *row {
 	for id.Index() >= len(j.rows) {
 		j.rows = append(j.rows, row{})
 	}
@@ -139,16 +154,20 @@
 		return nil
 	}
 	if r.generation < id.Generation() {
-		j.reset(r, id.Generation())
+		j.reset(id, r, now)
 	}
-	return r
+	return j.row(id)
 }
 
-func (j *Judge) reset(r *row, generation uint32) {
+// reset gives a row to the incarnation that id names.
+func (j *Judge) reset(id target.ID, r *row, now time.Time) {
 	if r.state.out() {
 		j.out--
 	}
-	*r = row{generation: generation}
+	if r.state == ejected {
+		j.watch.Returned(now, target.New(uint32(id.Index()), r.generation))
+	}
+	*r = row{generation: id.Generation()}
 }
 
 // mayLose reports whether one more target may be taken out.
--- a/core/eject/judge_test.go
+++ b/core/eject/judge_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"persimmonstage/core/cause"
 	"persimmonstage/core/eject"
 	"persimmonstage/core/needs"
 	"persimmonstage/core/place"
@@ -33,6 +34,13 @@
 // fate says how a task of a kind ends at a target.
 type fate func(now time.Duration, target, kind int) (eject.Outcome, time.Duration)
 
+// told is what the judge tells of its ejections.
+type told []string
+
+func (l *told) Ejected(_ time.Time, _ target.ID, c cause.Cause) { *l = append(*l, string(c)) }
+
+func (l *told) Returned(time.Time, target.ID) { *l = append(*l, "returned") }
+
 type task struct {
 	id      target.ID
 	kind    string
@@ -55,12 +63,13 @@
 	running []task
 	started [targets]int
 	mostOut int
+	told    told
 }
 
 func newFleet(f fate) *fleet {
 	fl := &fleet{fate: f, rng: rand.New(rand.NewPCG(1, 2))}
 	fl.roster.SetSilence(time.Hour)
-	fl.judge = eject.New(&fl.roster)
+	fl.judge = eject.New(&fl.roster, &fl.told)
 	fl.placer = place.New(place.Bounded, &fl.roster, &fl.table, 0)
 	for i := range targets {
 		id, _ := fl.roster.Announce(fmt.Sprint(i), "a", "kl-1", "r1", needs.Vector{Slots: slotsEach}, start)
@@ -175,6 +184,7 @@
 	f.run(2 * time.Minute)
 	require.Zero(t, f.out())
 	require.Greater(t, f.started[3]-lost, 1000)
+	require.Equal(t, told{"target-fails", "returned"}, f.told)
 }
 
 func TestHangIsOut(t *testing.T) {
@@ -187,6 +197,7 @@
 	t.Logf("tasks started at the target that hangs: %d", f.started[3]-before)
 	require.True(t, out)
 	require.Equal(t, "starts tasks and ends none", reason)
+	require.Equal(t, told{"target-slow"}, f.told)
 	require.LessOrEqual(t, f.started[3]-before, 3*slotsEach)
 }
 
@@ -255,7 +266,7 @@
 
 func TestFlappingIsOut(t *testing.T) {
 	var r roster.Roster
-	j := eject.New(&r)
+	j := eject.New(&r, &told{})
 	for i := range targets {
 		r.Announce(fmt.Sprint("other", i), "a", "kl-1", "r1", slot, start)
 	}
@@ -271,6 +282,31 @@
 	require.True(t, r.Usable(id))
 }
 
+func TestRefusalsSpeakNeitherForNorAgainst(t *testing.T) {
+	f := newFleet(well)
+	id := target.New(3, 1)
+	f.judge.Sent(id, runTime, start)
+	f.judge.Sent(id, runTime, start)
+	f.judge.Dropped(id)
+	late := start.Add(time.Minute)
+	f.judge.Tick(late, nil)
+	require.Equal(t, told{"target-slow"}, f.told, "a refusal is no sign that the target ends anything")
+	f.judge.Probed(id, true, late)
+	f.judge.Dropped(id)
+	f.judge.Tick(late.Add(time.Minute), nil)
+	require.Zero(t, f.out(), "nothing is in flight")
+}
+
+func TestLateOutcomesOfATargetThatIsGoneTakeNoPlaceAmongThoseOut(t *testing.T) {
+	f := newFleet(well)
+	id := target.New(3, 1)
+	f.judge.Gone(id, start)
+	for range 2 * slotsEach {
+		f.judge.Ended(id, "0", eject.Failed, start)
+	}
+	require.Zero(t, f.out())
+}
+
 func (f *fleet) reasons() (all []string) {
 	for i := range targets {
 		reason, _ := f.judge.Out(target.New(uint32(i), 1))
--- a/core/eject/probe.go
+++ b/core/eject/probe.go
@@ -29,7 +29,7 @@
 	if j.row(id) != nil {
 		return
 	}
-	r := j.take(id)
+	r := j.take(id, now)
 	if r == nil {
 		return
 	}
@@ -50,7 +50,7 @@
 func (j *Judge) Tick(now time.Time, probe func(target.ID)) {
 	for i := range j.rows {
 		r := &j.rows[i]
-		if r.generation == 0 {
+		if r.generation == 0 || r.gone {
 			continue
 		}
 		j.tick(target.New(uint32(i), r.generation), r, now, probe)
@@ -103,6 +103,7 @@
 	r.progress = now
 	j.resume(id, r)
 	j.limit(id, r, true)
+	j.watch.Returned(now, id)
 }
 
 // eject takes a target out until a probe, unless too many are out already.
@@ -117,6 +118,7 @@
 	r.spell++
 	r.unsettled = 0
 	j.strike(r, now)
+	j.watch.Ejected(now, id, causes[reason])
 }
 
 // strike sets the time of the next probe, twice as far as the last.
--- a/core/owner/handover.go
+++ b/core/owner/handover.go
@@ -24,6 +24,13 @@
 	}
 }
 
+// Recall takes back what was sent to an agent's incarnation and has not started, to place it again.
+func (o *Owner) Recall(agent string) {
+	if ids := o.attemptsAt(agent); len(ids) > 0 {
+		o.out.Withdraw(agent, ids)
+	}
+}
+
 // attemptsAt lists the attempts at an agent's incarnation whose end is not known, in the order in which they were made.
 func (o *Owner) attemptsAt(agent string) []uint64 {
 	var ids []uint64
--- a/core/owner/owner.go
+++ b/core/owner/owner.go
@@ -183,7 +183,8 @@
 	if taskChart.FinalID(t.state) {
 		return
 	}
-	if t.booked != 0 {
+	if t.ordered {
+		t.ordered = false
 		o.out.Ended(now, t.booked, r.job.Kind, t.work, res.Ran, res.OK)
 	}
 	r.longest = max(r.longest, res.Ran)
--- a/core/owner/place.go
+++ b/core/owner/place.go
@@ -93,7 +93,7 @@
 
 func (o *Owner) send(now time.Time, r *record, i int, c *place.Choice) {
 	t := &r.tasks[i]
-	t.booked, t.work, t.maxWait, t.delay = c.Target(), c.Work(), c.MaxWait(), c.Delay()
+	t.booked, t.wait, t.work, t.maxWait, t.delay = c.Target(), c.Wait(), c.Work(), c.MaxWait(), c.Delay()
 	for _, id := range c.Reserve() {
 		o.attempt(r, i, id)
 	}
--- a/core/owner/record.go
+++ b/core/owner/record.go
@@ -37,11 +37,14 @@
 	state    int
 	attempts []attempt
 	booked   target.ID
-	work     time.Duration
-	output   []byte
-	reason   string
-	tries    int
-	granted  bool
+	// ordered tells that the start was sent to the booked target and its end is not known.
+	ordered bool
+	wait    time.Duration
+	work    time.Duration
+	output  []byte
+	reason  string
+	tries   int
+	granted bool
 	// moves counts the refusals because of the wait; maxWait and delay go with the order.
 	moves int
 	// sentTo lists the agents that may have started the task.
--- a/core/owner/step.go
+++ b/core/owner/step.go
@@ -79,6 +79,8 @@
 	case sendStart:
 		o.rebook(r, i)
 		t.sentTo = append(t.sentTo, ident.Ident{Name: t.attempts[0].name, Incarnation: t.attempts[0].agent})
+		t.ordered = true
+		o.out.Sent(t.booked, t.wait+t.work)
 		o.out.Start(t.attempts[0].agent, o.order(r, i, &t.attempts[0]))
 	case withdrawOthers:
 		o.withdrawOthers(r, i)
@@ -138,6 +140,10 @@
 	if t.booked == 0 {
 		return
 	}
+	if t.ordered {
+		t.ordered = false
+		o.out.Dropped(t.booked)
+	}
 	o.bookings.EndedClass(t.booked, rank.Of(t.delay), r.job.Tasks[i].Needs, t.work)
 	t.booked = 0
 }
--- a/io/entryd/admin.go
+++ b/io/entryd/admin.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"persimmonstage/core/needs"
+	"persimmonstage/core/target"
 	"persimmonstage/io/days"
 )
 
@@ -39,6 +40,7 @@
 	DataCentre  string       `json:"data-centre"`
 	Rack        string       `json:"rack,omitempty"`
 	Usable      bool         `json:"usable"`
+	Out         string       `json:"out,omitempty"`
 	Free        needs.Vector `json:"free"`
 	InFlight    int          `json:"in-flight"`
 	Factor      float64      `json:"run-time-factor"`
@@ -107,13 +109,25 @@
 	for id, l := range d.agents.byTarget {
 		out = append(out, targetState{
 			Name: l.who.Name, Incarnation: l.who.Incarnation, DataCentre: d.roster.DataCentre(id), Rack: d.roster.Rack(id),
-			Usable: d.roster.Usable(id), Free: d.roster.Free(id), InFlight: d.roster.InFlight(id), Factor: d.speeds.Factor(id),
+			Usable: d.roster.Usable(id), Out: d.whyOut(id, l), Free: d.roster.Free(id), InFlight: d.roster.InFlight(id), Factor: d.speeds.Factor(id),
 		})
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
 	return out
 }
 
+// whyOut gives the reason why a target gets no work, or nothing if it gets some.
+func (d *Daemon) whyOut(id target.ID, l *agentLink) string {
+	if l.leaving {
+		return "leaving"
+	}
+	if l.drained {
+		return "drained"
+	}
+	reason, _ := d.judge.Out(id)
+	return reason
+}
+
 // teamState is what a team may use and what it has now.
 type teamState struct {
 	Name   string `json:"name"`
--- a/io/entryd/agents.go
+++ b/io/entryd/agents.go
@@ -27,6 +27,7 @@
 	// nextAsk bounds how often the agent is asked for its records.
 	nextAsk time.Time
 	drained bool
+	leaving bool
 }
 
 // agents are the agents with a connection; the loop owns it.
@@ -141,7 +142,7 @@
 		return
 	}
 	d.speeds.Forget(l.id)
-	d.judge.Gone(l.id)
+	d.judge.Gone(l.id, time.Now())
 	d.roster.Remove(l.id)
 	delete(d.agents.byTarget, l.id)
 	l.id = 0
@@ -162,7 +163,7 @@
 	}
 	d.log.Info("agent silent", zap.String("agent", l.who.Name))
 	d.speeds.Forget(id)
-	d.judge.Gone(id)
+	d.judge.Gone(id, time.Now())
 	d.note(time.Now(), cause.TargetLost, l.who.Name)
 	delete(d.agents.byTarget, id)
 	l.id = 0
--- a/io/entryd/daemon.go
+++ b/io/entryd/daemon.go
@@ -15,6 +15,7 @@
 
 	"persimmonstage/core/admit"
 	"persimmonstage/core/eject"
+	"persimmonstage/core/event"
 	"persimmonstage/core/fold"
 	"persimmonstage/core/group"
 	"persimmonstage/core/ident"
@@ -83,6 +84,7 @@
 	retries      retry.Budget
 	gate         *admit.Gate
 	judge        *eject.Judge
+	ejections    map[target.ID]event.Event
 	recoveries   map[int]*recov.Recovery
 	agents       agents
 	released     map[int]recov.Release
@@ -128,9 +130,10 @@
 	seed := rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), rand.Uint64()))
 	d.placer.DelayLarge(true)
 	d.gate = admit.New(seed)
-	d.judge = eject.New(d.roster)
+	d.judge = eject.New(d.roster, sick{d})
 	d.owner = owner.New(effects{d}, d.placer, d.roster, &d.retries, d.gate, lease{d}, seed)
 	d.agents = newAgents()
+	d.ejections = make(map[target.ID]event.Event)
 	d.group = group.New(group.Config{
 		Self: d.self, Shards: shardCount, Beat: ms(set.Timing.HeartbeatMS), Suspect: ms(set.Timing.SuspectMS),
 		Grace: ms(set.Timing.GraceMS), Lifetime: recordLifetime, Refresh: mapRefresh,
--- a/io/entryd/effects.go
+++ b/io/entryd/effects.go
@@ -28,13 +28,9 @@
 // Start puts an order into the agent's outbox; without a connection the order was never sent, which is a refusal.
 func (e effects) Start(agent string, o *order.Order) {
 	e.d.metrics.starts.Inc()
-	if e.put(agent, &wire.Bulk{Body: &wire.Bulk_Start{Start: codec.StartOut(o)}}) {
-		if id := e.d.agents.byIncarnation[agent].id; id != 0 {
-			e.d.judge.Sent(id, o.Expected, time.Now())
-		}
-		return
+	if !e.put(agent, &wire.Bulk{Body: &wire.Bulk_Start{Start: codec.StartOut(o)}}) {
+		e.d.refuseLater(o.Attempt)
 	}
-	e.d.refuseLater(o.Attempt)
 }
 
 // Reserve sends a reservation on the control connection.
@@ -74,6 +70,12 @@
 	return l != nil && l.box != nil && l.box.Put(m)
 }
 
+// Sent tells the judge of sick targets what it has to expect.
+func (e effects) Sent(id target.ID, expected time.Duration) { e.d.judge.Sent(id, expected, time.Now()) }
+
+// Dropped tells it to expect a start no more.
+func (e effects) Dropped(id target.ID) { e.d.judge.Dropped(id) }
+
 // Ended teaches the estimates.
 func (e effects) Ended(now time.Time, id target.ID, kind string, expected, ran time.Duration, ok bool) {
 	if !ok {
--- a/io/entryd/frames.go
+++ b/io/entryd/frames.go
@@ -125,6 +125,7 @@
 		return
 	}
 	if h.Leaving {
+		l.leaving = true
 		d.roster.Leave(l.id)
 	}
 	d.heardLoad(now, l, h.Stamp, h.Loads)
--- a/io/runner/server.go
+++ b/io/runner/server.go
@@ -29,7 +29,7 @@
 //
 //	POST /run      does the work that the Kind header names on the body
 //	GET  /healthz  tells whether it is well
-//	GET  /starts   counts the starts: total, tasks started twice, the most at once
+//	GET  /starts   counts the starts: total, tasks started twice, the most at once; and the health checks
 //	POST /faults   switches faults on and off
 type Server struct {
 	// Speed divides the run time that a payload asks for; zero means 1.
@@ -42,6 +42,7 @@
 	starts  map[string]int
 	doubled []string
 	faults  faults
+	checks  int
 	running atomic.Int64
 	most    atomic.Int64
 }
@@ -100,6 +101,7 @@
 
 func (s *Server) health(ctx *fasthttp.RequestCtx) {
 	s.mu.Lock()
+	s.checks++
 	sick := s.faults.Sick || s.faults.Fail || s.faults.Hang
 	s.mu.Unlock()
 	if sick {
@@ -117,8 +119,9 @@
 		Total   int            `json:"total"`
 		Doubled []string       `json:"doubled"`
 		Most    int64          `json:"most-at-once"`
+		Checks  int            `json:"health-checks"`
 		Starts  map[string]int `json:"starts,omitempty"`
-	}{Total: total, Doubled: append([]string{}, s.doubled...), Most: s.most.Load()}
+	}{Total: total, Checks: s.checks, Doubled: append([]string{}, s.doubled...), Most: s.most.Load()}
 	if ctx.QueryArgs().GetBool("all") {
 		out.Starts = s.starts
 	}
--- a/io/verb/targets.go
+++ b/io/verb/targets.go
@@ -20,8 +20,9 @@
 	return &cli.Command{
 		Name:  "targets",
 		Usage: "list the targets that an entry knows, what is free there and how fast they are",
-		Description: "A target that isn't usable gets no new work from this entry: it is drained, taken out as sick, or its agent is\n" +
-			"silent. The factor is its run time over what is usual for the same kind of work; in flight are this entry's tasks.\n\n" +
+		Description: "A target that isn't usable gets no new work from this entry: it is drained, leaving or taken out as\n" +
+			"sick; the last column says which, and why. The factor is its run time over what is usual for the same kind of work;\n" +
+			"in flight are this entry's tasks.\n\n" +
 			"Example: persimmonstage targets --entry http://127.0.0.1:8080",
 		Flags:  []cli.Flag{entryFlag(), operatorFlag(), jsonFlag()},
 		Action: runTargets,
@@ -33,6 +34,7 @@
 	DataCentre string       `json:"data-centre"`
 	Rack       string       `json:"rack"`
 	Usable     bool         `json:"usable"`
+	Out        string       `json:"out"`
 	Free       needs.Vector `json:"free"`
 	InFlight   int          `json:"in-flight"`
 	Factor     float64      `json:"run-time-factor"`
@@ -56,10 +58,10 @@
 
 func printTargets(w io.Writer, all []targetLine) error {
 	table := tabwriter.NewWriter(w, 0, 0, columnGap, ' ', 0)
-	fmt.Fprintln(table, "TARGET\tDATA CENTRE\tRACK\tUSABLE\tIN FLIGHT\tFACTOR\tFREE")
+	fmt.Fprintln(table, "TARGET\tDATA CENTRE\tRACK\tUSABLE\tIN FLIGHT\tFACTOR\tFREE\tOUT BECAUSE")
 	for _, t := range all {
-		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t%.2f\t%s\n",
-			t.Name, t.DataCentre, dash(t.Rack), yesNo(t.Usable), t.InFlight, t.Factor, amounts(t.Free))
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t%.2f\t%s\t%s\n",
+			t.Name, t.DataCentre, dash(t.Rack), yesNo(t.Usable), t.InFlight, t.Factor, amounts(t.Free), dash(t.Out))
 	}
 	if err := table.Flush(); err != nil {
 		return err
--- a/test/faults/stop_test.go
+++ b/test/faults/stop_test.go
@@ -13,11 +13,27 @@
 
 // underLoad sends jobs of a few tasks to every entry from several callers while f runs, and gives what they were told.
 func underLoad(f *fleet.Fleet, t *testing.T, entries []string, during func()) []outcome {
+	t.Helper()
+	return offer(f, t, flow{callers: callers, kinds: []string{"sort"}, tasks: 3, workMS: 150, life: lifetime, entries: entries}, during)
+}
+
+// flow is what callers submit, each one job after another.
+type flow struct {
+	callers int
+	kinds   []string
+	tasks   int
+	workMS  int
+	life    time.Duration
+	entries []string
+}
+
+// offer runs a flow for as long as during runs, and gives what was told; the ids begin with the kind.
+func offer(f *fleet.Fleet, t *testing.T, w flow, during func()) []outcome {
 	t.Helper()
 	all := &book{}
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
-	for c := range callers {
+	for c := range w.callers {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
@@ -27,9 +43,10 @@
 					return
 				default:
 				}
-				o := outcome{id: fmt.Sprintf("s%d-%d", c, n), tasks: 3}
-				body, deadline := job(t, o.id, "sort", o.tasks, 150, lifetime)
-				r, err := submitOnce(f, entries[(c+n)%len(entries)], body, deadline)
+				kind := w.kinds[n%len(w.kinds)]
+				o := outcome{id: fmt.Sprintf("%s-%d-%d", kind, c, n), tasks: w.tasks}
+				body, deadline := job(t, o.id, kind, o.tasks, w.workMS, w.life)
+				r, err := submitOnce(f, w.entries[(c+n)%len(w.entries)], body, deadline)
 				if err != nil {
 					o.errs = append(o.errs, err)
 				} else {
--- a/test/fleet/observe.go
+++ b/test/fleet/observe.go
@@ -20,8 +20,10 @@
 		Overdue int `json:"past-deadline"`
 	} `json:"jobs"`
 	Targets []struct {
-		Name   string `json:"name"`
-		Usable bool   `json:"usable"`
+		Name     string `json:"name"`
+		Usable   bool   `json:"usable"`
+		Out      string `json:"out"`
+		InFlight int    `json:"in-flight"`
 	} `json:"targets"`
 }
 
@@ -47,6 +49,16 @@
 	return n
 }
 
+// Out gives the reason why an entry places nothing on a target, or nothing.
+func (s *EntryState) Out(target string) string {
+	for _, t := range s.Targets {
+		if t.Name == target {
+			return t.Out
+		}
+	}
+	return "not known"
+}
+
 // AwaitTargets waits until an entry can place on n targets.
 func (f *Fleet) AwaitTargets(entry string, n int) {
 	f.t.Helper()
@@ -72,6 +84,7 @@
 	Total   int            `json:"total"`
 	Doubled []string       `json:"doubled"`
 	Most    int            `json:"most-at-once"`
+	Probes  int            `json:"health-checks"`
 	Starts  map[string]int `json:"starts"`
 }
 
--- a/test/stepped/effects_test.go
+++ b/test/stepped/effects_test.go
@@ -79,6 +79,10 @@
 	e.toAgent(agent, orders, func(h *host) { h.core.Repeat(e.inc, shard, key, index) })
 }
 
+func (*entry) Sent(target.ID, time.Duration) {}
+
+func (*entry) Dropped(target.ID) {}
+
 func (*entry) Ended(time.Time, target.ID, string, time.Duration, time.Duration, bool) {}
 
 func (*entry) Closed(time.Time, jobkey.Key, string, int, time.Time, time.Time, time.Duration, *answer.Answer) {
