Note a target's death also when its connections end with it

Change: a target whose connections end without a goodbye is noted as lost when another incarnation takes its name, or when it isn't back within timing.suspect-ms; a stopping entry notes nothing. Ruled out: a note at the end of the connection, which would name every target after an entry stood still or a connection broke.

--- a/io/entryd/agents.go
+++ b/io/entryd/agents.go
@@ -36,6 +36,8 @@
 	byConn        map[uint64]*agentLink
 	byTarget      map[target.ID]*agentLink
 	lastOf        map[string]string
+	// cut has the targets whose connections ended without a goodbye, and when each counts as lost if it isn't back.
+	cut map[string]time.Time
 }
 
 func newAgents() agents {
@@ -44,6 +46,7 @@
 		byConn:        make(map[uint64]*agentLink),
 		byTarget:      make(map[target.ID]*agentLink),
 		lastOf:        make(map[string]string),
+		cut:           make(map[string]time.Time),
 	}
 }
 
@@ -121,7 +124,9 @@
 	}
 	if last := d.agents.lastOf[l.who.Name]; last != "" && last != l.who.Incarnation {
 		d.owner.Vanished(now, last)
+		d.noteLost(now, l.who.Name)
 	}
+	delete(d.agents.cut, l.who.Name)
 	d.agents.lastOf[l.who.Name] = l.who.Incarnation
 	h := l.hello
 	if !h.Leaving {
@@ -146,6 +151,26 @@
 	d.roster.Remove(l.id)
 	delete(d.agents.byTarget, l.id)
 	l.id = 0
+	if !l.leaving && !d.draining.Load() {
+		d.agents.cut[l.who.Name] = time.Now().Add(ms(d.set.Timing.SuspectMS))
+	}
+}
+
+// noteLost enters into the account of the day that a target whose connections ended has died.
+func (d *Daemon) noteLost(now time.Time, name string) {
+	if _, ok := d.agents.cut[name]; ok {
+		delete(d.agents.cut, name)
+		d.note(now, cause.TargetLost, name)
+	}
+}
+
+// tickLost notes the targets that didn't come back.
+func (d *Daemon) tickLost(now time.Time) {
+	for name, at := range d.agents.cut {
+		if !now.Before(at) {
+			d.noteLost(now, name)
+		}
+	}
 }
 
 // forgetLink drops a link that has no connection left.
--- a/io/entryd/daemon.go
+++ b/io/entryd/daemon.go
@@ -275,6 +275,7 @@
 	d.tickAccount(now)
 	d.gate.Expire(now)
 	d.judge.Tick(now, d.probe)
+	d.tickLost(now)
 	d.setFleet()
 	if !now.Before(d.nextFade) {
 		d.nextFade = now.Add(fadePeriod)
--- a/io/entryd/frames.go
+++ b/io/entryd/frames.go
@@ -121,11 +121,14 @@
 	d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_HeartbeatAnswer{HeartbeatAnswer: &wire.HeartbeatAnswer{
 		Stamp: h.Stamp, MapVersion: d.group.Version(), ConfigVersion: d.configVersion(),
 	}}})
+	if h.Leaving {
+		l.leaving = true
+		delete(d.agents.cut, l.who.Name)
+	}
 	if l.id == 0 {
 		return
 	}
 	if h.Leaving {
-		l.leaving = true
 		d.roster.Leave(l.id)
 	}
 	d.heardLoad(now, l, h.Stamp, h.Loads)
--- a/test/faults/sick_test.go
+++ b/test/faults/sick_test.go
@@ -153,6 +153,21 @@
 	judge(t, f.AllStarts(agents), got)
 }
 
+// The account of the day names a target whose agent died, also when its end was seen as the end of its connections.
+func TestDeadAgentStandsInTheReport(t *testing.T) {
+	f := fleet.New(t, 1, 2)
+	f.Kill("agent-2")
+	f.AwaitTargets("entry-1", 1)
+	f.Restart("agent-2")
+	f.AwaitTargets("entry-1", 2)
+	f.Stop("entry-1")
+	f.Restart("entry-1")
+	f.Await("the day's report names the target", func() bool {
+		return strings.Contains(command(f, "entry-1", "report"), "The target agent-2, or the host it ran on, died")
+	})
+	require.NotContains(t, command(f, "entry-1", "report"), "The target agent-1, or the host")
+}
+
 // What was withdrawn at a job's deadline before its start is no reason to take its target for one that hangs.
 func TestWithdrawnTasksEjectNobody(t *testing.T) {
 	f := fleet.New(t, 1, 2)
