Check that each start has one end, and that a drained target says so

Cause: nothing tested that the owner tells an end at most once for each start it told of. Change: the stepped world counts them; the test of `drain` wants the reason in `targets`. Ruled out: nothing.

--- a/io/verb/targets_test.go
+++ b/io/verb/targets_test.go
@@ -54,6 +54,7 @@
 	until(t, "drain "+name, "drained targets: "+name)
 	until(t, "targets", "1 of 2 usable")
 	until(t, "targets --json", `"usable": false`)
+	until(t, "targets", "drained\n")
 	until(t, "undrain "+name, "drained targets: none")
 	until(t, "targets", "2 of 2 usable")
 }
--- a/test/stepped/effects_test.go
+++ b/test/stepped/effects_test.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"persimmonstage/core/answer"
 	"persimmonstage/core/jobkey"
 	"persimmonstage/core/order"
@@ -79,11 +81,17 @@
 	e.toAgent(agent, orders, func(h *host) { h.core.Repeat(e.inc, shard, key, index) })
 }
 
-func (*entry) Sent(target.ID, time.Duration) {}
+func (e *entry) Sent(id target.ID, _ time.Duration) { e.open[id]++ }
+
+func (e *entry) Dropped(id target.ID) { e.ended(id) }
 
-func (*entry) Dropped(target.ID) {}
+func (e *entry) Ended(_ time.Time, id target.ID, _ string, _, _ time.Duration, _ bool) { e.ended(id) }
 
-func (*entry) Ended(time.Time, target.ID, string, time.Duration, time.Duration, bool) {}
+// ended counts the one end of each start that was sent.
+func (e *entry) ended(id target.ID) {
+	e.open[id]--
+	require.GreaterOrEqual(e.w.t, e.open[id], 0)
+}
 
 func (*entry) Closed(time.Time, jobkey.Key, string, int, time.Time, time.Time, time.Duration, *answer.Answer) {
 }
--- a/test/stepped/world_test.go
+++ b/test/stepped/world_test.go
@@ -64,7 +64,8 @@
 	core   *owner.Owner
 	roster *roster.Roster
 	ids    map[string]target.ID
-	lines  map[string]*line // by the agent's incarnation
+	open   map[target.ID]int // starts sent there whose end the owner hasn't told
+	lines  map[string]*line  // by the agent's incarnation
 }
 
 // line is the connection of an owner and an agent: two streams each way, ordered in themselves only.
@@ -144,7 +145,7 @@
 	w.epoch++
 	e := &entry{
 		w: w, inc: fmt.Sprintf("entry#%d", w.epoch), epoch: w.epoch, roster: &roster.Roster{},
-		ids: map[string]target.ID{}, lines: map[string]*line{},
+		ids: map[string]target.ID{}, open: map[target.ID]int{}, lines: map[string]*line{},
 	}
 	rng := rand.New(rand.NewPCG(1, w.epoch))
 	speeds := &speed.Table{}
