--- a/test/stepped/fleet_test.go
+++ b/test/stepped/fleet_test.go
@@ -229,6 +229,10 @@
 	e.roster.Rate(id, e.speeds.Factor(id))
 }
 
+func (*front) Sent(target.ID, time.Duration) {}
+
+func (*front) Dropped(target.ID) {}
+
 func (*front) Closed(time.Time, jobkey.Key, string, int, time.Time, time.Time, time.Duration, *answer.Answer) {
 }
 
