Announce a port mapping, and cut one way between real processes

Cause: one-way cuts were searched over step functions only. Agents and entries dial what an entry listens on, so that nothing could stand between real processes, nor could an entry stand behind a port mapping.

Change: settings advertise-control and advertise-bulk.

--- a/io/codec/beat.go
+++ b/io/codec/beat.go
@@ -12,7 +12,7 @@
 func MemberOut(m member.Member) *wire.Member {
 	return &wire.Member{
 		Name: m.Name, Incarnation: m.Incarnation, DataCentre: m.DataCentre,
-		Control: m.Control, Bulk: m.Bulk, Http: m.HTTP,
+		Control: m.Control, Bulk: m.Bulk, Http: m.HTTP, Mapped: m.Mapped,
 	}
 }
 
@@ -20,7 +20,7 @@
 func MemberIn(m *wire.Member) member.Member {
 	return member.Member{
 		Name: m.GetName(), Incarnation: m.GetIncarnation(), DataCentre: m.GetDataCentre(),
-		Control: m.GetControl(), Bulk: m.GetBulk(), HTTP: m.GetHttp(),
+		Control: m.GetControl(), Bulk: m.GetBulk(), HTTP: m.GetHttp(), Mapped: m.GetMapped(),
 	}
 }
 
--- a/io/entryd/daemon.go
+++ b/io/entryd/daemon.go
@@ -168,8 +168,21 @@
 		return errors.Wrap(err, "bulk")
 	}
 	d.self.Bulk = d.bulk.Addr().String()
-	d.self.Control, err = d.control.Listen(d.set.Control)
-	return err
+	if d.self.Control, err = d.control.Listen(d.set.Control); err != nil {
+		return err
+	}
+	d.advertise()
+	return nil
+}
+
+// advertise puts the addresses of a port mapping in place of those that others can't reach.
+func (d *Daemon) advertise() {
+	if d.set.AdvertiseControl != "" {
+		d.self.Control, d.self.Mapped = d.set.AdvertiseControl, true
+	}
+	if d.set.AdvertiseBulk != "" {
+		d.self.Bulk, d.self.Mapped = d.set.AdvertiseBulk, true
+	}
 }
 
 // Addr gives the address for callers.
--- a/io/entset/settings.go
+++ b/io/entset/settings.go
@@ -12,16 +12,19 @@
 
 // Settings is what an entry reads from its TOML file; times are in milliseconds.
 type Settings struct {
-	Name       string   `toml:"name" doc:"the entry's name, the same after a restart; required"`
-	DataCentre string   `toml:"data-centre" doc:"the data centre where it stands; required"`
-	HTTP       string   `toml:"http" doc:"IP:PORT for callers, operators, the page and metrics; required"`
-	Control    string   `toml:"control" doc:"IP:PORT for small frames of agents and entries; required"`
-	Bulk       string   `toml:"bulk" doc:"IP:PORT for jobs, results, maps and configuration; required"`
-	Log        string   `toml:"log" doc:"IP:PORT of the platform's log; required"`
-	Peers      []string `toml:"peers" doc:"the other entries' bulk addresses, asked for map and configuration while the log is down"`
-	TimeZone   string   `toml:"time-zone" doc:"the owner's, an IANA name; default UTC"`
-	Access     string   "toml:\"access\" doc:\"`open`: nobody needs a token until a configuration is published; default `tokens`\""
-	Bootstrap  string   `toml:"bootstrap" doc:"SHA-256 in hex of the token that may publish the first configuration"`
+	Name       string `toml:"name" doc:"the entry's name, the same after a restart; required"`
+	DataCentre string `toml:"data-centre" doc:"the data centre where it stands; required"`
+	HTTP       string `toml:"http" doc:"IP:PORT for callers, operators, the page and metrics; required"`
+	Control    string `toml:"control" doc:"IP:PORT for small frames of agents and entries; required"`
+	Bulk       string `toml:"bulk" doc:"IP:PORT for jobs, results, maps and configuration; required"`
+	// AdvertiseControl and AdvertiseBulk are where agents and other entries dial instead of Control and Bulk.
+	AdvertiseControl string   `toml:"advertise-control" doc:"IP:PORT at which others reach control, behind a port mapping; default control"`
+	AdvertiseBulk    string   `toml:"advertise-bulk" doc:"IP:PORT at which others reach bulk, behind a port mapping; default bulk"`
+	Log              string   `toml:"log" doc:"IP:PORT of the platform's log; required"`
+	Peers            []string `toml:"peers" doc:"the other entries' bulk addresses, asked for map and configuration while the log is down"`
+	TimeZone         string   `toml:"time-zone" doc:"the owner's, an IANA name; default UTC"`
+	Access           string   "toml:\"access\" doc:\"`open`: nobody needs a token until a configuration is published; default `tokens`\""
+	Bootstrap        string   `toml:"bootstrap" doc:"SHA-256 in hex of the token that may publish the first configuration"`
 	// Placement names the policy by which tasks are placed.
 	Placement string "toml:\"placement\" doc:\"the policy by which tasks are placed; default `bounded`\""
 	Timing    struct {
@@ -73,9 +76,36 @@
 	case s.DataCentre == "":
 		return "data-centre", missing
 	}
-	for _, a := range []struct{ key, value string }{
-		{"http", s.HTTP}, {"control", s.Control}, {"bulk", s.Bulk}, {"log", s.Log},
+	if key, reason := s.checkAddresses(); key != "" {
+		return key, reason
+	}
+	if s.Access != "tokens" && s.Access != "open" {
+		return "access", "\"" + s.Access + "\" is neither \"tokens\" nor \"open\""
+	}
+	if _, ok := place.Named(s.Placement); !ok {
+		return "placement", "not a policy; the policies are " + strings.Join(place.Names(), ", ")
+	}
+	if _, err := time.LoadLocation(s.TimeZone); err != nil {
+		return "time-zone", strconv.Quote(s.TimeZone) + " is not a known time zone"
+	}
+	return s.checkTiming()
+}
+
+func (s *Settings) checkAddresses() (key, reason string) {
+	for _, a := range []struct {
+		key, value string
+		optional   bool
+	}{
+		{"http", s.HTTP, false},
+		{"control", s.Control, false},
+		{"bulk", s.Bulk, false},
+		{"log", s.Log, false},
+		{"advertise-control", s.AdvertiseControl, true},
+		{"advertise-bulk", s.AdvertiseBulk, true},
 	} {
+		if a.value == "" && a.optional {
+			continue
+		}
 		if a.value == "" {
 			return a.key, missing
 		}
@@ -83,21 +113,12 @@
 			return a.key, strconv.Quote(a.value) + notAddress
 		}
 	}
-	if s.Access != "tokens" && s.Access != "open" {
-		return "access", "\"" + s.Access + "\" is neither \"tokens\" nor \"open\""
-	}
-	if _, ok := place.Named(s.Placement); !ok {
-		return "placement", "not a policy; the policies are " + strings.Join(place.Names(), ", ")
-	}
 	for _, p := range s.Peers {
 		if !addr.Valid(p) {
 			return "peers", strconv.Quote(p) + notAddress
 		}
 	}
-	if _, err := time.LoadLocation(s.TimeZone); err != nil {
-		return "time-zone", strconv.Quote(s.TimeZone) + " is not a known time zone"
-	}
-	return s.checkTiming()
+	return "", ""
 }
 
 func (s *Settings) checkTiming() (key, reason string) {
--- a/io/entset/settings_test.go
+++ b/io/entset/settings_test.go
@@ -35,6 +35,7 @@
 			"peer by name", whole + "peers = [\"127.0.0.1:1\", \"host:1\"]\n",
 			"entry.toml:7: peers: \"host:1\" is not an address of the form IP:PORT",
 		},
+		{"advertised by name", whole + "advertise-bulk = \"host:1\"\n", "entry.toml:7: advertise-bulk: \"host:1\" is not an address of the form IP:PORT"},
 		{"time zone", whole + "time-zone = \"Atlantis/Capital\"\n", "entry.toml:7: time-zone: \"Atlantis/Capital\" is not a known time zone"},
 		{"heartbeat", whole + "[timing]\nheartbeat-ms = 10\n", "entry.toml:8: timing.heartbeat-ms: too short, at least 50"},
 		{"suspect", whole + "[timing]\nsuspect-ms = 999\n", "entry.toml:8: timing.suspect-ms: too short, at least two heartbeats"},
--- a/test/faults/chaos_test.go
+++ b/test/faults/chaos_test.go
@@ -35,6 +35,7 @@
 	tasks   int
 	answers []reply
 	errs    []error
+	body    []byte // what was submitted, if it is to be submitted again
 }
 
 // book collects the outcomes.
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -17,6 +17,7 @@
 
 	"persimmonstage/io/caller"
 	_ "persimmonstage/io/verb" // a change of the program that is built here must run the tests again
+	"persimmonstage/test/relay"
 )
 
 const (
@@ -38,6 +39,7 @@
 	bulk    []string
 	control []string
 	options Options
+	relays  map[string][]*relay.Relay
 }
 
 var (
@@ -59,7 +61,7 @@
 	require.NoError(t, buildErr)
 	f := &Fleet{
 		t: t, dir: t.TempDir(), program: built, procs: map[string]*exec.Cmd{}, args: map[string][]string{}, HTTP: map[string]string{},
-		options: options,
+		options: options, relays: map[string][]*relay.Relay{},
 	}
 	t.Cleanup(f.end)
 	f.logAddr = freeAddr(t)
@@ -102,8 +104,9 @@
 	name := entryName(i)
 	f.HTTP[name] = freeAddr(f.t)
 	peers := append(append([]string{}, f.bulk[:i]...), f.bulk[i+1:]...)
-	f.settings(name, fmt.Sprintf("name = %q\naccess = \"open\"\ndata-centre = \"dc-%d\"\nhttp = %q\ncontrol = %q\nbulk = %q\nlog = %q\npeers = [%s]\n%s",
-		name, i%3+1, f.HTTP[name], f.control[i], f.bulk[i], f.logAddr, quoted(peers), f.options.entryKeys()))
+	control, bulk, advertised := f.listenAddrs(i)
+	f.settings(name, fmt.Sprintf("name = %q\naccess = \"open\"\ndata-centre = \"dc-%d\"\nhttp = %q\ncontrol = %q\nbulk = %q\nlog = %q\npeers = [%s]\n%s%s",
+		name, i%3+1, f.HTTP[name], control, bulk, f.logAddr, quoted(peers), advertised, f.options.entryKeys()))
 	f.Start(name, "entry", "--settings", f.path(name))
 }
 
--- a/test/fleet/options.go
+++ b/test/fleet/options.go
@@ -13,6 +13,12 @@
 	Placement string
 	// HeartbeatMS is the time between heartbeats of entries and agents.
 	HeartbeatMS int
+	// SuspectMS is the silence after which an entry is suspected.
+	SuspectMS int
+	// GraceMS is how long an answered heartbeat is trusted.
+	GraceMS int
+	// Relayed puts a relay in front of each entry's control and bulk ports, which Cut then switches.
+	Relayed bool
 }
 
 func (o *Options) speed(i int) string {
@@ -27,16 +33,20 @@
 	if o.Placement != "" {
 		keys = fmt.Sprintf("placement = %q\n", o.Placement)
 	}
-	return keys + o.timing()
+	return keys + o.timing() + number("suspect-ms", o.SuspectMS)
 }
 
 func (o *Options) agentKeys() string { return o.timing() }
 
 func (o *Options) timing() string {
-	if o.HeartbeatMS == 0 {
+	return "[timing]\n" + number("heartbeat-ms", o.HeartbeatMS) + number("grace-ms", o.GraceMS)
+}
+
+func number(key string, n int) string {
+	if n == 0 {
 		return ""
 	}
-	return fmt.Sprintf("[timing]\nheartbeat-ms = %d\n", o.HeartbeatMS)
+	return fmt.Sprintf("%s = %d\n", key, n)
 }
 
 // PID gives the process id of a process, to measure it.
