Take a member for suspected that hears nobody

Cause: suspicion counted only the heartbeats that arrive. An owner that was heard by everybody but heard nobody kept its shards for as long as the cut lasted, while it could serve none of them: its own fence had no returned stamps.

Change: a member must also return this entry's stamps. A stamp comes back up to two heartbeats after it was made, which isn't counted as silence, so the timeouts stay as they were. Heartbeats list the entries that hear the sender and are heard by it.

Ruled out: that "alive" means both ways everywhere; retire must still refuse an entry that is heard at all.

Before: go test ./test/faults -run TestOwnerCutOffOneWay: "it hears nobody, bytes come late" and "bytes are lost" fail, "never: the map has 2 members" after 30 s.

--- a/core/group/beat.go
+++ b/core/group/beat.go
@@ -18,7 +18,7 @@
 	Stamp   time.Time     // of the sender's clock
 	Echo    time.Time     // of the receiver's clock: its youngest stamp that the sender has heard, zero if none
 	Version int64         // the map that the sender carries
-	Hears   []ident.Ident // entries heard within the suspect timeout
+	Hears   []ident.Ident // entries that hear the sender and were heard by it within the suspect timeout
 }
 
 // Hear takes a peer's heartbeat, unless it is meant for an earlier process on the same addresses, and reports whether the peer carries a newer map, which the caller then fetches from it and
@@ -86,7 +86,7 @@
 		to[id] = p.member
 	}
 	delete(to, g.cfg.Self.Ident())
-	hears := g.Alive(now)
+	hears := g.answering(now)
 	sends := make([]Send, 0, len(to))
 	for id, one := range to {
 		b := Beat{From: g.cfg.Self, To: id, Stamp: now, Version: g.Version(), Hears: hears}
--- a/core/group/propose.go
+++ b/core/group/propose.go
@@ -126,11 +126,12 @@
 	return n >= shards.Carriers(g.fence.Map().Size())
 }
 
-// suspected reports whether this entry and a majority of the other live members have not heard a member for the suspect
-// timeout; entries later in the order wait a beat longer each, so that one of them proposes first.
+// suspected reports whether this entry and a majority of the other live members have not heard a member, or have not been
+// heard by it, for the suspect timeout; entries later in the order wait a beat longer each, so that one of them proposes first.
+//
+// A member that hears nobody may not serve its shards, although its own heartbeats arrive; heard or not, they need another owner.
 func (g *Group) suspected(now time.Time, id ident.Ident) bool {
-	limit := g.cfg.Suspect + time.Duration(g.rank(now))*g.cfg.Beat
-	if now.Sub(g.lastHeard(id)) < limit {
+	if now.Sub(g.lastAnswer(id)) < g.cfg.Suspect+time.Duration(g.rank(now))*g.cfg.Beat {
 		return false
 	}
 	others, silent := 1, 1
@@ -147,9 +148,9 @@
 	return silent >= shards.Majority(others)
 }
 
-func (g *Group) lastHeard(id ident.Ident) time.Time {
+func (g *Group) lastAnswer(id ident.Ident) time.Time {
 	last := g.amnesty
-	for _, t := range []time.Time{g.since[id], g.peers[id].lastHeard()} {
+	for _, t := range []time.Time{g.since[id], g.answered(g.peers[id])} {
 		if t.After(last) {
 			last = t
 		}
@@ -157,13 +158,25 @@
 	return last
 }
 
-func (p *peer) lastHeard() time.Time {
-	if p == nil {
+// answered returns the latest moment at which a peer was known to hear this entry and be heard by it. A stamp comes back up to
+// two heartbeats after it was made, which isn't counted as silence.
+func (g *Group) answered(p *peer) time.Time {
+	if p == nil || p.echoed.IsZero() {
 		return time.Time{}
 	}
+	if back := p.echoed.Add(2 * g.cfg.Beat); back.Before(p.heard) {
+		return back
+	}
 	return p.heard
 }
 
+// answering returns the entries that hear this one and are heard by it, this one included.
+func (g *Group) answering(now time.Time) []ident.Ident {
+	return slices.DeleteFunc(g.Alive(now), func(id ident.Ident) bool {
+		return id != g.cfg.Self.Ident() && now.Sub(g.answered(g.peers[id])) >= g.cfg.Suspect
+	})
+}
+
 // rank is this entry's place among the live members.
 func (g *Group) rank(now time.Time) int {
 	n := 0
