Let a chart say what a shard's recovery knows

Cause: what was sure of a job was worked out from five fields in three functions, and "the log's first map" was tested in as many places; the daemon replaced a settled recovery by one that pretended to be the first.

Lookup and Served go by its state; Settle replaces the pretended first map. The bounds and what each state proves are as they were.

Ruled out: a state for the moment of the fence; it is a time and stays a field.

--- a/core/recov/lookup.go
+++ b/core/recov/lookup.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"persimmonstage/core/ident"
 	"persimmonstage/core/ledger"
 )
 
@@ -29,7 +30,7 @@
 // Lookup tells what earlier owners have done of a job that this owner doesn't know; issued is the time that the caller of the
 // job gave.
 func (r *Recovery) Lookup(now time.Time, team, id string, issued time.Time) Outcome {
-	if r.cfg.First {
+	if r.Settled() {
 		return Outcome{Verdict: Fresh}
 	}
 	at := key{team, id}
@@ -51,15 +52,8 @@
 	return Outcome{Verdict: Unknown}
 }
 
-// sure reports whether everything that was ever started of a job is known.
-func (r *Recovery) sure(at key) bool {
-	if r.overflow {
-		return false
-	}
-	if r.release == nil {
-		return r.Fenced() && r.complete()
-	}
-	for _, agent := range r.release[at] {
+func (r *Recovery) heardAll(agents []ident.Ident) bool {
+	for _, agent := range agents {
 		if !r.union[agent] {
 			return false
 		}
--- a/core/recov/recov.go
+++ b/core/recov/recov.go
@@ -44,13 +44,13 @@
 // gets Wait is asked again a little later, until its deadline. It drops the recovery when Group.Fenced is longer past than the
 // lifetime of records.
 type Recovery struct {
-	cfg      Config
-	fenced   time.Time // zero until fenced
-	union    map[ident.Ident]bool
-	whole    bool // union lists every agent
-	jobs     map[key]*found
-	overflow bool
-	release  map[key][]ident.Ident // nil until released
+	cfg     Config
+	state   int       // of the chart
+	fenced  time.Time // zero until fenced
+	union   map[ident.Ident]bool
+	whole   bool // union lists every agent
+	jobs    map[key]*found
+	release map[key][]ident.Ident // nil until released
 }
 
 type key struct{ team, id string }
@@ -75,7 +75,11 @@
 	if cfg.Patience <= 0 {
 		cfg.Patience = defaultPatience
 	}
-	return &Recovery{cfg: cfg, union: make(map[ident.Ident]bool), jobs: make(map[key]*found)}
+	r := &Recovery{cfg: cfg, state: recovery.InitialID(), union: make(map[ident.Ident]bool), jobs: make(map[key]*found)}
+	if cfg.First {
+		r.Settle()
+	}
+	return r
 }
 
 // Config returns what the recovery was made with.
@@ -83,18 +87,20 @@
 
 // Fence says since when no agent obeys an earlier owner; the moment is on the wall clock of this process.
 func (r *Recovery) Fence(at time.Time) {
-	if r.fenced.IsZero() {
-		r.fenced = at
+	if r.Fenced() {
+		return
 	}
+	r.fenced = at
+	r.raise(onFence)
 }
 
 // Fenced reports whether no agent obeys an earlier owner any more.
-func (r *Recovery) Fenced() bool { return r.cfg.First || !r.fenced.IsZero() }
+func (r *Recovery) Fenced() bool { return r.Settled() || !r.fenced.IsZero() }
 
 // Union gives the agents that may have obeyed an earlier owner, and whether they are all; after a complete list it changes
 // nothing more.
 func (r *Recovery) Union(agents []ident.Ident, complete bool) {
-	if r.whole {
+	if r.whole || r.Settled() {
 		return
 	}
 	for _, agent := range agents {
@@ -103,13 +109,18 @@
 		}
 	}
 	r.whole = complete
+	r.count()
+}
+
+// count looks whether the agent that has just answered, or the list that has just become complete, was the last to be waited for.
+func (r *Recovery) count() {
+	if heard, all := r.Heard(); r.whole && heard == all {
+		r.raise(onAllAnswered)
+	}
 }
 
 // Asks returns the agents that haven't answered, in order.
 func (r *Recovery) Asks() []ident.Ident {
-	if r.cfg.First {
-		return nil
-	}
 	var asks []ident.Ident
 	for agent, heard := range r.union {
 		if !heard {
@@ -122,13 +133,14 @@
 
 // Answer takes what an agent has started of the shard; version is the map that its fence had adopted when it made the list.
 func (r *Recovery) Answer(agent ident.Ident, version int64, jobs []ledger.Job) {
-	if version < r.cfg.Version || r.union[agent] {
+	if version < r.cfg.Version || r.union[agent] || r.Settled() {
 		return
 	}
 	r.union[agent] = true
 	for i := range jobs {
 		r.add(agent, &jobs[i])
 	}
+	r.count()
 }
 
 func (r *Recovery) add(agent ident.Ident, job *ledger.Job) {
@@ -140,7 +152,7 @@
 	have := r.jobs[at]
 	if have == nil {
 		if len(r.jobs) >= r.cfg.Jobs {
-			r.overflow = true
+			r.raise(onOverflow)
 			return
 		}
 		have = &found{digest: job.Digest}
@@ -170,16 +182,6 @@
 	return heard, len(r.union)
 }
 
-// Served reports whether every job of the shard gets a definite answer.
-func (r *Recovery) Served() bool {
-	return r.cfg.First || !r.overflow && (r.release != nil || r.Fenced() && r.complete())
-}
-
-func (r *Recovery) complete() bool {
-	heard, all := r.Heard()
-	return r.whole && heard == all
-}
-
 // Clone returns an independent copy.
 func (r *Recovery) Clone() *Recovery {
 	c := *r
--- a/core/recov/recov_test.go
+++ b/core/recov/recov_test.go
@@ -106,3 +106,37 @@
 	require.Empty(t, r.Asks())
 	require.Equal(t, recov.Fresh, verdict(r, start, "any"))
 }
+
+func TestStatesOfTheRecovery(t *testing.T) {
+	release := recov.Release{Shard: 3, Epoch: 6, Complete: true, Jobs: []recov.Sent{{Team: "t", ID: "sent", Agents: []ident.Ident{y}}}}
+	steps := map[string]func(*recov.Recovery){
+		"fence":   func(r *recov.Recovery) { r.Fence(start) },
+		"answer":  func(r *recov.Recovery) { r.Union([]ident.Ident{x}, true); r.Answer(x, 20, nil) },
+		"release": func(r *recov.Recovery) { r.Release(release) },
+		"overflow": func(r *recov.Recovery) {
+			r.Answer(y, 20, []ledger.Job{job("a", ledger.Started), job("b", ledger.Started)})
+		},
+		"settle": (*recov.Recovery).Settle,
+	}
+	for _, c := range []struct {
+		steps  []string
+		served bool
+	}{
+		{[]string{"answer"}, false},
+		{[]string{"fence"}, false},
+		{[]string{"answer", "fence", "answer", "fence"}, true},
+		{[]string{"fence", "answer"}, true},
+		{[]string{"release", "fence", "answer", "release"}, true},
+		{[]string{"overflow", "fence", "answer", "release"}, false},
+		{[]string{"fence", "answer", "overflow"}, false},
+		{[]string{"overflow", "settle", "fence", "answer", "release", "overflow", "settle"}, true},
+	} {
+		small := cfg
+		small.Jobs = 1
+		r := recov.New(small)
+		for _, step := range c.steps {
+			steps[step](r)
+		}
+		require.Equal(t, c.served, r.Served(), c.steps)
+	}
+}
--- a/core/recov/release.go
+++ b/core/recov/release.go
@@ -51,7 +51,7 @@
 // Release takes over from the owner before, and reports whether it replaces the wait for the grace and for all agents: it must
 // come from the owner directly before, and be complete.
 func (r *Recovery) Release(rel Release) bool {
-	if rel.Shard != r.cfg.Shard || rel.Epoch+1 != r.cfg.Epoch || !rel.Complete || r.release != nil {
+	if rel.Shard != r.cfg.Shard || rel.Epoch+1 != r.cfg.Epoch || !rel.Complete || r.release != nil || r.Settled() {
 		return false
 	}
 	r.release = make(map[key][]ident.Ident, len(rel.Jobs))
@@ -59,5 +59,6 @@
 		r.release[key{job.Team, job.ID}] = job.Agents
 		r.Union(job.Agents, false)
 	}
+	r.raise(onHandOver)
 	return true
 }
--- a/io/entryd/recover.go
+++ b/io/entryd/recover.go
@@ -46,10 +46,9 @@
 	asks := make(map[ident.Ident][]uint32)
 	for s, r := range d.recoveries {
 		if d.settled(r) {
-			d.recoveries[s] = settledOf(r.Config())
-			continue
+			r.Settle()
 		}
-		if heard, all := r.Heard(); r.Config().First || r.Fenced() && r.Served() && heard == all {
+		if heard, all := r.Heard(); r.Settled() || r.Fenced() && r.Served() && heard == all {
 			continue
 		}
 		d.fenceRecovery(now, r)
@@ -64,7 +63,7 @@
 
 // settled reports whether everything that earlier owners accepted is past its record's lifetime.
 func (d *Daemon) settled(r *recov.Recovery) bool {
-	if r.Config().First {
+	if r.Settled() {
 		return false
 	}
 	now := uptime.Now()
@@ -72,12 +71,6 @@
 	return fenced && now.Sub(at) > recordLifetime
 }
 
-// settledOf gives the recovery of a shard of which no earlier owner's job can matter any more; it holds nothing.
-func settledOf(cfg recov.Config) *recov.Recovery {
-	cfg.First = true
-	return recov.New(cfg)
-}
-
 // fenceRecovery gives a recovery the moment since which no agent obeys an earlier owner, on the wall clock.
 func (d *Daemon) fenceRecovery(now time.Time, r *recov.Recovery) {
 	version := r.Config().Version
--- a/io/entryd/release.go
+++ b/io/entryd/release.go
@@ -43,7 +43,7 @@
 func (d *Daemon) releaseOf(shard int, epoch uint64) *wire.Release {
 	out := recov.Release{Shard: shard, Epoch: epoch}
 	if r := d.recoveries[shard]; r != nil {
-		out.Complete = r.Config().First || r.Served()
+		out.Complete = r.Served()
 		out.Jobs = r.Sent()
 	}
 	d.owner.Sent(shard, func(key jobkey.Key, agents []ident.Ident) {
