Let an operator free the place of a mapped entry's predecessor

Cause: a restart behind a port mapping doesn't prove that the process before is dead. Where no majority of other entries is left, nobody took the old incarnation out, and the new one could neither join nor be told to: retire took it for its own namesake, "is alive", and joining asked for the proof by addresses even after an operator's word.

Change: an entry joins in place of an incarnation of its name that is known to be dead, by either proof; retire means an earlier incarnation when the entry itself is asked, and still refuses the entry itself.

Before, on a scratch copy: go test ./test/faults -run TestMappedEntryRestarts: "never: the word is taken"; with only retire mended, "never: a new job is served". After: passes in 8 s; TestMajorityLostForGoodIsRetired and ./core/proof pass.

--- a/core/group/propose.go
+++ b/core/group/propose.go
@@ -50,13 +50,13 @@
 }
 
 // joined returns the members with this process among them. A process joins by itself when the log has no map, when it replaces
-// its own earlier incarnation, or when a majority of the members hears it.
+// its own earlier incarnation, which is known to be dead, or when a majority of the members hears it.
 func (g *Group) joined(now time.Time) []member.Member {
 	if g.fence.Map() == nil {
 		return []member.Member{g.cfg.Self}
 	}
 	old, taken := g.fence.Map().Find(g.cfg.Self.Name)
-	if taken && !g.cfg.Self.Replaces(old) || !taken && !g.welcome(now) {
+	if taken && !g.ended[old.Ident()] || !taken && !g.welcome(now) {
 		return nil
 	}
 	rest := slices.DeleteFunc(g.fence.Map().Members(), func(one member.Member) bool { return one.Name == g.cfg.Self.Name })
--- a/io/entryd/retire.go
+++ b/io/entryd/retire.go
@@ -65,8 +65,9 @@
 	defer cancel()
 	alive, known := false, false
 	ran := d.loop.Call(bounded, func(time.Time) {
-		alive = slices.ContainsFunc(d.group.Alive(uptime.Now()), func(id ident.Ident) bool { return id.Name == name })
+		alive = slices.ContainsFunc(d.group.Alive(uptime.Now()), func(id ident.Ident) bool { return id.Name == name && id != d.ident() })
 		known = !alive && d.group.Retire(name)
+		alive = alive || !known && name == d.self.Name
 	})
 	switch {
 	case !ran:
--- a/test/faults/cut_test.go
+++ b/test/faults/cut_test.go
@@ -206,3 +206,17 @@
 	}
 	return got
 }
+
+// A lone entry behind a port mapping can't prove by its restart that the process before is dead; an operator can say so.
+func TestMappedEntryRestarts(t *testing.T) {
+	f := cutFleet(t, 1)
+	require.Contains(t, command(f, "entry-1", "retire", "--dead", "entry-1"), "answer 409: entry: entry-1 is alive")
+	f.Kill("entry-1")
+	f.Restart("entry-1")
+	f.Await("the word is taken", func() bool {
+		return strings.Contains(command(f, "entry-1", "retire", "--dead", "entry-1"), "taken for dead")
+	})
+	f.AwaitTargets("entry-1", cutAgents)
+	all := unknownThenComplete(f, t)
+	judge(t, f.AllStarts(cutAgents), all)
+}
