Let a chart say what a reader knows of the configuration

Cause: unknown, known and behind were a flag and a version compared with 0, read together in five places.

The zero History still works, as the initial state is the first, which is checked at the start. A state of version 0, which nothing writes, is refused: it would be in force without a version.

--- /dev/null
+++ b/core/vers/chart.go
@@ -0,0 +1,56 @@
+package vers
+
+import (
+	_ "embed" // the chart
+
+	"persimmonstage/core/chart"
+)
+
+//go:embed history.chart.toml
+var chartFile []byte
+
+const keepAsOf = "keep-as-of"
+
+// The chart is read once, so that a wrong file stops the process at its start.
+var (
+	life = mustLoad(chartFile, keepAsOf)
+
+	stateUnknown = known(life.StateID("unknown"), "unknown")
+	stateInForce = known(life.StateID("in-force"), "in-force")
+
+	onChange = known(life.EventID("change"), "change")
+	onSkip   = known(life.EventID("skip"), "skip")
+	onAdopt  = known(life.EventID("adopt"), "adopt")
+)
+
+// mustLoad also holds the chart to what the zero History stands for.
+func mustLoad(data []byte, actions ...string) *chart.Chart {
+	c, err := chart.Load(data, actions...)
+	if err != nil {
+		panic(err)
+	}
+	if c.InitialID() != 0 {
+		panic("chart " + c.Name() + ": the initial state must come first")
+	}
+	return c
+}
+
+func known(id int, name string) int {
+	if id < 0 {
+		panic("the chart of the history lacks " + name)
+	}
+	return id
+}
+
+// raise takes an event and carries out the chart's actions.
+func (h *History) raise(event int) {
+	next, actions := life.Step(h.state, event)
+	h.state = next
+	for _, action := range actions {
+		if action == keepAsOf {
+			h.asOf = h.read
+		}
+	}
+}
+
+func (h *History) inForce() bool { return h.state == stateInForce }
--- a/core/vers/history.go
+++ b/core/vers/history.go
@@ -37,9 +37,9 @@
 	version int64
 	doc     fold.Document
 	read    int64 // offset of the last record that is accounted for
-	seeking bool
-	first   int64 // while seeking: the oldest offset that could be read
-	asOf    int64 // while seeking: the value of read that the version in force belongs to
+	state   int   // of the chart
+	first   int64 // while records are missing: the oldest offset that could be read
+	asOf    int64 // while records are missing: the value of read that the version in force belongs to
 
 	entries    []audit.Entry
 	entryBytes int
@@ -60,7 +60,7 @@
 func (h *History) Next() int64 { return h.read + 1 }
 
 // Complete is false while records are known to be missing, until a snapshot or a peer fills the gap.
-func (h *History) Complete() bool { return !h.seeking }
+func (h *History) Complete() bool { return h.state == stateUnknown || h.inForce() }
 
 // Diverged counts snapshots and updates whose checksum differed from the document here; it stays 0 unless a program errs.
 func (h *History) Diverged() int { return h.diverged }
@@ -70,18 +70,17 @@
 	if first <= h.Next() {
 		return
 	}
-	h.asOf = h.accounted()
-	h.seeking = true
+	h.raise(onSkip)
 	h.first = first
 	h.read = first - 1
 }
 
 // accounted returns the offset up to which records are reflected in the version in force.
 func (h *History) accounted() int64 {
-	if h.seeking {
-		return h.asOf
+	if h.Complete() {
+		return h.read
 	}
-	return h.read
+	return h.asOf
 }
 
 // Apply takes the record at the offset Next and returns whether the version in force changed; others are ignored.
@@ -104,7 +103,7 @@
 }
 
 func (h *History) change(offset int64, r record) bool {
-	if h.seeking {
+	if !h.Complete() {
 		return false
 	}
 	if h.lastWhen.IsZero() {
@@ -123,6 +122,7 @@
 	h.remember(audit.New(offset, r.ID, r.Author, r.When, changes, doc.Diff(h.doc)))
 	h.doc = doc
 	h.version = offset
+	h.raise(onChange)
 	return true
 }
 
@@ -134,7 +134,7 @@
 }
 
 func (h *History) snapshot(r record) bool {
-	if !h.seeking {
+	if h.Complete() {
 		h.noteSnapshot(r)
 		return false
 	}
--- a/core/vers/history_test.go
+++ b/core/vers/history_test.go
@@ -272,3 +272,28 @@
 	require.True(t, gap.Complete())
 	require.EqualValues(t, 2, gap.Version())
 }
+
+func TestStatesOfTheHistory(t *testing.T) {
+	var unknown, empty History
+	require.True(t, unknown.Complete())
+	require.Nil(t, unknown.Snapshot("s", time.Time{}))
+	unknown.Skip(5)
+	require.False(t, unknown.Complete())
+	none := empty.whole()
+	none.After = 9
+	_, err := unknown.Adopt(none.encode())
+	require.ErrorIs(t, err, errNoVersion, "no state is in force without a version")
+
+	known := unknown
+	some := empty.whole()
+	some.Version, some.After = 6, 6
+	changed, err := known.Adopt(some.encode())
+	require.NoError(t, err)
+	require.True(t, changed && known.Complete())
+	require.NotNil(t, known.Snapshot("s", time.Time{}))
+	known.Skip(20)
+	known.Skip(30)
+	require.Nil(t, known.Snapshot("s", time.Time{}), "records are missing")
+	require.EqualValues(t, 6, known.Version(), "what is in force stays")
+	require.EqualValues(t, 6, known.accounted())
+}
--- a/core/vers/share.go
+++ b/core/vers/share.go
@@ -13,7 +13,7 @@
 // Snapshot returns the whole state: a record for the log, and what a peer adopts. It is nil before the first version
 // and while records are missing.
 func (h *History) Snapshot(id string, when time.Time) []byte {
-	if h.version == 0 || h.seeking {
+	if !h.inForce() {
 		return nil
 	}
 	r := h.whole()
@@ -45,7 +45,7 @@
 // SnapshotDue tells whether the log would lose its newest snapshot, or its start, after another half of its retention
 // of count records and the given age.
 func (h *History) SnapshotDue(now time.Time, count int64, age time.Duration) bool {
-	if h.version == 0 || h.seeking {
+	if !h.inForce() {
 		return false
 	}
 	if h.read-h.lastAfter >= max(1, count/2) {
@@ -79,6 +79,9 @@
 // errUnfit says that an update starts from a version that isn't in force here; the whole state is needed.
 var errUnfit = errors.New("the update starts from another version")
 
+// errNoVersion says that a state belongs to no version; nothing writes one.
+var errNoVersion = errors.New("a state without a version")
+
 // Adopt takes what a peer returned from Since or Snapshot, and returns whether the version in force changed. After an
 // error the state is as before, and the peer is to be asked for the whole with Since(0).
 func (h *History) Adopt(data []byte) (bool, error) {
@@ -105,6 +108,9 @@
 
 // adopt replaces the state by that of a record that is known to be no older.
 func (h *History) adopt(r record) (bool, error) {
+	if r.Version == 0 {
+		return false, errNoVersion
+	}
 	doc, err := h.adopted(r)
 	if err != nil {
 		return false, err
@@ -118,7 +124,7 @@
 	h.doc = doc
 	h.version = r.Version
 	h.read = r.After
-	h.seeking = false
+	h.raise(onAdopt)
 	return changed, nil
 }
 
