--- a/test/fleet/options.go
+++ b/test/fleet/options.go
@@ -15,6 +15,12 @@
 	HeartbeatMS int
 	// Leases gives each agent a stand-in lease service, called leases-1 and so on.
 	Leases bool
+	// SuspectMS is the silence after which an entry is suspected.
+	SuspectMS int
+	// GraceMS is how long an answered heartbeat is trusted.
+	GraceMS int
+	// Relayed puts a relay in front of each entry's control and bulk ports, which Cut then switches.
+	Relayed bool
 }
 
 func (o *Options) speed(i int) string {
@@ -29,7 +35,7 @@
 	if o.Placement != "" {
 		keys = fmt.Sprintf("placement = %q\n", o.Placement)
 	}
-	return keys + o.timing()
+	return keys + o.timing() + number("suspect-ms", o.SuspectMS)
 }
 
 // usageLag is by how much the lease services' usage reports are late.
@@ -50,10 +56,14 @@
 func (o *Options) agentKeys() string { return o.timing() }
 
 func (o *Options) timing() string {
-	if o.HeartbeatMS == 0 {
+	return "[timing]\n" + number("heartbeat-ms", o.HeartbeatMS) + number("grace-ms", o.GraceMS)
+}
+
+func number(key string, n int) string {
+	if n == 0 {
 		return ""
 	}
-	return fmt.Sprintf("[timing]\nheartbeat-ms = %d\n", o.HeartbeatMS)
+	return fmt.Sprintf("%s = %d\n", key, n)
 }
 
 // PID gives the process id of a process, to measure it.
