Let the settings say how long the log keeps records

The defaults are the former constants. Ruled out: keys for the shard map's refresh, which is an hour and far below any retention in question.

--- a/io/days/days.go
+++ b/io/days/days.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// Kept is how many local days are held, today included; the log holds records no longer than some days either.
+	// Kept is how many local days are held, today included, unless SetKept says otherwise.
 	Kept = 8
 	// fresh is how long a page is served again before the log is read for more.
 	fresh = 5 * time.Second
@@ -38,6 +38,7 @@
 	loc  *time.Location
 	own  own
 	read reader
+	kept int
 
 	mu      sync.Mutex
 	days    map[string]*day.Day
@@ -52,9 +53,12 @@
 
 // New returns the days in loc, read from log; own may be nil when this process writes no roll-ups.
 func New[R record](log client[R], loc *time.Location, own own) *Days {
-	return &Days{loc: loc, own: own, read: readerOf(log), days: make(map[string]*day.Day), pages: make(map[pageKey]cached)}
+	return &Days{loc: loc, own: own, read: readerOf(log), days: make(map[string]*day.Day), pages: make(map[pageKey]cached), kept: Kept}
 }
 
+// SetKept sets how many local days are held, today included; call it before the first use.
+func (d *Days) SetKept(days int) { d.kept = days }
+
 // Close ends a read in progress and waits for it.
 func (d *Days) Close() {
 	d.mu.Lock()
@@ -134,8 +138,8 @@
 	if !at.Before(today.To()) {
 		return time.Time{}, &Error{day: date, reason: "has not begun yet in " + d.loc.String(), status: absent}
 	}
-	if at.Before(today.From().AddDate(0, 0, 1-Kept)) {
-		return time.Time{}, &Error{day: date, reason: "lies before the last " + digest.Count(Kept) + " days, which are kept", status: absent}
+	if at.Before(today.From().AddDate(0, 0, 1-d.kept)) {
+		return time.Time{}, &Error{day: date, reason: "lies before the last " + digest.Count(int64(d.kept)) + " days, which are kept", status: absent}
 	}
 	return at, nil
 }
--- a/io/entset/settings.go
+++ b/io/entset/settings.go
@@ -31,6 +31,12 @@
 		DrainMS     int `toml:"drain-ms" doc:"the longest time from SIGTERM to the end; default 30000"`
 		RoundTripMS int `toml:"round-trip-ms" doc:"the expected round trip between data centres; default 2"`
 	} `toml:"timing"`
+	// Retention is how long the platform's log keeps records; times are minutes and days.
+	Retention struct {
+		ConfigRecords int `toml:"config-records" doc:"how many records of the configuration's stream the log keeps, 100 to 1000000; the state is appended anew before the last one that carries it is dropped; default 10000"`
+		ConfigMinutes int `toml:"config-minutes" doc:"how long the log keeps a record of the configuration's stream, 10 to 525600; default 1440"`
+		AccountDays   int `toml:"account-days" doc:"how many local days of the owner's account, today included, the log keeps and an entry holds in memory, 1 to 31; default 8"`
+	} `toml:"retention"`
 }
 
 // Bounds and defaults of the settings.
@@ -42,6 +48,16 @@
 	defaultRoundTripMS = 2
 	minHeartbeatMS     = 50
 	maxTimingMS        = 3_600_000
+
+	defaultConfigRecords = 10_000
+	minConfigRecords     = 100
+	maxConfigRecords     = 1_000_000
+	defaultConfigMinutes = 24 * 60
+	minConfigMinutes     = 10
+	maxConfigMinutes     = 365 * 24 * 60
+	defaultAccountDays   = 8
+	minAccountDays       = 1
+	maxAccountDays       = 31
 )
 
 // Load reads and checks the settings of file; the error is a *strict.Error with file, line and key.
@@ -52,6 +68,9 @@
 	s.Timing.GraceMS = defaultGraceMS
 	s.Timing.DrainMS = defaultDrainMS
 	s.Timing.RoundTripMS = defaultRoundTripMS
+	s.Retention.ConfigRecords = defaultConfigRecords
+	s.Retention.ConfigMinutes = defaultConfigMinutes
+	s.Retention.AccountDays = defaultAccountDays
 	if err := strict.Decode(file, data, s); err != nil {
 		return nil, err
 	}
@@ -133,5 +152,25 @@
 			return "timing." + v.key, "too long, at most " + strconv.Itoa(maxTimingMS)
 		}
 	}
+	return s.checkRetention()
+}
+
+func (s *Settings) checkRetention() (key, reason string) {
+	r := &s.Retention
+	for _, v := range []struct {
+		key                string
+		value, least, most int
+	}{
+		{"config-records", r.ConfigRecords, minConfigRecords, maxConfigRecords},
+		{"config-minutes", r.ConfigMinutes, minConfigMinutes, maxConfigMinutes},
+		{"account-days", r.AccountDays, minAccountDays, maxAccountDays},
+	} {
+		switch {
+		case v.value < v.least:
+			return "retention." + v.key, "too few, at least " + strconv.Itoa(v.least)
+		case v.value > v.most:
+			return "retention." + v.key, "too many, at most " + strconv.Itoa(v.most)
+		}
+	}
 	return "", ""
 }
--- a/io/entset/settings_test.go
+++ b/io/entset/settings_test.go
@@ -40,6 +40,9 @@
 		{"suspect", whole + "[timing]\nsuspect-ms = 999\n", "entry.toml:8: timing.suspect-ms: too short, at least two heartbeats"},
 		{"grace", whole + "[timing]\ngrace-ms = 999\n", "entry.toml:8: timing.grace-ms: too short, at least two heartbeats"},
 		{"drain", whole + "[timing]\ndrain-ms = -1\n", "entry.toml:8: timing.drain-ms: negative, at least 0"},
+		{"few records", whole + "[retention]\nconfig-records = 99\n", "entry.toml:8: retention.config-records: too few, at least 100"},
+		{"short retention", whole + "[retention]\nconfig-minutes = 0\n", "entry.toml:8: retention.config-minutes: too few, at least 10"},
+		{"many days", whole + "[retention]\naccount-days = 32\n", "entry.toml:8: retention.account-days: too many, at most 31"},
 		{"overflow", whole + "[timing]\ndrain-ms = 9223372036854775\n", "entry.toml:8: timing.drain-ms: too long, at most 3600000"},
 	}
 	for _, c := range cases {
