Refuse a publication as soon as the log is known to be down

Cause: a publication during an outage waited 10 s for its answer of 503, although the entry's follower of the log knew of the outage. Change: Publish waits at most a second for the end of a known outage, also while it waits for its base, and stops after an append that surely failed. During an outage the follower polls without waiting, so that its end is noticed after 200 ms and not after a poll of 1.5 s. Ruled out: refusing at the first failed poll, as a log that restarts is back within the second; giving up when an append may have been applied, where only the log can tell. Seen to fail: without the quicker poll, TestOutageKeepsTheVersionAndRestartsLearnFromPeers, as the log was back and a publication still refused. The new bound of a second was not run on the former code. Checked: go test -race -count=3 ./io/conf ./io/confap.

--- a/io/conf/publish.go
+++ b/io/conf/publish.go
@@ -45,9 +45,39 @@
 	if err != nil || data == nil {
 		return version, err
 	}
+	if err := s.reachable(ctx); err != nil {
+		return 0, err
+	}
 	return s.commit(ctx, id, base, data)
 }
 
+// outagePatience is how long a publication waits for the end of an outage before it is refused: a log that restarts is
+// back within it, and an operator shouldn't wait for one that is down.
+const outagePatience = time.Second
+
+var errLogDown = errors.New("the platform's log is down; the version in force stays, publish again when the log is back")
+
+// reachable waits a moment for the end of an outage of the log.
+func (s *Source) reachable(ctx context.Context) error {
+	timer := time.NewTimer(outagePatience)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		outage, moved := s.outage, s.moved
+		s.mu.Unlock()
+		if !outage {
+			return nil
+		}
+		select {
+		case <-moved:
+		case <-timer.C:
+			return &UnavailableError{cause: errLogDown}
+		case <-ctx.Done():
+			return &UnavailableError{cause: errLogDown}
+		}
+	}
+}
+
 // ReusedError says that the id of a publication has been used for another document or base.
 type ReusedError struct {
 	id string
@@ -60,8 +90,14 @@
 
 // await waits until this process is at base or beyond: the operator may have read it from another entry.
 func (s *Source) await(ctx context.Context, base int64) error {
+	var down <-chan time.Time
 	for {
 		s.mu.Lock()
+		if !s.outage {
+			down = nil
+		} else if down == nil {
+			down = time.After(outagePatience)
+		}
 		known := s.history.Complete() && s.history.Version() >= base
 		moved := s.moved
 		s.mu.Unlock()
@@ -70,6 +106,8 @@
 		}
 		select {
 		case <-moved:
+		case <-down:
+			return &UnavailableError{cause: errLogDown}
 		case <-ctx.Done():
 			return &UnavailableError{cause: errors.Newf("version %d is not known here yet", base)}
 		}
@@ -121,6 +159,9 @@
 		if ctx.Err() != nil {
 			return 0, &UnavailableError{maybe: maybe, cause: errors.CombineErrors(err, ctx.Err())}
 		}
+		if !maybe && s.Outage() {
+			return 0, &UnavailableError{cause: errLogDown}
+		}
 	}
 }
 
--- a/io/conf/source.go
+++ b/io/conf/source.go
@@ -70,7 +70,7 @@
 	history   vers.History
 	rules     *rules.Rules
 	updates   map[int64][]byte // answers of Since, by the version asked from
-	moved     chan struct{}    // closed whenever a record was read or a state adopted
+	moved     chan struct{}    // closed whenever a record was read, a state adopted, or an outage began or ended
 	heard     int64
 	outage    bool
 	snapshot  time.Time // when this process writes the snapshot that is due
@@ -176,6 +176,9 @@
 	s.mu.Lock()
 	from := s.history.Next()
 	wait := s.untilTurn(time.Now())
+	if s.outage {
+		wait = 0 // the end of an outage is noticed at once, also when nothing was appended
+	}
 	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
@@ -232,7 +235,12 @@
 func (s *Source) setOutage(outage bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.outage == outage {
+		return
+	}
 	s.outage = outage
+	close(s.moved)
+	s.moved = make(chan struct{})
 }
 
 // pause waits, or returns early when ctx ends.
