Refuse keys in other case and doubled keys in submissions

Cause: encoding/json takes "Team" for "team" and the last of two equal keys, so a caller's mistake passed unseen, and a job could be charged to a team that another reader of the same bytes would not see. Change: after the decoder has accepted the body, one look at its quotes finds the keys: one in other case is an unknown key, one that stands twice in its object is refused by name and line. Payloads are skipped by the search for their closing quote. Ruled out: a second decode into maps and a pass over the decoder's tokens, which read payloads twice; another JSON library, which isn't in go.mod. The configuration's publications are left as they are.

--- a/io/submit/parse.go
+++ b/io/submit/parse.go
@@ -11,7 +11,7 @@
 	"github.com/cockroachdb/errors"
 )
 
-// parse reads the one JSON value of a body; unknown keys are errors.
+// parse reads the one JSON value of a body; unknown and doubled keys are errors.
 func parse(body []byte, r *request) error {
 	d := json.NewDecoder(bytes.NewReader(body))
 	d.DisallowUnknownFields()
@@ -21,7 +21,7 @@
 	if _, err := d.Token(); err != io.EOF {
 		return &Error{field: "body", reason: "more than one JSON value", status: statusMalformed}
 	}
-	return nil
+	return checkKeys(body)
 }
 
 func malformed(body []byte, err error) error {
