--- a/core/day/causes_test.go
+++ b/core/day/causes_test.go
@@ -167,6 +167,22 @@
 	}
 }
 
+func TestWhatOperatorsDidStandsInTheTimeline(t *testing.T) {
+	b := badDay{what: func(*tally.Tally, time.Time) {}, span: named(cause.Drained, "host 10.0.0.7"), points: []event.Event{
+		{Cause: cause.ConfigConflict, Subject: "the one of aroha"},
+	}}
+	g := b.digest()
+	require.Equal(t, digest.Well, g.Went)
+	var told []string
+	for _, m := range g.Moments {
+		told = append(told, m.Sentence)
+	}
+	require.ElementsMatch(t, []string{
+		"Operators took host 10.0.0.7 out of service.",
+		"Two operators changed the settings at once, and one change was turned down: the one of aroha.",
+	}, told)
+}
+
 func TestTheSameThingsWithoutHarmMakeNoBadDay(t *testing.T) {
 	for _, b := range badDays {
 		b.what = func(*tally.Tally, time.Time) {}
--- a/core/rules/rules.go
+++ b/core/rules/rules.go
@@ -284,6 +284,28 @@
 	return r.drained[drain{"targets", target}] || r.drained[drain{"hosts", host}]
 }
 
+// DrainsSince returns the targets and hosts that r takes out of service and before did not, and those it puts back.
+func (r *Rules) DrainsSince(before *Rules) (begun, ended []string) {
+	return r.drainsBeyond(before), before.drainsBeyond(r)
+}
+
+// drainsBeyond returns the names in r's drains that other lacks, in order; a host is told apart from a target.
+func (r *Rules) drainsBeyond(other *Rules) []string {
+	var names []string
+	for d := range r.drained {
+		if other.drained[d] {
+			continue
+		}
+		name := d.name
+		if d.list == "hosts" {
+			name = "host " + name
+		}
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
 func (r *Rules) limit(key string, fallback int) int {
 	value, ok := r.doc.Value(keyLimits, key)
 	if !ok {
--- a/core/rules/rules_test.go
+++ b/core/rules/rules_test.go
@@ -85,6 +85,9 @@
 	require.True(t, r.Drained("saw-2", "10.0.0.9"))
 	require.True(t, r.Drained("saw-3", "10.0.0.7"))
 	require.False(t, r.Drained("10.0.0.7", "saw-2"))
+	begun, ended := r.DrainsSince(read(t, "drain.targets = [\"saw-2\", \"saw-9\"]"))
+	require.Equal(t, []string{"host 10.0.0.7"}, begun)
+	require.Equal(t, []string{"saw-9"}, ended)
 }
 
 func TestUnknownAndWrongValuesHaveDefaults(t *testing.T) {
--- a/io/agentd/state.go
+++ b/io/agentd/state.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -119,7 +120,23 @@
 	ctx.SetBodyString("ready\n")
 }
 
+// operator reports whether the state may be shown: to an operator once a configuration is known, before that to anybody,
+// as an agent that finds no entry has to be looked at.
+func (d *Daemon) operator(ctx *fasthttp.RequestCtx) bool {
+	version, r := d.config.Current()
+	if version == 0 {
+		return true
+	}
+	token, _ := strings.CutPrefix(string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)), "Bearer ")
+	_, ok := r.Operator(token)
+	return ok
+}
+
 func (d *Daemon) stateHTTP(ctx *fasthttp.RequestCtx) {
+	if !d.operator(ctx) {
+		ctx.Error("Authorization: an operator's token is required\n", fasthttp.StatusUnauthorized)
+		return
+	}
 	bounded, cancel := context.WithTimeout(context.Background(), stateTimeout)
 	defer cancel()
 	body, err := d.State(bounded)
--- a/io/entryd/admin.go
+++ b/io/entryd/admin.go
@@ -24,6 +24,7 @@
 	MapVersion  int64           `json:"map-version"`
 	Config      int64           `json:"config-version"`
 	Jobs        jobsState       `json:"jobs"`
+	Silent      []string        `json:"data-centres-not-reached,omitempty"`
 	Targets     []targetState   `json:"targets"`
 }
 
@@ -94,6 +95,7 @@
 	}
 	ran := d.loop.Call(ctx, func(now time.Time) {
 		s.Jobs = jobsState{Running: d.owner.Running(), Remembered: d.owner.Remembered(), Overdue: d.owner.Overdue(now)}
+		s.Silent = d.reach.Silent()
 		s.Targets = d.targets()
 	})
 	if !ran {
--- a/io/entryd/agents.go
+++ b/io/entryd/agents.go
@@ -129,6 +129,7 @@
 		d.judge.Announced(l.id, l.who.Name, now)
 		l.drained = false
 		d.drainTarget(l)
+		d.reach.Heard(h.DataCentre, l.who.Name)
 		d.note(now, cause.TargetJoined, l.who.Name)
 	}
 	d.owner.Reconnected(l.who.Incarnation)
@@ -140,6 +141,7 @@
 	if l.id == 0 {
 		return
 	}
+	d.reach.Lost(time.Now(), l.hello.DataCentre, l.who.Name)
 	d.speeds.Forget(l.id)
 	d.judge.Gone(l.id)
 	d.roster.Remove(l.id)
@@ -161,6 +163,7 @@
 		return
 	}
 	d.log.Info("agent silent", zap.String("agent", l.who.Name))
+	d.reach.Lost(time.Now(), l.hello.DataCentre, l.who.Name)
 	d.speeds.Forget(id)
 	d.judge.Gone(id)
 	d.note(time.Now(), cause.TargetLost, l.who.Name)
--- a/io/entryd/config.go
+++ b/io/entryd/config.go
@@ -30,6 +30,8 @@
 func (d *Daemon) newSource() *conf.Source {
 	return conf.New(conf.Options{
 		Log: d.logs, Stream: configStream, Peers: configPeers{d}, Self: d.self.Name, Deliver: d.configured,
+		RetainCount: int64(d.set.Retention.ConfigRecords),
+		RetainAge:   time.Duration(d.set.Retention.ConfigMinutes) * time.Minute,
 	})
 }
 
@@ -69,6 +71,7 @@
 	d.log.Info("configuration in force", zap.Int64("version", version))
 	d.loop.Post(func(now time.Time) {
 		d.applyRules(r, before)
+		d.noteDrains(now, r, before)
 		d.note(now, cause.ConfigApplied, strconv.FormatInt(version, 10))
 	})
 }
@@ -158,7 +161,7 @@
 	}
 	bounded, cancel := context.WithTimeout(context.Background(), publishTimeout)
 	defer cancel()
-	status, body := confap.New(d.config, bootstrap).Serve(bounded, string(ctx.Method()), query, bearer(ctx), ctx.PostBody())
+	status, body := confap.New(publisher{d.config, d}, bootstrap).Serve(bounded, string(ctx.Method()), query, bearer(ctx), ctx.PostBody())
 	ctx.SetStatusCode(status)
 	ctx.SetContentType(jsonType)
 	ctx.SetBody(body)
--- a/io/entryd/daemon.go
+++ b/io/entryd/daemon.go
@@ -22,6 +22,7 @@
 	"persimmonstage/core/member"
 	"persimmonstage/core/owner"
 	"persimmonstage/core/place"
+	"persimmonstage/core/reach"
 	"persimmonstage/core/recov"
 	"persimmonstage/core/retry"
 	"persimmonstage/core/roster"
@@ -85,6 +86,7 @@
 	judge        *eject.Judge
 	recoveries   map[int]*recov.Recovery
 	agents       agents
+	reach        reach.Reach
 	released     map[int]recov.Release
 	links        map[string]*peer
 	heardFrom    map[uint64]member.Member // by accepted connection
@@ -102,6 +104,7 @@
 
 	draining atomic.Bool
 	requests atomic.Int64
+	overdue  atomic.Int64 // jobs open past their deadline, at the last second
 }
 
 // view is a shard map with a signal that it was replaced.
@@ -131,6 +134,7 @@
 	d.judge = eject.New(d.roster)
 	d.owner = owner.New(effects{d}, d.placer, d.roster, &d.retries, d.gate, lease{d}, seed)
 	d.agents = newAgents()
+	d.reach.SetHome(set.DataCentre)
 	d.group = group.New(group.Config{
 		Self: d.self, Shards: shardCount, Beat: ms(set.Timing.HeartbeatMS), Suspect: ms(set.Timing.SuspectMS),
 		Grace: ms(set.Timing.GraceMS), Lifetime: recordLifetime, Refresh: mapRefresh,
@@ -154,6 +158,7 @@
 	}
 	d.account = roll.New(d.logs, tally.New(d.self.Name, d.self.Incarnation), d.self.Name)
 	d.days = days.New(d.logs, loc, d.account)
+	d.days.SetKept(d.set.Retention.AccountDays)
 	d.metrics = newMetrics(d)
 	return nil
 }
--- a/io/entryd/frames.go
+++ b/io/entryd/frames.go
@@ -126,6 +126,7 @@
 	}
 	if h.Leaving {
 		d.roster.Leave(l.id)
+		d.reach.Left(l.hello.DataCentre, l.who.Name)
 	}
 	d.heardLoad(now, l, h.Stamp, h.Loads)
 }
--- a/io/entryd/members.go
+++ b/io/entryd/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -158,14 +159,15 @@
 	d.gain()
 }
 
-// noteMembers enters the entries that a map no longer lists into the account of the day; one that left by itself is
-// reported by its own account.
+// noteMembers enters the entries that a map no longer lists into the account of the day. One that is still heard left by
+// itself: it goes on answering until its work is in other hands. Who wasn't a member yet has heard nobody and can't tell.
 func (d *Daemon) noteMembers(old, m *shards.Map) {
-	if old == nil {
+	if old == nil || !old.Has(d.ident()) {
 		return
 	}
+	alive := d.group.Alive(uptime.Now())
 	for _, who := range old.Members() {
-		if _, stays := m.Find(who.Name); !stays && who.Ident() != d.ident() {
+		if _, stays := m.Find(who.Name); !stays && !slices.Contains(alive, who.Ident()) {
 			d.note(time.Now(), cause.EntryLost, who.Name)
 		}
 	}
--- a/io/entryd/metrics.go
+++ b/io/entryd/metrics.go
@@ -49,6 +49,9 @@
 			in, out := d.control.Bytes()
 			return float64(in + out)
 		}),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "persimmonstage_entry_jobs_past_deadline", Help: "Jobs open past their deadline; must be 0.",
+		}, func() float64 { return float64(d.overdue.Load()) }),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "persimmonstage_entry_log_up", Help: "1 while the platform's log can be read, else 0.",
 		}, func() float64 {
--- a/test/golden/commands_test.go
+++ b/test/golden/commands_test.go
@@ -35,6 +35,7 @@
 		"send":       send,
 		"terminate":  terminate,
 		"transcript": transcript,
+		"sections":   sections,
 	}
 }
 
--- a/test/golden/session_test.go
+++ b/test/golden/session_test.go
@@ -29,7 +29,7 @@
 }{
 	{regexp.MustCompile(`[0-9a-f]{8}(-[0-9a-f]{4}){3}-[0-9a-f]{12}`), "<id>"},
 	{regexp.MustCompile(`\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d(\.\d+)?(Z|[+-]\d\d:\d\d)`), "<time>"},
-	{regexp.MustCompile(`(in the future by|too far ahead:) [0-9hms.µ]+`), "$1 <duration>"},
+	{regexp.MustCompile(`(in the future by|too far ahead:|would wait) [0-9hms.µ]+`), "$1 <duration>"},
 	{regexp.MustCompile(`127\.0\.0\.1:(3[2-9]|[4-6]\d)\d{3}\b`), "<address>"},
 }
 
