--- a/test/golden/commands_test.go
+++ b/test/golden/commands_test.go
@@ -58,18 +58,18 @@
 		indented("", ts.ReadFile("stdout")), indented("! ", ts.ReadFile("stderr")), "exit "+strconv.Itoa(code)+"\n\n")
 }
 
-// await URL [PATTERN] polls until the URL answers 200 with a body that matches the pattern.
-func await(ts *testscript.TestScript, _ bool, args []string) {
+// await URL [PATTERN] polls until the URL answers 200 with a body that matches the pattern; "! await" until it answers otherwise.
+func await(ts *testscript.TestScript, neg bool, args []string) {
 	pattern := regexp.MustCompile(strings.Join(args[1:], " "))
 	last := ""
 	for end := time.Now().Add(hangTimeout); time.Now().Before(end); time.Sleep(poll) {
 		status, body, err := ask(http.MethodGet, args[0], nil)
-		if err == nil && status == http.StatusOK && pattern.MatchString(body) {
+		if err == nil && neg != (status == http.StatusOK && pattern.MatchString(body)) {
 			return
 		}
 		last = strconv.Itoa(status) + " " + body
 	}
-	ts.Fatalf("%s never answered 200 with %q; last answer: %s", args[0], pattern, last)
+	ts.Fatalf("%s never answered as awaited, 200 with %q; last answer: %s", args[0], pattern, last)
 }
 
 // get URL adds the answer's status and body to the transcript.
