Tell the gate the capacity at once, and send a job as it was written

The submit command wrote a file's job anew from a map, so that of two equal keys one was lost before the entry saw it.

--- a/io/caller/client.go
+++ b/io/caller/client.go
@@ -3,6 +3,9 @@
 import (
 	"bytes"
 	"encoding/json"
+	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -40,19 +43,34 @@
 		return nil, time.Time{}, errors.New("body: null where an object is expected")
 	}
 	deadline := now.Add(defaultLifetime)
-	for key, value := range map[string]string{
-		"id": uuid.Must(uuid.NewV7()).String(), "issued": now.UTC().Format(time.RFC3339Nano),
-		"deadline": deadline.UTC().Format(time.RFC3339Nano),
+	if given, ok := fields["deadline"]; ok {
+		if err := json.Unmarshal(given, &deadline); err != nil {
+			return nil, time.Time{}, errors.Wrap(err, "deadline: not an RFC 3339 time")
+		}
+	}
+	var missing []string
+	for _, f := range []struct{ key, value string }{
+		{"id", uuid.Must(uuid.NewV7()).String()},
+		{"issued", now.UTC().Format(time.RFC3339Nano)},
+		{"deadline", deadline.UTC().Format(time.RFC3339Nano)},
 	} {
-		if _, ok := fields[key]; !ok {
-			fields[key], _ = json.Marshal(value)
+		if _, ok := fields[f.key]; !ok {
+			missing = append(missing, strconv.Quote(f.key)+": "+strconv.Quote(f.value))
 		}
 	}
-	if err := json.Unmarshal(fields["deadline"], &deadline); err != nil {
-		return nil, time.Time{}, errors.Wrap(err, "deadline: not an RFC 3339 time")
+	return insert(text, missing, len(fields) > 0), deadline, nil
+}
+
+// insert puts members in front of those of an object; the text stays as it is, so that the entry judges what was written.
+func insert(object []byte, members []string, more bool) []byte {
+	if len(members) == 0 {
+		return object
+	}
+	if more {
+		members = append(members, "")
 	}
-	body, err := json.Marshal(fields)
-	return body, deadline, err
+	begin := bytes.IndexByte(object, '{') + 1
+	return slices.Concat(object[:begin], []byte(strings.Join(members, ", ")), object[begin:])
 }
 
 // malformed names the line of a syntax error.
--- a/io/caller/client_test.go
+++ b/io/caller/client_test.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -19,3 +20,14 @@
 		require.EqualError(t, err, c.want)
 	}
 }
+
+func TestFillLeavesWhatWasWritten(t *testing.T) {
+	const given = "{\"id\": \"a\", \"issued\": \"x\",\n\"team\": \"b\", \"team\": \"c\"}\n"
+	body, deadline, err := Fill([]byte(given), time.Unix(0, 0))
+	require.NoError(t, err)
+	require.Equal(t, "{\"deadline\": \"1970-01-01T00:00:30Z\", "+given[1:], string(body))
+	require.Equal(t, time.Unix(30, 0), deadline)
+	body, _, err = Fill([]byte(" { } "), time.Unix(0, 0))
+	require.NoError(t, err)
+	require.True(t, json.Valid(body), string(body))
+}
--- a/io/entryd/agents.go
+++ b/io/entryd/agents.go
@@ -129,6 +129,7 @@
 		d.judge.Announced(l.id, l.who.Name, now)
 		l.drained = false
 		d.drainTarget(l)
+		d.setFleet() // a gate that knows no capacity refuses nothing
 		d.reach.Heard(h.DataCentre, l.who.Name)
 		d.note(now, cause.TargetJoined, l.who.Name)
 	}
