--- a/io/verb/configpublish.go
+++ b/io/verb/configpublish.go
@@ -161,5 +161,8 @@
 }
 
 func (e *conflictError) Error() string {
+	if len(e.changed) == 0 {
+		return fmt.Sprintf("not published: version %d is in force, with the values of the base; publish on it", e.current)
+	}
 	return fmt.Sprintf("not published: version %d is in force; changed meanwhile: %s", e.current, strings.Join(e.changed, ", "))
 }
