--- a/io/entryd/agents.go
+++ b/io/entryd/agents.go
@@ -135,6 +135,7 @@
 		d.judge.Announced(l.id, l.who.Name, now)
 		l.drained = false
 		d.drainTarget(l)
+		d.reach.Heard(h.DataCentre, l.who.Name)
 		d.note(now, cause.TargetJoined, l.who.Name)
 	}
 	d.owner.Reconnected(l.who.Incarnation)
@@ -146,6 +147,7 @@
 	if l.id == 0 {
 		return
 	}
+	d.reach.Lost(time.Now(), l.hello.DataCentre, l.who.Name)
 	d.speeds.Forget(l.id)
 	d.judge.Gone(l.id, time.Now())
 	d.roster.Remove(l.id)
@@ -187,6 +189,7 @@
 		return
 	}
 	d.log.Info("agent silent", zap.String("agent", l.who.Name))
+	d.reach.Lost(time.Now(), l.hello.DataCentre, l.who.Name)
 	d.speeds.Forget(id)
 	d.judge.Gone(id, time.Now())
 	d.note(time.Now(), cause.TargetLost, l.who.Name)
--- a/io/entryd/daemon.go
+++ b/io/entryd/daemon.go
@@ -24,6 +24,7 @@
 	"persimmonstage/core/member"
 	"persimmonstage/core/owner"
 	"persimmonstage/core/place"
+	"persimmonstage/core/reach"
 	"persimmonstage/core/recov"
 	"persimmonstage/core/retry"
 	"persimmonstage/core/roster"
@@ -91,6 +92,7 @@
 	ejections    map[target.ID]event.Event
 	recoveries   map[int]*recov.Recovery
 	agents       agents
+	reach        reach.Reach
 	released     map[int]recov.Release
 	links        map[string]*peer
 	heardFrom    map[uint64]member.Member // by accepted connection
@@ -108,6 +110,7 @@
 
 	draining atomic.Bool
 	requests atomic.Int64
+	overdue  atomic.Int64 // jobs open past their deadline, at the last second
 }
 
 // view is a shard map with a signal that it was replaced.
@@ -138,6 +141,7 @@
 	d.owner = owner.New(effects{d}, d.placer, d.roster, &d.retries, d.gate, lease{d}, seed)
 	d.agents = newAgents()
 	d.ejections = make(map[target.ID]event.Event)
+	d.reach.SetHome(set.DataCentre)
 	d.group = group.New(group.Config{
 		Self: d.self, Shards: shardCount, Beat: ms(set.Timing.HeartbeatMS), Suspect: ms(set.Timing.SuspectMS),
 		Grace: ms(set.Timing.GraceMS), Lifetime: recordLifetime, Refresh: mapRefresh,
@@ -161,6 +165,7 @@
 	}
 	d.account = roll.New(d.logs, tally.New(d.self.Name, d.self.Incarnation), d.self.Name)
 	d.days = days.New(d.logs, loc, d.account)
+	d.days.SetKept(d.set.Retention.AccountDays)
 	d.metrics = newMetrics(d)
 	return nil
 }
