--- a/core/place/placer_test.go
+++ b/core/place/placer_test.go
@@ -155,6 +155,37 @@
 	require.True(t, out[0].Waits())
 }
 
+// Beside a flood every target has a backlog, which isn't in front of another team's task; its own team's work is.
+func TestACrowdedTargetIsChosenByTheTeamsOwnWork(t *testing.T) {
+	r := known(3, 2, "kl-1")
+	p := place.New(place.Bounded, r, fixed{}, time.Millisecond)
+	for i, flood := range []int{6, 9, 12} {
+		id, _ := r.Find(fmt.Sprintf("target-%05d", i))
+		for range flood {
+			r.Sent(id, slot, time.Second)
+		}
+	}
+	a := ask(1, time.Second)
+	a.Team, a.Part = "kits", 0.5
+	seen := map[target.ID]bool{}
+	for range 3 {
+		c := p.Place(start, seeded(), a, nil)[0]
+		require.Less(t, c.MaxWait(), time.Second)
+		seen[c.Target()] = true
+	}
+	require.Len(t, seen, 3)
+}
+
+func TestATargetThatRefusedIsAvoidedUnlessItIsTheOnlyOne(t *testing.T) {
+	for n := 1; n <= 2; n++ {
+		r := known(n, 1, "kl-1")
+		p := place.New(place.Bounded, r, fixed{}, time.Millisecond)
+		a := ask(1, time.Second)
+		a.Avoid, _ = r.Find("target-00000")
+		require.Equal(t, n-1, p.Place(start, seeded(), a, nil)[0].Target().Index())
+	}
+}
+
 // mixed returns targets of four sizes and of speeds up to 4:1, with three quarters of their slots taken, and their speeds.
 func mixed(n int) (*roster.Roster, *speed.Table) {
 	r, table, rng := &roster.Roster{}, &speed.Table{}, seeded()
