Withdraw nothing that an earlier owner ordered

Cause: a target that a new owner takes for hanging has its waiting orders withdrawn, and a cancelled job its open ones. Among them were starts of an earlier owner that the new one had found at the agent and waits for. The agent doesn't know those by the new owner's ids, keeps an unknown id out and refuses it, which the owner takes for the proof that the task was not started: it was placed again and started twice. Change: such an attempt is left to its result and to the deadline. The sequences have a recall among their steps and check what is said of a cancelled job at the moment at which it is said.

--- a/core/owner/handover.go
+++ b/core/owner/handover.go
@@ -26,8 +26,9 @@
 
 // Recall takes back what was sent to an agent's incarnation and has not started, to place it again.
 func (o *Owner) Recall(agent string) {
-	if ids := o.attemptsAt(agent); len(ids) > 0 {
-		o.out.Withdraw(agent, ids)
+	for _, id := range o.attemptsAt(agent) {
+		at := o.attempts[id]
+		o.withdraw(at.rec.tasks[at.index].find(id))
 	}
 }
 
--- a/core/owner/step.go
+++ b/core/owner/step.go
@@ -87,7 +87,7 @@
 		o.withdrawOthers(r, i)
 	case withdrawStart:
 		for k := range t.attempts {
-			o.out.Withdraw(t.attempts[k].agent, []uint64{t.attempts[k].id})
+			o.withdraw(&t.attempts[k])
 		}
 	case unbook:
 		o.unbook(r, i)
@@ -151,6 +151,14 @@
 	t.booked = 0
 }
 
+// withdraw takes back an order that has not started. One that an earlier owner sent has, or it would not have been found; its
+// agent doesn't know it by this id, and would refuse what it doesn't know.
+func (o *Owner) withdraw(a *attempt) {
+	if !a.resumed {
+		o.out.Withdraw(a.agent, []uint64{a.id})
+	}
+}
+
 // withdrawOthers takes back every reservation but the one that the order went to.
 func (o *Owner) withdrawOthers(r *record, i int) {
 	t := &r.tasks[i]
--- a/test/stepped/sequence_test.go
+++ b/test/stepped/sequence_test.go
@@ -38,7 +38,7 @@
 	return w
 }
 
-const actions = 17
+const actions = 18
 
 func (w *world) step(action, n, at int) {
 	h := w.agents[n%len(w.agents)]
@@ -65,6 +65,8 @@
 		if n%4 == 0 && len(w.owners) < 4 {
 			w.takeOver()
 		}
+	case 17:
+		w.present().core.Recall(h.inc)
 	case 16:
 		if len(w.jobs) > 0 {
 			w.cancel(n % len(w.jobs))
@@ -149,6 +151,9 @@
 	if name := w.doubled(); name != "" {
 		return name + " started twice"
 	}
+	if w.said != "" {
+		return w.said
+	}
 	for i, j := range w.jobs {
 		if len(w.told[i]) == 0 || len(w.owners) == 1 && len(w.told[i]) != w.asked[i] {
 			return fmt.Sprintf("job %d: %d answers to %d requests", i, len(w.told[i]), w.asked[i])
@@ -163,10 +168,7 @@
 }
 
 func (w *world) lie(j *job.Job, a *answer.Answer) string {
-	started := 0
-	for k := range j.Tasks {
-		started += w.starts[output(j.Key, k)]
-	}
+	started := w.started(j)
 	if a.NotRunKnown && a.NotRun && started > 0 {
 		return "not run was said: " + a.Reason
 	}
@@ -227,6 +229,29 @@
 	require.Equal(t, answer.Complete, w.told[0][len(w.told[0])-1].Outcome)
 }
 
+// A withdrawal of a start that an earlier owner ordered would be refused by an agent that knows no such order, which proves nothing.
+func TestNothingIsWithdrawnOfAnEarlierOwnersStart(t *testing.T) {
+	for name, withdraw := range map[string]func(*world){
+		"target ejected": func(w *world) { w.present().core.Recall(w.agents[0].inc) },
+		"job cancelled":  func(w *world) { w.cancel(0) },
+	} {
+		w := newWorld(t, none, 1)
+		w.newJob(399)
+		for n := range 20 {
+			w.deliver(n, false)
+		}
+		require.Positive(t, w.started(w.jobs[0]), name)
+		w.takeOver()
+		w.submit(0)
+		withdraw(w)
+		for n := range 20 {
+			w.deliver(n, false)
+		}
+		w.finish()
+		require.Empty(t, w.faults(), name)
+	}
+}
+
 // Each mechanism is missed when it is disabled: some sequence breaks a promise.
 func TestSequencesFindFlaws(t *testing.T) {
 	for _, f := range []flaw{noLedger, noFence, noLease, forgetful} {
--- a/test/stepped/world_test.go
+++ b/test/stepped/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -52,6 +53,7 @@
 	jobs   []*job.Job
 	told   map[int][]answer.Answer
 	asked  map[int]int
+	said   string    // a lie that was told
 	lostAt time.Time // when a ledger was lost under the present map of owners
 	moved  time.Time // when the present owner took over
 }
@@ -226,12 +228,28 @@
 		whole = w.lostAt.IsZero() || j.Issued.After(w.moved)
 	}
 	j.Tasks = append(j.Tasks[:0:0], j.Tasks...)
-	e.core.Submit(w.now, &j, 0, e.epoch, found, whole, nil, time.Time{}, func(a answer.Answer) { w.told[i] = append(w.told[i], a) })
+	e.core.Submit(w.now, &j, 0, e.epoch, found, whole, nil, time.Time{}, func(a answer.Answer) { w.tell(i, a) })
 }
 
 func (w *world) cancel(i int) {
 	w.asked[i]++
-	w.present().core.Cancel(w.now, w.jobs[i].Key, func(a answer.Answer) { w.told[i] = append(w.told[i], a) })
+	w.present().core.Cancel(w.now, w.jobs[i].Key, func(a answer.Answer) { w.tell(i, a) })
+}
+
+// tell keeps an answer, and a lie about what has not started by now.
+func (w *world) tell(i int, a answer.Answer) {
+	if strings.HasSuffix(a.Reason, "before any task started") && w.started(w.jobs[i]) > 0 {
+		w.said = fmt.Sprintf("job %d: %s", i, a.Reason)
+	}
+	w.told[i] = append(w.told[i], a)
+}
+
+func (w *world) started(j *job.Job) int {
+	n := 0
+	for k := range j.Tasks {
+		n += w.starts[output(j.Key, k)]
+	}
+	return n
 }
 
 func (w *world) found(j *job.Job) []past.Past {
