Give test processes ports that no other process gives

Cause: the fleets and the golden sessions each chose ports from the same range, from a place by their process number, and listened on none of them until a process started; with the whole check under way a golden session's fourth entry, started a minute after the choice, met 'address already in use', and agents of one fleet spoke to another's. The wave of cancellations raced on a variable of its own, and a test that polls used up the files of its process, as each of its clients kept a connection. The commands' client closes its connection after each answer. Ruled out: choosing again after a failed start (the entry's address stands in the settings of the others by then).

--- a/io/caller/client.go
+++ b/io/caller/client.go
@@ -102,6 +102,7 @@
 		req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+c.token)
 	}
 	req.SetBodyRaw(body)
+	req.SetConnectionClose()
 	if err := c.http.DoDeadline(req, resp, deadline); err != nil {
 		return 0, nil, errors.Wrapf(err, "entry %s", c.base)
 	}
--- a/test/faults/cancel_test.go
+++ b/test/faults/cancel_test.go
@@ -20,9 +20,9 @@
 	const jobs, tasks = 16, 8
 	var wg sync.WaitGroup
 	bodies, told, wave := make([][]byte, jobs), make([][]byte, jobs), make([][]byte, jobs)
-	var deadline time.Time
+	deadline := time.Now().Add(lifetime)
 	for i := range jobs {
-		bodies[i], deadline = job(t, fmt.Sprintf("wave-%d", i), "sort", tasks, 300, lifetime)
+		bodies[i], _ = job(t, fmt.Sprintf("wave-%d", i), "sort", tasks, 300, lifetime)
 		wg.Go(func() { _, told[i], _ = f.Client("entry-1").Submit(bodies[i], deadline) })
 	}
 	f.Await("tasks run while others wait", func() bool { return len(f.AllStarts(2)) >= tasks })
--- a/test/golden/commands_test.go
+++ b/test/golden/commands_test.go
@@ -26,7 +26,7 @@
 
 func commands() map[string]func(*testscript.TestScript, bool, []string) {
 	return map[string]func(*testscript.TestScript, bool, []string){
-		"ports":      ports,
+		"ports":      setPorts,
 		"fill":       fill,
 		"run":        run,
 		"await":      await,
--- /dev/null
+++ b/test/ports/doc.go
@@ -0,0 +1,2 @@
+// Package ports gives test processes that run side by side ports that no other of them gives.
+package ports
--- /dev/null
+++ b/test/ports/ports_test.go
@@ -0,0 +1,22 @@
+package ports
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Two test processes gave the same port, one of them for a server that was started a minute later: "address already in use".
+func TestPortsOfTwoProcessesAreDistinctAndNeverTheKernels(t *testing.T) {
+	var a, b Ports
+	seen := map[string]bool{}
+	for range blockSize {
+		for _, p := range []*Ports{&a, &b} {
+			addr, err := p.Free()
+			require.NoError(t, err)
+			require.False(t, seen[addr], addr)
+			seen[addr] = true
+			require.Regexp(t, `^127\.0\.0\.1:[12][0-9]{4}$`, addr)
+		}
+	}
+}
