Tell a task that ran past its deadline from one that its target failed

Cause: at the deadline the agent's request to the target ends with a timeout, and its result reached the owner before the owner's own timer: the job was answered with the cause task-failed, and the judge of sick targets took it for a failure of the target. Change: the agent says that the deadline passed, the answer's cause is deadline, and neither that nor a stop by the guard counts against the target, unless the task took more than four times its expected time. Ruled out: excusing every task that reached its deadline (a target that hangs under short deadlines would never be found out).

--- a/core/cause/reason.go
+++ b/core/cause/reason.go
@@ -45,12 +45,12 @@
 	return Cause(reason)
 }
 
-// OfFailure returns the cause behind the reason of a task that started and failed: what stopped it, if the reason begins with
-// that, else the work itself.
+// OfFailure returns the cause behind the reason of a task that started and failed: what stopped it, or its deadline, if the
+// reason begins with that, else the work itself.
 func OfFailure(reason string) Cause {
 	name, _, _ := strings.Cut(reason, ":")
 	switch c := Cause(name); c {
-	case GuardStopped, LeaseLapsed:
+	case GuardStopped, LeaseLapsed, DeadlinePassed:
 		return c
 	default:
 		return TaskFailed
--- a/core/owner/owner.go
+++ b/core/owner/owner.go
@@ -6,6 +6,7 @@
 
 	"persimmonstage/core/admit"
 	"persimmonstage/core/answer"
+	"persimmonstage/core/cause"
 	"persimmonstage/core/job"
 	"persimmonstage/core/jobkey"
 	"persimmonstage/core/past"
@@ -196,10 +197,7 @@
 	if taskChart.FinalID(t.state) {
 		return
 	}
-	if t.ordered {
-		t.ordered = false
-		o.out.Ended(now, t.booked, r.job.Kind, t.work, res.Ran, res.OK)
-	}
+	o.endStart(now, r, t, res)
 	r.longest = max(r.longest, res.Ran)
 	t.output, t.reason = res.Output, res.Reason
 	if res.OK {
@@ -210,6 +208,33 @@
 	o.Pump(now)
 }
 
+// slowFactor is how many times its expected run time a task may take up to its deadline before that counts against its target.
+const slowFactor = 4
+
+// endStart tells the one end of a start. What was stopped, or reached its deadline after no unusual time, says nothing against
+// its target.
+func (o *Owner) endStart(now time.Time, r *record, t *taskRow, res *result.Result) {
+	if !t.ordered {
+		return
+	}
+	t.ordered = false
+	if !res.OK && excused(t, res) {
+		o.out.Dropped(t.booked)
+		return
+	}
+	o.out.Ended(now, t.booked, r.job.Kind, t.work, res.Ran, res.OK)
+}
+
+func excused(t *taskRow, res *result.Result) bool {
+	switch cause.OfFailure(res.Reason) {
+	case cause.TaskFailed:
+		return false
+	case cause.DeadlinePassed:
+		return res.Ran <= slowFactor*t.work
+	}
+	return true
+}
+
 // Refused takes an agent's proof that an attempt was not and will not be started.
 func (o *Owner) Refused(now time.Time, id uint64, reason string) {
 	at, ok := o.attempts[id]
--- a/core/owner/step.go
+++ b/core/owner/step.go
@@ -177,7 +177,7 @@
 func (o *Owner) afterTask(now time.Time, r *record, event int) {
 	switch event {
 	case onBroke:
-		r.cause = string(cause.OfFailure(r.firstReason()))
+		r.cause = failureCause(r.firstReason())
 		o.jobEvent(now, r, onTaskFailed)
 	case onVanished:
 		r.cause = targetLost
@@ -188,6 +188,15 @@
 	}
 }
 
+// failureCause gives the cause of an answer for a task that started and failed.
+func failureCause(reason string) string {
+	c := cause.OfFailure(reason)
+	if c == cause.DeadlinePassed {
+		return deadlineShort
+	}
+	return string(c)
+}
+
 // Causes that an answer gives.
 const (
 	targetLost    = "target-lost"
--- a/io/target/client.go
+++ b/io/target/client.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"persimmonstage/core/cause"
 	"persimmonstage/core/order"
 )
 
@@ -50,7 +51,10 @@
 	req.Header.Set("Kind", o.Kind)
 	req.Header.Set("Deadline", o.Deadline.UTC().Format(time.RFC3339Nano))
 	req.SetBodyRaw(o.Payload)
-	if err := c.http.DoDeadline(req, resp, o.Deadline); err != nil {
+	switch err := c.http.DoDeadline(req, resp, o.Deadline); {
+	case errors.Is(err, fasthttp.ErrTimeout) && !time.Now().Before(o.Deadline):
+		return nil, errors.Newf("%s: the target had not answered by then", cause.DeadlinePassed)
+	case err != nil:
 		return nil, errors.Wrap(err, "target gave no whole answer")
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
--- a/test/faults/outage_test.go
+++ b/test/faults/outage_test.go
@@ -139,6 +139,17 @@
 	}
 }
 
+// A task that is still running at its deadline fails for the deadline, and not as if its target had failed it.
+func TestTaskRunsPastItsDeadline(t *testing.T) {
+	f := fleet.New(t, 1, 1)
+	for i := range 5 {
+		body, deadline := job(t, fmt.Sprintf("past-%d", i), "sort", 1, 5000, time.Second)
+		_, r, _ := post(t, f, "entry-1", body, deadline)
+		require.Equal(t, "failed", r.Outcome)
+		require.Equal(t, "deadline", r.Cause, r.Reason)
+	}
+}
+
 // An answer of a target that is cut short fails the job; it is never taken for a whole one.
 func TestTargetAnswerCutShort(t *testing.T) {
 	f := fleet.New(t, 1, 1)
