Call one piece of code where the read-through found copies

Change: chart.Must, MustState and MustEvent; needs.Vector.Part; bulk.Mux.Fetch and wire.Version; strict.Load; one set of flags for the callers' commands; forgetTarget in the entry. Ruled out: one server for the two stand-ins (their faults differ: the log can pause, the leases scale usage), and one type for the judgement of memory and cores in the guard (the levels and the verbs differ).

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -24,8 +24,6 @@
 	voidLifetime = 11 * time.Minute
 	// recordMargin is how long an attempt is remembered after its deadline.
 	recordMargin = 30 * time.Second
-	// wholeHost is the queue's size of an item that takes all of a target.
-	wholeHost = 1000
 )
 
 // Reasons of a refusal.
--- a/core/agent/chart.go
+++ b/core/agent/chart.go
@@ -24,36 +24,20 @@
 )
 
 var (
-	attemptChart = mustLoad()
-
-	onReserve = mustEvent("reserve")
-	onOrder   = mustEvent("order")
-	onTurn    = mustEvent("turn")
-	onLease   = mustEvent("lease")
-	onLeased  = mustEvent("leased")
-	onBar     = mustEvent("bar")
-	onKnown   = mustEvent("known")
-	onEnd     = mustEvent("end")
-
-	stateReserved = attemptChart.StateID("reserved")
-	stateGranted  = attemptChart.StateID("granted")
-	stateLeasing  = attemptChart.StateID("leasing")
-	stateStarted  = attemptChart.StateID("started")
-	stateEnded    = attemptChart.StateID("ended")
+	attemptChart = chart.Must(chartFile, enqueue, dequeue, hold, free, lease, start, grant, refuse, report, repeat)
+
+	onReserve = attemptChart.MustEvent("reserve")
+	onOrder   = attemptChart.MustEvent("order")
+	onTurn    = attemptChart.MustEvent("turn")
+	onLease   = attemptChart.MustEvent("lease")
+	onLeased  = attemptChart.MustEvent("leased")
+	onBar     = attemptChart.MustEvent("bar")
+	onKnown   = attemptChart.MustEvent("known")
+	onEnd     = attemptChart.MustEvent("end")
+
+	stateReserved = attemptChart.MustState("reserved")
+	stateGranted  = attemptChart.MustState("granted")
+	stateLeasing  = attemptChart.MustState("leasing")
+	stateStarted  = attemptChart.MustState("started")
+	stateEnded    = attemptChart.MustState("ended")
 )
-
-func mustLoad() *chart.Chart {
-	c, err := chart.Load(chartFile, enqueue, dequeue, hold, free, lease, start, grant, refuse, report, repeat)
-	if err != nil {
-		panic(err)
-	}
-	return c
-}
-
-func mustEvent(name string) int {
-	id := attemptChart.EventID(name)
-	if id < 0 {
-		panic("attempt chart has no event " + name)
-	}
-	return id
-}
--- a/core/agent/room.go
+++ b/core/agent/room.go
@@ -19,17 +19,7 @@
 func (p plain) Room() needs.Vector { return p.a.capacity.Sub(p.a.held) }
 
 // Size gives the dominant share of the target that the needs take.
-func (p plain) Size(_, _ string, n needs.Vector) int64 {
-	part := func(need, capacity int) int64 {
-		if capacity == 0 {
-			return 0
-		}
-		return int64(need) * wholeHost / int64(capacity)
-	}
-	capacity := p.a.capacity
-	return max(part(n.Slots, capacity.Slots), part(n.Cores, capacity.Cores),
-		part(n.MemoryMB, capacity.MemoryMB), part(n.Accelerators, capacity.Accelerators))
-}
+func (p plain) Size(_, _ string, n needs.Vector) int64 { return n.Part(p.a.capacity) }
 
 // Take does nothing, since the agent itself counts the declared needs.
 func (plain) Take(slots.Lease) error { return nil }
--- a/core/group/charts.go
+++ b/core/group/charts.go
@@ -22,18 +22,10 @@
 
 // charts are read once, so that a wrong file stops the process at its start.
 var (
-	entryChart  = mustLoad(entryFile, proposeJoin, proposeRepair, proposeLeave)
-	appendChart = mustLoad(appendFile, appendRecord, findRecord)
+	entryChart  = chart.Must(entryFile, proposeJoin, proposeRepair, proposeLeave)
+	appendChart = chart.Must(appendFile, appendRecord, findRecord)
 )
 
-func mustLoad(data []byte, actions ...string) *chart.Chart {
-	c, err := chart.Load(data, actions...)
-	if err != nil {
-		panic(err)
-	}
-	return c
-}
-
 // life is the present state of one chart.
 type life struct {
 	chart *chart.Chart
--- a/core/needs/vector.go
+++ b/core/needs/vector.go
@@ -75,6 +75,21 @@
 	return max(0, min(n, free/wanted))
 }
 
+const whole = 1000 // thousandths
+
+// Part returns the dominant part of a capacity that v takes, in thousandths; a dimension of which there is none counts for nothing.
+func (v Vector) Part(capacity Vector) int64 {
+	return max(part(v.Slots, capacity.Slots), part(v.Cores, capacity.Cores),
+		part(v.MemoryMB, capacity.MemoryMB), part(v.Accelerators, capacity.Accelerators))
+}
+
+func part(need, capacity int) int64 {
+	if capacity <= 0 {
+		return 0
+	}
+	return int64(need) * whole / int64(capacity)
+}
+
 // Lacks names the first dimension of v that exceeds free, or returns "" when v fits.
 func (v Vector) Lacks(free Vector) string {
 	switch {
--- a/core/owner/chart.go
+++ b/core/owner/chart.go
@@ -32,63 +32,39 @@
 )
 
 var (
-	taskChart = load(taskChartFile, sendReserves, sendStart, withdrawOthers, withdrawStart, unbook, tryLater, countEnd)
-	jobChart  = load(jobChartFile, answerComplete, answerFailed, answerLost, answerLate, answerUncertain, answerCancelled,
+	taskChart = chart.Must(taskChartFile, sendReserves, sendStart, withdrawOthers, withdrawStart, unbook, tryLater, countEnd)
+	jobChart  = chart.Must(jobChartFile, answerComplete, answerFailed, answerLost, answerLate, answerUncertain, answerCancelled,
 		cancelRest, release)
 
-	stateWaiting     = state(taskChart, "waiting")
-	stateReserving   = state(taskChart, "reserving")
-	stateStartSent   = state(taskChart, "start-sent")
-	stateWithdrawing = state(taskChart, "withdrawing")
-	stateDone        = state(taskChart, "done")
-	stateNotRun      = state(taskChart, "not-run")
+	stateWaiting     = taskChart.MustState("waiting")
+	stateReserving   = taskChart.MustState("reserving")
+	stateStartSent   = taskChart.MustState("start-sent")
+	stateWithdrawing = taskChart.MustState("withdrawing")
+	stateDone        = taskChart.MustState("done")
+	stateNotRun      = taskChart.MustState("not-run")
 
-	onReserve   = event(taskChart, "reserve")
-	onStart     = event(taskChart, "start")
-	onGranted   = event(taskChart, "granted")
-	onRefused   = event(taskChart, "refused")
-	onSucceeded = event(taskChart, "succeeded")
-	onBroke     = event(taskChart, "broke")
-	onVanished  = event(taskChart, "vanished")
-	onCancel    = event(taskChart, "cancel")
+	onReserve   = taskChart.MustEvent("reserve")
+	onStart     = taskChart.MustEvent("start")
+	onGranted   = taskChart.MustEvent("granted")
+	onRefused   = taskChart.MustEvent("refused")
+	onSucceeded = taskChart.MustEvent("succeeded")
+	onBroke     = taskChart.MustEvent("broke")
+	onVanished  = taskChart.MustEvent("vanished")
+	onCancel    = taskChart.MustEvent("cancel")
 
-	stateRunning    = state(jobChart, "running")
-	stateCancelling = state(jobChart, "cancelling")
+	stateRunning    = jobChart.MustState("running")
+	stateCancelling = jobChart.MustState("cancelling")
 
-	onAllDone    = event(jobChart, "all-done")
-	onTaskFailed = event(jobChart, "task-failed")
-	onTaskLost   = event(jobChart, "task-lost")
-	onDeadline   = event(jobChart, "deadline")
-	onUnsure     = event(jobChart, "unsure")
-	onCancelJob  = event(jobChart, "cancel")
-	onAllEnded   = event(jobChart, "all-ended")
+	onAllDone    = jobChart.MustEvent("all-done")
+	onTaskFailed = jobChart.MustEvent("task-failed")
+	onTaskLost   = jobChart.MustEvent("task-lost")
+	onDeadline   = jobChart.MustEvent("deadline")
+	onUnsure     = jobChart.MustEvent("unsure")
+	onCancelJob  = jobChart.MustEvent("cancel")
+	onAllEnded   = jobChart.MustEvent("all-ended")
 )
 
 // notRun reports whether a task in state certainly never started.
 func notRun(state int) bool {
 	return state == stateWaiting || state == stateReserving || state == stateNotRun
 }
-
-func load(file []byte, actions ...string) *chart.Chart {
-	c, err := chart.Load(file, actions...)
-	if err != nil {
-		panic(err)
-	}
-	return c
-}
-
-func state(c *chart.Chart, name string) int {
-	id := c.StateID(name)
-	if id < 0 {
-		panic("chart " + c.Name() + " has no state " + name)
-	}
-	return id
-}
-
-func event(c *chart.Chart, name string) int {
-	id := c.EventID(name)
-	if id < 0 {
-		panic("chart " + c.Name() + " has no event " + name)
-	}
-	return id
-}
--- a/core/owner/step.go
+++ b/core/owner/step.go
@@ -253,19 +253,24 @@
 	case !r.notRun():
 		return answer.Failure(id, "cancelled by the caller after a task had started", cancelled, false)
 	case !o.lease.Holds(r.shard):
-		return answer.Uncertain(id, "another owner of the shard may have run it", ownerChanged)
+		return replaced(id)
 	}
 	a := answer.Failure(id, "cancelled by the caller before any task started", cancelled, false)
 	a.NotRunKnown = false
 	return a
 }
 
+// replaced gives the answer when nothing was started here, but the shard may have another owner by now.
+func replaced(id string) answer.Answer {
+	return answer.Uncertain(id, "another owner of the shard may have run it", ownerChanged)
+}
+
 // late gives the answer of a job whose deadline has passed.
 func (o *Owner) late(r *record) answer.Answer {
 	switch {
 	case !r.notRun():
 	case !o.lease.Holds(r.shard):
-		return answer.Uncertain(r.key().ID, "another owner of the shard may have run it", ownerChanged)
+		return replaced(r.key().ID)
 	default:
 		return answer.Failure(r.key().ID, "deadline passed before a target had room", neverPlaced, true)
 	}
--- a/core/recov/chart.go
+++ b/core/recov/chart.go
@@ -13,38 +13,19 @@
 
 // The chart is read once, so that a wrong file stops the process at its start.
 var (
-	recovery = mustLoad(chartFile, forgetJobs)
+	recovery = chart.Must(chartFile, forgetJobs)
 
-	stateRecovered  = state("recovered")
-	stateHandedOver = state("handed-over")
-	stateSettled    = state("settled")
+	stateRecovered  = recovery.MustState("recovered")
+	stateHandedOver = recovery.MustState("handed-over")
+	stateSettled    = recovery.MustState("settled")
 
-	onFence       = event("fence")
-	onAllAnswered = event("all-answered")
-	onHandOver    = event("hand-over")
-	onOverflow    = event("overflow")
-	onSettle      = event("settle")
+	onFence       = recovery.MustEvent("fence")
+	onAllAnswered = recovery.MustEvent("all-answered")
+	onHandOver    = recovery.MustEvent("hand-over")
+	onOverflow    = recovery.MustEvent("overflow")
+	onSettle      = recovery.MustEvent("settle")
 )
 
-func mustLoad(data []byte, actions ...string) *chart.Chart {
-	c, err := chart.Load(data, actions...)
-	if err != nil {
-		panic(err)
-	}
-	return c
-}
-
-func state(name string) int { return known(recovery.StateID(name), name) }
-
-func event(name string) int { return known(recovery.EventID(name), name) }
-
-func known(id int, name string) int {
-	if id < 0 {
-		panic("the chart of the recovery lacks " + name)
-	}
-	return id
-}
-
 // raise takes an event and carries out the chart's actions.
 func (r *Recovery) raise(event int) {
 	next, actions := recovery.Step(r.state, event)
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -64,18 +64,7 @@
 
 // Size returns the dominant part of the host that corrected needs take, in thousandths.
 func (s *Slots) Size(team, kind string, declared needs.Vector) int64 {
-	asks := s.Correct(team, kind, declared)
-	size := part(asks.Slots, s.capacity.Slots)
-	size = max(size, part(asks.Cores, s.capacity.Cores))
-	size = max(size, part(asks.MemoryMB, s.capacity.MemoryMB))
-	return max(size, part(asks.Accelerators, s.capacity.Accelerators))
-}
-
-func part(need, capacity int) int64 {
-	if capacity <= 0 {
-		return 0
-	}
-	return int64(need) * wholeHost / int64(capacity)
+	return s.Correct(team, kind, declared).Part(s.capacity)
 }
 
 // Fits reports whether a task with these declared needs can start now.
--- a/core/vers/chart.go
+++ b/core/vers/chart.go
@@ -15,33 +15,23 @@
 var (
 	life = mustLoad(chartFile, keepAsOf)
 
-	stateUnknown = known(life.StateID("unknown"), "unknown")
-	stateInForce = known(life.StateID("in-force"), "in-force")
+	stateUnknown = life.MustState("unknown")
+	stateInForce = life.MustState("in-force")
 
-	onChange = known(life.EventID("change"), "change")
-	onSkip   = known(life.EventID("skip"), "skip")
-	onAdopt  = known(life.EventID("adopt"), "adopt")
+	onChange = life.MustEvent("change")
+	onSkip   = life.MustEvent("skip")
+	onAdopt  = life.MustEvent("adopt")
 )
 
 // mustLoad also holds the chart to what the zero History stands for.
 func mustLoad(data []byte, actions ...string) *chart.Chart {
-	c, err := chart.Load(data, actions...)
-	if err != nil {
-		panic(err)
-	}
+	c := chart.Must(data, actions...)
 	if c.InitialID() != 0 {
 		panic("chart " + c.Name() + ": the initial state must come first")
 	}
 	return c
 }
 
-func known(id int, name string) int {
-	if id < 0 {
-		panic("the chart of the history lacks " + name)
-	}
-	return id
-}
-
 // raise takes an event and carries out the chart's actions.
 func (h *History) raise(event int) {
 	next, actions := life.Step(h.state, event)
--- a/io/agentd/config.go
+++ b/io/agentd/config.go
@@ -11,7 +11,6 @@
 	"persimmonstage/core/rules"
 	"persimmonstage/io/bulk"
 	"persimmonstage/io/conf"
-	"persimmonstage/io/wire"
 )
 
 var errNoEntry = errors.New("no entry is connected")
@@ -37,12 +36,11 @@
 	if len(list) == 0 {
 		return nil, errNoEntry
 	}
-	mux := list[rand.IntN(len(list))]
-	got, err := mux.Ask(ctx, &wire.Bulk{Body: &wire.Bulk_Fetch{Fetch: &wire.Fetch{What: fetchConfig, Version: version}}})
+	got, err := list[rand.IntN(len(list))].Fetch(ctx, bulk.FetchConfig, version)
 	if err != nil {
 		return nil, err
 	}
-	return got.GetFetched().GetData(), nil
+	return got.GetData(), nil
 }
 
 // configured puts a version in force: weights of the shares, and urgencies inside them.
--- a/io/agentd/link.go
+++ b/io/agentd/link.go
@@ -20,13 +20,9 @@
 )
 
 const (
-	wireVersion  = 1
 	dialTimeout  = 2 * time.Second
 	redialPause  = 200 * time.Millisecond
 	fetchTimeout = 2 * time.Second
-
-	fetchMap    = "map"
-	fetchConfig = "config"
 )
 
 // link is the agent's pair of connections to one member of the shard map; the loop owns its fields.
@@ -74,11 +70,10 @@
 func (d *Daemon) fetch(ctx context.Context, mux *bulk.Mux) error {
 	bounded, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	reply, err := mux.Ask(bounded, &wire.Bulk{Body: &wire.Bulk_Fetch{Fetch: &wire.Fetch{What: fetchMap}}})
+	got, err := mux.Fetch(bounded, bulk.FetchMap, 0)
 	if err != nil {
 		return err
 	}
-	got := reply.GetFetched()
 	if got.GetVersion() == 0 {
 		return errNothingYet
 	}
@@ -179,7 +174,7 @@
 
 func (d *Daemon) hello() *wire.Hello {
 	return &wire.Hello{
-		Version: wireVersion, Role: wire.Role_ROLE_AGENT, Name: d.self.Name, Incarnation: d.self.Incarnation,
+		Version: wire.Version, Role: wire.Role_ROLE_AGENT, Name: d.self.Name, Incarnation: d.self.Incarnation,
 		DataCentre: d.set.DataCentre, Rack: d.set.Rack, Host: d.set.Host, GraceMs: uint32(d.set.Timing.GraceMS), Capacity: codec.NeedsOut(d.set.Capacity),
 		Leaving: d.draining.Load(),
 	}
--- a/io/agtset/settings.go
+++ b/io/agtset/settings.go
@@ -43,12 +43,9 @@
 	s.Timing.HeartbeatMS = defaultHeartbeatMS
 	s.Timing.GraceMS = defaultGraceMS
 	s.Timing.DrainMS = defaultDrainMS
-	if err := strict.Decode(file, data, s); err != nil {
+	if err := strict.Load(file, data, s, s.check); err != nil {
 		return nil, err
 	}
-	if key, reason := s.check(); key != "" {
-		return nil, strict.At(file, data, key, reason)
-	}
 	return s, nil
 }
 
--- a/io/entryd/agents.go
+++ b/io/entryd/agents.go
@@ -147,17 +147,23 @@
 	if l.id == 0 {
 		return
 	}
-	d.reach.Lost(time.Now(), l.hello.DataCentre, l.who.Name)
-	d.speeds.Forget(l.id)
-	d.judge.Gone(l.id, time.Now())
 	d.roster.Remove(l.id)
-	delete(d.agents.byTarget, l.id)
-	l.id = 0
+	d.forgetTarget(l)
 	if !l.leaving && !d.draining.Load() {
 		d.agents.cut[l.who.Name] = time.Now().Add(ms(d.set.Timing.SuspectMS))
 	}
 }
 
+// forgetTarget drops what is known of a target besides the roster's row.
+func (d *Daemon) forgetTarget(l *agentLink) {
+	now := time.Now()
+	d.reach.Lost(now, l.hello.DataCentre, l.who.Name)
+	d.speeds.Forget(l.id)
+	d.judge.Gone(l.id, now)
+	delete(d.agents.byTarget, l.id)
+	l.id = 0
+}
+
 // noteLost enters into the account of the day that a target whose connections ended has died.
 func (d *Daemon) noteLost(now time.Time, name string) {
 	if _, ok := d.agents.cut[name]; ok {
@@ -189,12 +195,8 @@
 		return
 	}
 	d.log.Info("agent silent", zap.String("agent", l.who.Name))
-	d.reach.Lost(time.Now(), l.hello.DataCentre, l.who.Name)
-	d.speeds.Forget(id)
-	d.judge.Gone(id, time.Now())
+	d.forgetTarget(l)
 	d.note(time.Now(), cause.TargetLost, l.who.Name)
-	delete(d.agents.byTarget, id)
-	l.id = 0
 	d.dropLink(l)
 }
 
--- a/io/entryd/bulk.go
+++ b/io/entryd/bulk.go
@@ -15,16 +15,11 @@
 	"persimmonstage/io/wire"
 )
 
-const (
-	fetchMap    = "map"
-	fetchConfig = "config"
-)
-
 // serve takes a stream that an agent or another entry has opened.
 func (d *Daemon) serve(m *bulk.Mux, first *wire.Bulk, s net.Conn) {
 	switch b := first.Body.(type) {
 	case *wire.Bulk_Hello:
-		if b.Hello.Version != wireVersion || b.Hello.Role != wire.Role_ROLE_AGENT {
+		if b.Hello.Version != wire.Version || b.Hello.Role != wire.Role_ROLE_AGENT {
 			d.log.Warn("bulk stream refused", zap.String("reason", "unknown version or role"), zap.String("peer", b.Hello.Name))
 			m.Close()
 			return
@@ -49,7 +44,7 @@
 	defer s.Close()
 	answer := &wire.Fetched{}
 	switch ask.What {
-	case fetchMap:
+	case bulk.FetchMap:
 		if m := d.view.Load().shards; m != nil {
 			data, err := json.Marshal(m)
 			if err != nil {
@@ -58,7 +53,7 @@
 			}
 			answer.Version, answer.Data = m.Version(), data
 		}
-	case fetchConfig:
+	case bulk.FetchConfig:
 		d.configFetched(ask, s)
 		return
 	default:
--- a/io/entryd/config.go
+++ b/io/entryd/config.go
@@ -51,12 +51,11 @@
 	if len(list) == 0 {
 		return nil, errNoPeer
 	}
-	mux := list[rand.IntN(len(list))]
-	got, err := mux.Ask(ctx, &wire.Bulk{Body: &wire.Bulk_Fetch{Fetch: &wire.Fetch{What: fetchConfig, Version: version}}})
+	got, err := list[rand.IntN(len(list))].Fetch(ctx, bulk.FetchConfig, version)
 	if err != nil {
 		return nil, err
 	}
-	return got.GetFetched().GetData(), nil
+	return got.GetData(), nil
 }
 
 // configured puts a version in force.
--- a/io/entryd/daemon.go
+++ b/io/entryd/daemon.go
@@ -44,9 +44,8 @@
 )
 
 const (
-	tickPeriod  = 20 * time.Millisecond
-	wireVersion = 1
-	shardCount  = 64
+	tickPeriod = 20 * time.Millisecond
+	shardCount = 64
 	// recordLifetime is the longest time from a task's start to the expiry of its record: the longest deadline that a
 	// configuration can allow, and the margin by which records outlive it.
 	recordLifetime = 24*time.Hour + time.Minute
--- a/io/entryd/frames.go
+++ b/io/entryd/frames.go
@@ -94,7 +94,7 @@
 }
 
 func (d *Daemon) helloFrame(now time.Time, conn uint64, h *wire.Hello) {
-	if h.Version != wireVersion {
+	if h.Version != wire.Version {
 		d.refuseConn(conn, "unknown version of the protocol")
 		return
 	}
--- a/io/entryd/frames_test.go
+++ b/io/entryd/frames_test.go
@@ -29,7 +29,7 @@
 	d, err := New(set, zap.New(core))
 	require.NoError(t, err)
 	defer d.control.Stop(t.Context())
-	hello := &wire.Hello{Version: wireVersion, Role: wire.Role_ROLE_AGENT, Name: "a", Incarnation: "1", GraceMs: 2001}
+	hello := &wire.Hello{Version: wire.Version, Role: wire.Role_ROLE_AGENT, Name: "a", Incarnation: "1", GraceMs: 2001}
 	d.helloFrame(time.Now(), 7, hello)
 	require.Empty(t, d.agents.byConn)
 	require.Contains(t, logs.All()[0].ContextMap()["reason"], "timing.grace-ms: 2001, limit 2000")
--- a/io/entryd/peers.go
+++ b/io/entryd/peers.go
@@ -166,17 +166,17 @@
 	}()
 }
 
-func fetchFrom(mux *bulk.Mux, what string) (*wire.Fetched, error) {
+func fetchFrom(mux *bulk.Mux) (*wire.Fetched, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
-	got, err := mux.Ask(ctx, &wire.Bulk{Body: &wire.Bulk_Fetch{Fetch: &wire.Fetch{What: what}}})
+	got, err := mux.Fetch(ctx, bulk.FetchMap, 0)
 	if err != nil {
 		return nil, err
 	}
-	if got.GetFetched().GetVersion() == 0 {
+	if got.GetVersion() == 0 {
 		return nil, errNothingYet
 	}
-	return got.GetFetched(), nil
+	return got, nil
 }
 
 // seedPeers asks the settings' peers for the map until one is known, which needs no log.
@@ -201,7 +201,7 @@
 
 // learnFrom takes the map that an entry of the settings carries.
 func (d *Daemon) learnFrom(mux *bulk.Mux) {
-	got, err := fetchFrom(mux, fetchMap)
+	got, err := fetchFrom(mux)
 	if err != nil {
 		return
 	}
--- a/io/entset/settings.go
+++ b/io/entset/settings.go
@@ -74,12 +74,9 @@
 	s.Retention.ConfigRecords = defaultConfigRecords
 	s.Retention.ConfigMinutes = defaultConfigMinutes
 	s.Retention.AccountDays = defaultAccountDays
-	if err := strict.Decode(file, data, s); err != nil {
+	if err := strict.Load(file, data, s, s.check); err != nil {
 		return nil, err
 	}
-	if key, reason := s.check(); key != "" {
-		return nil, strict.At(file, data, key, reason)
-	}
 	return s, nil
 }
 
--- a/io/strict/decode.go
+++ b/io/strict/decode.go
@@ -28,6 +28,17 @@
 	return locate(file, data, err)
 }
 
+// Load is Decode followed by a check, which names the key that is wrong and why; an empty key means that all is well.
+func Load(file string, data []byte, into any, check func() (key, reason string)) error {
+	if err := Decode(file, data, into); err != nil {
+		return err
+	}
+	if key, reason := check(); key != "" {
+		return At(file, data, key, reason)
+	}
+	return nil
+}
+
 // At returns the *Error for a key of file, on the line that sets it or the table that should hold it; the top level, which
 // holds a key without a table, begins on line 1.
 func At(file string, data []byte, key, reason string) *Error {
--- a/io/verb/cancel.go
+++ b/io/verb/cancel.go
@@ -24,11 +24,7 @@
 		Description: "Tasks that run go on to their end; a job all of whose tasks had started in time is complete as without the\n" +
 			"cancellation. The answer is the one that the job's callers get. Exits 0 if the job has ended.\n\n" +
 			"Example: persimmonstage cancel --entry http://127.0.0.1:8080 castle-kits cut-sheets-7",
-		Flags: []cli.Flag{
-			entryFlag(),
-			&cli.StringFlag{Name: "token", Usage: "the team's token", Sources: cli.EnvVars("PERSIMMONSTAGE_TOKEN")},
-			&cli.BoolFlag{Name: "json", Usage: "print the answer's JSON body"},
-		},
+		Flags:  []cli.Flag{entryFlag(), teamTokenFlag(), answerFlag()},
 		Action: runCancel,
 	}
 }
--- a/io/verb/common.go
+++ b/io/verb/common.go
@@ -8,6 +8,16 @@
 	"github.com/urfave/cli/v3"
 )
 
+// teamTokenFlag is the token of the callers' commands; operators' commands take operatorFlag.
+func teamTokenFlag() cli.Flag {
+	return &cli.StringFlag{Name: "token", Usage: "the team's token", Sources: cli.EnvVars("PERSIMMONSTAGE_TOKEN")}
+}
+
+// answerFlag prints an answer as it came.
+func answerFlag() cli.Flag {
+	return &cli.BoolFlag{Name: "json", Usage: "print the answer's JSON body"}
+}
+
 // entryFlag names the entry that a command talks to.
 func entryFlag() cli.Flag {
 	return &cli.StringFlag{
--- a/io/verb/submit.go
+++ b/io/verb/submit.go
@@ -18,11 +18,7 @@
 		Description: "Sends the job in FILE (- or nothing for standard input), in the JSON form of the public API. The job's\n" +
 			"id, issued and deadline are filled in where they are missing. Exits 0 if the job is complete.\n\n" +
 			"Example: persimmonstage submit --entry http://127.0.0.1:8080 job.json",
-		Flags: []cli.Flag{
-			entryFlag(),
-			&cli.StringFlag{Name: "token", Usage: "the team's token", Sources: cli.EnvVars("PERSIMMONSTAGE_TOKEN")},
-			&cli.BoolFlag{Name: "json", Usage: "print the answer's JSON body"},
-		},
+		Flags:  []cli.Flag{entryFlag(), teamTokenFlag(), answerFlag()},
 		Action: runSubmit,
 	}
 }
--- a/io/verb/try.go
+++ b/io/verb/try.go
@@ -30,7 +30,7 @@
 			"issued and deadline are filled in where they are missing. Exits 0 if the job is complete.\n\n" +
 			"Example: persimmonstage try job.json",
 		Flags: []cli.Flag{
-			&cli.BoolFlag{Name: "json", Usage: "print the answer's JSON body"},
+			answerFlag(),
 			&cli.BoolFlag{Name: "logs", Usage: "print the parts' logs to standard error"},
 		},
 		Action: runTry,
