Serve repeatable jobs on the users' platform, thin and whole

Cause: the product could place and run jobs only through a majority of mapped entries, ledgers and shards, none of which the platform's best-effort jobs need. Ruled out: forwarding to a shard's owner, as a job without a store write needs no owner but the entry that took it.

--- /dev/null
+++ b/core/batch/doc.go
@@ -0,0 +1,3 @@
+// Package batch describes a repeatable job: tasks of one shape, each of which may be attempted anew once no earlier attempt
+// of it can still run.
+package batch
--- /dev/null
+++ b/core/fate/doc.go
@@ -0,0 +1,2 @@
+// Package fate tells how a repeatable job ended.
+package fate
--- /dev/null
+++ b/core/sched/sched.go
@@ -0,0 +1,246 @@
+package sched
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"persimmonstage/core/batch"
+	"persimmonstage/core/fate"
+)
+
+const (
+	// remember is how long the end of a job is known for requests that come again.
+	remember = 10 * time.Second
+	// stallGap is the time without a tick after which the process counts as having stood still.
+	stallGap = 250 * time.Millisecond
+	// stallPause is how long a job that arrives after a stall waits for the word that its caller has left meanwhile.
+	stallPause = 25 * time.Millisecond
+	// defaultWork is the run time of a task of which nothing is declared or known.
+	defaultWork = 200 * time.Millisecond
+	// meanWeight is the weight of one declared run time in a route's mean of their logarithms.
+	meanWeight = 0.05
+	// retryBase is the least and retrySpread the additional time after which refused callers come back, spread so that they
+	// don't come together.
+	retryBase   = time.Second
+	retrySpread = time.Second
+)
+
+// Reasons of a fate.
+const (
+	NoTarget   = "no-target"
+	Overload   = "overload"
+	TooLarge   = "too-large"
+	Deadline   = "deadline"
+	Exhausted  = "attempts-exhausted"
+	Withdrawn  = "withdrawn"
+	CallerLeft = "caller-left"
+)
+
+// Sched holds an entry's repeatable jobs and the targets that it may use; New makes it.
+type Sched struct {
+	out     effects
+	rng     *rand.Rand
+	targets []*target
+	jobs    map[string]*job
+	queue   []*job
+	open    map[string]*attempt // by the task's name
+	next    uint64
+	past    map[string]memory
+	means   map[string]float64 // logarithm of the declared run time, by route
+	ticked  time.Time
+	load    float64
+	kept    float64 // pace up to which targets are kept for a job that waits
+	good    []candidate
+	rest    []candidate
+}
+
+// New returns a scheduler that acts through out; rng makes its random choices repeatable.
+func New(out effects, rng *rand.Rand) *Sched {
+	return &Sched{
+		out: out, rng: rng,
+		jobs:  make(map[string]*job),
+		open:  make(map[string]*attempt),
+		past:  make(map[string]memory),
+		means: make(map[string]float64),
+	}
+}
+
+// Submit takes a job and calls w exactly once with its end. A job that is known joins its first submission; one that has
+// ended gets the same end again, unless it was refused or given up.
+func (s *Sched) Submit(now time.Time, b *batch.Batch, w func(fate.Fate)) {
+	if j := s.jobs[b.ID]; j != nil {
+		j.waiters = append(j.waiters, w)
+		return
+	}
+	number := 0
+	if m, ok := s.past[b.ID]; ok {
+		if m.fate.Kind == fate.Done || m.fate.Kind == fate.Failed {
+			w(m.fate)
+			return
+		}
+		number = m.number
+	}
+	j := s.enter(now, b, number)
+	j.waiters = append(j.waiters, w)
+	if reason := s.hopeless(j); reason != "" {
+		s.end(now, j, fate.Fate{Kind: fate.Refused, Reason: reason, RetryAfter: s.retryAfter()})
+		return
+	}
+	s.enqueue(j)
+	s.place(now)
+}
+
+func (s *Sched) enter(now time.Time, b *batch.Batch, number int) *job {
+	j := &job{batch: b, arrived: now, ready: now, left: b.Tasks, waiting: b.Tasks, tasks: make([]task, b.Tasks)}
+	for i := range j.tasks {
+		j.tasks[i].number = number
+	}
+	j.expected = s.expect(b)
+	objective := b.Route.Objective(j.expected)
+	j.objective = now.Add(objective)
+	j.patience = now.Add(time.Duration(patiencePart * float64(objective)))
+	if now.Sub(s.ticked) > stallGap {
+		j.ready = now.Add(stallPause)
+	}
+	s.jobs[b.ID] = j
+	return j
+}
+
+// expect returns the run time of a job's tasks: halfway, in logarithms, between what was declared and the mean of what is
+// declared for the route, as declared run times are about as far off as jobs of a route differ.
+func (s *Sched) expect(b *batch.Batch) time.Duration {
+	mean, known := s.means[b.Route.Name]
+	if b.Declared <= 0 {
+		if !known {
+			return defaultWork
+		}
+		return time.Duration(math.Exp(mean))
+	}
+	declared := math.Log(float64(b.Declared))
+	if !known {
+		mean = declared
+	}
+	s.means[b.Route.Name] = mean + meanWeight*(declared-mean)
+	return time.Duration(math.Exp((mean + declared) / 2))
+}
+
+// hopeless returns why no target could ever run the job's tasks, if that is so.
+func (s *Sched) hopeless(j *job) string {
+	known := false
+	for _, t := range s.targets {
+		if t.state.Service != j.batch.Route.Service {
+			continue
+		}
+		known = true
+		if s.fits(j, t) {
+			return ""
+		}
+	}
+	if known {
+		return TooLarge
+	}
+	return NoTarget
+}
+
+func (s *Sched) retryAfter() time.Duration {
+	return retryBase + time.Duration(s.rng.Int64N(int64(retrySpread)))
+}
+
+// Cancel ends a job for a reason and reports whether it was there.
+func (s *Sched) Cancel(now time.Time, id, reason string) bool {
+	j := s.jobs[id]
+	if j == nil {
+		return false
+	}
+	s.end(now, j, fate.Fate{Kind: fate.Cancelled, Reason: reason})
+	s.place(now)
+	return true
+}
+
+// Running reports whether a job is known that hasn't ended.
+func (s *Sched) Running(id string) bool { return s.jobs[id] != nil }
+
+// Waiting returns how many jobs of a route have no task at a target yet.
+func (s *Sched) Waiting(route string) int {
+	n := 0
+	for _, j := range s.queue {
+		if !j.begun && !j.ended && j.batch.Route.Name == route {
+			n++
+		}
+	}
+	return n
+}
+
+// Jobs returns the number of jobs without an answer.
+func (s *Sched) Jobs() int { return len(s.jobs) }
+
+// Open returns the number of attempts whose end isn't known.
+func (s *Sched) Open() int { return len(s.open) }
+
+// end answers a job and stops what is left of it.
+func (s *Sched) end(now time.Time, j *job, f fate.Fate) {
+	j.ended = true
+	delete(s.jobs, j.batch.ID)
+	number := 0
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		number = max(number, t.number)
+		if t.attempt != nil {
+			s.stop(t.attempt)
+		}
+	}
+	s.past[j.batch.ID] = memory{fate: f, number: number, expires: now.Add(remember)}
+	s.out.Answered(j.batch.ID, j.batch.Route.Name, f)
+	for _, w := range j.waiters {
+		w(f)
+	}
+	j.waiters = nil
+}
+
+func (s *Sched) stop(a *attempt) {
+	if a.stopping {
+		return
+	}
+	a.stopping = true
+	if a.target.connected {
+		s.out.Stop(a.target.name, a.id)
+	}
+}
+
+// Tick ends what is due: jobs past their patience or deadline, attempts at lost targets, memories.
+func (s *Sched) Tick(now time.Time) {
+	s.ticked = now
+	s.bury(now)
+	for _, j := range s.jobs {
+		s.due(now, j)
+	}
+	s.place(now)
+	for id, m := range s.past {
+		if now.After(m.expires) {
+			delete(s.past, id)
+		}
+	}
+}
+
+func (s *Sched) due(now time.Time, j *job) {
+	switch {
+	case !now.Before(j.batch.Deadline) && j.begun:
+		s.end(now, j, fate.Fate{Kind: fate.Unfinished, Reason: Deadline})
+	case !j.begun && now.After(j.patience):
+		s.end(now, j, fate.Fate{Kind: fate.Refused, Reason: Overload, RetryAfter: s.retryAfter()})
+	}
+}
+
+// Targets returns the names of the connected targets, sorted.
+func (s *Sched) Targets() []string {
+	var names []string
+	for _, t := range s.targets {
+		if t.connected {
+			names = append(names, t.name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/core/sched/state.go
@@ -0,0 +1,78 @@
+package sched
+
+import (
+	"time"
+
+	"persimmonstage/core/batch"
+	"persimmonstage/core/fate"
+)
+
+// State is what an agent tells of its target; it is plain data.
+type State struct {
+	Service        string
+	Millicores     uint64
+	MemoryMB       uint64
+	UsedMillicores uint64
+	UsedMemoryMB   uint64
+	Usable         bool
+	Pace           float64 // run times relative to the expected ones
+	Labels         []string
+	Seen           uint64 // the highest attempt of this entry that the used amounts take into account
+}
+
+// target is an agent's target; its attempts stay open through a loss of the connection.
+type target struct {
+	name        string
+	incarnation string
+	dataCentre  string
+	state       State
+	connected   bool
+	deadAt      time.Time // when nothing of this entry can run there any more, if it isn't connected
+	attempts    map[uint64]*attempt
+	failures    int       // in a row
+	outUntil    time.Time // until when it gets one attempt at a time, after failures in a row
+}
+
+// attempt is one order to run a task; it is open until its end is known.
+type attempt struct {
+	id       uint64
+	job      *job
+	index    int
+	name     string
+	target   *target
+	expected time.Duration // at a pace of 1
+	sent     time.Time
+	stopping bool
+}
+
+// task is one task of a job.
+type task struct {
+	done     bool
+	attempt  *attempt
+	failures int
+	number   int
+	avoid    *target
+}
+
+// job is a repeatable job from its submission until it is answered and no attempt of it is open.
+type job struct {
+	batch     *batch.Batch
+	arrived   time.Time
+	ready     time.Time // before which nothing is placed
+	patience  time.Time // by which the first task has to be placed
+	objective time.Time
+	expected  time.Duration
+	tasks     []task
+	left      int // tasks that aren't done
+	waiting   int // tasks without an attempt that aren't done
+	begun     bool
+	ended     bool
+	waiters   []func(fate.Fate)
+}
+
+// memory is what is kept of an ended job.
+type memory struct {
+	fate    fate.Fate
+	number  int
+	expires time.Time
+}
--- /dev/null
+++ b/io/runsd/daemon.go
@@ -0,0 +1,151 @@
+package runsd
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"persimmonstage/core/ident"
+	"persimmonstage/core/newest"
+	"persimmonstage/core/runs"
+	"persimmonstage/io/ctrl"
+	"persimmonstage/io/loop"
+	"persimmonstage/io/uptime"
+)
+
+const (
+	// tickPeriod is the time between two looks at what is due.
+	tickPeriod = 20 * time.Millisecond
+	// beatEvery is the time between two heartbeats to an entry; the tenure holds four.
+	beatEvery = 120 * time.Millisecond
+	// silence is how long an entry may answer nothing before its connection is given up.
+	silence = 450 * time.Millisecond
+	// drainTime is for how long running tasks may end after the word to stop.
+	drainTime = 4500 * time.Millisecond
+	// stateDelay gathers changes of the target's state before they are told, as each is told to every entry.
+	stateDelay = 8 * time.Millisecond
+)
+
+// target is the process that the agent stands beside.
+type target interface {
+	// Start calls for a start under the lease that ends at until; reason tells why it was rejected.
+	Start(ctx context.Context, l *runs.Life, o *runs.Order, k runs.Key, until time.Time) (runs.Answer, string)
+	// Stop calls for the end of a run.
+	Stop(ctx context.Context, l *runs.Life, k runs.Key) runs.Answer
+	// Look asks what runs and what has ended since ack, waits up to wait for an end, and extends the lease unless until is
+	// zero.
+	Look(ctx context.Context, l *runs.Life, ack int64, until time.Time, wait time.Duration) (*runs.Listing, error)
+}
+
+// Config is what a Daemon is made from; it is plain data.
+type Config struct {
+	Name       string
+	DataCentre string
+}
+
+// Daemon carries the tasks of one target.
+type Daemon struct {
+	cfg     Config
+	log     *zap.Logger
+	self    ident.Ident
+	loop    *loop.Loop
+	control *ctrl.Engine
+	runs    *runs.Runs
+	target  target
+	doc     *newest.Newest
+	metrics *metrics
+
+	links   map[string]*link // by address
+	conns   map[uint64]*link
+	owners  map[string]*link // by the entry's incarnation
+	pending bool
+	wake    chan struct{}
+	ctx     context.Context
+}
+
+// New returns a daemon that acts at t; doc is the operators' document, which it passes on between entries.
+func New(cfg Config, t target, doc *newest.Newest, log *zap.Logger, reg prometheus.Registerer) *Daemon {
+	d := &Daemon{
+		cfg: cfg, log: log, target: t, doc: doc,
+		self:    ident.Ident{Name: cfg.Name, Incarnation: uuid.NewString()},
+		loop:    loop.New(),
+		links:   make(map[string]*link),
+		conns:   make(map[uint64]*link),
+		owners:  make(map[string]*link),
+		wake:    make(chan struct{}, 1),
+		metrics: newMetrics(reg),
+	}
+	d.runs = runs.New(effects{d})
+	d.control = ctrl.New(frames{d}, log)
+	return d
+}
+
+// Run serves until ctx ends, then refuses new work, lets running tasks end, and returns.
+func (d *Daemon) Run(ctx context.Context) error {
+	inner, stop := context.WithCancel(context.Background())
+	defer stop()
+	d.ctx = inner
+	d.log.Info("agent started", zap.String("incarnation", d.self.Incarnation))
+	go d.look(inner)
+	go d.drain(ctx, stop)
+	d.loop.Run(inner, tickPeriod, d.tick)
+	d.control.Stop(context.Background())
+	d.log.Info("agent stopped", zap.Int("given-up", d.runs.Len()))
+	return nil
+}
+
+// drain waits for the word to stop and then for the end of what runs.
+func (d *Daemon) drain(ctx context.Context, stop context.CancelFunc) {
+	<-ctx.Done()
+	defer stop()
+	d.log.Info("agent stopping")
+	d.loop.Call(context.Background(), func(time.Time) { d.runs.Leave() })
+	for end := uptime.Now().Add(drainTime); uptime.Now().Before(end); time.Sleep(tickPeriod) {
+		left := 0
+		d.loop.Call(context.Background(), func(time.Time) { left = d.runs.Len() })
+		if left == 0 {
+			time.Sleep(2 * tickPeriod) // for the last reports to go out
+			return
+		}
+	}
+}
+
+// Announced takes the target's word of itself.
+func (d *Daemon) Announced(l *runs.Life) {
+	d.loop.Post(func(time.Time) {
+		if d.runs.Announced(uptime.Now(), l) {
+			d.log.Info("target announced", zap.String("target", l.ID), zap.String("service", l.Service), zap.Int64("born", l.Born),
+				zap.Uint64("millicores", l.Millicores), zap.Bool("draining", l.Draining))
+			d.poke()
+		}
+	})
+}
+
+// Gone takes the target's word that it has left.
+func (d *Daemon) Gone(id string) {
+	d.loop.Post(func(time.Time) {
+		if l := d.runs.Life(); l != nil && l.ID == id {
+			d.log.Info("target left", zap.String("target", id))
+			d.runs.Gone(uptime.Now())
+		}
+	})
+}
+
+// poke ends the pause of a goroutine that waits for a target to look at.
+func (d *Daemon) poke() {
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (d *Daemon) tick(time.Time) {
+	now := uptime.Now()
+	d.runs.Tick(now)
+	for _, l := range d.links {
+		d.keep(now, l)
+	}
+}
--- /dev/null
+++ b/io/runsd/effects.go
@@ -0,0 +1,102 @@
+package runsd
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"persimmonstage/core/runs"
+	"persimmonstage/io/uptime"
+	"persimmonstage/io/wire"
+)
+
+// effects carries out what the table of runs decides; it is called on the loop.
+type effects struct{ d *Daemon }
+
+// Start calls the target.
+func (e effects) Start(k runs.Key, o *runs.Order, until time.Time) { e.d.start(k, o, until) }
+
+// Stop calls the target.
+func (e effects) Stop(k runs.Key) {
+	e.d.metrics.stops.Inc()
+	e.d.stop(k)
+}
+
+// Ended gathers an end for its owner; one whose owner isn't connected is asked for when it connects again.
+func (e effects) Ended(owner string, attempt uint64, how string, ranMS uint32) {
+	e.d.metrics.ends.WithLabelValues(endLabel(how)).Inc()
+	l := e.d.owners[owner]
+	if l == nil {
+		return
+	}
+	if l.report == nil {
+		l.report = &wire.RunReport{}
+		if !l.flushing {
+			l.flushing = true
+			go e.d.loop.Post(func(time.Time) { e.d.flush(l) })
+		}
+	}
+	l.report.Ends = append(l.report.Ends, &wire.RunEnd{Attempt: attempt, How: how, RanMs: ranMS})
+}
+
+// Changed tells every entry the new state a little later.
+func (e effects) Changed() {
+	if e.d.pending {
+		return
+	}
+	e.d.pending = true
+	time.AfterFunc(stateDelay, func() { e.d.loop.Post(func(time.Time) { e.d.tellState() }) })
+}
+
+// flush sends an entry the ends that were gathered, with the state.
+func (d *Daemon) flush(l *link) {
+	l.flushing = false
+	if l.report == nil || l.owner == "" {
+		return
+	}
+	l.report.State = d.state(l)
+	l.told = l.report.State
+	d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_RunReport{RunReport: l.report}})
+	l.report = nil
+}
+
+func (d *Daemon) tellState() {
+	d.pending = false
+	for _, l := range d.owners {
+		s := d.state(l)
+		if l.told != nil && sameState(l.told, s) {
+			continue
+		}
+		l.told = s
+		d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_RunReport{RunReport: &wire.RunReport{State: s}}})
+	}
+}
+
+// sameState compares what changes from run to run; a new seen attempt alone is no news.
+func sameState(a, b *wire.TargetState) bool {
+	return a.Service == b.Service && a.Usable == b.Usable && a.PacePermille == b.PacePermille &&
+		a.Millicores == b.Millicores && a.MemoryMb == b.MemoryMb &&
+		a.UsedMillicores == b.UsedMillicores && a.UsedMemoryMb == b.UsedMemoryMb && a.Seen == b.Seen
+}
+
+func (d *Daemon) state(l *link) *wire.TargetState {
+	const permille = 1000
+	s := d.runs.State(uptime.Now(), l.owner)
+	return &wire.TargetState{
+		Service: s.Service, Millicores: s.Millicores, MemoryMb: s.MemoryMB,
+		UsedMillicores: s.UsedMillicores, UsedMemoryMb: s.UsedMemoryMB, Usable: s.Usable,
+		PacePermille: uint32(s.Pace * permille), Labels: s.Labels, Seen: s.Seen,
+	}
+}
+
+func endLabel(how string) string {
+	switch how {
+	case "done", "failed", "stopped", "lapsed", runs.Room, runs.Refused, runs.Unknown:
+		return how
+	}
+	return "other"
+}
+
+func (d *Daemon) logOwner(message string, l *link) {
+	d.log.Info(message, zap.String("entry", l.entry), zap.String("incarnation", l.owner), zap.String("address", l.addr))
+}
--- /dev/null
+++ b/io/runsd/links.go
@@ -0,0 +1,173 @@
+package runsd
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"persimmonstage/core/runs"
+	"persimmonstage/io/uptime"
+	"persimmonstage/io/wire"
+)
+
+const (
+	dialTimeout = 500 * time.Millisecond
+	// redialLeast and redialMost bound the pause before the next try to connect; it doubles with each failure.
+	redialLeast = 100 * time.Millisecond
+	redialMost  = 1500 * time.Millisecond
+)
+
+// link is the connection to one entry's address; the loop owns its fields.
+type link struct {
+	addr     string
+	conn     uint64 // 0 is none
+	dialing  bool
+	nextDial time.Time
+	pause    time.Duration
+	entry    string // the name that the entry gave
+	owner    string // the entry's incarnation, empty before its answer to the hello
+	heard    time.Time
+	nextBeat time.Time
+	report   *wire.RunReport
+	flushing bool
+	told     *wire.TargetState
+	sentDoc  int64
+}
+
+// Entries takes addresses of entries to connect to.
+func (d *Daemon) Entries(addrs []string) {
+	d.loop.Post(func(time.Time) { d.learn(addrs) })
+}
+
+func (d *Daemon) learn(addrs []string) {
+	for _, addr := range addrs {
+		if d.links[addr] == nil {
+			d.links[addr] = &link{addr: addr}
+			d.log.Info("entry learned", zap.String("address", addr))
+		}
+	}
+}
+
+// keep connects a link, sends its heartbeat, or gives up a silent connection. Nothing is announced before it is certain that
+// nothing of earlier processes runs at the target.
+func (d *Daemon) keep(now time.Time, l *link) {
+	switch {
+	case l.conn == 0:
+		if d.runs.Clean() && !l.dialing && !now.Before(l.nextDial) {
+			d.dial(l)
+		}
+	case now.Sub(l.heard) > silence:
+		d.log.Warn("entry silent", zap.String("entry", l.entry), zap.String("address", l.addr))
+		d.control.Drop(l.conn)
+		d.lost(now, l)
+	case l.owner != "" && !now.Before(l.nextBeat):
+		l.nextBeat = now.Add(beatEvery)
+		d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_TargetBeat{TargetBeat: &wire.TargetBeat{
+			Stamp: now.UnixNano(), DocumentVersion: d.doc.Version(),
+		}}})
+	}
+}
+
+func (d *Daemon) dial(l *link) {
+	l.dialing = true
+	go func() {
+		ctx, cancel := context.WithTimeout(d.ctx, dialTimeout)
+		defer cancel()
+		conn, err := d.control.Dial(ctx, l.addr)
+		d.loop.Post(func(time.Time) { d.dialed(l, conn, err) })
+	}()
+}
+
+func (d *Daemon) dialed(l *link, conn uint64, err error) {
+	now := uptime.Now()
+	l.dialing = false
+	if err != nil {
+		d.backOff(now, l)
+		return
+	}
+	l.conn, l.heard, l.pause = conn, now, 0
+	l.owner, l.told, l.report, l.sentDoc = "", nil, nil, 0
+	d.conns[conn] = l
+	d.control.Send(conn, &wire.Frame{Body: &wire.Frame_TargetHello{TargetHello: &wire.TargetHello{
+		Version: wire.Version, Agent: &wire.Ident{Name: d.self.Name, Incarnation: []byte(d.self.Incarnation)},
+		DataCentre: d.cfg.DataCentre, State: d.state(l), DocumentVersion: d.doc.Version(),
+		TenureMs: uint32(runs.Tenure.Milliseconds()), Stamp: now.UnixNano(),
+	}}})
+}
+
+func (d *Daemon) backOff(now time.Time, l *link) {
+	l.pause = min(redialMost, max(redialLeast, 2*l.pause))
+	l.nextDial = now.Add(l.pause)
+}
+
+func (d *Daemon) lost(now time.Time, l *link) {
+	delete(d.conns, l.conn)
+	if d.owners[l.owner] == l {
+		delete(d.owners, l.owner)
+		d.logOwner("entry lost", l)
+	}
+	l.conn, l.owner, l.report = 0, "", nil
+	d.backOff(now, l)
+}
+
+func (d *Daemon) closed(conn uint64) {
+	if l := d.conns[conn]; l != nil {
+		d.lost(uptime.Now(), l)
+	}
+}
+
+func (d *Daemon) framed(conn uint64, f *wire.Frame) {
+	l := d.conns[conn]
+	if l == nil {
+		return
+	}
+	now := uptime.Now()
+	l.heard = now
+	switch b := f.Body.(type) {
+	case *wire.Frame_TargetHelloAnswer:
+		d.welcomed(l, b.TargetHelloAnswer)
+	case *wire.Frame_TargetBeatAnswer:
+		d.echoed(l, b.TargetBeatAnswer)
+	case *wire.Frame_RunOrders:
+		d.orders(now, l, b.RunOrders)
+	case *wire.Frame_Document:
+		if d.doc.Offer(b.Document.Version, b.Document.Data) {
+			d.log.Info("configuration taken", zap.Int64("version", b.Document.Version), zap.String("entry", l.entry))
+		}
+	default:
+		d.log.Warn("frame not expected", zap.String("entry", l.entry))
+	}
+}
+
+// welcomed takes the entry's answer to the hello, which counts as the first echo of a heartbeat.
+func (d *Daemon) welcomed(l *link, a *wire.TargetHelloAnswer) {
+	l.entry, l.owner = a.Entry.GetName(), string(a.Entry.GetIncarnation())
+	d.owners[l.owner] = l
+	d.logOwner("entry joined", l)
+	d.runs.Heard(l.owner, time.Unix(0, a.Stamp))
+	d.runs.Sync(l.owner, a.Open)
+	effects{d}.Changed()
+}
+
+func (d *Daemon) echoed(l *link, a *wire.TargetBeatAnswer) {
+	d.runs.Heard(l.owner, time.Unix(0, a.Stamp))
+	d.learn(a.Entries)
+	version, data := d.doc.Get()
+	if a.DocumentVersion < version && l.sentDoc < version {
+		l.sentDoc = version
+		d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_Document{Document: &wire.Document{Version: version, Data: data}}})
+	}
+}
+
+func (d *Daemon) orders(now time.Time, l *link, o *wire.RunOrders) {
+	for _, id := range o.Stops {
+		d.runs.Stop(now, l.owner, id)
+	}
+	for _, s := range o.Starts {
+		d.runs.Order(now, l.owner, &runs.Order{
+			Attempt: s.Attempt, Task: s.Task, Number: int(s.Number), Millicores: s.Millicores, MemoryMB: s.MemoryMb,
+			Expected: time.Duration(s.ExpectedMs) * time.Millisecond, Payload: s.Payload,
+		})
+	}
+}
--- /dev/null
+++ b/io/runsd/metrics.go
@@ -0,0 +1,28 @@
+package runsd
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// metrics are what the daemon counts.
+type metrics struct {
+	ends   *prometheus.CounterVec
+	starts *prometheus.CounterVec
+	looks  *prometheus.CounterVec
+	stops  prometheus.Counter
+}
+
+func vec(name, help, label string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Name: "persimmonstage_runs_" + name, Help: help}, []string{label})
+}
+
+func newMetrics(reg prometheus.Registerer) *metrics {
+	m := &metrics{
+		ends:   vec("ended_total", "Attempts ended, by how.", "how"),
+		starts: vec("starts_total", "Starts called at the target, by its answer.", "answer"),
+		looks:  vec("looks_total", "Looks at the target, by outcome.", "outcome"),
+		stops: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "persimmonstage_runs_stops_total", Help: "Stops called at the target.",
+		}),
+	}
+	reg.MustRegister(m.ends, m.starts, m.looks, m.stops)
+	return m
+}
--- /dev/null
+++ b/io/schedd/daemon.go
@@ -0,0 +1,128 @@
+package schedd
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"persimmonstage/core/ident"
+	"persimmonstage/core/newest"
+	"persimmonstage/core/sched"
+	"persimmonstage/io/ctrl"
+	"persimmonstage/io/loop"
+	"persimmonstage/io/uptime"
+	"persimmonstage/io/wire"
+)
+
+const (
+	// tickPeriod is the time between two looks at what is due.
+	tickPeriod = 20 * time.Millisecond
+	// silence is how long an agent may send nothing before its connection is given up.
+	silence = 450 * time.Millisecond
+	// deadAfter is how long after the loss of a connection something may run at the target: the agent's trust in its last
+	// heartbeat, or the target's lease if the agent is dead, whichever is longer, and the time that a stop takes.
+	deadAfter = 800 * time.Millisecond
+	// maxTenure is the longest trust of an agent that deadAfter covers.
+	maxTenure = 600 * time.Millisecond
+	// listEvery is how many heartbeat answers go out for one that lists the entries.
+	listEvery = 8
+)
+
+// Config is what a Daemon is made from; it is plain data.
+type Config struct {
+	Name    string
+	Address string // where agents connect, IP:port
+}
+
+// Daemon serves repeatable jobs.
+type Daemon struct {
+	cfg     Config
+	log     *zap.Logger
+	self    ident.Ident
+	loop    *loop.Loop
+	control *ctrl.Engine
+	sched   *sched.Sched
+	doc     *newest.Newest
+	metrics *metrics
+
+	links   map[uint64]*link
+	byName  map[string]*link
+	dirty   []*link
+	flushed bool
+	entries map[string]bool
+	targets atomic.Int64
+	jobs    atomic.Int64
+}
+
+// New returns a daemon; doc is the operators' document, which it passes on between agents and takes from them.
+func New(cfg Config, doc *newest.Newest, log *zap.Logger, reg prometheus.Registerer) *Daemon {
+	inc := uuid.New()
+	d := &Daemon{
+		cfg: cfg, log: log, doc: doc,
+		self:    ident.Ident{Name: cfg.Name, Incarnation: inc.String()},
+		loop:    loop.New(),
+		links:   make(map[uint64]*link),
+		byName:  make(map[string]*link),
+		entries: map[string]bool{cfg.Address: true},
+		metrics: newMetrics(reg),
+	}
+	seed := inc[:]
+	rng := rand.New(rand.NewPCG(uint64(seed[0])<<8|uint64(seed[1]), uint64(seed[2])))
+	d.sched = sched.New(effects{d}, rng)
+	d.control = ctrl.New(frames{d}, log)
+	return d
+}
+
+// Run serves until ctx ends.
+func (d *Daemon) Run(ctx context.Context) error {
+	if _, err := d.control.Listen(d.cfg.Address); err != nil {
+		return err
+	}
+	d.log.Info("entry started", zap.String("incarnation", d.self.Incarnation), zap.String("address", d.cfg.Address))
+	d.loop.Run(ctx, tickPeriod, d.tick)
+	d.control.Stop(context.Background())
+	d.log.Info("entry stopped")
+	return nil
+}
+
+// Ready reports whether jobs can be served: the operators' document is known, and so is a target.
+func (d *Daemon) Ready() bool { return d.doc.Version() > 0 && d.targets.Load() > 0 }
+
+// Targets returns the number of connected targets.
+func (d *Daemon) Targets() int { return int(d.targets.Load()) }
+
+// Jobs returns the number of jobs without an answer.
+func (d *Daemon) Jobs() int { return int(d.jobs.Load()) }
+
+// Greet tells another entry where this one listens, so that the agents there learn it.
+func (d *Daemon) Greet(ctx context.Context, addr string) error {
+	conn, err := d.control.Dial(ctx, addr)
+	if err != nil {
+		return err
+	}
+	defer d.control.Drop(conn)
+	d.control.Send(conn, &wire.Frame{Body: &wire.Frame_EntryHello{EntryHello: &wire.EntryHello{Address: d.cfg.Address}}})
+	loop.Sleep(ctx, greetTime)
+	return nil
+}
+
+// greetTime is how long the connection of a greeting is kept for the frame to arrive.
+const greetTime = 200 * time.Millisecond
+
+func (d *Daemon) tick(time.Time) {
+	now := uptime.Now()
+	d.sched.Tick(now)
+	for _, l := range d.links {
+		if now.Sub(l.heard) > silence {
+			d.log.Warn("agent silent", zap.String("agent", l.name), zap.Int64("silent-ms", now.Sub(l.heard).Milliseconds()))
+			d.control.Drop(l.conn)
+			d.lost(now, l)
+		}
+	}
+	d.jobs.Store(int64(d.sched.Jobs()))
+}
--- /dev/null
+++ b/io/schedd/metrics.go
@@ -0,0 +1,45 @@
+package schedd
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// metrics are what the daemon counts.
+type metrics struct {
+	jobs     *prometheus.CounterVec
+	ends     *prometheus.CounterVec
+	starts   prometheus.Counter
+	stops    prometheus.Counter
+	waited   prometheus.Histogram
+	response *prometheus.HistogramVec
+}
+
+const (
+	firstBucket  = 0.005 // s
+	bucketFactor = 2
+	buckets      = 12
+)
+
+func newMetrics(reg prometheus.Registerer) *metrics {
+	bounds := prometheus.ExponentialBuckets(firstBucket, bucketFactor, buckets)
+	m := &metrics{
+		jobs: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "persimmonstage_repeatable_jobs_total", Help: "Repeatable jobs ended, by fate.",
+		}, []string{"fate"}),
+		ends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "persimmonstage_attempts_ended_total", Help: "Attempts ended, by how.",
+		}, []string{"how"}),
+		starts: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "persimmonstage_attempts_total", Help: "Attempts ordered.",
+		}),
+		stops: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "persimmonstage_attempt_stops_total", Help: "Attempts withdrawn.",
+		}),
+		waited: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "persimmonstage_repeatable_wait_seconds", Help: "Time from a job's arrival to its first start.", Buckets: bounds,
+		}),
+		response: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "persimmonstage_repeatable_response_seconds", Help: "Time from a job's arrival to its end, by fate.", Buckets: bounds,
+		}, []string{"fate"}),
+	}
+	reg.MustRegister(m.jobs, m.ends, m.starts, m.stops, m.waited, m.response)
+	return m
+}
--- /dev/null
+++ b/io/schedd/submit.go
@@ -0,0 +1,49 @@
+package schedd
+
+import (
+	"context"
+	"time"
+
+	"persimmonstage/core/batch"
+	"persimmonstage/core/fate"
+	"persimmonstage/core/sched"
+	"persimmonstage/io/uptime"
+)
+
+// Submit hands a job in and waits for its end; if ctx ends first, which means that the caller has left, the job is cancelled.
+func (d *Daemon) Submit(ctx context.Context, b *batch.Batch) fate.Fate {
+	got := make(chan fate.Fate, 1)
+	began := uptime.Now()
+	if !d.loop.Post(func(time.Time) { d.sched.Submit(uptime.Now(), b, func(f fate.Fate) { got <- f }) }) {
+		return fate.Fate{Kind: fate.Refused, Reason: "stopping", RetryAfter: time.Second}
+	}
+	select {
+	case f := <-got:
+		d.metrics.response.WithLabelValues(f.Kind.String()).Observe(uptime.Now().Sub(began).Seconds())
+		return f
+	case <-ctx.Done():
+		d.loop.Post(func(time.Time) { d.sched.Cancel(uptime.Now(), b.ID, sched.CallerLeft) })
+		return fate.Fate{Kind: fate.Cancelled, Reason: sched.CallerLeft}
+	}
+}
+
+// Cancel withdraws a job and reports whether it was there.
+func (d *Daemon) Cancel(ctx context.Context, id string) bool {
+	found := false
+	d.loop.Call(ctx, func(time.Time) { found = d.sched.Cancel(uptime.Now(), id, sched.Withdrawn) })
+	return found
+}
+
+// Running reports whether a job is here that has no end yet.
+func (d *Daemon) Running(ctx context.Context, id string) bool {
+	found := false
+	d.loop.Call(ctx, func(time.Time) { found = d.sched.Running(id) })
+	return found
+}
+
+// Waiting returns how many jobs of a route wait for their first start here.
+func (d *Daemon) Waiting(ctx context.Context, route string) int {
+	n := 0
+	d.loop.Call(ctx, func(time.Time) { n = d.sched.Waiting(route) })
+	return n
+}
--- /dev/null
+++ b/io/verb/platform.go
@@ -0,0 +1,43 @@
+package verb
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"persimmonstage/platform/role"
+)
+
+// onPlatform groups the processes that run on the users' platform.
+func onPlatform() *cli.Command {
+	return &cli.Command{
+		Name:  "platform",
+		Usage: "run a process on the users' platform, with the settings that the platform gives it",
+		Commands: []*cli.Command{
+			platformRole("entry", "serve callers of repeatable jobs, and place their tasks", role.Entry),
+			platformRole("agent", "run the tasks of repeatable jobs at the runner of this host", role.Agent),
+		},
+	}
+}
+
+func platformRole(name, usage string, run func(ctx context.Context, w io.Writer, metricsPort int) error) *cli.Command {
+	return &cli.Command{
+		Name:  name,
+		Usage: usage,
+		Description: "Reads the settings file that PERSIMMONSTAGE_BOOT names. Stops on SIGTERM or SIGINT: takes nothing new, lets\n" +
+			"what runs end, exits 0. Logs go to standard output as JSON lines.\n\n" +
+			"Example: persimmonstage platform " + name + " --metrics-port 9464",
+		Flags: []cli.Flag{&cli.IntFlag{Name: "metrics-port", Usage: "serve metrics at /metrics of this port; 0 is none"}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if err := atMost(c, 0); err != nil {
+				return err
+			}
+			signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
+			return named(c, run(ctx, os.Stdout, c.Int("metrics-port")))
+		},
+	}
+}
--- a/io/verb/table.go
+++ b/io/verb/table.go
@@ -20,6 +20,7 @@
 		retire(),
 		report(),
 		loadCommand(),
+		onPlatform(),
 		standIn(),
 	}
 }
