Judge running tasks by their progress

Change: agents tell a run time that is unusual; the entry moves the task or gives the job up at once. Ruled out: refusing by the declared run time, which is 40 % off.

--- a/core/runs/pace.go
+++ b/core/runs/pace.go
@@ -8,12 +8,9 @@
 const (
 	// paceWeight is the weight of one run in the mean: estimates are some 30 % off, so a mean of about 20 runs is 6 % off.
 	paceWeight = 0.1
-	// overdueFactor is how many times its expected time at the learned pace a run takes before it counts before its end.
-	overdueFactor = 1.7
-	// overdueLeast is the least time that a run takes before it counts before its end.
-	overdueLeast = 150 * time.Millisecond
-	// paceEvery is the time between two looks at one run that count.
-	paceEvery = 50 * time.Millisecond
+	// overdueFactor is how many times its expected time at the learned pace a run takes to count before its end: more than
+	// tasks differ.
+	overdueFactor = 2.2
 	// fadeAfter is the time without samples after which the pace returns towards 1, once in each such time: a target that was
 	// slow gets little work and would never show that it isn't any more.
 	fadeAfter = time.Second
@@ -38,12 +35,12 @@
 	p.sampled = now
 }
 
-// overdue takes the time that a run has taken so far and reports whether it changed the pace.
-func (p *pace) overdue(now time.Time, ran, expected time.Duration) bool {
-	if ran < overdueLeast || float64(ran) < overdueFactor*p.value()*float64(expected) {
+// overdue takes the whole time that a run will take, judged before its end, and reports whether it changed the pace.
+func (p *pace) overdue(now time.Time, whole, expected time.Duration) bool {
+	if float64(whole) < overdueFactor*p.value()*float64(expected) {
 		return false
 	}
-	p.learn(now, ran, expected)
+	p.learn(now, whole, expected)
 	return true
 }
 
--- a/core/runs/runs.go
+++ b/core/runs/runs.go
@@ -47,7 +47,8 @@
 	settled  time.Time // when its start was answered or given up
 	stopSent time.Time
 	barred   time.Time // when the stop was confirmed
-	looked   time.Time // of the last progress that counted for the pace
+	looked   time.Time     // of the last progress that counted
+	forecast time.Duration // the run time that was last told
 	how      string
 }
 
@@ -374,11 +375,11 @@
 		listed[p.Key] = p.Percent
 	}
 	for _, u := range r.sorted() {
-		_, there := listed[u.key]
+		percent, there := listed[u.key]
 		switch {
 		case there:
 			r.step(now, u, onListed)
-			r.progress(now, u)
+			r.progress(now, u, percent)
 		case !u.barred.IsZero() && l.Sent.After(u.barred):
 			u.how = stopped
 			r.step(now, u, onHalted)
@@ -389,16 +390,6 @@
 	}
 }
 
-// progress lets a run that takes long count for the pace before its end.
-func (r *Runs) progress(now time.Time, u *run) {
-	if u.state == stateRunning && now.Sub(u.looked) >= paceEvery {
-		u.looked = now
-		if r.pace.overdue(now, now.Sub(u.began), u.order.Expected) {
-			r.out.Changed()
-		}
-	}
-}
-
 func (r *Runs) finished(now time.Time, u *run, how string) {
 	u.how = how
 	if how == done {
--- a/core/sched/effects.go
+++ b/core/sched/effects.go
@@ -21,6 +21,8 @@
 	Stop(target string, attempt uint64)
 	// Placed tells that the first task of a job was sent to a target, after how long a wait.
 	Placed(id, target string, waitedMS int64)
+	// Moved tells that an attempt is stopped in favour of another target, with the time that it would have taken on.
+	Moved(id, target string, leftMS int64)
 	// Answered tells the end of a job.
 	Answered(id, route string, f fate.Fate)
 }
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -33,6 +33,7 @@
 	Overload   = "overload"
 	TooLarge   = "too-large"
 	Deadline   = "deadline"
+	TooLong    = "too-long"
 	Exhausted  = "attempts-exhausted"
 	Withdrawn  = "withdrawn"
 	CallerLeft = "caller-left"
--- a/io/runsd/effects.go
+++ b/io/runsd/effects.go
@@ -25,18 +25,32 @@
 // Ended gathers an end for its owner; one whose owner isn't connected is asked for when it connects again.
 func (e effects) Ended(owner string, attempt uint64, how string, ranMS uint32) {
 	e.d.metrics.ends.WithLabelValues(endLabel(how)).Inc()
-	l := e.d.owners[owner]
+	if l := e.d.gather(owner); l != nil {
+		l.report.Ends = append(l.report.Ends, &wire.RunEnd{Attempt: attempt, How: how, RanMs: ranMS})
+	}
+}
+
+// Forecast gathers the expected end of an attempt for its owner.
+func (e effects) Forecast(owner string, attempt uint64, left time.Duration) {
+	if l := e.d.gather(owner); l != nil {
+		l.report.Forecasts = append(l.report.Forecasts, &wire.RunForecast{Attempt: attempt, LeftMs: uint32(left.Milliseconds())})
+	}
+}
+
+// gather returns the connection of an owner with its report, which goes out when the steps that are posted already are done.
+func (d *Daemon) gather(owner string) *link {
+	l := d.owners[owner]
 	if l == nil {
-		return
+		return nil
 	}
 	if l.report == nil {
 		l.report = &wire.RunReport{}
-		if !l.flushing {
-			l.flushing = true
-			go e.d.loop.Post(func(time.Time) { e.d.flush(l) })
-		}
 	}
-	l.report.Ends = append(l.report.Ends, &wire.RunEnd{Attempt: attempt, How: how, RanMs: ranMS})
+	if !l.flushing {
+		l.flushing = true
+		go d.loop.Post(func(time.Time) { d.flush(l) })
+	}
+	return l
 }
 
 // Changed tells every entry the new state a little later.
--- a/io/schedd/effects.go
+++ b/io/schedd/effects.go
@@ -40,6 +40,12 @@
 	e.d.log.Debug("job placed", zap.String("id", id), zap.String("agent", target), zap.Int64("waited-ms", waitedMS))
 }
 
+// Moved logs that a task is taken from a slow target.
+func (e effects) Moved(id, target string, leftMS int64) {
+	e.d.metrics.moves.Inc()
+	e.d.log.Info("task moved", zap.String("id", id), zap.String("agent", target), zap.Int64("left-ms", leftMS))
+}
+
 // Answered logs the end of a job.
 func (e effects) Answered(id, route string, f fate.Fate) {
 	e.d.metrics.jobs.WithLabelValues(f.Kind.String()).Inc()
--- a/io/schedd/links.go
+++ b/io/schedd/links.go
@@ -117,6 +117,9 @@
 		d.metrics.ends.WithLabelValues(endLabel(e.How)).Inc()
 		d.sched.Ended(now, l.name, e.Attempt, e.How)
 	}
+	for _, f := range r.Forecasts {
+		d.sched.Forecast(now, l.name, f.Attempt, time.Duration(f.LeftMs)*time.Millisecond)
+	}
 }
 
 // endLabel bounds the values of the metrics' label.
--- a/io/schedd/metrics.go
+++ b/io/schedd/metrics.go
@@ -8,6 +8,7 @@
 	ends     *prometheus.CounterVec
 	starts   prometheus.Counter
 	stops    prometheus.Counter
+	moves    prometheus.Counter
 	waited   prometheus.Histogram
 	response *prometheus.HistogramVec
 }
@@ -33,6 +34,9 @@
 		stops: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "persimmonstage_attempt_stops_total", Help: "Attempts withdrawn.",
 		}),
+		moves: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "persimmonstage_tasks_moved_total", Help: "Attempts stopped in favour of another target.",
+		}),
 		waited: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "persimmonstage_repeatable_wait_seconds", Help: "Time from a job's arrival to its first start.", Buckets: bounds,
 		}),
@@ -40,6 +44,6 @@
 			Name: "persimmonstage_repeatable_response_seconds", Help: "Time from a job's arrival to its end, by fate.", Buckets: bounds,
 		}, []string{"fate"}),
 	}
-	reg.MustRegister(m.jobs, m.ends, m.starts, m.stops, m.waited, m.response)
+	reg.MustRegister(m.jobs, m.ends, m.starts, m.stops, m.moves, m.waited, m.response)
 	return m
 }
