Call a start again before its target is doubted, and look more often after a loss

Change: the same start is called three times, looks wait 15 ms for 3 s after a loss, hello waits for the connection.

--- a/core/runs/runs.go
+++ b/core/runs/runs.go
@@ -18,7 +18,7 @@
 	// carried out, so a silent target's lease isn't drawn out.
 	extendWithin = 300 * time.Millisecond
 	// stopAgain is the time between two calls to stop a run that go unanswered.
-	stopAgain = 100 * time.Millisecond
+	stopAgain = 70 * time.Millisecond
 	// staleAfter is how long a target must not have answered for an announcement of an earlier birth to replace it: such a one
 	// is usually a late message, but the time of day may also have been set back.
 	staleAfter = 1500 * time.Millisecond
--- a/io/runsd/frames.go
+++ b/io/runsd/frames.go
@@ -9,8 +9,10 @@
 // frames posts what happens on the connections to the loop.
 type frames struct{ d *Daemon }
 
-// Opened is no news: the connection counts once its dial has returned.
-func (f frames) Opened(uint64) {}
+// Opened says hello on a connection whose dial has returned already.
+func (f frames) Opened(conn uint64) {
+	f.d.loop.Post(func(time.Time) { f.d.opened(conn) })
+}
 
 // Framed takes a frame.
 func (f frames) Framed(conn uint64, m *wire.Frame) {
--- a/io/runsd/links.go
+++ b/io/runsd/links.go
@@ -12,10 +12,11 @@
 )
 
 const (
-	dialTimeout = 500 * time.Millisecond
+	// dialTimeout is far above a round trip between data centres, and short so that a host that starts is found soon.
+	dialTimeout = 150 * time.Millisecond
 	// redialLeast and redialMost bound the pause before the next try to connect; it doubles with each failure.
-	redialLeast = 100 * time.Millisecond
-	redialMost  = 1500 * time.Millisecond
+	redialLeast = 25 * time.Millisecond
+	redialMost  = 800 * time.Millisecond
 )
 
 // link is the connection to one entry's address; the loop owns its fields.
@@ -23,6 +24,7 @@
 	addr     string
 	conn     uint64 // 0 is none
 	dialing  bool
+	greeted  bool // the hello was sent
 	nextDial time.Time
 	pause    time.Duration
 	entry    string // the name that the entry gave
@@ -61,6 +63,8 @@
 		d.log.Warn("entry silent", zap.String("entry", l.entry), zap.String("address", l.addr))
 		d.control.Drop(l.conn)
 		d.lost(now, l)
+	case !l.greeted:
+		d.hello(now, l)
 	case l.owner != "" && !now.Before(l.nextBeat):
 		l.nextBeat = now.Add(beatEvery)
 		d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_TargetBeat{TargetBeat: &wire.TargetBeat{
@@ -87,9 +91,14 @@
 		return
 	}
 	l.conn, l.heard, l.pause = conn, now, 0
-	l.owner, l.told, l.report, l.sentDoc = "", nil, nil, 0
+	l.owner, l.told, l.report, l.sentDoc, l.greeted = "", nil, nil, 0, false
 	d.conns[conn] = l
-	d.control.Send(conn, &wire.Frame{Body: &wire.Frame_TargetHello{TargetHello: &wire.TargetHello{
+	d.hello(now, l)
+}
+
+// hello opens the connection; it is tried again until the connection takes it.
+func (d *Daemon) hello(now time.Time, l *link) {
+	l.greeted = d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_TargetHello{TargetHello: &wire.TargetHello{
 		Version: wire.Version, Agent: &wire.Ident{Name: d.self.Name, Incarnation: []byte(d.self.Incarnation)},
 		DataCentre: d.cfg.DataCentre, State: d.state(l), DocumentVersion: d.doc.Version(),
 		TenureMs: uint32(runs.Tenure.Milliseconds()), Stamp: now.UnixNano(),
@@ -111,6 +120,12 @@
 	d.backOff(now, l)
 }
 
+func (d *Daemon) opened(conn uint64) {
+	if l := d.conns[conn]; l != nil && !l.greeted {
+		d.hello(uptime.Now(), l)
+	}
+}
+
 func (d *Daemon) closed(conn uint64) {
 	if l := d.conns[conn]; l != nil {
 		d.lost(uptime.Now(), l)
--- a/io/runsd/target.go
+++ b/io/runsd/target.go
@@ -12,22 +12,30 @@
 )
 
 const (
-	// startTimeout is how long the answer to a start is waited for before the target's list decides.
-	startTimeout = 250 * time.Millisecond
-	stopTimeout  = 150 * time.Millisecond
+	// startTimeout is how long the answer to a start is waited for before the same start is called again; it doubles with
+	// each call. A target on the same host answers within some milliseconds.
+	startTimeout = 30 * time.Millisecond
+	// startCalls is how often a start is called before the target's list decides.
+	startCalls  = 3
+	stopTimeout = 60 * time.Millisecond
 	// lookWait is how long the target waits for an end before it answers a look.
-	lookWait = 150 * time.Millisecond
+	lookWait = 120 * time.Millisecond
 	// lookTimeout is how much longer the answer to a look is waited for.
-	lookTimeout = 150 * time.Millisecond
-	// lookPause is the time between two looks at a target that doesn't answer.
+	lookTimeout = 40 * time.Millisecond
+	// waryWait takes the place of lookWait for waryTime after an answer was lost, as ends aren't heard of meanwhile.
+	waryWait = 15 * time.Millisecond
+	waryTime = 3 * time.Second
+	// lookPause is the time between two looks at a target that doesn't answer, once several answers were lost.
 	lookPause = 50 * time.Millisecond
+	// lookLosses is from how many lost answers in a row on a target counts as lost.
+	lookLosses = 3
 	// idlePause is the time between two glances whether there is a target to look at.
 	idlePause = time.Second
 )
 
 // look asks the target all the time what runs and what has ended.
 func (d *Daemon) look(ctx context.Context) {
-	failing := false
+	losses, waryUntil := 0, time.Time{}
 	for ctx.Err() == nil {
 		life, ack, until := d.nextLook(ctx)
 		if life == nil {
@@ -35,28 +43,41 @@
 			continue
 		}
 		sent := uptime.Now()
-		bounded, cancel := context.WithTimeout(ctx, lookWait+lookTimeout)
-		listing, err := d.target.Look(bounded, life, ack, until, lookWait)
+		wait := lookWait
+		if sent.Before(waryUntil) {
+			wait = waryWait
+		}
+		bounded, cancel := context.WithTimeout(ctx, wait+lookTimeout)
+		listing, err := d.target.Look(bounded, life, ack, until, wait)
 		cancel()
 		if err != nil {
-			d.metrics.looks.WithLabelValues("failed").Inc()
-			if !failing && ctx.Err() == nil {
-				d.log.Warn("target lost", zap.String("target", life.ID), zap.Error(err))
-			}
-			failing = true
-			loop.Sleep(ctx, lookPause)
+			losses++
+			waryUntil = uptime.Now().Add(waryTime)
+			d.missed(ctx, life, losses, err)
 			continue
 		}
-		if failing {
-			d.log.Info("target back", zap.String("target", life.ID))
+		if losses >= lookLosses {
+			d.log.Info("target back", zap.String("target", life.ID), zap.Int("losses", losses))
 		}
-		failing = false
+		losses = 0
 		d.metrics.looks.WithLabelValues("answered").Inc()
 		listing.Sent, listing.Extended = sent, !until.IsZero()
 		d.loop.Post(func(time.Time) { d.listed(life, listing) })
 	}
 }
 
+// missed notes a look without an answer.
+func (d *Daemon) missed(ctx context.Context, life *runs.Life, losses int, err error) {
+	d.metrics.looks.WithLabelValues("failed").Inc()
+	if losses < lookLosses || ctx.Err() != nil {
+		return
+	}
+	if losses == lookLosses {
+		d.log.Warn("target lost", zap.String("target", life.ID), zap.String("error", err.Error()))
+	}
+	loop.Sleep(ctx, lookPause)
+}
+
 func (d *Daemon) nextLook(ctx context.Context) (life *runs.Life, ack int64, until time.Time) {
 	d.loop.Call(ctx, func(time.Time) {
 		life, ack = d.runs.Life(), d.runs.Ack()
@@ -92,9 +113,7 @@
 func (d *Daemon) start(k runs.Key, o *runs.Order, until time.Time) {
 	life := d.runs.Life()
 	go func() {
-		ctx, cancel := context.WithTimeout(d.ctx, startTimeout)
-		defer cancel()
-		answer, reason := d.target.Start(ctx, life, o, k, until)
+		answer, reason := d.callStart(life, o, k, until)
 		d.metrics.starts.WithLabelValues(answerLabel(answer)).Inc()
 		if answer != runs.Accepted {
 			d.log.Info("start not accepted", zap.String("task", k.Task), zap.Int("number", k.Number),
@@ -104,6 +123,27 @@
 	}()
 }
 
+// callStart calls for a start until there is an answer: the same start twice is carried out once. A rejection after a lost
+// answer may be due to the first call, so it leaves the outcome open.
+func (d *Daemon) callStart(life *runs.Life, o *runs.Order, k runs.Key, until time.Time) (runs.Answer, string) {
+	timeout := startTimeout
+	reason := ""
+	for call := range startCalls {
+		ctx, cancel := context.WithTimeout(d.ctx, timeout)
+		answer, why := d.target.Start(ctx, life, o, k, until)
+		cancel()
+		reason = why
+		switch {
+		case answer == runs.Accepted, answer == runs.Rejected && call == 0:
+			return answer, why
+		case answer == runs.Rejected:
+			return runs.Lost, why
+		}
+		timeout *= 2
+	}
+	return runs.Lost, reason
+}
+
 func (d *Daemon) stop(k runs.Key) {
 	life := d.runs.Life()
 	if life == nil {
