Place a task at the slowest target that is safe for it, and move long tasks to fast ones

Cause: answers long before the objective gain nothing, yet short tasks took the fast quarter of the targets, and jobs were given up by a progress of 3 % at 50 ms. Change: safe, fair and late targets by pace; progress is judged from 6 % on, as its lower bound; a task too long for its target moves to a faster one. Ruled out: the fastest target first (before).

--- a/core/runs/progress.go
+++ b/core/runs/progress.go
@@ -8,7 +8,10 @@
 	// unusual is how many times its expected time a run has to take before its owner is told: past what estimates are off.
 	unusual = 1.3
 	// retell is by which factor a run time has to differ from the one that was told to be told again.
-	retell = 1.15
+	retell = 1.1
+	// leastPercent is the progress from which on a run is judged, unless it is overdue: progress is told in whole percents, rounded
+	// down, so little of it tells little.
+	leastPercent = 6
 	// wholePercent is the progress of a run that has ended.
 	wholePercent = 100
 )
@@ -21,9 +24,9 @@
 	}
 	u.looked = now
 	ran := now.Sub(u.began)
-	whole := ran * wholePercent / time.Duration(max(1, percent))
+	whole := ran * wholePercent / time.Duration(percent+1)
 	usual := time.Duration(r.pace.value() * float64(u.order.Expected))
-	if float64(whole) < unusual*float64(usual) || percent == 0 && ran < usual {
+	if float64(whole) < unusual*float64(usual) || percent < leastPercent && ran < usual {
 		return
 	}
 	if r.pace.overdue(now, whole, u.order.Expected) {
--- a/core/sched/choose.go
+++ b/core/sched/choose.go
@@ -6,13 +6,20 @@
 )
 
 const (
-	// margin is what the estimate of a run time is stretched by before it is compared with the time that is left.
-	margin = 1.15
-	// busyLoad is the part of all room in use from which on slow targets are given what they can do in time, so that fast ones
-	// stay free for work that only they can do in time.
-	busyLoad = 0.6
+	// objectiveMargin is what an expected run time is stretched by before it is compared with the time left to the objective.
+	// A task that takes longer than expected also has a later objective, so little is enough.
+	objectiveMargin = 1.05
+	// safeMargin is the same for the deadline, which doesn't move: run times are known to some 30 %, so three in a hundred tasks
+	// take longer than this.
+	safeMargin = 1.7
+	// fairMargin is the same where a safe target has no room.
+	fairMargin = 1.1
+	// safeWait is the share of its patience for which a job waits for a safe target before it takes a fair one.
+	safeWait = 0.4
 	// lateLoad is the part of all room in use up to which work is begun that can only be late.
 	lateLoad = 0.8
+	// alike is the ratio of two paces up to which targets count as equally fast.
+	alike = 1.15
 	// probeFailures is how many failures in a row let a target have one attempt at a time only.
 	probeFailures = 3
 	// probePause is how long such a target has nothing before the next attempt.
@@ -26,61 +33,94 @@
 	free   float64
 }
 
-// choose returns the target at which a task is attempted, nil if it has to wait. If it waits for a target that would serve it
-// in time, targets as fast as that are kept from the jobs behind it.
+// choose returns the target at which a task is attempted, nil if it has to wait. Nobody gains by an answer long before the
+// objective, so a task gets the slowest target that is safe for it, and the fast ones stay free for long tasks. If it waits for
+// a target, targets as fast as that are kept from the jobs behind it.
 func (s *Sched) choose(now time.Time, j *job, t *task) *target {
-	left := j.objective.Sub(now)
-	s.good, s.rest = s.good[:0], s.rest[:0]
-	fastest := time.Duration(0)
+	safe, fair := j.paces(now)
+	s.safe, s.fair, s.rest = s.safe[:0], s.fair[:0], s.rest[:0]
+	safeSomewhere, fairSomewhere := false, false
 	for _, to := range s.targets {
-		run := time.Duration(float64(j.expected) * to.state.Pace)
 		if !to.state.Usable || !to.connected || !s.fits(j, to) {
 			continue
 		}
-		if fastest == 0 || run < fastest {
-			fastest = run
-		}
+		pace := to.state.Pace
+		safeSomewhere = safeSomewhere || pace <= safe
+		fairSomewhere = fairSomewhere || pace <= fair
 		if !s.room(now, j, t, to) {
 			continue
 		}
-		c := candidate{target: to, run: run, free: to.freePart()}
-		if time.Duration(margin*float64(run)) <= left {
-			s.good = append(s.good, c)
-		} else {
+		c := candidate{target: to, run: time.Duration(float64(j.expected) * pace), free: to.freePart()}
+		switch {
+		case pace <= safe:
+			s.safe = append(s.safe, c)
+		case pace <= fair:
+			s.fair = append(s.fair, c)
+		default:
 			s.rest = append(s.rest, c)
 		}
 	}
-	if len(s.good) > 0 {
-		return s.best(s.good)
-	}
-	if fastest > 0 && time.Duration(margin*float64(fastest)) <= left {
-		if t.avoid == nil && j.batch.Apart == 0 {
-			s.kept = max(s.kept, float64(left)/(margin*float64(j.expected)))
-		}
+	switch {
+	case len(s.safe) > 0:
+		return slowest(s.safe)
+	case safeSomewhere && s.mayWait(now, j):
+		s.keep(j, t, safe)
+		return nil
+	case len(s.fair) > 0:
+		return fastest(s.fair)
+	case fairSomewhere:
+		s.keep(j, t, fair)
 		return nil
 	}
 	return s.late(now, j)
 }
 
-// best returns the target for a task among those that would serve it in time.
-func (s *Sched) best(list []candidate) *target {
-	busy := s.load > busyLoad
-	c := slices.MinFunc(list, func(a, b candidate) int {
-		if near := int(a.run-b.run) / int(max(a.run, b.run)/10+1); near != 0 {
-			if busy {
-				return -near
-			}
-			return near
-		}
-		if a.free > b.free {
-			return -1
-		}
-		if a.free < b.free {
-			return 1
+// paces returns up to which pace targets are safe and fair for a task of the job.
+func (j *job) paces(now time.Time) (safe, fair float64) {
+	objective := float64(j.objective.Sub(now)) / (objectiveMargin * float64(j.expected))
+	left := float64(j.batch.Deadline.Sub(now)) / float64(j.expected)
+	return min(objective, left/safeMargin), min(objective, left/fairMargin)
+}
+
+// mayWait reports whether it is early enough to wait for a safe target.
+func (s *Sched) mayWait(now time.Time, j *job) bool {
+	return now.Before(j.arrived.Add(time.Duration(safeWait * float64(j.patience.Sub(j.arrived)))))
+}
+
+// keep keeps targets up to a pace from the jobs behind one that waits for them, unless it waits for particular ones.
+func (s *Sched) keep(j *job, t *task, pace float64) {
+	if t.avoid == nil && j.batch.Apart == 0 {
+		s.kept = max(s.kept, pace)
+	}
+}
+
+// slowest returns the target with most room among those that are about as slow as the slowest.
+func slowest(list []candidate) *target {
+	most := time.Duration(0)
+	for i := range list {
+		most = max(most, list[i].run)
+	}
+	return freest(list, func(run time.Duration) bool { return alike*float64(run) >= float64(most) })
+}
+
+// fastest returns the target with most room among those that are about as fast as the fastest.
+func fastest(list []candidate) *target {
+	least := list[0].run
+	for i := range list {
+		least = min(least, list[i].run)
+	}
+	return freest(list, func(run time.Duration) bool { return float64(run) <= alike*float64(least) })
+}
+
+func freest(list []candidate, among func(run time.Duration) bool) *target {
+	var best *candidate
+	for i := range list {
+		c := &list[i]
+		if among(c.run) && (best == nil || c.free > best.free) {
+			best = c
 		}
-		return int(a.run - b.run)
-	})
-	return c.target
+	}
+	return best.target
 }
 
 // late returns the fastest target that would serve a task before its deadline, if the job was begun or there is room to spare.
@@ -88,20 +128,11 @@
 	if !j.begun && s.load > lateLoad {
 		return nil
 	}
-	var best *candidate
-	for i := range s.rest {
-		c := &s.rest[i]
-		if now.Add(c.run).After(j.batch.Deadline) {
-			continue
-		}
-		if best == nil || c.run < best.run {
-			best = c
-		}
-	}
-	if best == nil {
+	s.rest = slices.DeleteFunc(s.rest, func(c candidate) bool { return now.Add(c.run).After(j.batch.Deadline) })
+	if len(s.rest) == 0 {
 		return nil
 	}
-	return best.target
+	return fastest(s.rest)
 }
 
 // fits reports whether a target may run a job's tasks at all.
--- a/core/sched/effects.go
+++ b/core/sched/effects.go
@@ -1,6 +1,10 @@
 package sched
 
-import "persimmonstage/core/fate"
+import (
+	"time"
+
+	"persimmonstage/core/fate"
+)
 
 // Start is an order to attempt a task at a target; it is plain data.
 type Start struct {
@@ -19,10 +23,26 @@
 	Start(target string, s *Start)
 	// Stop orders the end of an attempt, whose end is still to be reported.
 	Stop(target string, attempt uint64)
-	// Placed tells that the first task of a job was sent to a target, after how long a wait.
-	Placed(id, target string, waitedMS int64)
+	// Placed tells how long a job waited until its first task was sent.
+	Placed(waited time.Duration)
 	// Moved tells that an attempt is stopped in favour of another target, with the time that it would have taken on.
 	Moved(id, target string, leftMS int64)
 	// Answered tells the end of a job.
-	Answered(id, route string, f fate.Fate)
+	Answered(st *Story)
+}
+
+// Story is what led to the end of a job; it is plain data.
+type Story struct {
+	ID       string
+	Route    string
+	Fate     fate.Fate
+	Tasks    int
+	Done     int           // tasks that ended well
+	Starts   int           // attempts ordered
+	Expected time.Duration // run time of a task at a pace of 1
+	Waited   time.Duration // until the first task was sent, or until now
+	Took     time.Duration // from arrival to end
+	Load     float64       // part of all room in use at the last placement
+	Targets  int           // connected ones
+	Open     []string      // where attempts were open, with their pace
 }
--- a/core/sched/order.go
+++ b/core/sched/order.go
@@ -77,12 +77,14 @@
 		id: s.next, job: j, index: i, name: j.batch.TaskName(i), target: to, expected: j.expected, sent: now,
 	}
 	t.attempt = a
+	j.starts++
 	to.attempts[a.id] = a
 	s.open[a.name] = a
 	j.waiting--
 	if !j.begun {
 		j.begun = true
-		s.out.Placed(j.batch.ID, to.name, now.Sub(j.arrived).Milliseconds())
+		j.waited = now.Sub(j.arrived)
+		s.out.Placed(j.waited)
 	}
 	s.out.Start(to.name, &Start{
 		Attempt: a.id, Task: a.name, Number: t.number, Millicores: j.batch.Millicores, MemoryMB: j.batch.MemoryMB,
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -53,8 +54,10 @@
 	ticked  time.Time
 	load    float64
 	kept    float64 // pace up to which targets are kept for a job that waits
-	good    []candidate
+	safe    []candidate // scratch of choose
+	fair    []candidate
 	rest    []candidate
+	paces   []float64 // scratch of medianPace
 }
 
 // New returns a scheduler that acts through out; rng makes its random choices repeatable.
@@ -184,6 +187,7 @@
 func (s *Sched) end(now time.Time, j *job, f fate.Fate) {
 	j.ended = true
 	delete(s.jobs, j.batch.ID)
+	s.out.Answered(s.story(now, j, f))
 	number := 0
 	for i := range j.tasks {
 		t := &j.tasks[i]
@@ -193,13 +197,29 @@
 		}
 	}
 	s.past[j.batch.ID] = memory{fate: f, number: number, expires: now.Add(remember)}
-	s.out.Answered(j.batch.ID, j.batch.Route.Name, f)
 	for _, w := range j.waiters {
 		w(f)
 	}
 	j.waiters = nil
 }
 
+// story gathers what led to the end of a job, before what is left of it is stopped.
+func (s *Sched) story(now time.Time, j *job, f fate.Fate) *Story {
+	st := &Story{
+		ID: j.batch.ID, Route: j.batch.Route.Name, Fate: f, Tasks: j.batch.Tasks, Done: j.batch.Tasks - j.left, Starts: j.starts,
+		Expected: j.expected, Waited: j.waited, Took: now.Sub(j.arrived), Load: s.load, Targets: len(s.Targets()),
+	}
+	if !j.begun {
+		st.Waited = st.Took
+	}
+	for i := range j.tasks {
+		if a := j.tasks[i].attempt; a != nil && f.Kind != fate.Done {
+			st.Open = append(st.Open, fmt.Sprintf("%s@%.2f", a.target.name, a.target.state.Pace))
+		}
+	}
+	return st
+}
+
 func (s *Sched) stop(a *attempt) {
 	if a.stopping {
 		return
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -66,6 +66,8 @@
 	left      int // tasks that aren't done
 	waiting   int // tasks without an attempt that aren't done
 	begun     bool
+	waited    time.Duration // until the first start
+	starts    int
 	ended     bool
 	waiters   []func(fate.Fate)
 }
--- a/io/schedd/effects.go
+++ b/io/schedd/effects.go
@@ -5,7 +5,6 @@
 
 	"go.uber.org/zap"
 
-	"persimmonstage/core/fate"
 	"persimmonstage/core/sched"
 	"persimmonstage/io/wire"
 )
@@ -34,11 +33,8 @@
 	}
 }
 
-// Placed logs the first start of a job.
-func (e effects) Placed(id, target string, waitedMS int64) {
-	e.d.metrics.waited.Observe(float64(waitedMS) / float64(time.Second/time.Millisecond))
-	e.d.log.Debug("job placed", zap.String("id", id), zap.String("agent", target), zap.Int64("waited-ms", waitedMS))
-}
+// Placed counts how long a job waited.
+func (e effects) Placed(waited time.Duration) { e.d.metrics.waited.Observe(waited.Seconds()) }
 
 // Moved logs that a task is taken from a slow target.
 func (e effects) Moved(id, target string, leftMS int64) {
@@ -46,17 +42,18 @@
 	e.d.log.Info("task moved", zap.String("id", id), zap.String("agent", target), zap.Int64("left-ms", leftMS))
 }
 
-// Answered logs the end of a job.
-func (e effects) Answered(id, route string, f fate.Fate) {
-	e.d.metrics.jobs.WithLabelValues(f.Kind.String()).Inc()
-	log := e.d.log.Info
-	if f.Kind == fate.Done {
-		log = e.d.log.Debug
-	}
-	log("job ended", zap.String("id", id), zap.String("route", route), zap.String("fate", f.Kind.String()),
-		zap.String("reason", f.Reason), zap.Int("agents", len(e.d.byName)))
+// Answered logs the end of a job with what led to it.
+func (e effects) Answered(st *sched.Story) {
+	e.d.metrics.jobs.WithLabelValues(st.Fate.Kind.String()).Inc()
+	e.d.log.Info("job ended", zap.String("id", st.ID), zap.String("route", st.Route), zap.String("fate", st.Fate.Kind.String()),
+		zap.String("reason", st.Fate.Reason), zap.Int("tasks", st.Tasks), zap.Int("done", st.Done), zap.Int("starts", st.Starts),
+		zap.Int64("expected-ms", st.Expected.Milliseconds()), zap.Int64("waited-ms", st.Waited.Milliseconds()),
+		zap.Int64("took-ms", st.Took.Milliseconds()), zap.Int("load-percent", int(percent*st.Load)),
+		zap.Int("agents", st.Targets), zap.Strings("open", st.Open), zap.Int64("configuration", e.d.doc.Version()))
 }
 
+const percent = 100
+
 // gather returns the connection of a target with its orders, which go out when the steps that are posted already are done.
 func (d *Daemon) gather(target string) *link {
 	l := d.byName[target]
