--- a/core/runs/runs.go
+++ b/core/runs/runs.go
@@ -46,7 +46,7 @@
 	began    time.Time
 	settled  time.Time // when its start was answered or given up
 	stopSent time.Time
-	barred   time.Time // when the stop was confirmed
+	barred   time.Time     // when the stop was confirmed
 	looked   time.Time     // of the last progress that counted
 	forecast time.Duration // the run time that was last told
 	how      string
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -53,7 +53,7 @@
 	means   map[string]float64 // logarithm of the declared run time, by route
 	ticked  time.Time
 	load    float64
-	kept    float64 // pace up to which targets are kept for a job that waits
+	kept    float64     // pace up to which targets are kept for a job that waits
 	safe    []candidate // scratch of choose
 	fair    []candidate
 	rest    []candidate
--- /dev/null
+++ b/core/sched/sched_test.go
@@ -0,0 +1,231 @@
+package sched
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"persimmonstage/core/batch"
+	"persimmonstage/core/fate"
+	"persimmonstage/core/route"
+)
+
+// rig steps a scheduler and records what it orders.
+type rig struct {
+	sched   *Sched
+	now     time.Time
+	starts  []*Start
+	places  []string // targets of starts
+	stops   []uint64
+	fates   map[string]fate.Fate
+	moves   int
+	stories []*Story
+}
+
+func (g *rig) Start(target string, s *Start) {
+	g.starts = append(g.starts, s)
+	g.places = append(g.places, target)
+}
+func (g *rig) Stop(_ string, id uint64)   { g.stops = append(g.stops, id) }
+func (g *rig) Placed(time.Duration)       {}
+func (g *rig) Moved(_, _ string, _ int64) { g.moves++ }
+func (g *rig) Answered(st *Story)         { g.stories = append(g.stories, st) }
+func (g *rig) pass(d time.Duration)       { g.now = g.now.Add(d); g.sched.Tick(g.now) }
+func (g *rig) ended(target, how string, i int) {
+	g.sched.Ended(g.now, target, g.starts[i].Attempt, how)
+}
+func (g *rig) submit(b *batch.Batch) {
+	g.sched.Submit(g.now, b, func(f fate.Fate) { g.fates[b.ID] = f })
+}
+func (g *rig) join(name string, pace float64) { g.sched.Join(g.now, name, "1", "z", sound(pace)) }
+func (g *rig) hear(name string, usedTasks uint64) {
+	g.sched.Hear(g.now, name, used(usedTasks, g.sched.next))
+}
+
+const (
+	capacity = 64_000
+	need     = 6_000
+)
+
+func sound(pace float64) State {
+	return State{Service: "s", Millicores: capacity, MemoryMB: 1000, Usable: true, Pace: pace}
+}
+
+func used(tasks, seen uint64) State {
+	s := sound(1)
+	s.UsedMillicores, s.Seen = tasks*need, seen
+	return s
+}
+
+func newRig() *rig {
+	g := &rig{now: time.Unix(1000, 0), fates: map[string]fate.Fate{}}
+	g.sched = New(g, rand.New(rand.NewPCG(1, 2)))
+	g.sched.Tick(g.now)
+	return g
+}
+
+var queue = &route.Route{Name: "q", Service: "s", Attempts: 2, Aim: 60 * time.Millisecond, Stretch: 1.6}
+
+func (g *rig) batch(id string, tasks int, work time.Duration) *batch.Batch {
+	return &batch.Batch{
+		ID: id, Route: queue, Tasks: tasks, Millicores: need, MemoryMB: 1, Declared: work, Deadline: g.now.Add(1500 * time.Millisecond),
+	}
+}
+
+func TestAJobIsDoneWhenAllItsTasksAre(t *testing.T) {
+	g := newRig()
+	g.join("a", 1)
+	g.submit(g.batch("j", 2, 100*time.Millisecond))
+	require.Len(t, g.starts, 2)
+	require.Equal(t, "j.0.0.1", g.starts[1].Task)
+	g.ended("a", EndDone, 0)
+	require.Empty(t, g.fates)
+	g.ended("a", EndDone, 1)
+	require.Equal(t, fate.Done, g.fates["j"].Kind)
+	g.submit(g.batch("j", 2, 100*time.Millisecond))
+	require.Len(t, g.starts, 2, "a request that comes again gets the same answer")
+}
+
+func TestATaskIsAttemptedAnewOnlyAfterTheEndOfItsAttempt(t *testing.T) {
+	g := newRig()
+	g.join("a", 1)
+	g.join("b", 1)
+	g.submit(g.batch("j", 1, 100*time.Millisecond))
+	first := g.places[0]
+	g.sched.Lose(first, g.now.Add(800*time.Millisecond))
+	g.pass(700 * time.Millisecond)
+	require.Len(t, g.starts, 1, "it may still run at the lost target")
+	g.pass(101 * time.Millisecond)
+	require.Len(t, g.starts, 2)
+	require.NotEqual(t, first, g.places[1])
+	require.Equal(t, 2, g.starts[1].Number)
+}
+
+func TestAJobThatWasGivenUpIsNotAttemptedBesideWhatIsLeftOfIt(t *testing.T) {
+	g := newRig()
+	g.join("a", 1)
+	g.submit(g.batch("j", 1, 100*time.Millisecond))
+	require.True(t, g.sched.Cancel(g.now, "j", CallerLeft))
+	require.Equal(t, []uint64{1}, g.stops)
+	g.submit(g.batch("j", 1, 100*time.Millisecond))
+	require.Len(t, g.starts, 1, "the stopped attempt has no end yet")
+	g.ended("a", EndStopped, 0)
+	require.Len(t, g.starts, 2)
+	require.Equal(t, 2, g.starts[1].Number)
+}
+
+func TestFailuresCountAndOtherEndsDoNot(t *testing.T) {
+	g := newRig()
+	for _, name := range []string{"a", "b", "c"} {
+		g.join(name, 1)
+	}
+	g.submit(g.batch("j", 1, 50*time.Millisecond))
+	for i, how := range []string{EndRefused, EndFailed, EndLapsed, EndFailed} {
+		require.Empty(t, g.fates)
+		require.Len(t, g.starts, i+1)
+		g.ended(g.places[i], how, i)
+	}
+	require.Equal(t, fate.Failed, g.fates["j"].Kind)
+}
+
+func TestARefusalIsTrue(t *testing.T) {
+	g := newRig()
+	g.join("a", 1)
+	g.hear("a", 10)
+	g.submit(g.batch("j", 2, 100*time.Millisecond))
+	require.Empty(t, g.starts)
+	g.pass(40 * time.Millisecond)
+	require.Empty(t, g.fates, "its patience is a fifth of its objective of 220 ms")
+	g.pass(20 * time.Millisecond)
+	require.Equal(t, fate.Refused, g.fates["j"].Kind)
+	require.GreaterOrEqual(t, g.fates["j"].RetryAfter, time.Second)
+	g.hear("a", 0)
+	g.pass(20 * time.Millisecond)
+	require.Empty(t, g.starts, "nothing of a refused job runs")
+}
+
+func TestAJobTooLargeForAllIsRefusedAtOnce(t *testing.T) {
+	g := newRig()
+	g.join("a", 1)
+	b := g.batch("j", 1, 100*time.Millisecond)
+	b.Millicores = capacity + 1
+	g.submit(b)
+	require.Equal(t, fate.Refused, g.fates["j"].Kind)
+	require.Equal(t, TooLarge, g.fates["j"].Reason)
+}
+
+func TestShortTasksLeaveFastTargetsToLongOnes(t *testing.T) {
+	g := newRig()
+	g.join("fast", 0.6)
+	g.join("slow", 1.25)
+	g.submit(g.batch("short", 4, 60*time.Millisecond))
+	long := g.batch("long", 4, 900*time.Millisecond)
+	long.Route = &route.Route{Name: "long", Service: "s", Attempts: 2, Aim: 60 * time.Millisecond, Stretch: 1.6}
+	g.submit(long)
+	require.Equal(t, []string{"slow", "slow", "slow", "slow", "fast", "fast", "fast", "fast"}, g.places)
+}
+
+func TestATaskTooLongForItsTargetMovesToAFastOneAndIsElseGivenUp(t *testing.T) {
+	g := newRig()
+	g.join("slow", 1.25)
+	g.submit(g.batch("j", 1, 800*time.Millisecond))
+	g.join("fast", 0.6)
+	g.pass(100 * time.Millisecond)
+	g.sched.Forecast(g.now, "slow", 1, 1600*time.Millisecond)
+	require.Equal(t, []uint64{1}, g.stops)
+	require.Equal(t, 1, g.moves)
+	g.ended("slow", EndStopped, 0)
+	require.Equal(t, []string{"slow", "fast"}, g.places)
+	g.pass(200 * time.Millisecond)
+	g.sched.Forecast(g.now, "fast", 2, 1300*time.Millisecond)
+	require.Equal(t, fate.Unfinished, g.fates["j"].Kind)
+	require.Equal(t, TooLong, g.fates["j"].Reason)
+}
+
+func TestATargetThatFailsAllGetsOneAttemptAtATime(t *testing.T) {
+	g := newRig()
+	g.join("bad", 1)
+	for i := range probeFailures {
+		b := g.batch(fmt.Sprint("j", i), 1, 50*time.Millisecond)
+		b.Route = &route.Route{Name: "once", Service: "s", Attempts: 1, Aim: 60 * time.Millisecond, Stretch: 1.6}
+		g.submit(b)
+		g.ended("bad", EndFailed, len(g.starts)-1)
+	}
+	n := len(g.starts)
+	g.submit(g.batch("x", 3, 50*time.Millisecond))
+	require.Len(t, g.starts, n)
+	g.sched.Cancel(g.now, "x", Withdrawn)
+	g.pass(probePause)
+	g.submit(g.batch("y", 3, 50*time.Millisecond))
+	require.Len(t, g.starts, n+1)
+	g.ended("bad", EndDone, n)
+	require.Len(t, g.starts, n+3)
+}
+
+func TestAJobThatArrivesAfterAStallWaitsForTheWordThatItsCallerLeft(t *testing.T) {
+	g := newRig()
+	g.join("a", 1)
+	g.now = g.now.Add(3 * time.Second)
+	g.submit(g.batch("j", 1, 100*time.Millisecond))
+	require.Empty(t, g.starts)
+	g.sched.Cancel(g.now, "j", CallerLeft)
+	g.pass(50 * time.Millisecond)
+	require.Empty(t, g.starts)
+}
+
+func TestTheStoryOfAnEndNamesWhatWasOpen(t *testing.T) {
+	g := newRig()
+	g.join("a", 1)
+	g.submit(g.batch("j", 2, 100*time.Millisecond))
+	g.ended("a", EndDone, 0)
+	g.pass(1500 * time.Millisecond)
+	require.Len(t, g.stories, 1)
+	st := g.stories[0]
+	require.Equal(t, fate.Unfinished, st.Fate.Kind)
+	require.Equal(t, Deadline, st.Fate.Reason)
+	require.Equal(t, 1, st.Done)
+	require.Equal(t, []string{"a@1.00"}, st.Open)
+}
