--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -249,7 +249,7 @@
 	switch {
 	case !now.Before(j.batch.Deadline) && j.begun:
 		s.end(now, j, fate.Fate{Kind: fate.Unfinished, Reason: Deadline})
-	case !j.begun && now.After(j.patience):
+	case !j.begun && (now.After(j.patience) || !now.Before(j.batch.Deadline)):
 		s.end(now, j, fate.Fate{Kind: fate.Refused, Reason: Overload, RetryAfter: s.retryAfter()})
 	}
 }
