Find entries and targets again at once after a restart

Cause: after a loss of power agents joined 0.9 s after the entries were up. Ruled out: the gnet client's own start (0.5 ms).

--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -18,6 +18,8 @@
 	stallGap = 250 * time.Millisecond
 	// stallPause is how long a job that arrives after a stall waits for the word that its caller has left meanwhile.
 	stallPause = 25 * time.Millisecond
+	// targetless is how long without any target jobs still wait for one: it is about the time of a restart.
+	targetless = 2 * time.Second
 	// defaultWork is the run time of a task of which nothing is declared or known.
 	defaultWork = 200 * time.Millisecond
 	// meanWeight is the weight of one declared run time in a route's mean of their logarithms.
@@ -52,6 +54,7 @@
 	past    map[string]memory
 	means   map[string]float64 // logarithm of the declared run time, by route
 	ticked  time.Time
+	manned  time.Time // when there last was a target, or of the first tick
 	load    float64
 	kept    float64     // pace up to which targets are kept for a job that waits
 	safe    []candidate // scratch of choose
@@ -88,7 +91,7 @@
 	}
 	j := s.enter(now, b, number)
 	j.waiters = append(j.waiters, w)
-	if reason := s.hopeless(j); reason != "" {
+	if reason := s.hopeless(now, j); reason != "" {
 		s.end(now, j, fate.Fate{Kind: fate.Refused, Reason: reason, RetryAfter: s.retryAfter()})
 		return
 	}
@@ -130,8 +133,8 @@
 	return time.Duration(math.Exp((mean + declared) / 2))
 }
 
-// hopeless returns why no target could ever run the job's tasks, if that is so.
-func (s *Sched) hopeless(j *job) string {
+// hopeless returns why no target will run the job's tasks, if that is known.
+func (s *Sched) hopeless(now time.Time, j *job) string {
 	known := false
 	for _, t := range s.targets {
 		if t.state.Service != j.batch.Route.Service {
@@ -142,10 +145,13 @@
 			return ""
 		}
 	}
-	if known {
+	switch {
+	case known:
 		return TooLarge
+	case now.Sub(s.manned) > targetless:
+		return NoTarget
 	}
-	return NoTarget
+	return ""
 }
 
 func (s *Sched) retryAfter() time.Duration {
@@ -233,6 +239,9 @@
 // Tick ends what is due: jobs past their patience or deadline, attempts at lost targets, memories.
 func (s *Sched) Tick(now time.Time) {
 	s.ticked = now
+	if s.manned.IsZero() || len(s.targets) > 0 {
+		s.manned = now
+	}
 	s.bury(now)
 	for _, j := range s.jobs {
 		s.due(now, j)
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -37,6 +37,7 @@
 func (g *rig) ended(target, how string, i int) {
 	g.sched.Ended(g.now, target, g.starts[i].Attempt, how)
 }
+
 func (g *rig) submit(b *batch.Batch) {
 	g.sched.Submit(g.now, b, func(f fate.Fate) { g.fates[b.ID] = f })
 }
@@ -229,3 +230,19 @@
 	require.Equal(t, 1, st.Done)
 	require.Equal(t, []string{"a@1.00"}, st.Open)
 }
+
+func TestJobsWaitForATargetOnlyWhileARestartIsLikely(t *testing.T) {
+	g := newRig()
+	g.submit(g.batch("early", 1, 400*time.Millisecond))
+	require.Empty(t, g.fates)
+	g.pass(100 * time.Millisecond)
+	g.join("a", 1)
+	require.Len(t, g.starts, 1)
+	g.sched.Lose("a", g.now)
+	g.pass(targetless / 2)
+	for range 200 {
+		g.pass(20 * time.Millisecond)
+	}
+	g.submit(g.batch("later", 1, 400*time.Millisecond))
+	require.Equal(t, NoTarget, g.fates["later"].Reason)
+}
--- a/io/runsd/links.go
+++ b/io/runsd/links.go
@@ -14,9 +14,11 @@
 const (
 	// dialTimeout is far above a round trip between data centres, and short so that a host that starts is found soon.
 	dialTimeout = 150 * time.Millisecond
-	// redialLeast and redialMost bound the pause before the next try to connect; it doubles with each failure.
-	redialLeast = 25 * time.Millisecond
-	redialMost  = 800 * time.Millisecond
+	// redialPause is the time between two tries to connect within redialTime of the loss, when a restart is likely, and
+	// redialLater that between later ones.
+	redialPause = 60 * time.Millisecond
+	redialTime  = 8 * time.Second
+	redialLater = 800 * time.Millisecond
 )
 
 // link is the connection to one entry's address; the loop owns its fields.
@@ -26,9 +28,9 @@
 	dialing  bool
 	greeted  bool // the hello was sent
 	nextDial time.Time
-	pause    time.Duration
-	entry    string // the name that the entry gave
-	owner    string // the entry's incarnation, empty before its answer to the hello
+	lostAt   time.Time // when it was learned or lost
+	entry    string    // the name that the entry gave
+	owner    string    // the entry's incarnation, empty before its answer to the hello
 	heard    time.Time
 	nextBeat time.Time
 	report   *wire.RunReport
@@ -45,7 +47,7 @@
 func (d *Daemon) learn(addrs []string) {
 	for _, addr := range addrs {
 		if d.links[addr] == nil {
-			d.links[addr] = &link{addr: addr}
+			d.links[addr] = &link{addr: addr, lostAt: uptime.Now()}
 			d.log.Info("entry learned", zap.String("address", addr))
 		}
 	}
@@ -90,7 +92,7 @@
 		d.backOff(now, l)
 		return
 	}
-	l.conn, l.heard, l.pause = conn, now, 0
+	l.conn, l.heard = conn, now
 	l.owner, l.told, l.report, l.sentDoc, l.greeted = "", nil, nil, 0, false
 	d.conns[conn] = l
 	d.hello(now, l)
@@ -106,8 +108,11 @@
 }
 
 func (d *Daemon) backOff(now time.Time, l *link) {
-	l.pause = min(redialMost, max(redialLeast, 2*l.pause))
-	l.nextDial = now.Add(l.pause)
+	pause := redialPause
+	if now.Sub(l.lostAt) > redialTime {
+		pause = redialLater
+	}
+	l.nextDial = now.Add(pause)
 }
 
 func (d *Daemon) lost(now time.Time, l *link) {
@@ -116,7 +121,7 @@
 		delete(d.owners, l.owner)
 		d.logOwner("entry lost", l)
 	}
-	l.conn, l.owner, l.report = 0, "", nil
+	l.conn, l.owner, l.report, l.lostAt = 0, "", nil, now
 	d.backOff(now, l)
 }
 
