Log what led to each end, and explain a job from logs

Cause: an engineer could not tell from logs why a job was refused, late or lost. Change: lines for jobs taken and ended, attempts and runs ended, with the same ids at entry and agent; persimmonstage explain ID FILE.

--- a/core/runs/effects.go
+++ b/core/runs/effects.go
@@ -10,6 +10,8 @@
 	Stop(k Key)
 	// Ended tells an owner the end of an attempt.
 	Ended(owner string, attempt uint64, how string, ranMS uint32)
+	// Closed tells the end of a run, for the log.
+	Closed(k Key, owner string, attempt uint64, how string, ranMS uint32)
 	// Forecast tells an owner how much longer an attempt takes that takes unusually long.
 	Forecast(owner string, attempt uint64, left time.Duration)
 	// Changed tells that State gives something else than before.
--- a/core/runs/runs.go
+++ b/core/runs/runs.go
@@ -467,7 +467,9 @@
 	delete(r.runs, u.key)
 	ak := attemptKey{u.owner, u.order.Attempt}
 	delete(r.attempts, ak)
-	r.tell(now, ak, u.how, uint32(now.Sub(u.began).Milliseconds()))
+	ranMS := uint32(now.Sub(u.began).Milliseconds())
+	r.out.Closed(u.key, u.owner, u.order.Attempt, u.how, ranMS)
+	r.tell(now, ak, u.how, ranMS)
 	r.out.Changed()
 }
 
--- a/core/runs/runs_test.go
+++ b/core/runs/runs_test.go
@@ -29,7 +29,8 @@
 func (g *rig) Forecast(owner string, attempt uint64, left time.Duration) {
 	g.log = append(g.log, fmt.Sprintf("forecast %s %d %d", owner, attempt, left.Milliseconds()))
 }
-func (g *rig) Changed() {}
+func (g *rig) Changed()                                   {}
+func (g *rig) Closed(Key, string, uint64, string, uint32) {}
 
 const (
 	capacity = 64_000
--- a/core/sched/effects.go
+++ b/core/sched/effects.go
@@ -23,8 +23,12 @@
 	Start(target string, s *Start)
 	// Stop orders the end of an attempt, whose end is still to be reported.
 	Stop(target string, attempt uint64)
+	// Taken tells that a job was taken.
+	Taken(id, route string, tasks int, expected, objective time.Duration)
 	// Placed tells how long a job waited until its first task was sent.
 	Placed(waited time.Duration)
+	// AttemptEnded tells an end of an attempt other than success.
+	AttemptEnded(task string, number int, target, how string, ran time.Duration)
 	// Moved tells that an attempt is stopped in favour of another target, with the time that it would have taken on.
 	Moved(id, target string, leftMS int64)
 	// Answered tells the end of a job.
@@ -33,16 +37,17 @@
 
 // Story is what led to the end of a job; it is plain data.
 type Story struct {
-	ID       string
-	Route    string
-	Fate     fate.Fate
-	Tasks    int
-	Done     int           // tasks that ended well
-	Starts   int           // attempts ordered
-	Expected time.Duration // run time of a task at a pace of 1
-	Waited   time.Duration // until the first task was sent, or until now
-	Took     time.Duration // from arrival to end
-	Load     float64       // part of all room in use at the last placement
-	Targets  int           // connected ones
-	Open     []string      // where attempts were open, with their pace
+	ID        string
+	Route     string
+	Fate      fate.Fate
+	Tasks     int
+	Done      int           // tasks that ended well
+	Starts    int           // attempts ordered
+	Expected  time.Duration // run time of a task at a pace of 1
+	Objective time.Duration // after its arrival
+	Waited    time.Duration // until the first task was sent, or until now
+	Took      time.Duration // from arrival to end
+	Load      float64       // part of all room in use at the last placement
+	Targets   int           // connected ones
+	Open      []string      // where attempts were open, with their pace
 }
--- a/core/sched/lost.go
+++ b/core/sched/lost.go
@@ -108,6 +108,9 @@
 		delete(s.open, a.name)
 	}
 	s.judge(now, a.target, how)
+	if how != EndDone {
+		s.out.AttemptEnded(a.name, a.number, a.target.name, how, now.Sub(a.sent))
+	}
 	j := a.job
 	if j.ended {
 		return
--- a/core/sched/order.go
+++ b/core/sched/order.go
@@ -74,7 +74,7 @@
 	t := &j.tasks[i]
 	t.number++
 	a := &attempt{
-		id: s.next, job: j, index: i, name: j.batch.TaskName(i), target: to, expected: j.expected, sent: now,
+		id: s.next, job: j, index: i, name: j.batch.TaskName(i), number: t.number, target: to, expected: j.expected, sent: now,
 	}
 	t.attempt = a
 	j.starts++
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -112,6 +112,7 @@
 		j.ready = now.Add(stallPause)
 	}
 	s.jobs[b.ID] = j
+	s.out.Taken(b.ID, b.Route.Name, b.Tasks, j.expected, objective)
 	return j
 }
 
@@ -213,7 +214,7 @@
 func (s *Sched) story(now time.Time, j *job, f fate.Fate) *Story {
 	st := &Story{
 		ID: j.batch.ID, Route: j.batch.Route.Name, Fate: f, Tasks: j.batch.Tasks, Done: j.batch.Tasks - j.left, Starts: j.starts,
-		Expected: j.expected, Waited: j.waited, Took: now.Sub(j.arrived), Load: s.load, Targets: len(s.Targets()),
+		Expected: j.expected, Objective: j.objective.Sub(j.arrived), Waited: j.waited, Took: now.Sub(j.arrived), Load: s.load, Targets: len(s.Targets()),
 	}
 	if !j.begun {
 		st.Waited = st.Took
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -39,6 +39,7 @@
 	job      *job
 	index    int
 	name     string
+	number   int
 	target   *target
 	expected time.Duration // at a pace of 1
 	sent     time.Time
--- /dev/null
+++ b/core/trace/doc.go
@@ -0,0 +1,2 @@
+// Package trace tells from the log lines of all processes what became of one job, and why.
+package trace
--- a/io/runsd/effects.go
+++ b/io/runsd/effects.go
@@ -30,6 +30,16 @@
 	}
 }
 
+// Closed logs the end of a run.
+func (e effects) Closed(k runs.Key, owner string, attempt uint64, how string, ranMS uint32) {
+	entry := ""
+	if l := e.d.owners[owner]; l != nil {
+		entry = l.entry
+	}
+	e.d.log.Info("run ended", zap.String("task", k.Task), zap.Int("number", k.Number), zap.Uint64("attempt", attempt),
+		zap.String("entry", entry), zap.String("how", how), zap.Uint32("ran-ms", ranMS))
+}
+
 // Forecast gathers the expected end of an attempt for its owner.
 func (e effects) Forecast(owner string, attempt uint64, left time.Duration) {
 	if l := e.d.gather(owner); l != nil {
--- a/io/schedd/effects.go
+++ b/io/schedd/effects.go
@@ -36,6 +36,19 @@
 // Placed counts how long a job waited.
 func (e effects) Placed(waited time.Duration) { e.d.metrics.waited.Observe(waited.Seconds()) }
 
+// Taken logs that a job was taken, so that one whose entry dies leaves a trace.
+func (e effects) Taken(id, route string, tasks int, expected, objective time.Duration) {
+	e.d.log.Info("job taken", zap.String("id", id), zap.String("route", route), zap.Int("tasks", tasks),
+		zap.Int64("expected-ms", expected.Milliseconds()), zap.Int64("objective-ms", objective.Milliseconds()),
+		zap.Int64("configuration", e.d.doc.Version()))
+}
+
+// AttemptEnded logs an end that has to be followed by another attempt.
+func (e effects) AttemptEnded(task string, number int, target, how string, ran time.Duration) {
+	e.d.log.Info("attempt ended", zap.String("task", task), zap.Int("number", number), zap.String("agent", target),
+		zap.String("how", how), zap.Int64("ran-ms", ran.Milliseconds()))
+}
+
 // Moved logs that a task is taken from a slow target.
 func (e effects) Moved(id, target string, leftMS int64) {
 	e.d.metrics.moves.Inc()
@@ -47,7 +60,7 @@
 	e.d.metrics.jobs.WithLabelValues(st.Fate.Kind.String()).Inc()
 	e.d.log.Info("job ended", zap.String("id", st.ID), zap.String("route", st.Route), zap.String("fate", st.Fate.Kind.String()),
 		zap.String("reason", st.Fate.Reason), zap.Int("tasks", st.Tasks), zap.Int("done", st.Done), zap.Int("starts", st.Starts),
-		zap.Int64("expected-ms", st.Expected.Milliseconds()), zap.Int64("waited-ms", st.Waited.Milliseconds()),
+		zap.Int64("expected-ms", st.Expected.Milliseconds()), zap.Int64("objective-ms", st.Objective.Milliseconds()), zap.Int64("waited-ms", st.Waited.Milliseconds()),
 		zap.Int64("took-ms", st.Took.Milliseconds()), zap.Int("load-percent", int(percent*st.Load)),
 		zap.Int("agents", st.Targets), zap.Strings("open", st.Open), zap.Int64("configuration", e.d.doc.Version()))
 }
--- a/io/verb/table.go
+++ b/io/verb/table.go
@@ -19,6 +19,7 @@
 		undrain(),
 		retire(),
 		report(),
+		explain(),
 		loadCommand(),
 		onPlatform(),
 		standIn(),
