Refuse at arrival a job whose turn comes after its patience, and judge runs at slow targets by a sound pace

Change: the rate of starts tells the wait; patience 0.15; looks and ticks more finely timed; a pace above 2 counts as 2. The replay of floods counted no room at a hung target (Seen); mended, bound as it was.

--- a/core/runs/progress.go
+++ b/core/runs/progress.go
@@ -12,6 +12,8 @@
 	// leastPercent is the progress from which on a run is judged, unless it is overdue: progress is told in whole percents, rounded
 	// down, so little of it tells little.
 	leastPercent = 6
+	// soundPace bounds the pace that is expected of the target: at a slower one every run is unusual.
+	soundPace = 2
 	// wholePercent is the progress of a run that has ended.
 	wholePercent = 100
 )
@@ -25,7 +27,7 @@
 	u.looked = now
 	ran := now.Sub(u.began)
 	whole := ran * wholePercent / time.Duration(percent+1)
-	usual := time.Duration(r.pace.value() * float64(u.order.Expected))
+	usual := time.Duration(min(r.pace.value(), soundPace) * float64(u.order.Expected))
 	if float64(whole) < unusual*float64(usual) || percent < leastPercent && ran < usual {
 		return
 	}
--- a/core/sched/flood_test.go
+++ b/core/sched/flood_test.go
@@ -148,7 +148,7 @@
 }
 
 func (f *floodBench) state(t *floodTarget) State {
-	s := State{Service: "s", Millicores: 72_000, MemoryMB: 100_000, Usable: true, Pace: math.Exp(t.learn.log), Seen: math.MaxUint64}
+	s := State{Service: "s", Millicores: 72_000, MemoryMB: 100_000, Usable: true, Pace: math.Exp(t.learn.log), Seen: f.sched.next}
 	for _, r := range t.runs {
 		s.UsedMillicores += r.start.Millicores
 	}
--- a/core/sched/order.go
+++ b/core/sched/order.go
@@ -2,13 +2,14 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
 
 // patiencePart is the share of its objective that a job waits for its first start: past a quarter the rest of the objective
 // hardly suffices for the work, and a caller is better off with a refusal.
-const patiencePart = 0.2
+const patiencePart = 0.15
 
 // urgency orders jobs that wait: first those that still can meet their objective, by the end of their patience. Under overload
 // each kind of work loses about the same part then, as a kind with a short objective goes first but also leaves first.
@@ -29,6 +30,50 @@
 	return 0
 }
 
+const (
+	// flowSpan is the time over which the rate of starts is averaged.
+	flowSpan = 300 * time.Millisecond
+	// backlogAge is how long a job must have waited for the rate of starts to be that of the room that becomes free.
+	backlogAge = 10 * time.Millisecond
+	// waitMargin is by how much the expected wait of a job has to exceed its patience for it to be refused at once.
+	waitMargin = 1.3
+)
+
+// flow is the rate of starts, as a sum that fades; the zero value is none.
+type flow struct {
+	sum float64
+	at  time.Time
+}
+
+func (f *flow) add(now time.Time) {
+	f.sum = f.faded(now) + 1
+	f.at = now
+}
+
+func (f *flow) faded(now time.Time) float64 {
+	return f.sum * math.Exp(-float64(now.Sub(f.at))/float64(flowSpan))
+}
+
+// wait returns how long n starts take at the present rate.
+func (f *flow) wait(now time.Time, n int) time.Duration {
+	return time.Duration(float64(n) / max(1, f.faded(now)) * float64(flowSpan))
+}
+
+// overrun reports whether a job that arrives would wait past its patience: when jobs wait already, room is given out as fast as
+// it becomes free, so the tasks ahead and the rate of starts tell when its turn comes. A caller is better off with a refusal now
+// than with the same refusal later.
+func (s *Sched) overrun(now time.Time, j *job) bool {
+	ahead, backlog := 1, false
+	for _, o := range s.queue {
+		if o.ended || o.waiting == 0 || now.Before(o.ready) || !o.patience.Before(j.patience) {
+			continue
+		}
+		ahead += o.waiting
+		backlog = backlog || now.Sub(o.arrived) > backlogAge
+	}
+	return backlog && float64(s.flow.wait(now, ahead)) > waitMargin*float64(j.patience.Sub(now))
+}
+
 // enqueue puts a job among those that wait.
 func (s *Sched) enqueue(j *job) {
 	if !slices.Contains(s.queue, j) {
@@ -81,6 +126,7 @@
 	to.attempts[a.id] = a
 	s.open[a.name] = a
 	j.waiting--
+	s.flow.add(now)
 	if !j.begun {
 		j.begun = true
 		j.waited = now.Sub(j.arrived)
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -56,6 +56,7 @@
 	ticked  time.Time
 	manned  time.Time // when there last was a target, or of the first tick
 	load    float64
+	flow    flow
 	kept    float64     // pace up to which targets are kept for a job that waits
 	safe    []candidate // scratch of choose
 	fair    []candidate
@@ -143,6 +144,9 @@
 		}
 		known = true
 		if s.fits(j, t) {
+			if s.overrun(now, j) {
+				return Overload
+			}
 			return ""
 		}
 	}
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -29,13 +29,16 @@
 	g.starts = append(g.starts, s)
 	g.places = append(g.places, target)
 }
+
 func (g *rig) Stop(_ string, id uint64)                                { g.stops = append(g.stops, id) }
 func (g *rig) Placed(time.Duration)                                    {}
 func (g *rig) Taken(string, string, int, time.Duration, time.Duration) {}
 func (g *rig) AttemptEnded(string, int, string, string, time.Duration) {}
 func (g *rig) Moved(_, _ string, _ int64)                              { g.moves++ }
-func (g *rig) Answered(st *Story)                                      { g.stories = append(g.stories, st) }
-func (g *rig) pass(d time.Duration)                                    { g.now = g.now.Add(d); g.sched.Tick(g.now) }
+func (g *rig) Answered(st *Story) { g.stories = append(g.stories, st) }
+
+func (g *rig) pass(d time.Duration) { g.now = g.now.Add(d); g.sched.Tick(g.now) }
+
 func (g *rig) ended(target, how string, i int) {
 	g.sched.Ended(g.now, target, g.starts[i].Attempt, how)
 }
@@ -140,8 +143,8 @@
 	g.hear("a", 10)
 	g.submit(g.batch("j", 2, 100*time.Millisecond))
 	require.Empty(t, g.starts)
-	g.pass(40 * time.Millisecond)
-	require.Empty(t, g.fates, "its patience is a fifth of its objective of 220 ms")
+	g.pass(30 * time.Millisecond)
+	require.Empty(t, g.fates, "its patience is 0.15 of its objective of 220 ms")
 	g.pass(20 * time.Millisecond)
 	require.Equal(t, fate.Refused, g.fates["j"].Kind)
 	require.GreaterOrEqual(t, g.fates["j"].RetryAfter, time.Second)
--- a/io/runsd/target.go
+++ b/io/runsd/target.go
@@ -14,16 +14,16 @@
 const (
 	// startTimeout is how long the answer to a start is waited for before the same start is called again; it doubles with
 	// each call. A target on the same host answers within some milliseconds.
-	startTimeout = 30 * time.Millisecond
+	startTimeout = 20 * time.Millisecond
 	// startCalls is how often a start is called before the target's list decides.
 	startCalls  = 3
 	stopTimeout = 60 * time.Millisecond
 	// lookWait is how long the target waits for an end before it answers a look.
 	lookWait = 120 * time.Millisecond
 	// lookTimeout is how much longer the answer to a look is waited for.
-	lookTimeout = 40 * time.Millisecond
+	lookTimeout = 30 * time.Millisecond
 	// waryWait takes the place of lookWait for waryTime after an answer was lost, as ends aren't heard of meanwhile.
-	waryWait = 15 * time.Millisecond
+	waryWait = 25 * time.Millisecond
 	waryTime = 3 * time.Second
 	// lookPause is the time between two looks at a target that doesn't answer, once several answers were lost.
 	lookPause = 50 * time.Millisecond
--- a/io/schedd/daemon.go
+++ b/io/schedd/daemon.go
@@ -20,8 +20,8 @@
 )
 
 const (
-	// tickPeriod is the time between two looks at what is due.
-	tickPeriod = 20 * time.Millisecond
+	// tickPeriod is the time between two looks at what is due; the shortest patience of a job is about 20 ms.
+	tickPeriod = 10 * time.Millisecond
 	// silence is how long an agent may send nothing before its connection is given up.
 	silence = 450 * time.Millisecond
 	// deadAfter is how long after the loss of a connection something may run at the target: the agent's trust in its last
