Move a long task before it misses its deadline, and end the runs of a target whose port is closed

Runs of a crashed target counted as lapsed only 0.9 s later. Change: forecasts are told at 3 %, a move is tried from 8 % before the deadline on; a refused connection ends the runs of the target.

--- a/core/runs/progress.go
+++ b/core/runs/progress.go
@@ -8,7 +8,7 @@
 	// unusual is how many times its expected time a run has to take before its owner is told: past what estimates are off.
 	unusual = 1.3
 	// retell is by which factor a run time has to differ from the one that was told to be told again.
-	retell = 1.1
+	retell = 1.03
 	// leastPercent is the progress from which on a run is judged, unless it is overdue: progress is told in whole percents, rounded
 	// down, so little of it tells little.
 	leastPercent = 6
--- a/core/runs/runs.go
+++ b/core/runs/runs.go
@@ -16,7 +16,7 @@
 	clockError = 0.03
 	// extendWithin is how old the target's last answer may be for a call to extend the lease: a call without an answer may be
 	// carried out, so a silent target's lease isn't drawn out.
-	extendWithin = 300 * time.Millisecond
+	extendWithin = 200 * time.Millisecond
 	// stopAgain is the time between two calls to stop a run that go unanswered.
 	stopAgain = 70 * time.Millisecond
 	// staleAfter is how long a target must not have answered for an announcement of an earlier birth to replace it: such a one
@@ -134,6 +134,13 @@
 	r.out.Changed()
 }
 
+// Down notes that nothing listens at the target's address any more: what ran there has ended with its process.
+func (r *Runs) Down(now time.Time) {
+	if r.life != nil {
+		r.rebirth(now)
+	}
+}
+
 // Gone notes that the target has left for good.
 func (r *Runs) Gone(now time.Time) {
 	if r.life == nil {
--- a/core/runs/runs_test.go
+++ b/core/runs/runs_test.go
@@ -258,3 +258,17 @@
 	require.Equal(t, []string{"forecast e 1 880"}, g.took())
 	require.Greater(t, g.runs.State(g.now, "e").Pace, 1.0)
 }
+
+func TestATargetWhosePortIsClosedRunsNothing(t *testing.T) {
+	g := ready(t)
+	g.order(1, "a")
+	g.runs.Answered(g.now, Key{"a", 1}, Accepted, "")
+	g.took()
+	g.runs.Down(g.now)
+	require.Equal(t, []string{"ended e 1 lapsed"}, g.took())
+	g.order(2, "b")
+	require.Equal(t, []string{"ended e 2 refused"}, g.took())
+	g.look(nil, nil)
+	g.order(3, "b")
+	require.Equal(t, []string{"start b/1"}, g.took())
+}
--- a/core/sched/forecast.go
+++ b/core/sched/forecast.go
@@ -15,6 +15,8 @@
 	stopTime = 40 * time.Millisecond
 	// hopelessMargin is by how much an attempt has to miss the deadline for its job to be given up.
 	hopelessMargin = 1.03
+	// riskyMargin is how close to the deadline an attempt may come for its task not to be moved to a faster target.
+	riskyMargin = 1.08
 	// fasterPace is the ratio of paces at which a task too long for its target is attempted at a faster one.
 	fasterPace = 0.75
 )
@@ -42,10 +44,13 @@
 	}
 	work := time.Duration(float64(whole) / t.state.Pace)
 	j.expected = max(j.expected, work)
-	if !now.Add(time.Duration(hopelessMargin * float64(left))).After(j.batch.Deadline) {
+	if !now.Add(time.Duration(riskyMargin * float64(left))).After(j.batch.Deadline) {
 		return
 	}
-	if !s.move(now, a, left, work, fasterPace*t.state.Pace) {
+	if s.move(now, a, left, work, fasterPace*t.state.Pace) {
+		return
+	}
+	if now.Add(time.Duration(hopelessMargin * float64(left))).After(j.batch.Deadline) {
 		s.end(now, j, fate.Fate{Kind: fate.Unfinished, Reason: TooLong})
 		s.place(now)
 	}
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -35,7 +35,7 @@
 func (g *rig) Taken(string, string, int, time.Duration, time.Duration) {}
 func (g *rig) AttemptEnded(string, int, string, string, time.Duration) {}
 func (g *rig) Moved(_, _ string, _ int64)                              { g.moves++ }
-func (g *rig) Answered(st *Story) { g.stories = append(g.stories, st) }
+func (g *rig) Answered(st *Story)                                      { g.stories = append(g.stories, st) }
 
 func (g *rig) pass(d time.Duration) { g.now = g.now.Add(d); g.sched.Tick(g.now) }
 
--- a/io/runsd/metrics.go
+++ b/io/runsd/metrics.go
@@ -11,14 +11,14 @@
 }
 
 func vec(name, help, label string) *prometheus.CounterVec {
-	return prometheus.NewCounterVec(prometheus.CounterOpts{Name: "persimmonstage_runs_" + name, Help: help}, []string{label})
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, []string{label})
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
 	m := &metrics{
-		ends:   vec("ended_total", "Attempts ended, by how.", "how"),
-		starts: vec("starts_total", "Starts called at the target, by its answer.", "answer"),
-		looks:  vec("looks_total", "Looks at the target, by outcome.", "outcome"),
+		ends:   vec("persimmonstage_runs_ended_total", "Attempts ended, by how.", "how"),
+		starts: vec("persimmonstage_runs_starts_total", "Starts called at the target, by its answer.", "answer"),
+		looks:  vec("persimmonstage_runs_looks_total", "Looks at the target, by outcome.", "outcome"),
 		stops: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "persimmonstage_runs_stops_total", Help: "Stops called at the target.",
 		}),
--- a/io/runsd/target.go
+++ b/io/runsd/target.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"persimmonstage/core/runs"
@@ -69,6 +71,9 @@
 // missed notes a look without an answer.
 func (d *Daemon) missed(ctx context.Context, life *runs.Life, losses int, err error) {
 	d.metrics.looks.WithLabelValues("failed").Inc()
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		d.loop.Post(func(time.Time) { d.runs.Down(uptime.Now()) })
+	}
 	if losses < lookLosses || ctx.Err() != nil {
 		return
 	}
