Read what a step gave only if it has run

Cause: the race detector found that a call of the loop that ends with its context leaves a step behind which still writes its results (make check, platform/role). Change: the results are read only after the step. Ruled out: waiting for the step, which a stopped loop never runs.

--- a/io/runsd/target.go
+++ b/io/runsd/target.go
@@ -83,12 +83,20 @@
 	loop.Sleep(ctx, lookPause)
 }
 
+// nextLook returns what the next look asks; life is nil if there is no target. What the step sets is read only if it has run.
 func (d *Daemon) nextLook(ctx context.Context) (life *runs.Life, ack int64, until time.Time) {
-	d.loop.Call(ctx, func(time.Time) {
-		life, ack = d.runs.Life(), d.runs.Ack()
-		until, _ = d.runs.Extend(uptime.Now())
-	})
-	return life, ack, until
+	var next struct {
+		life  *runs.Life
+		ack   int64
+		until time.Time
+	}
+	if !d.loop.Call(ctx, func(time.Time) {
+		next.life, next.ack = d.runs.Life(), d.runs.Ack()
+		next.until, _ = d.runs.Extend(uptime.Now())
+	}) {
+		return nil, 0, time.Time{}
+	}
+	return next.life, next.ack, next.until
 }
 
 func (d *Daemon) idle(ctx context.Context) {
--- a/io/schedd/submit.go
+++ b/io/schedd/submit.go
@@ -29,21 +29,24 @@
 
 // Cancel withdraws a job and reports whether it was there.
 func (d *Daemon) Cancel(ctx context.Context, id string) bool {
-	found := false
-	d.loop.Call(ctx, func(time.Time) { found = d.sched.Cancel(uptime.Now(), id, sched.Withdrawn) })
-	return found
+	return call(ctx, d, func() bool { return d.sched.Cancel(uptime.Now(), id, sched.Withdrawn) })
 }
 
 // Running reports whether a job is here that has no end yet.
 func (d *Daemon) Running(ctx context.Context, id string) bool {
-	found := false
-	d.loop.Call(ctx, func(time.Time) { found = d.sched.Running(id) })
-	return found
+	return call(ctx, d, func() bool { return d.sched.Running(id) })
 }
 
 // Waiting returns how many jobs of a route wait for their first start here.
 func (d *Daemon) Waiting(ctx context.Context, route string) int {
-	n := 0
-	d.loop.Call(ctx, func(time.Time) { n = d.sched.Waiting(route) })
-	return n
+	return call(ctx, d, func() int { return d.sched.Waiting(route) })
+}
+
+// call steps the scheduler and returns what the step gave, or nothing if ctx or the loop ended before it ran.
+func call[T any](ctx context.Context, d *Daemon, step func() T) T {
+	var got, none T
+	if !d.loop.Call(ctx, func(time.Time) { got = step() }) {
+		return none
+	}
+	return got
 }
