--- a/io/logger/bounded.go
+++ b/io/logger/bounded.go
@@ -13,7 +13,7 @@
 	// queueLines is how many lines may wait for the writer before further ones are dropped.
 	queueLines = 1024
 	// burstLines is how many lines of one message and level are written in a second; of more every restEvery-th is.
-	burstLines = 100
+	burstLines = 300
 	restEvery  = 100
 )
 
