--- /dev/null
+++ b/core/runs/snapshot.go
@@ -0,0 +1,36 @@
+package runs
+
+import "time"
+
+// Snapshot is the table's part of a state dump.
+type Snapshot struct {
+	Target   *Life      `json:"target"`
+	Clean    bool       `json:"clean"`
+	Leaving  bool       `json:"leaving"`
+	Answered time.Time  `json:"answered"`
+	Extended time.Time  `json:"lease-extended"`
+	Ack      int64      `json:"ends-taken-note-of"`
+	Pace     float64    `json:"pace"`
+	Runs     []runState `json:"runs"`
+}
+
+type runState struct {
+	Task   string    `json:"task"`
+	Number int       `json:"number"`
+	Owner  string    `json:"owner"`
+	State  string    `json:"state"`
+	Began  time.Time `json:"began"`
+}
+
+// Snapshot describes the target and what runs there; times are of the clock that steps the table.
+func (r *Runs) Snapshot() *Snapshot {
+	out := &Snapshot{
+		Target: r.life, Clean: r.clean, Leaving: r.leaving, Answered: r.answered, Extended: r.extended, Ack: r.ack, Pace: r.pace.value(),
+	}
+	for _, u := range r.sorted() {
+		out.Runs = append(out.Runs, runState{
+			Task: u.key.Task, Number: u.key.Number, Owner: u.owner, State: runChart.StateName(u.state), Began: u.began,
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/core/sched/snapshot.go
@@ -0,0 +1,61 @@
+package sched
+
+import (
+	"slices"
+	"time"
+)
+
+// Snapshot is the scheduler's part of a state dump.
+type Snapshot struct {
+	Jobs    []jobState    `json:"jobs"`
+	Targets []targetState `json:"targets"`
+	Waiting int           `json:"jobs-waiting"`
+	Open    int           `json:"attempts-open"`
+	Load    float64       `json:"load"`
+}
+
+type jobState struct {
+	ID        string    `json:"id"`
+	Route     string    `json:"route"`
+	Arrived   time.Time `json:"arrived"`
+	Objective time.Time `json:"objective"`
+	Deadline  time.Time `json:"deadline"`
+	Tasks     int       `json:"tasks"`
+	Left      int       `json:"left"`
+	Waiting   int       `json:"waiting"`
+}
+
+type targetState struct {
+	Agent       string  `json:"agent"`
+	Incarnation string  `json:"incarnation"`
+	DataCentre  string  `json:"data-centre"`
+	Service     string  `json:"service"`
+	Connected   bool    `json:"connected"`
+	Usable      bool    `json:"usable"`
+	Pace        float64 `json:"pace"`
+	Millicores  uint64  `json:"millicores"`
+	Used        uint64  `json:"used-millicores"`
+	Attempts    int     `json:"attempts"`
+	Failures    int     `json:"failures-in-a-row"`
+}
+
+// Snapshot describes the jobs without an end and the known targets; times are of the clock that steps the scheduler.
+func (s *Sched) Snapshot() *Snapshot {
+	out := &Snapshot{Waiting: len(s.queue), Open: len(s.open), Load: s.load}
+	for id, j := range s.jobs {
+		out.Jobs = append(out.Jobs, jobState{
+			ID: id, Route: j.batch.Route.Name, Arrived: j.arrived, Objective: j.objective, Deadline: j.batch.Deadline,
+			Tasks: j.batch.Tasks, Left: j.left, Waiting: j.waiting,
+		})
+	}
+	slices.SortFunc(out.Jobs, func(a, b jobState) int { return a.Arrived.Compare(b.Arrived) })
+	for _, t := range s.targets {
+		used, _ := t.used()
+		out.Targets = append(out.Targets, targetState{
+			Agent: t.name, Incarnation: t.incarnation, DataCentre: t.dataCentre, Service: t.state.Service, Connected: t.connected,
+			Usable: t.state.Usable, Pace: t.state.Pace, Millicores: t.state.Millicores, Used: used, Attempts: len(t.attempts),
+			Failures: t.failures,
+		})
+	}
+	return out
+}
--- a/io/verb/dump.go
+++ b/io/dump/dump.go
@@ -1,4 +1,4 @@
-package verb
+package dump
 
 import (
 	"context"
@@ -17,8 +17,8 @@
 	State(ctx context.Context) ([]byte, error)
 }
 
-// dumpOnSignal prints the state of s to w at each SIGUSR1 until ctx ends.
-func dumpOnSignal(ctx context.Context, w io.Writer, s stater) {
+// OnSignal prints the state of s to w at each SIGUSR1 until ctx ends.
+func OnSignal(ctx context.Context, w io.Writer, s stater) {
 	got := make(chan os.Signal, 1)
 	signal.Notify(got, syscall.SIGUSR1)
 	go func() {
@@ -26,7 +26,7 @@
 		for {
 			select {
 			case <-got:
-				dump(ctx, w, s)
+				write(ctx, w, s)
 			case <-ctx.Done():
 				return
 			}
@@ -34,7 +34,7 @@
 	}()
 }
 
-func dump(ctx context.Context, w io.Writer, s stater) {
+func write(ctx context.Context, w io.Writer, s stater) {
 	bounded, cancel := context.WithTimeout(ctx, dumpTimeout)
 	defer cancel()
 	body, err := s.State(bounded)
--- /dev/null
+++ b/io/schedd/state.go
@@ -0,0 +1,37 @@
+package schedd
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"persimmonstage/core/ident"
+	"persimmonstage/core/sched"
+)
+
+// state is the daemon's state dump.
+type state struct {
+	Self          ident.Ident     `json:"self"`
+	Configuration int64           `json:"configuration"`
+	Entries       []string        `json:"entries"`
+	Connections   int             `json:"connections"`
+	Scheduler     *sched.Snapshot `json:"scheduler"`
+}
+
+// State describes the whole state as JSON.
+func (d *Daemon) State(ctx context.Context) ([]byte, error) {
+	st := call(ctx, d, func() *state {
+		st := &state{Self: d.self, Configuration: d.doc.Version(), Connections: len(d.links), Scheduler: d.sched.Snapshot()}
+		for addr := range d.entries {
+			st.Entries = append(st.Entries, addr)
+		}
+		slices.Sort(st.Entries)
+		return st
+	})
+	if st == nil {
+		return nil, errors.New("the process is stopping")
+	}
+	return json.Marshal(st)
+}
--- a/io/verb/agent.go
+++ b/io/verb/agent.go
@@ -7,6 +7,7 @@
 
 	"persimmonstage/io/agentd"
 	"persimmonstage/io/agtset"
+	"persimmonstage/io/dump"
 	"persimmonstage/io/logger"
 )
 
@@ -39,6 +40,6 @@
 	if err != nil {
 		return named(c, err)
 	}
-	dumpOnSignal(ctx, c.Root().ErrWriter, d)
+	dump.OnSignal(ctx, c.Root().ErrWriter, d)
 	return named(c, d.Run(ctx))
 }
--- a/io/verb/entry.go
+++ b/io/verb/entry.go
@@ -5,6 +5,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"persimmonstage/io/dump"
 	"persimmonstage/io/entryd"
 	"persimmonstage/io/entset"
 	"persimmonstage/io/logger"
@@ -39,6 +40,6 @@
 	if err != nil {
 		return named(c, err)
 	}
-	dumpOnSignal(ctx, c.Root().ErrWriter, d)
+	dump.OnSignal(ctx, c.Root().ErrWriter, d)
 	return named(c, d.Run(ctx))
 }
--- a/io/verb/platform.go
+++ b/io/verb/platform.go
@@ -29,7 +29,7 @@
 		Name:  name,
 		Usage: usage,
 		Description: "Reads the settings file that PERSIMMONSTAGE_BOOT names. Stops on SIGTERM or SIGINT: takes nothing new, lets\n" +
-			"what runs end, exits 0. Logs go to standard output as JSON lines.\n\n" +
+			"what runs end, exits 0. Logs go to standard output as JSON lines; SIGUSR1 prints the whole state there.\n\n" +
 			"Example: persimmonstage platform " + name + " --metrics-port 9464",
 		Flags: []cli.Flag{&cli.IntFlag{Name: "metrics-port", Usage: "serve metrics at /metrics of this port; 0 is none"}},
 		Action: func(ctx context.Context, c *cli.Command) error {
