--- a/core/sched/choose.go
+++ b/core/sched/choose.go
@@ -20,9 +20,6 @@
 	lateLoad = 0.8
 	// alike is the ratio of two paces up to which targets count as equally fast.
 	alike = 1.15
-	// scatter is the largest random addition to the free part of a target, so that several entries with the same view of the
-	// targets don't send their tasks to the same one at the same time.
-	scatter = 0.15
 	// probeFailures is how many failures in a row let a target have one attempt at a time only.
 	probeFailures = 3
 	// probePause is how long such a target has nothing before the next attempt.
@@ -53,9 +50,7 @@
 		if !s.room(now, j, t, to) {
 			continue
 		}
-		c := candidate{
-			target: to, run: time.Duration(float64(j.expected) * pace), free: to.freePart() + scatter*s.rng.Float64(),
-		}
+		c := candidate{target: to, run: time.Duration(float64(j.expected) * pace), free: to.freePart()}
 		switch {
 		case pace <= safe:
 			s.safe = append(s.safe, c)
