--- a/io/runsd/daemon.go
+++ b/io/runsd/daemon.go
@@ -12,6 +12,7 @@
 	"persimmonstage/core/newest"
 	"persimmonstage/core/runs"
 	"persimmonstage/io/ctrl"
+	"persimmonstage/io/feed"
 	"persimmonstage/io/loop"
 	"persimmonstage/io/uptime"
 )
@@ -79,7 +80,7 @@
 		metrics: newMetrics(reg),
 	}
 	d.runs = runs.New(effects{d})
-	d.control = ctrl.New(frames{d}, log)
+	d.control = ctrl.New(feed.New(d.loop, d.opened, d.framed, d.closed), log)
 	return d
 }
 
--- a/io/schedd/daemon.go
+++ b/io/schedd/daemon.go
@@ -14,6 +14,7 @@
 	"persimmonstage/core/newest"
 	"persimmonstage/core/sched"
 	"persimmonstage/io/ctrl"
+	"persimmonstage/io/feed"
 	"persimmonstage/io/loop"
 	"persimmonstage/io/uptime"
 	"persimmonstage/io/wire"
@@ -74,7 +75,7 @@
 	seed := inc[:]
 	rng := rand.New(rand.NewPCG(uint64(seed[0])<<8|uint64(seed[1]), uint64(seed[2])))
 	d.sched = sched.New(effects{d}, rng)
-	d.control = ctrl.New(frames{d}, log)
+	d.control = ctrl.New(feed.New(d.loop, d.opened, d.framed, d.closed), log)
 	return d
 }
 
