Let a job that was sent twice go on for the caller that still waits

Cause: a second request for a job joins the first; when the first connection then broke, the job was cancelled for both, and the second caller got 200 with the state cancelled (found by reading; the unit test failed first: it didn't compile without Leave, and with the old Cancel it stopped the attempt). Change: callers are numbered, the job ends with its last one; clearer names in core/sched, core/runs and io/runsd.

--- a/core/runs/listed.go
+++ b/core/runs/listed.go
@@ -28,7 +28,7 @@
 	}
 	wasUsable := r.usable(now)
 	r.answered = now
-	if r.foreigners(now, l) {
+	if r.stopUnknown(now, l) {
 		return
 	}
 	for _, f := range l.Finished {
@@ -46,16 +46,16 @@
 	}
 }
 
-// foreigners stops what runs for earlier processes of the agent; until all of it is gone nothing is announced or started.
-func (r *Runs) foreigners(now time.Time, l *Listing) bool {
+// stopUnknown stops what runs for earlier processes of the agent; until all of it is gone nothing is announced or started.
+func (r *Runs) stopUnknown(now time.Time, l *Listing) bool {
 	left := false
 	for _, p := range l.Running {
 		if r.runs[p.Key] != nil {
 			continue
 		}
 		left = true
-		if now.Sub(r.foreign[p.Key]) >= stopAgain {
-			r.foreign[p.Key] = now
+		if now.Sub(r.unknown[p.Key]) >= stopAgain {
+			r.unknown[p.Key] = now
 			r.out.Stop(p.Key)
 		}
 	}
@@ -67,7 +67,7 @@
 	}
 	if !left {
 		r.clean = true
-		clear(r.foreign)
+		clear(r.unknown)
 		r.out.Changed()
 	}
 	return !r.clean
--- a/core/runs/runs.go
+++ b/core/runs/runs.go
@@ -81,7 +81,7 @@
 	attempts map[attemptKey]*run
 	ends     map[attemptKey]ended
 	numbers  map[string]int // highest number of tasks that ended lately
-	foreign  map[Key]time.Time
+	unknown  map[Key]time.Time
 	answered time.Time // when the target last answered a look
 	extended time.Time // when the last call that extends the lease was sent
 	ack      int64
@@ -97,7 +97,7 @@
 		attempts: make(map[attemptKey]*run),
 		ends:     make(map[attemptKey]ended),
 		numbers:  make(map[string]int),
-		foreign:  make(map[Key]time.Time),
+		unknown:  make(map[Key]time.Time),
 	}
 }
 
--- a/core/runs/target.go
+++ b/core/runs/target.go
@@ -27,7 +27,7 @@
 func (r *Runs) rebirth(now time.Time) {
 	r.clean, r.ack, r.answered, r.extended = false, 0, time.Time{}, time.Time{}
 	r.pace = pace{}
-	clear(r.foreign)
+	clear(r.unknown)
 	for _, u := range r.sorted() {
 		u.how = lapsed
 		r.step(now, u, onReborn)
--- a/core/sched/lost.go
+++ b/core/sched/lost.go
@@ -85,8 +85,8 @@
 	return nil
 }
 
-// bury ends the attempts at targets that were lost so long ago that nothing can run there, and forgets the targets.
-func (s *Sched) bury(now time.Time) {
+// expireTargets ends the attempts at targets that were lost so long ago that nothing can run there, and forgets the targets.
+func (s *Sched) expireTargets(now time.Time) {
 	s.targets = slices.DeleteFunc(s.targets, func(t *target) bool {
 		if t.connected || now.Before(t.deadAt) {
 			return false
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -44,24 +44,25 @@
 
 // Sched holds an entry's repeatable jobs and the targets that it may use; New makes it.
 type Sched struct {
-	out     effects
-	rng     *rand.Rand
-	targets []*target
-	jobs    map[string]*job
-	queue   []*job
-	open    map[string]*attempt // by the task's name
-	next    uint64
-	past    map[string]memory
-	means   map[string]float64 // logarithm of the declared run time, by route
-	ticked  time.Time
-	manned  time.Time // when there last was a target, or of the first tick
-	load    float64
-	flow    flow
-	kept    float64     // pace up to which targets are kept for a job that waits
-	safe    []candidate // scratch of choose
-	fair    []candidate
-	rest    []candidate
-	paces   []float64 // scratch of medianPace
+	out       effects
+	rng       *rand.Rand
+	targets   []*target
+	jobs      map[string]*job
+	queue     []*job
+	open      map[string]*attempt // by the task's name
+	next      uint64
+	callers   uint64 // number of the last caller
+	past      map[string]memory
+	means     map[string]float64 // logarithm of the declared run time, by route
+	ticked    time.Time
+	hadTarget time.Time // when there last was a target, or of the first tick
+	load      float64
+	flow      flow
+	kept      float64     // pace up to which targets are kept for a job that waits
+	safe      []candidate // scratch of choose
+	fair      []candidate
+	rest      []candidate
+	paces     []float64 // scratch of medianPace
 }
 
 // New returns a scheduler that acts through out; rng makes its random choices repeatable.
@@ -75,29 +76,43 @@
 	}
 }
 
-// Submit takes a job and calls w exactly once with its end. A job that is known joins its first submission; one that has
-// ended gets the same end again, unless it was refused or given up.
-func (s *Sched) Submit(now time.Time, b *batch.Batch, w func(fate.Fate)) {
+// Submit takes a job, calls w once with its end unless that caller leaves before, and returns the caller's number for Leave. A
+// job that is known joins its first submission; one that has ended gets the same end again, unless it was refused or given up.
+func (s *Sched) Submit(now time.Time, b *batch.Batch, w func(fate.Fate)) uint64 {
+	s.callers++
 	if j := s.jobs[b.ID]; j != nil {
-		j.waiters = append(j.waiters, w)
-		return
+		j.waiters = append(j.waiters, waiter{s.callers, w})
+		return s.callers
 	}
 	number := 0
 	if m, ok := s.past[b.ID]; ok {
 		if m.fate.Kind == fate.Done || m.fate.Kind == fate.Failed {
 			w(m.fate)
-			return
+			return s.callers
 		}
 		number = m.number
 	}
 	j := s.enter(now, b, number)
-	j.waiters = append(j.waiters, w)
+	j.waiters = append(j.waiters, waiter{s.callers, w})
 	if reason := s.hopeless(now, j); reason != "" {
 		s.end(now, j, fate.Fate{Kind: fate.Refused, Reason: reason, RetryAfter: s.retryAfter()})
-		return
+		return s.callers
 	}
 	s.enqueue(j)
 	s.place(now)
+	return s.callers
+}
+
+// Leave notes that a caller of a job has left; the job ends with its last caller.
+func (s *Sched) Leave(now time.Time, id string, caller uint64) {
+	j := s.jobs[id]
+	if j == nil {
+		return
+	}
+	j.waiters = slices.DeleteFunc(j.waiters, func(w waiter) bool { return w.caller == caller })
+	if len(j.waiters) == 0 {
+		s.Cancel(now, id, CallerLeft)
+	}
 }
 
 func (s *Sched) enter(now time.Time, b *batch.Batch, number int) *job {
@@ -153,7 +168,7 @@
 	switch {
 	case known:
 		return TooLarge
-	case now.Sub(s.manned) > targetless:
+	case now.Sub(s.hadTarget) > targetless:
 		return NoTarget
 	}
 	return ""
@@ -209,7 +224,7 @@
 	}
 	s.past[j.batch.ID] = memory{fate: f, number: number, expires: now.Add(remember)}
 	for _, w := range j.waiters {
-		w(f)
+		w.end(f)
 	}
 	j.waiters = nil
 }
@@ -244,10 +259,10 @@
 // Tick ends what is due: jobs past their patience or deadline, attempts at lost targets, memories.
 func (s *Sched) Tick(now time.Time) {
 	s.ticked = now
-	if s.manned.IsZero() || len(s.targets) > 0 {
-		s.manned = now
+	if s.hadTarget.IsZero() || len(s.targets) > 0 {
+		s.hadTarget = now
 	}
-	s.bury(now)
+	s.expireTargets(now)
 	for _, j := range s.jobs {
 		s.due(now, j)
 	}
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -251,3 +251,21 @@
 	g.submit(g.batch("later", 1, 400*time.Millisecond))
 	require.Equal(t, NoTarget, g.fates["later"].Reason)
 }
+
+func TestACallerThatLeavesDoesNotTakeTheJobFromAnother(t *testing.T) {
+	g := newRig()
+	g.join("a", 1)
+	ends := map[string]fate.Fate{}
+	b := g.batch("j", 1, 100*time.Millisecond)
+	first := g.sched.Submit(g.now, b, func(f fate.Fate) { ends["first"] = f })
+	second := g.sched.Submit(g.now, b, func(f fate.Fate) { ends["second"] = f })
+	g.sched.Leave(g.now, "j", first)
+	require.Empty(t, g.stops, "the same job was sent again, and its second caller waits")
+	g.ended("a", EndDone, 0)
+	require.Equal(t, map[string]fate.Fate{"second": {Kind: fate.Done}}, ends)
+	g.sched.Leave(g.now, "j", second)
+
+	third := g.sched.Submit(g.now, g.batch("k", 1, 100*time.Millisecond), func(fate.Fate) {})
+	g.sched.Leave(g.now, "k", third)
+	require.Len(t, g.stops, 1, "nobody waits any more")
+}
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -70,7 +70,13 @@
 	waited    time.Duration // until the first start
 	starts    int
 	ended     bool
-	waiters   []func(fate.Fate)
+	waiters   []waiter
+}
+
+// waiter is a caller that waits for the end of a job.
+type waiter struct {
+	caller uint64
+	end    func(fate.Fate)
 }
 
 // memory is what is kept of an ended job.
--- a/io/runsd/target.go
+++ b/io/runsd/target.go
@@ -24,9 +24,9 @@
 	lookWait = 120 * time.Millisecond
 	// lookTimeout is how much longer the answer to a look is waited for.
 	lookTimeout = 30 * time.Millisecond
-	// waryWait takes the place of lookWait for waryTime after an answer was lost, as ends aren't heard of meanwhile.
-	waryWait = 25 * time.Millisecond
-	waryTime = 3 * time.Second
+	// lossWait takes the place of lookWait for lossTime after an answer was lost, as ends aren't heard of meanwhile.
+	lossWait = 25 * time.Millisecond
+	lossTime = 3 * time.Second
 	// lookPause is the time between two looks at a target that doesn't answer, once several answers were lost.
 	lookPause = 50 * time.Millisecond
 	// lookLosses is from how many lost answers in a row on a target counts as lost.
@@ -37,7 +37,7 @@
 
 // look asks the target all the time what runs and what has ended.
 func (d *Daemon) look(ctx context.Context) {
-	losses, waryUntil := 0, time.Time{}
+	losses, lossUntil := 0, time.Time{}
 	for ctx.Err() == nil {
 		life, ack, until := d.nextLook(ctx)
 		if life == nil {
@@ -46,15 +46,15 @@
 		}
 		sent := uptime.Now()
 		wait := lookWait
-		if sent.Before(waryUntil) {
-			wait = waryWait
+		if sent.Before(lossUntil) {
+			wait = lossWait
 		}
 		bounded, cancel := context.WithTimeout(ctx, wait+lookTimeout)
 		listing, err := d.target.Look(bounded, life, ack, until, wait)
 		cancel()
 		if err != nil {
 			losses++
-			waryUntil = uptime.Now().Add(waryTime)
+			lossUntil = uptime.Now().Add(lossTime)
 			d.missed(ctx, life, losses, err)
 			continue
 		}
--- a/io/schedd/submit.go
+++ b/io/schedd/submit.go
@@ -10,11 +10,13 @@
 	"persimmonstage/io/uptime"
 )
 
-// Submit hands a job in and waits for its end; if ctx ends first, which means that the caller has left, the job is cancelled.
+// Submit hands a job in and waits for its end; if ctx ends first, which means that the caller has left, the job ends unless
+// another caller waits for it.
 func (d *Daemon) Submit(ctx context.Context, b *batch.Batch) fate.Fate {
 	got := make(chan fate.Fate, 1)
 	began := uptime.Now()
-	if !d.loop.Post(func(time.Time) { d.sched.Submit(uptime.Now(), b, func(f fate.Fate) { got <- f }) }) {
+	caller := uint64(0) // the loop's
+	if !d.loop.Post(func(time.Time) { caller = d.sched.Submit(uptime.Now(), b, func(f fate.Fate) { got <- f }) }) {
 		return fate.Fate{Kind: fate.Refused, Reason: "stopping", RetryAfter: time.Second}
 	}
 	select {
@@ -22,7 +24,7 @@
 		d.metrics.response.WithLabelValues(f.Kind.String()).Observe(uptime.Now().Sub(began).Seconds())
 		return f
 	case <-ctx.Done():
-		d.loop.Post(func(time.Time) { d.sched.Cancel(uptime.Now(), b.ID, sched.CallerLeft) })
+		d.loop.Post(func(time.Time) { d.sched.Leave(uptime.Now(), b.ID, caller) })
 		return fate.Fate{Kind: fate.Cancelled, Reason: sched.CallerLeft}
 	}
 }
