Prove on the stepped cores that no task of a repeatable job runs twice at a time

Cause: core/proof covered only jobs that start at most once. Change: schedulers of two entries and tables of three agents over targets that lose answers and act late, with cuts one way, kills and freezes; callers come again after 1.3 s. Faults of the model found on the way, each mended: a loss told after the new connection, targets without fencing, a step of a dead process done by its successor. Ruled out by breaking the code: a tenure of 20 s, 50 ms until a lost agent's runs count as over, looks from before a start, and an unsure start told as over each fail within 60 sequences; a resent job beside its own stopped attempt isn't caught here, but by core/sched.

--- /dev/null
+++ b/core/proof/repeat_test.go
@@ -0,0 +1,516 @@
+package proof
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"persimmonstage/core/batch"
+	"persimmonstage/core/fate"
+	"persimmonstage/core/heap"
+	"persimmonstage/core/route"
+	"persimmonstage/core/runs"
+	"persimmonstage/core/sched"
+)
+
+// The schedulers of two entries and the tables of three agents are stepped together on a clock of their own, over targets that
+// lose answers and carry starts out late, links that are cut one way or both, and processes that are killed or stand still.
+// Callers send a job again 1.3 s after a break. No task may run twice at a time.
+var repeatSeeds = flag.Int("repeat-seeds", 60, "sequences of repeatable jobs")
+
+const (
+	repeatSpan    = 12 * time.Second
+	repeatHop     = time.Millisecond
+	repeatSilence = 450 * time.Millisecond
+	repeatResend  = 1300 * time.Millisecond
+	repeatWait    = 4 * time.Second
+)
+
+type repeatEvent struct {
+	at time.Time
+	do func()
+}
+
+// repeatWorld is the clock, the targets, and the processes.
+type repeatWorld struct {
+	t       *testing.T
+	seed    uint64
+	rng     *rand.Rand
+	now     time.Time
+	events  *heap.Heap[repeatEvent]
+	entries []*repeatEntry
+	agents  []*repeatAgent
+	running map[string]int
+	starts  int
+	done    int
+}
+
+func (w *repeatWorld) after(d time.Duration, do func()) {
+	w.events.Push(repeatEvent{w.now.Add(d), do})
+}
+
+func (w *repeatWorld) every(d time.Duration, do func()) {
+	w.after(d, func() {
+		do()
+		w.every(d, do)
+	})
+}
+
+// repeatTarget is what runs beside an agent, judged at the clock's own time.
+type repeatTarget struct {
+	w        *repeatWorld
+	running  map[runs.Key]time.Time // to the time of its end
+	barred   map[string]int
+	token    int // of the agent's process; calls with a lower one do nothing
+	until    time.Time
+	finished []runs.Finish
+	index    int64
+}
+
+// fenced reports whether a call is of an earlier process than one that has called before.
+func (t *repeatTarget) fenced(token int) bool {
+	if token < t.token {
+		return true
+	}
+	t.token = token
+	return false
+}
+
+func (t *repeatTarget) start(token int, k runs.Key, work time.Duration, until time.Time) runs.Answer {
+	if t.fenced(token) {
+		return runs.Rejected
+	}
+	t.extend(until)
+	for other := range t.running {
+		if other.Task == k.Task {
+			if other.Number == k.Number {
+				return runs.Accepted
+			}
+			return runs.Rejected
+		}
+	}
+	if k.Number <= t.barred[k.Task] || !t.w.now.Before(t.until) {
+		return runs.Rejected
+	}
+	t.running[k] = t.w.now.Add(work)
+	t.w.starts++
+	t.w.running[k.Task]++
+	require.Equal(t.w.t, 1, t.w.running[k.Task], "seed %d: %s runs twice at %s", t.w.seed, k.Task, t.w.now.Sub(time.Unix(1000, 0)))
+	t.w.after(work, func() { t.end(k, "done") })
+	return runs.Accepted
+}
+
+func (t *repeatTarget) end(k runs.Key, how string) {
+	at, ok := t.running[k]
+	if !ok || how == "done" && t.w.now.Before(at) {
+		return
+	}
+	delete(t.running, k)
+	t.barred[k.Task] = max(t.barred[k.Task], k.Number)
+	t.w.running[k.Task]--
+	t.index++
+	t.finished = append(t.finished, runs.Finish{Key: k, Index: t.index, How: how})
+}
+
+func (t *repeatTarget) stop(token int, k runs.Key) {
+	if t.fenced(token) {
+		return
+	}
+	t.barred[k.Task] = max(t.barred[k.Task], k.Number)
+	t.end(k, "stopped")
+}
+
+func (t *repeatTarget) extend(until time.Time) {
+	if !until.After(t.until) {
+		return
+	}
+	t.until = until
+	t.w.after(until.Sub(t.w.now), func() {
+		if t.w.now.Before(t.until) {
+			return
+		}
+		for k := range t.running {
+			t.end(k, "lapsed")
+		}
+	})
+}
+
+func (t *repeatTarget) look(token int, ack int64, until, sent time.Time) *runs.Listing {
+	if t.fenced(token) {
+		return &runs.Listing{Sent: sent}
+	}
+	if !until.IsZero() {
+		t.extend(until)
+	}
+	t.finished = slices.DeleteFunc(t.finished, func(f runs.Finish) bool { return f.Index <= ack })
+	l := &runs.Listing{Sent: sent, Finished: slices.Clone(t.finished)}
+	for k := range t.running {
+		l.Running = append(l.Running, runs.Progress{Key: k, Percent: 50})
+	}
+	return l
+}
+
+// repeatLink is a connection between an agent and an entry's process; messages of an ended one are dropped.
+type repeatLink struct {
+	entry        *repeatEntry
+	agent        *repeatAgent
+	up           bool
+	heardByAgent time.Time
+	heardByEntry time.Time
+}
+
+// repeatEntry is an entry's process.
+type repeatEntry struct {
+	w      *repeatWorld
+	name   string
+	life   int
+	sched  *sched.Sched
+	frozen time.Time
+	dead   time.Time
+	mute   map[*repeatAgent]time.Time // until when nothing goes to an agent
+	deaf   map[*repeatAgent]time.Time // until when nothing comes from an agent
+	links  map[string]*repeatLink
+	breaks []func() // what callers do when the process dies
+}
+
+func (e *repeatEntry) id() string { return fmt.Sprint(e.name, "-", e.life) }
+
+func (e *repeatEntry) alive() bool { return !e.w.now.Before(e.dead) }
+
+// act does something in the process, once it stands still no longer, unless another has taken its place by then.
+func (e *repeatEntry) act(do func()) { e.actIn(e.life, do) }
+
+func (e *repeatEntry) actIn(life int, do func()) {
+	if e.w.now.Before(e.frozen) {
+		e.w.after(e.frozen.Sub(e.w.now), func() { e.actIn(life, do) })
+		return
+	}
+	if e.alive() && e.life == life {
+		do()
+	}
+}
+
+func (e *repeatEntry) send(a *repeatAgent, do func()) {
+	l := e.links[a.name]
+	if l == nil || !l.up || e.w.now.Before(e.mute[a]) {
+		return
+	}
+	e.w.after(repeatHop, func() {
+		if l.up {
+			l.heardByAgent = e.w.now
+			do()
+		}
+	})
+}
+
+func (e *repeatEntry) Start(target string, s *sched.Start) {
+	a, owner := e.w.agent(target), e.id()
+	e.send(a, func() {
+		a.runs.Order(a.w.now, owner, &runs.Order{
+			Attempt: s.Attempt, Task: s.Task, Number: s.Number, Millicores: s.Millicores, MemoryMB: s.MemoryMB,
+			Expected: time.Duration(s.ExpectedMS) * time.Millisecond,
+		})
+	})
+}
+
+func (e *repeatEntry) Stop(target string, id uint64) {
+	a, owner := e.w.agent(target), e.id()
+	e.send(a, func() { a.runs.Stop(a.w.now, owner, id) })
+}
+
+func (e *repeatEntry) Taken(string, string, int, time.Duration, time.Duration) {}
+func (e *repeatEntry) Placed(time.Duration)                                    {}
+func (e *repeatEntry) AttemptEnded(string, int, string, string, time.Duration) {}
+func (e *repeatEntry) Moved(string, string, int64)                             {}
+func (e *repeatEntry) Answered(*sched.Story)                                   {}
+
+// repeatAgent is an agent's process beside a target, and the calls between them.
+type repeatAgent struct {
+	w      *repeatWorld
+	name   string
+	life   int
+	runs   *runs.Runs
+	target *repeatTarget
+}
+
+func (w *repeatWorld) agent(name string) *repeatAgent {
+	for _, a := range w.agents {
+		if a.name == name {
+			return a
+		}
+	}
+	return nil
+}
+
+// ofLife does something in the process unless another has taken its place.
+func (a *repeatAgent) ofLife(do func()) func() {
+	life := a.life
+	return func() {
+		if a.life == life {
+			do()
+		}
+	}
+}
+
+func (a *repeatAgent) Start(k runs.Key, o *runs.Order, until time.Time) {
+	work, token := o.Expected, a.life
+	start := func() runs.Answer { return a.target.start(token, k, work, until) }
+	lost := a.ofLife(func() { a.runs.Answered(a.w.now, k, runs.Lost, "") })
+	switch a.w.rng.IntN(12) {
+	case 0: // carried out late, without an answer
+		a.w.after(time.Duration(a.w.rng.IntN(3000))*time.Millisecond, func() { start() })
+		a.w.after(20*time.Millisecond, lost)
+	case 1: // carried out, the answer is lost
+		a.w.after(repeatHop, func() { start() })
+		a.w.after(20*time.Millisecond, lost)
+	default:
+		a.w.after(repeatHop, func() {
+			answer := start()
+			a.ofLife(func() { a.runs.Answered(a.w.now, k, answer, "old") })()
+		})
+	}
+}
+
+func (a *repeatAgent) Stop(k runs.Key) {
+	token := a.life
+	if a.w.rng.IntN(8) == 0 {
+		a.w.after(time.Duration(a.w.rng.IntN(2000))*time.Millisecond, func() { a.target.stop(token, k) })
+		return
+	}
+	a.w.after(repeatHop, func() {
+		a.target.stop(token, k)
+		a.w.after(repeatHop, a.ofLife(func() { a.runs.Stopped(a.w.now, k, runs.Accepted) }))
+	})
+}
+
+func (a *repeatAgent) Ended(owner string, attempt uint64, how string, _ uint32) {
+	a.report(owner, func(e *repeatEntry) { e.sched.Ended(e.w.now, a.name, attempt, how) })
+}
+func (a *repeatAgent) Forecast(string, uint64, time.Duration)          {}
+func (a *repeatAgent) Closed(runs.Key, string, uint64, string, uint32) {}
+func (a *repeatAgent) Changed() {
+	for _, e := range a.w.entries {
+		a.report(e.id(), func(e *repeatEntry) { e.sched.Hear(e.w.now, a.name, a.state(e)) })
+	}
+}
+
+func (a *repeatAgent) state(e *repeatEntry) sched.State {
+	s := a.runs.State(a.w.now, e.id())
+	return sched.State{
+		Service: s.Service, Millicores: s.Millicores, MemoryMB: s.MemoryMB, UsedMillicores: s.UsedMillicores,
+		UsedMemoryMB: s.UsedMemoryMB, Usable: s.Usable, Pace: 1, Seen: s.Seen,
+	}
+}
+
+// report brings something to an entry's process over its connection.
+func (a *repeatAgent) report(owner string, do func(e *repeatEntry)) {
+	for _, e := range a.w.entries {
+		l := e.links[a.name]
+		if e.id() != owner || l == nil || !l.up || a.w.now.Before(e.deaf[a]) {
+			continue
+		}
+		a.w.after(repeatHop, func() {
+			e.act(func() {
+				if l.up && e.id() == owner {
+					l.heardByEntry = e.w.now
+					do(e)
+				}
+			})
+		})
+	}
+}
+
+func (a *repeatAgent) look() {
+	until, _ := a.runs.Extend(a.w.now)
+	token, sent, ack := a.life, a.w.now, a.runs.Ack()
+	if a.w.rng.IntN(15) == 0 {
+		a.w.after(time.Duration(a.w.rng.IntN(2000))*time.Millisecond, func() { a.target.look(token, ack, until, sent) })
+		return
+	}
+	a.w.after(repeatHop, func() {
+		l := a.target.look(token, ack, until, sent)
+		a.w.after(repeatHop, a.ofLife(func() { a.runs.Listed(a.w.now, l) }))
+	})
+}
+
+// keep connects an agent and an entry, exchanges a heartbeat, and gives up a silent connection.
+func (w *repeatWorld) keep(a *repeatAgent, e *repeatEntry) {
+	l := e.links[a.name]
+	passes := !w.now.Before(e.mute[a]) && !w.now.Before(e.deaf[a])
+	switch {
+	case l == nil || !l.up:
+		if !passes || !e.alive() || w.now.Before(e.frozen) || !a.runs.Clean() {
+			return
+		}
+		l = &repeatLink{entry: e, agent: a, up: true, heardByAgent: w.now, heardByEntry: w.now}
+		e.links[a.name] = l
+		open := e.sched.Join(w.now, a.name, fmt.Sprint(a.life), "z", a.state(e))
+		a.runs.Heard(e.id(), w.now)
+		a.runs.Sync(e.id(), open)
+	case w.now.Sub(l.heardByAgent) > repeatSilence:
+		w.drop(l)
+	default:
+		stamp, owner := w.now, e.id()
+		a.report(owner, func(e *repeatEntry) { e.send(a, func() { a.runs.Heard(owner, stamp) }) })
+	}
+}
+
+func (w *repeatWorld) drop(l *repeatLink) {
+	l.up = false
+	l.entry.act(func() {
+		if l.entry.links[l.agent.name] == l { // else the agent has connected again
+			l.entry.sched.Lose(l.agent.name, w.now.Add(800*time.Millisecond))
+		}
+	})
+}
+
+func (w *repeatWorld) newAgent(a *repeatAgent) {
+	a.life++
+	a.runs = runs.New(a)
+	a.runs.Announced(w.now, &runs.Life{ID: "i", Addr: a.name, Born: 1, Service: "s", Millicores: 20_000, MemoryMB: 1000, Sequence: 1})
+	for _, e := range w.entries {
+		if l := e.links[a.name]; l != nil && l.up {
+			w.drop(l)
+		}
+	}
+}
+
+func (w *repeatWorld) newEntry(e *repeatEntry) {
+	e.life++
+	e.frozen = time.Time{}
+	e.sched = sched.New(e, rand.New(rand.NewPCG(w.seed, uint64(e.life))))
+	for _, l := range e.links {
+		l.up = false
+	}
+	e.links = map[string]*repeatLink{}
+	for _, b := range e.breaks {
+		w.after(repeatHop, b)
+	}
+	e.breaks = nil
+}
+
+var repeatRoute = &route.Route{Name: "q", Service: "s", Attempts: 3, Aim: 3 * time.Second, Stretch: 2}
+
+// submit sends a job to an entry, and again after a break or when the caller has waited long enough.
+func (w *repeatWorld) submit(id string, tasks int, work time.Duration) {
+	e := w.entries[w.rng.IntN(len(w.entries))]
+	over := false
+	again := func() {
+		if !over {
+			over = true
+			w.after(repeatResend, func() { w.submit(id, tasks, work) })
+		}
+	}
+	if !e.alive() {
+		again()
+		return
+	}
+	e.breaks = append(e.breaks, again)
+	deadline := w.now.Add(repeatWait)
+	e.act(func() {
+		caller := uint64(0)
+		caller = e.sched.Submit(w.now, &batch.Batch{
+			ID: id, Route: repeatRoute, Tasks: tasks, Millicores: 5000, MemoryMB: 1, Declared: work, Deadline: deadline,
+		}, func(f fate.Fate) {
+			switch {
+			case over:
+			case f.Kind == fate.Unfinished:
+				again()
+			default:
+				over = true
+				w.done++
+			}
+		})
+		w.after(deadline.Sub(w.now), func() {
+			if !over {
+				e.act(func() { e.sched.Leave(w.now, id, caller) })
+				again()
+			}
+		})
+	})
+}
+
+// disturb does one thing at random.
+func (w *repeatWorld) disturb() {
+	e, a := w.entries[w.rng.IntN(len(w.entries))], w.agents[w.rng.IntN(len(w.agents))]
+	until := w.now.Add(time.Duration(100+w.rng.IntN(2500)) * time.Millisecond)
+	switch w.rng.IntN(6) {
+	case 0:
+		e.frozen = until
+	case 1:
+		e.dead = until
+		w.newEntry(e)
+	case 2:
+		w.newAgent(a)
+	case 3:
+		e.mute[a] = until
+	case 4:
+		e.deaf[a] = until
+	case 5:
+		e.mute[a], e.deaf[a] = until, until
+	}
+}
+
+func newRepeatWorld(t *testing.T, seed uint64) *repeatWorld {
+	w := &repeatWorld{
+		t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 3)), now: time.Unix(1000, 0), running: map[string]int{},
+		events: heap.New(func(a, b repeatEvent) bool { return a.at.Before(b.at) }, func(repeatEvent, int) {}),
+	}
+	for i := range 2 {
+		e := &repeatEntry{w: w, name: fmt.Sprint("e", i), mute: map[*repeatAgent]time.Time{}, deaf: map[*repeatAgent]time.Time{}}
+		w.entries = append(w.entries, e)
+		w.newEntry(e)
+	}
+	for i := range 3 {
+		a := &repeatAgent{w: w, name: fmt.Sprint("a", i)}
+		a.target = &repeatTarget{w: w, running: map[runs.Key]time.Time{}, barred: map[string]int{}}
+		w.agents = append(w.agents, a)
+		w.newAgent(a)
+		w.every(25*time.Millisecond, a.look)
+		w.every(20*time.Millisecond, func() { a.runs.Tick(w.now) })
+		for _, e := range w.entries {
+			w.every(120*time.Millisecond, func() { w.keep(a, e) })
+		}
+	}
+	for _, e := range w.entries {
+		w.every(10*time.Millisecond, func() {
+			if e.alive() && !w.now.Before(e.frozen) {
+				e.sched.Tick(w.now)
+			}
+		})
+	}
+	return w
+}
+
+func (w *repeatWorld) run() {
+	jobs := 0
+	w.every(70*time.Millisecond, func() {
+		jobs++
+		w.submit(fmt.Sprintf("%016x", jobs), 1+w.rng.IntN(3), time.Duration(30+w.rng.IntN(1800))*time.Millisecond)
+	})
+	w.every(350*time.Millisecond, w.disturb)
+	end := w.now.Add(repeatSpan)
+	for w.now.Before(end) {
+		e := w.events.Remove(0)
+		w.now = e.at
+		e.do()
+	}
+}
+
+func TestNoTaskOfARepeatableJobRunsTwiceAtATime(t *testing.T) {
+	starts, done := 0, 0
+	for seed := range uint64(*repeatSeeds) {
+		w := newRepeatWorld(t, seed)
+		w.run()
+		starts += w.starts
+		done += w.done
+	}
+	t.Logf("%d sequences: %d starts, %d jobs ended", *repeatSeeds, starts, done)
+	require.Greater(t, starts, 20**repeatSeeds)
+	require.Greater(t, done, 20**repeatSeeds)
+}
