Drop what nothing reads in the path of repeatable jobs

Cause: read again, the change held state that nobody used (a daemon's count of jobs, whether a look extended the lease, a decoded field), sorted the names of all targets at each job's end only to count them, and asked twice whether the target is clean. Change: removed, counted, folded. Ruled out: behaviour; no test, bound or pattern changed. Left: sched.State and runs.State are the same fields, the daemons of io/schedd and io/runsd start alike.

--- a/core/runs/effects.go
+++ b/core/runs/effects.go
@@ -56,7 +56,6 @@
 type Listing struct {
 	Born     int64
 	Sent     time.Time // when the look was sent
-	Extended bool      // whether the look was to extend the lease
 	Running  []Progress
 	Finished []Finish
 }
--- a/core/runs/listed.go
+++ b/core/runs/listed.go
@@ -4,10 +4,7 @@
 
 // Extend returns until when a look at the target is to extend the lease, and false if it is not to.
 func (r *Runs) Extend(now time.Time) (time.Time, bool) {
-	if r.clean && (len(r.runs) == 0 || now.Sub(r.answered) > extendWithin) {
-		return time.Time{}, false
-	}
-	if !r.clean {
+	if !r.clean || len(r.runs) == 0 || now.Sub(r.answered) > extendWithin {
 		return time.Time{}, false
 	}
 	return r.extend(now), true
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -203,12 +203,6 @@
 	return n
 }
 
-// Jobs returns the number of jobs without an answer.
-func (s *Sched) Jobs() int { return len(s.jobs) }
-
-// Open returns the number of attempts whose end isn't known.
-func (s *Sched) Open() int { return len(s.open) }
-
 // end answers a job and stops what is left of it.
 func (s *Sched) end(now time.Time, j *job, f fate.Fate) {
 	j.ended = true
@@ -233,7 +227,7 @@
 func (s *Sched) story(now time.Time, j *job, f fate.Fate) *Story {
 	st := &Story{
 		ID: j.batch.ID, Route: j.batch.Route.Name, Fate: f, Tasks: j.batch.Tasks, Done: j.batch.Tasks - j.left, Starts: j.starts,
-		Expected: j.expected, Objective: j.objective.Sub(j.arrived), Waited: j.waited, Took: now.Sub(j.arrived), Load: s.load, Targets: len(s.Targets()),
+		Expected: j.expected, Objective: j.objective.Sub(j.arrived), Waited: j.waited, Took: now.Sub(j.arrived), Load: s.load, Targets: s.connected(),
 	}
 	if !j.begun {
 		st.Waited = st.Took
@@ -283,14 +277,13 @@
 	}
 }
 
-// Targets returns the names of the connected targets, sorted.
-func (s *Sched) Targets() []string {
-	var names []string
+// connected returns the number of connected targets.
+func (s *Sched) connected() int {
+	n := 0
 	for _, t := range s.targets {
 		if t.connected {
-			names = append(names, t.name)
+			n++
 		}
 	}
-	slices.Sort(names)
-	return names
+	return n
 }
--- a/io/runsd/target.go
+++ b/io/runsd/target.go
@@ -63,7 +63,7 @@
 		}
 		losses = 0
 		d.metrics.looks.WithLabelValues("answered").Inc()
-		listing.Sent, listing.Extended = sent, !until.IsZero()
+		listing.Sent = sent
 		d.loop.Post(func(time.Time) { d.listed(life, listing) })
 	}
 }
--- a/io/schedd/daemon.go
+++ b/io/schedd/daemon.go
@@ -57,7 +57,6 @@
 	flushed bool
 	entries map[string]bool
 	targets atomic.Int64
-	jobs    atomic.Int64
 }
 
 // New returns a daemon; doc is the operators' document, which it passes on between agents and takes from them.
@@ -97,9 +96,6 @@
 // Targets returns the number of connected targets.
 func (d *Daemon) Targets() int { return int(d.targets.Load()) }
 
-// Jobs returns the number of jobs without an answer.
-func (d *Daemon) Jobs() int { return int(d.jobs.Load()) }
-
 // Greet tells another entry where this one listens, so that the agents there learn it.
 func (d *Daemon) Greet(ctx context.Context, addr string) error {
 	conn, err := d.control.Dial(ctx, addr)
@@ -125,5 +121,4 @@
 			d.lost(now, l)
 		}
 	}
-	d.jobs.Store(int64(d.sched.Jobs()))
 }
