Remove the addresses of entries that are gone for good

Cause: the address of an entry was written once and never removed, so agents dialled replaced hosts every 0.8 s for ever.

--- a/io/runsd/links.go
+++ b/io/runsd/links.go
@@ -19,6 +19,8 @@
 	redialPause = 60 * time.Millisecond
 	redialTime  = 8 * time.Second
 	redialLater = 800 * time.Millisecond
+	// forgetAfter is how long after the loss of a connection its entry counts as gone for good.
+	forgetAfter = 30 * time.Minute
 )
 
 // link is the connection to one entry's address; the loop owns its fields.
@@ -57,6 +59,9 @@
 // nothing of earlier processes runs at the target.
 func (d *Daemon) keep(now time.Time, l *link) {
 	switch {
+	case l.conn == 0 && now.Sub(l.lostAt) > forgetAfter && !l.dialing:
+		delete(d.links, l.addr)
+		d.log.Info("entry forgotten", zap.String("entry", l.entry), zap.String("address", l.addr))
 	case l.conn == 0:
 		if d.runs.Clean() && !l.dialing && !now.Before(l.nextDial) {
 			d.dial(l)
--- a/io/schedd/daemon.go
+++ b/io/schedd/daemon.go
@@ -30,6 +30,8 @@
 	deadAfter = 800 * time.Millisecond
 	// maxTenure is the longest trust of an agent that deadAfter covers.
 	maxTenure = 600 * time.Millisecond
+	// passOn is how long the address of an entry that has greeted this one is passed on to agents, which then know it.
+	passOn = time.Minute
 	// listEvery is how many heartbeat answers go out for one that lists the entries.
 	listEvery = 8
 )
@@ -55,7 +57,7 @@
 	byName  map[string]*link
 	dirty   []*link
 	flushed bool
-	entries map[string]bool
+	entries map[string]time.Time // until when each address is passed on to agents
 	targets atomic.Int64
 }
 
@@ -68,7 +70,7 @@
 		loop:    loop.New(),
 		links:   make(map[uint64]*link),
 		byName:  make(map[string]*link),
-		entries: map[string]bool{cfg.Address: true},
+		entries: make(map[string]time.Time),
 		metrics: newMetrics(reg),
 	}
 	seed := inc[:]
--- a/io/schedd/links.go
+++ b/io/schedd/links.go
@@ -1,6 +1,7 @@
 package schedd
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -59,7 +60,7 @@
 	case *wire.Frame_Document:
 		d.Offer(b.Document.Version, b.Document.Data)
 	case *wire.Frame_EntryHello:
-		d.entries[b.EntryHello.Address] = true
+		d.entries[b.EntryHello.Address] = now.Add(passOn)
 	default:
 		d.log.Warn("frame not expected", zap.String("agent", l.name))
 	}
@@ -94,9 +95,7 @@
 	version, data := d.doc.Get()
 	answer := &wire.TargetBeatAnswer{Stamp: b.Stamp, DocumentVersion: version}
 	if l.beats%listEvery == 0 {
-		for addr := range d.entries {
-			answer.Entries = append(answer.Entries, addr)
-		}
+		answer.Entries = d.known()
 	}
 	l.beats++
 	d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_TargetBeatAnswer{TargetBeatAnswer: answer}})
@@ -106,6 +105,21 @@
 	}
 }
 
+// known returns the addresses of entries that agents are told: this one's and those that have greeted it lately.
+func (d *Daemon) known() []string {
+	now := uptime.Now()
+	list := []string{d.cfg.Address}
+	for addr, until := range d.entries {
+		if now.After(until) {
+			delete(d.entries, addr)
+			continue
+		}
+		list = append(list, addr)
+	}
+	slices.Sort(list[1:])
+	return list
+}
+
 func (d *Daemon) report(now time.Time, l *link, r *wire.RunReport) {
 	if l.name == "" {
 		return
--- a/io/schedd/state.go
+++ b/io/schedd/state.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
 
 	"github.com/cockroachdb/errors"
 
@@ -23,12 +22,9 @@
 // State describes the whole state as JSON.
 func (d *Daemon) State(ctx context.Context) ([]byte, error) {
 	st := call(ctx, d, func() *state {
-		st := &state{Self: d.self, Configuration: d.doc.Version(), Connections: len(d.links), Scheduler: d.sched.Snapshot()}
-		for addr := range d.entries {
-			st.Entries = append(st.Entries, addr)
+		return &state{
+			Self: d.self, Configuration: d.doc.Version(), Entries: d.known(), Connections: len(d.links), Scheduler: d.sched.Snapshot(),
 		}
-		slices.Sort(st.Entries)
-		return st
 	})
 	if st == nil {
 		return nil, errors.New("the process is stopping")
