Let begun jobs go first, and wait for a faster target before a job is given up

Begun jobs that wanted one more target stood behind all others, as they counted as late by a pace of 1 although the fast targets run at 0.6. Change: an attempt that will miss its deadline keeps faster targets from the jobs behind it until one has room, and ends its job only when none could end it in time and its earliest end, given the error of a look, is past the deadline. Begun jobs that can still meet their objective come first; lateness is judged by the fastest target's pace. A job's deadline is logged when it is taken.

--- a/core/sched/choose.go
+++ b/core/sched/choose.go
@@ -64,12 +64,12 @@
 	case len(s.safe) > 0:
 		return slowest(s.safe)
 	case safeSomewhere && s.mayWait(now, j):
-		s.keep(j, t, safe)
+		s.keep(j, safe)
 		return nil
 	case len(s.fair) > 0:
 		return fastest(s.fair)
 	case fairSomewhere:
-		s.keep(j, t, fair)
+		s.keep(j, fair)
 		return nil
 	}
 	return s.late(now, j)
@@ -88,8 +88,8 @@
 }
 
 // keep keeps targets up to a pace from the jobs behind one that waits for them, unless it waits for particular ones.
-func (s *Sched) keep(j *job, t *task, pace float64) {
-	if t.avoid == nil && j.batch.Apart == 0 {
+func (s *Sched) keep(j *job, pace float64) {
+	if j.batch.Apart == 0 {
 		s.kept = max(s.kept, pace)
 	}
 }
--- a/core/sched/effects.go
+++ b/core/sched/effects.go
@@ -24,7 +24,7 @@
 	// Stop orders the end of an attempt, whose end is still to be reported.
 	Stop(target string, attempt uint64)
 	// Taken tells that a job was taken.
-	Taken(id, route string, tasks int, expected, objective time.Duration)
+	Taken(id, route string, tasks int, expected, objective, deadline time.Duration)
 	// Placed tells how long a job waited until its first task was sent.
 	Placed(waited time.Duration)
 	// AttemptEnded tells an end of an attempt other than success.
--- a/core/sched/forecast.go
+++ b/core/sched/forecast.go
@@ -13,17 +13,34 @@
 	targetsFault = 2.2
 	// stopTime is about how long it takes until a stopped attempt is known to be over.
 	stopTime = 40 * time.Millisecond
-	// hopelessMargin is by how much an attempt has to miss the deadline for its job to be given up.
-	hopelessMargin = 1.03
+	// lookError is by how much the time may be off at which an agent saw an attempt's progress.
+	lookError = 15 * time.Millisecond
 	// riskyMargin is how close to the deadline an attempt may come for its task not to be moved to a faster target.
 	riskyMargin = 1.08
 	// fasterPace is the ratio of paces at which a task too long for its target is attempted at a faster one.
 	fasterPace = 0.75
 )
 
+// forecast is when an attempt will end, as its agent foretold it; the zero value is none.
+type forecast struct {
+	end  time.Time
+	work time.Duration // of the task, at a pace of 1
+}
+
+// earliest returns when the attempt may end at the earliest. The time at which its progress was seen may be off a little, which
+// counts the more, the less of it is done.
+func (a *attempt) earliest(now time.Time) time.Time {
+	ran := now.Sub(a.sent)
+	if ran <= lookError {
+		return now
+	}
+	whole := a.forecast.end.Sub(a.sent)
+	return a.forecast.end.Add(-time.Duration(float64(lookError) * float64(whole) / float64(ran)))
+}
+
 // Forecast takes an agent's word that an attempt takes unusually long. If the target seems to be slow, the task is moved to one
-// that ends it earlier; if the task itself is too long for its target but not for a faster one, it is moved as well; if it is
-// too long for the deadline anywhere, the job is given up now, which frees its room for jobs that can end in time.
+// that ends it earlier. If the task itself is too long for its target, it is moved to a faster one, or waits where it is for room
+// there; if it is too long for the deadline anywhere, the job is given up now, which frees its room for jobs that can end in time.
 func (s *Sched) Forecast(now time.Time, name string, id uint64, left time.Duration) {
 	t := s.find(name)
 	if t == nil || t.attempts[id] == nil {
@@ -35,49 +52,87 @@
 		return
 	}
 	whole := now.Add(left).Sub(a.sent)
+	a.forecast = forecast{end: now.Add(left), work: time.Duration(float64(whole) / t.state.Pace)}
 	usual := time.Duration(float64(a.expected) * min(t.state.Pace, s.medianPace()))
 	if float64(whole) > targetsFault*float64(usual) {
-		if now.Add(left).After(j.objective) {
-			s.move(now, a, left, a.expected, t.state.Pace)
+		if a.forecast.end.After(j.objective) {
+			s.move(now, a, a.expected, t.state.Pace)
 		}
 		return
 	}
-	work := time.Duration(float64(whole) / t.state.Pace)
-	j.expected = max(j.expected, work)
-	if !now.Add(time.Duration(riskyMargin * float64(left))).After(j.batch.Deadline) {
-		return
+	j.expected = max(j.expected, a.forecast.work)
+	at := slices.Index(s.risky, a)
+	switch risky := now.Add(time.Duration(riskyMargin * float64(left))).After(j.batch.Deadline); {
+	case risky && at < 0:
+		s.risky = append(s.risky, a)
+	case !risky && at >= 0:
+		s.risky = slices.Delete(s.risky, at, at+1)
 	}
-	if s.move(now, a, left, work, fasterPace*t.state.Pace) {
-		return
-	}
-	if now.Add(time.Duration(hopelessMargin * float64(left))).After(j.batch.Deadline) {
-		s.end(now, j, fate.Fate{Kind: fate.Unfinished, Reason: TooLong})
+	if len(s.risky) > 0 {
 		s.place(now)
 	}
 }
 
+// rescue moves the tasks that would miss their deadline where they are. One that finds no room at a faster target keeps such
+// targets from the jobs that wait, and is given up when none could end it in time any more.
+func (s *Sched) rescue(now time.Time) {
+	list := s.risky
+	s.risky = s.risky[:0]
+	for _, a := range list {
+		j := a.job
+		if j.ended || a.stopping || a.target.attempts[a.id] != a {
+			continue
+		}
+		faster := fasterPace * a.target.state.Pace
+		switch {
+		case s.move(now, a, a.forecast.work, faster):
+		case s.rescuable(now, a, faster):
+			s.keep(j, faster)
+			s.risky = append(s.risky, a)
+		case a.earliest(now).After(j.batch.Deadline):
+			s.end(now, j, fate.Fate{Kind: fate.Unfinished, Reason: TooLong})
+		default:
+			s.risky = append(s.risky, a)
+		}
+	}
+}
+
+// rescuable reports whether a target of at most the given pace, full or not, could end an attempt's task in time.
+func (s *Sched) rescuable(now time.Time, a *attempt, most float64) bool {
+	for _, to := range s.targets {
+		if to != a.target && to.state.Pace <= most && to.state.Usable && to.connected && s.fits(a.job, to) &&
+			!now.Add(again(a.forecast.work, to)).After(a.job.batch.Deadline) {
+			return true
+		}
+	}
+	return false
+}
+
+// again returns how long it takes to stop an attempt and run its work at another target.
+func again(work time.Duration, to *target) time.Duration {
+	return stopTime + time.Duration(fairMargin*to.state.Pace*float64(work))
+}
+
 // move stops an attempt if a target with room and at most the given pace would end its task earlier and in time, so that it is
 // placed anew once the attempt is over; it reports whether it did.
-func (s *Sched) move(now time.Time, a *attempt, left, work time.Duration, most float64) bool {
+func (s *Sched) move(now time.Time, a *attempt, work time.Duration, most float64) bool {
 	j := a.job
 	t := &j.tasks[a.index]
+	kept := s.kept
 	s.kept = 0
-	best := time.Duration(0)
+	defer func() { s.kept = kept }()
+	end := min(a.forecast.end.Sub(now), j.batch.Deadline.Sub(now))
 	for _, to := range s.targets {
 		if to == a.target || to.state.Pace > most || !to.state.Usable || !to.connected || !s.fits(j, to) || !s.room(now, j, t, to) {
 			continue
 		}
-		if run := time.Duration(float64(work) * to.state.Pace); best == 0 || run < best {
-			best = run
+		if again(work, to) <= end {
+			s.out.Moved(j.batch.ID, a.target.name, a.forecast.end.Sub(now).Milliseconds())
+			s.stop(a)
+			return true
 		}
 	}
-	again := stopTime + time.Duration(fairMargin*float64(best))
-	if best == 0 || again > left || now.Add(again).After(j.batch.Deadline) {
-		return false
-	}
-	s.out.Moved(j.batch.ID, a.target.name, left.Milliseconds())
-	s.stop(a)
-	return true
+	return false
 }
 
 // medianPace returns the median pace of the usable targets, 1 if there are none.
--- a/core/sched/order.go
+++ b/core/sched/order.go
@@ -11,23 +11,50 @@
 // hardly suffices for the work, and a caller is better off with a refusal.
 const patiencePart = 0.15
 
-// urgency orders jobs that wait: first those that still can meet their objective, by the end of their patience. Under overload
-// each kind of work loses about the same part then, as a kind with a short objective goes first but also leaves first.
-func urgency(now time.Time) func(a, b *job) int {
-	return func(a, b *job) int {
-		if late := cmp.Compare(a.lateness(now), b.lateness(now)); late != 0 {
-			return late
+// urgency orders jobs that wait. First come those that still can meet their objective, and among these the begun ones, as all
+// that was spent on a begun job is lost with its last task. The others go by the end of their patience: under overload each kind
+// of work loses about the same part then, as a kind with a short objective goes first but also leaves first.
+func urgency(a, b *job) int {
+	return cmp.Or(rank(a.late, b.late), rank(b.begun, a.begun), a.patience.Compare(b.patience))
+}
+
+// rank orders false before true.
+func rank(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// markLate notes which jobs that wait would miss their objective even if they were started now at the fastest target.
+func (s *Sched) markLate(now time.Time) {
+	clear(s.fastest)
+	for _, j := range s.queue {
+		service := j.batch.Route.Service
+		pace, known := s.fastest[service]
+		if !known {
+			pace = s.fastestPace(service)
+			s.fastest[service] = pace
 		}
-		return a.patience.Compare(b.patience)
+		j.late = now.Add(time.Duration(pace * float64(j.expected))).After(j.objective)
 	}
 }
 
-// lateness is 1 if even an immediate start would miss the objective.
-func (j *job) lateness(now time.Time) int {
-	if now.Add(j.expected).After(j.objective) {
+// fastestPace returns the pace of a service's fastest usable target, 1 if there is none.
+func (s *Sched) fastestPace(service string) float64 {
+	least := 0.0
+	for _, t := range s.targets {
+		if t.connected && t.state.Usable && t.state.Service == service && (least == 0 || t.state.Pace < least) {
+			least = t.state.Pace
+		}
+	}
+	if least == 0 {
 		return 1
 	}
-	return 0
+	return least
 }
 
 const (
@@ -84,12 +111,14 @@
 // place gives free room to the tasks that wait, the most urgent job first. A job that found no room keeps the targets that
 // would serve it in time from the jobs behind it.
 func (s *Sched) place(now time.Time) {
+	s.kept = 0
+	s.rescue(now)
 	if len(s.queue) == 0 {
 		return
 	}
-	slices.SortStableFunc(s.queue, urgency(now))
+	s.markLate(now)
+	slices.SortStableFunc(s.queue, urgency)
 	s.load = s.utilisation()
-	s.kept = 0
 	for _, j := range s.queue {
 		s.placeJob(now, j)
 	}
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -53,6 +53,7 @@
 	targets   []*target
 	jobs      map[string]*job
 	queue     []*job
+	risky     []*attempt          // that will miss their deadline where they are
 	open      map[string]*attempt // by the task's name
 	next      uint64
 	callers   uint64 // number of the last caller
@@ -66,17 +67,19 @@
 	safe      []candidate // scratch of choose
 	fair      []candidate
 	rest      []candidate
-	paces     []float64 // scratch of medianPace
+	paces     []float64          // scratch of medianPace
+	fastest   map[string]float64 // scratch of markLate: the least pace by service
 }
 
 // New returns a scheduler that acts through out; rng makes its random choices repeatable.
 func New(out effects, rng *rand.Rand) *Sched {
 	return &Sched{
 		out: out, rng: rng,
-		jobs:  make(map[string]*job),
-		open:  make(map[string]*attempt),
-		past:  make(map[string]memory),
-		means: make(map[string]float64),
+		jobs:    make(map[string]*job),
+		open:    make(map[string]*attempt),
+		past:    make(map[string]memory),
+		means:   make(map[string]float64),
+		fastest: make(map[string]float64),
 	}
 }
 
@@ -132,7 +135,7 @@
 		j.ready = now.Add(stallPause)
 	}
 	s.jobs[b.ID] = j
-	s.out.Taken(b.ID, b.Route.Name, b.Tasks, j.expected, objective)
+	s.out.Taken(b.ID, b.Route.Name, b.Tasks, j.expected, objective, b.Deadline.Sub(now))
 	return j
 }
 
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -44,6 +44,7 @@
 	expected time.Duration // at a pace of 1
 	sent     time.Time
 	stopping bool
+	forecast forecast // none as long as it seems to end as expected
 }
 
 // task is one task of a job.
@@ -67,6 +68,7 @@
 	left      int // tasks that aren't done
 	waiting   int // tasks without an attempt that aren't done
 	begun     bool
+	late      bool          // even an immediate start would miss the objective
 	waited    time.Duration // until the first start
 	starts    int
 	ended     bool
--- a/io/schedd/effects.go
+++ b/io/schedd/effects.go
@@ -37,9 +37,9 @@
 func (e effects) Placed(waited time.Duration) { e.d.metrics.waited.Observe(waited.Seconds()) }
 
 // Taken logs that a job was taken, so that one whose entry dies leaves a trace.
-func (e effects) Taken(id, route string, tasks int, expected, objective time.Duration) {
+func (e effects) Taken(id, route string, tasks int, expected, objective, deadline time.Duration) {
 	e.d.log.Info("job taken", zap.String("id", id), zap.String("route", route), zap.Int("tasks", tasks),
-		zap.Int64("expected-ms", expected.Milliseconds()), zap.Int64("objective-ms", objective.Milliseconds()),
+		zap.Int64("expected-ms", expected.Milliseconds()), zap.Int64("objective-ms", objective.Milliseconds()), zap.Int64("deadline-ms", deadline.Milliseconds()),
 		zap.Int64("configuration", e.d.doc.Version()))
 }
 
