--- a/core/runs/progress.go
+++ b/core/runs/progress.go
@@ -9,6 +9,9 @@
 	unusual = 1.3
 	// retell is by which factor a run time has to differ from the one that was told to be told again.
 	retell = 1.03
+	// recount is by which factor the run time of one run has to rise to count for the pace again: one long run says less of its
+	// target than many.
+	recount = 2
 	// leastPercent is the progress from which on a run is judged, unless it is overdue: progress is told in whole percents, rounded
 	// down, so little of it tells little.
 	leastPercent = 6
@@ -31,7 +34,8 @@
 	if float64(whole) < unusual*float64(usual) || percent < leastPercent && ran < usual {
 		return
 	}
-	if r.pace.overdue(now, whole, u.order.Expected) {
+	if float64(whole) > recount*float64(u.counted) && r.pace.overdue(now, whole, u.order.Expected) {
+		u.counted = whole
 		r.out.Changed()
 	}
 	if float64(whole) > retell*float64(u.forecast) || retell*float64(whole) < float64(u.forecast) {
--- a/core/runs/runs.go
+++ b/core/runs/runs.go
@@ -49,6 +49,7 @@
 	barred   time.Time     // when the stop was confirmed
 	looked   time.Time     // of the last progress that counted
 	forecast time.Duration // the run time that was last told
+	counted  time.Duration // the run time that last counted for the pace before its end
 	how      string
 }
 
