Draw targets at random and use the last room of one last, so that entries don't meet there

Cause: on the grown deployment 2,300 attempts a second of 2,700 were refused for want of room, flood or not: each of nine entries sent its tasks to the target with most room among the slowest, which all saw alike, 10 ms old. The processor time of that was what entries of 0.19 cores lacked when configurations came in quick succession (agents silent, their attempts unknown, jobs held to the deadline). Change: a task goes to the best of three targets drawn at random among those that suit it; one with room for a single task more is taken only if all three are so, and one of the other speed class (a ratio of 1.3) before one with more room. What was sent to a target after its agent's last word is summed up once, not at every look at it.

--- a/core/sched/choose.go
+++ b/core/sched/choose.go
@@ -18,8 +18,11 @@
 	safeWait = 0.4
 	// lateLoad is the part of all room in use up to which work is begun that can only be late.
 	lateLoad = 0.8
-	// alike is the ratio of two paces up to which targets count as equally fast.
-	alike = 1.15
+	// alike is the ratio of two paces up to which targets count as equally fast: what is learned of a pace is off by a tenth.
+	alike = 1.3
+	// draws is how many targets are drawn at random to take the best of: entries that all took the best of all would meet at one
+	// target and be refused there for want of room.
+	draws = 3
 	// probeFailures is how many failures in a row let a target have one attempt at a time only.
 	probeFailures = 3
 	// probePause is how long such a target has nothing before the next attempt.
@@ -30,7 +33,8 @@
 type candidate struct {
 	target *target
 	run    time.Duration
-	free   float64
+	free   float64 // part of its cores
+	last   bool    // it has room for this task and no other
 }
 
 // choose returns the target at which a task is attempted, nil if it has to wait. Nobody gains by an answer long before the
@@ -50,7 +54,7 @@
 		if !s.room(now, j, t, to) {
 			continue
 		}
-		c := candidate{target: to, run: time.Duration(float64(j.expected) * pace), free: to.freePart()}
+		c := candidate{target: to, run: time.Duration(float64(j.expected) * pace), free: to.freePart(), last: to.free() < 2*j.batch.Millicores}
 		switch {
 		case pace <= safe:
 			s.safe = append(s.safe, c)
@@ -62,12 +66,12 @@
 	}
 	switch {
 	case len(s.safe) > 0:
-		return slowest(s.safe)
+		return s.pick(s.safe, slower)
 	case safeSomewhere && s.mayWait(now, j):
 		s.keep(j, safe)
 		return nil
 	case len(s.fair) > 0:
-		return fastest(s.fair)
+		return s.pick(s.fair, faster)
 	case fairSomewhere:
 		s.keep(j, fair)
 		return nil
@@ -94,35 +98,42 @@
 	}
 }
 
-// slowest returns the target with most room among those that are about as slow as the slowest.
-func slowest(list []candidate) *target {
-	most := time.Duration(0)
-	for i := range list {
-		most = max(most, list[i].run)
+// pick returns the best of some targets drawn at random from list: those with room for more than one task go first, then those
+// that better prefers if they differ in speed, then those with more room. It reorders list.
+func (s *Sched) pick(list []candidate, better func(a, b *candidate) bool) *target {
+	best := s.draw(list, 0)
+	for i := 1; i < min(draws, len(list)); i++ {
+		c := s.draw(list, i)
+		if c.beats(best, better) {
+			best = c
+		}
 	}
-	return freest(list, func(run time.Duration) bool { return alike*float64(run) >= float64(most) })
+	return best.target
 }
 
-// fastest returns the target with most room among those that are about as fast as the fastest.
-func fastest(list []candidate) *target {
-	least := list[0].run
-	for i := range list {
-		least = min(least, list[i].run)
-	}
-	return freest(list, func(run time.Duration) bool { return float64(run) <= alike*float64(least) })
+// draw moves a random one of the candidates from i on to the front of these and returns it.
+func (s *Sched) draw(list []candidate, i int) *candidate {
+	k := i + s.rng.IntN(len(list)-i)
+	list[i], list[k] = list[k], list[i]
+	return &list[i]
 }
 
-func freest(list []candidate, among func(run time.Duration) bool) *target {
-	var best *candidate
-	for i := range list {
-		c := &list[i]
-		if among(c.run) && (best == nil || c.free > best.free) {
-			best = c
-		}
+func (c *candidate) beats(other *candidate, better func(a, b *candidate) bool) bool {
+	switch {
+	case c.last != other.last:
+		return other.last
+	case better(c, other):
+		return true
+	case better(other, c):
+		return false
 	}
-	return best.target
+	return c.free > other.free
 }
 
+func slower(a, b *candidate) bool { return float64(a.run) > alike*float64(b.run) }
+
+func faster(a, b *candidate) bool { return slower(b, a) }
+
 // late returns the fastest target that would serve a task before its deadline, if the job was begun or there is room to spare.
 func (s *Sched) late(now time.Time, j *job) *target {
 	if !j.begun && s.load > lateLoad {
@@ -132,7 +143,7 @@
 	if len(s.rest) == 0 {
 		return nil
 	}
-	return fastest(s.rest)
+	return s.pick(s.rest, faster)
 }
 
 // fits reports whether a target may run a job's tasks at all.
@@ -172,23 +183,29 @@
 
 // used returns what is taken of a target: what its agent reported, and what was sent since.
 func (t *target) used() (millicores, memoryMB uint64) {
-	millicores, memoryMB = t.state.UsedMillicores, t.state.UsedMemoryMB
+	return t.state.UsedMillicores + t.sentMillicores, t.state.UsedMemoryMB + t.sentMemoryMB
+}
+
+// recount sums up what was sent to a target after what its agent's last word took into account.
+func (t *target) recount() {
+	t.sentMillicores, t.sentMemoryMB = 0, 0
 	for id, a := range t.attempts {
 		if id > t.state.Seen {
-			millicores += a.job.batch.Millicores
-			memoryMB += a.job.batch.MemoryMB
+			t.sentMillicores += a.job.batch.Millicores
+			t.sentMemoryMB += a.job.batch.MemoryMB
 		}
 	}
-	return millicores, memoryMB
+}
+
+// free returns a target's cores that aren't taken, in thousandths.
+func (t *target) free() uint64 {
+	used, _ := t.used()
+	return t.state.Millicores - min(used, t.state.Millicores)
 }
 
 // freePart returns the share of a target's cores that isn't taken.
 func (t *target) freePart() float64 {
-	used, _ := t.used()
-	if t.state.Millicores == 0 || used >= t.state.Millicores {
-		return 0
-	}
-	return 1 - float64(used)/float64(t.state.Millicores)
+	return float64(t.free()) / float64(max(1, t.state.Millicores))
 }
 
 // utilisation returns the share of the usable targets' cores that is taken.
--- a/core/sched/lost.go
+++ b/core/sched/lost.go
@@ -33,6 +33,7 @@
 	}
 	t.incarnation, t.dataCentre, t.state, t.connected = incarnation, dataCentre, st, true
 	t.state.Seen = 0
+	t.recount()
 	open := t.ids()
 	for _, id := range open {
 		if t.attempts[id].stopping {
@@ -50,6 +51,7 @@
 		return
 	}
 	t.state = st
+	t.recount()
 	s.place(now)
 }
 
@@ -104,6 +106,7 @@
 
 func (s *Sched) ended(now time.Time, a *attempt, how string) {
 	delete(a.target.attempts, a.id)
+	a.target.recount()
 	if s.open[a.name] == a {
 		delete(s.open, a.name)
 	}
--- a/core/sched/order.go
+++ b/core/sched/order.go
@@ -153,6 +153,8 @@
 	t.attempt = a
 	j.starts++
 	to.attempts[a.id] = a
+	to.sentMillicores += j.batch.Millicores
+	to.sentMemoryMB += j.batch.MemoryMB
 	s.open[a.name] = a
 	j.waiting--
 	s.flow.add(now)
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -29,8 +29,11 @@
 	connected   bool
 	deadAt      time.Time // when nothing of this entry can run there any more, if it isn't connected
 	attempts    map[uint64]*attempt
-	failures    int       // in a row
-	outUntil    time.Time // until when it gets one attempt at a time, after failures in a row
+	// What was sent after what state.Seen names.
+	sentMillicores uint64
+	sentMemoryMB   uint64
+	failures       int       // in a row
+	outUntil       time.Time // until when it gets one attempt at a time, after failures in a row
 }
 
 // attempt is one order to run a task; it is open until its end is known.
