Let agents fetch the configuration at random moments instead of sending it to all of them

Cause: every entry sent every version to every agent. With five versions a second of 9 KB each of nine entries sent 2.5 MB a second to 55 agents: its link of 25 Mbit/s was full, and jobs of seconds 22 to 26 took 0.7 s in the median instead of 0.22. Change: an agent hears from entries which version they have and asks one of those with the newest, at a random moment within a second and once a second at most (core/spread). It still gives its document to an entry that is behind, so an entry that the store turns away has a new version from the first agents that fetched it. Ruled out: agents without a document (after a loss of all entries while the store is away nobody would have it); deltas (the document is whole in the store, and one a second is little). Replay of 20 versions and 55 agents: about one fetch a second and agent.

--- /dev/null
+++ b/core/spread/spread_test.go
@@ -0,0 +1,66 @@
+package spread
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const tick = 20 * time.Millisecond
+
+// TestVersionsInQuickSuccessionAreNotAllFetched replays five versions a second for four seconds before 55 agents and 9 entries.
+func TestVersionsInQuickSuccessionAreNotAllFetched(t *testing.T) {
+	entries := []string{"a", "b", "c", "d", "e", "f", "g", "h", "i"}
+	type agent struct {
+		spread *Spread
+		own    int64
+	}
+	var agents []*agent
+	for i := range 55 {
+		agents = append(agents, &agent{spread: New(rand.New(rand.NewPCG(1, uint64(i))))})
+	}
+	now, version, fetched := time.Unix(1000, 0), int64(1), map[string]int{}
+	first := time.Time{}
+	for step := range int((6 * time.Second) / tick) {
+		now = now.Add(tick)
+		if step%10 == 0 && version < 20 {
+			version++
+		}
+		for _, a := range agents {
+			for _, e := range entries {
+				a.spread.Heard(now, e, version, a.own)
+			}
+			if e := a.spread.Next(now, a.own); e != "" {
+				a.own = version
+				fetched[e]++
+				if first.IsZero() {
+					first = now
+				}
+			}
+		}
+	}
+	for _, e := range entries {
+		require.Less(t, fetched[e], 6*55/9*2, "at most about one fetch a second and agent")
+	}
+	for _, a := range agents {
+		require.Equal(t, version, a.own)
+	}
+	require.Less(t, first.Sub(time.Unix(1000, 0)), 100*time.Millisecond, "the first agents have it soon")
+}
+
+func TestOnlyAnEntryWithTheNewestVersionIsAsked(t *testing.T) {
+	s := New(rand.New(rand.NewPCG(1, 2)))
+	now := time.Unix(1000, 0)
+	s.Heard(now, "old", 3, 3)
+	s.Heard(now, "new", 5, 3)
+	require.Empty(t, s.Next(now.Add(-time.Millisecond), 3))
+	require.Equal(t, "new", s.Next(now.Add(spreadTime), 3))
+	require.Empty(t, s.Next(now.Add(spreadTime+tick), 3), "it was asked just now")
+	s.Lost("new")
+	require.Empty(t, s.Next(now.Add(3*spreadTime), 3))
+	s.Heard(now.Add(3*spreadTime), "old", 4, 3)
+	require.Equal(t, "old", s.Next(now.Add(5*spreadTime), 3))
+	require.Empty(t, s.Next(now.Add(7*spreadTime), 4))
+}
--- a/io/runsd/daemon.go
+++ b/io/runsd/daemon.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/binary"
+	"math/rand/v2"
 	"time"
 
 	"github.com/google/uuid"
@@ -11,6 +13,7 @@
 	"persimmonstage/core/ident"
 	"persimmonstage/core/newest"
 	"persimmonstage/core/runs"
+	"persimmonstage/core/spread"
 	"persimmonstage/io/ctrl"
 	"persimmonstage/io/feed"
 	"persimmonstage/io/loop"
@@ -57,6 +60,7 @@
 	runs    *runs.Runs
 	target  target
 	doc     *newest.Newest
+	spread  *spread.Spread
 	metrics *metrics
 
 	links   map[string]*link // by address
@@ -69,9 +73,11 @@
 
 // New returns a daemon that acts at t; doc is the operators' document, which it passes on between entries.
 func New(cfg Config, t target, doc *newest.Newest, log *zap.Logger, reg prometheus.Registerer) *Daemon {
+	inc := uuid.New()
 	d := &Daemon{
 		cfg: cfg, log: log, target: t, doc: doc,
-		self:    ident.Ident{Name: cfg.Name, Incarnation: uuid.NewString()},
+		self:    ident.Ident{Name: cfg.Name, Incarnation: inc.String()},
+		spread:  spread.New(rand.New(rand.NewPCG(binary.BigEndian.Uint64(inc[:8]), binary.BigEndian.Uint64(inc[8:])))),
 		loop:    loop.New(),
 		links:   make(map[string]*link),
 		conns:   make(map[uint64]*link),
@@ -149,4 +155,5 @@
 	for _, l := range d.links {
 		d.keep(now, l)
 	}
+	d.fetch(now)
 }
--- a/io/runsd/links.go
+++ b/io/runsd/links.go
@@ -126,6 +126,7 @@
 		delete(d.owners, l.owner)
 		d.logOwner("entry lost", l)
 	}
+	d.spread.Lost(l.addr)
 	l.conn, l.owner, l.report, l.lostAt = 0, "", nil, now
 	d.backOff(now, l)
 }
@@ -172,6 +173,7 @@
 	d.logOwner("entry joined", l)
 	d.runs.Heard(l.owner, time.Unix(0, a.Stamp))
 	d.runs.Sync(l.owner, a.Open)
+	d.spread.Heard(uptime.Now(), l.addr, a.DocumentVersion, d.doc.Version())
 	effects{d}.Changed()
 }
 
@@ -179,12 +181,21 @@
 	d.runs.Heard(l.owner, time.Unix(0, a.Stamp))
 	d.learn(a.Entries)
 	version, data := d.doc.Get()
+	d.spread.Heard(uptime.Now(), l.addr, a.DocumentVersion, version)
 	if a.DocumentVersion < version && l.sentDoc < version {
 		l.sentDoc = version
 		d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_Document{Document: &wire.Document{Version: version, Data: data}}})
 	}
 }
 
+// fetch asks for a newer document when its turn has come.
+func (d *Daemon) fetch(now time.Time) {
+	l := d.links[d.spread.Next(now, d.doc.Version())]
+	if l != nil && l.conn != 0 {
+		d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_DocumentWant{DocumentWant: &wire.DocumentWant{}}})
+	}
+}
+
 func (d *Daemon) orders(now time.Time, l *link, o *wire.RunOrders) {
 	for _, id := range o.Stops {
 		d.runs.Stop(now, l.owner, id)
--- a/io/schedd/daemon.go
+++ b/io/schedd/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -73,8 +74,7 @@
 		entries: make(map[string]time.Time),
 		metrics: newMetrics(reg),
 	}
-	seed := inc[:]
-	rng := rand.New(rand.NewPCG(uint64(seed[0])<<8|uint64(seed[1]), uint64(seed[2])))
+	rng := rand.New(rand.NewPCG(binary.BigEndian.Uint64(inc[:8]), binary.BigEndian.Uint64(inc[8:])))
 	d.sched = sched.New(effects{d}, rng)
 	d.control = ctrl.New(feed.New(d.loop, d.opened, d.framed, d.closed), log)
 	return d
--- a/io/schedd/links.go
+++ b/io/schedd/links.go
@@ -13,12 +13,11 @@
 
 // link is a connection; the loop owns its fields.
 type link struct {
-	conn    uint64
-	name    string // of the agent, empty before its hello
-	heard   time.Time
-	orders  *wire.RunOrders // that wait for the end of the posted steps
-	sentDoc int64           // version of the document that was sent
-	beats   int
+	conn   uint64
+	name   string // of the agent, empty before its hello
+	heard  time.Time
+	orders *wire.RunOrders // that wait for the end of the posted steps
+	beats  int
 }
 
 func (d *Daemon) opened(conn uint64) {
@@ -59,6 +58,8 @@
 		d.report(now, l, b.RunReport)
 	case *wire.Frame_Document:
 		d.Offer(b.Document.Version, b.Document.Data)
+	case *wire.Frame_DocumentWant:
+		d.sendDocument(l)
 	case *wire.Frame_EntryHello:
 		d.entries[b.EntryHello.Address] = now.Add(passOn)
 	default:
@@ -90,17 +91,20 @@
 		zap.Bool("usable", h.State.Usable), zap.Int("agents", len(d.byName)))
 }
 
-// beat returns a heartbeat's stamp, and the document to an agent that has an older one.
+// beat returns a heartbeat's stamp.
 func (d *Daemon) beat(l *link, b *wire.TargetBeat) {
-	version, data := d.doc.Get()
-	answer := &wire.TargetBeatAnswer{Stamp: b.Stamp, DocumentVersion: version}
+	answer := &wire.TargetBeatAnswer{Stamp: b.Stamp, DocumentVersion: d.doc.Version()}
 	if l.beats%listEvery == 0 {
 		answer.Entries = d.known()
 	}
 	l.beats++
 	d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_TargetBeatAnswer{TargetBeatAnswer: answer}})
-	if b.DocumentVersion < version && l.sentDoc < version {
-		l.sentDoc = version
+}
+
+// sendDocument sends an agent the document that it asked for.
+func (d *Daemon) sendDocument(l *link) {
+	version, data := d.doc.Get()
+	if version > 0 {
 		d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_Document{Document: &wire.Document{Version: version, Data: data}}})
 	}
 }
