--- a/io/schedd/links.go
+++ b/io/schedd/links.go
@@ -70,7 +70,7 @@
 func (d *Daemon) hello(now time.Time, l *link, h *wire.TargetHello) {
 	name, tenure := h.Agent.GetName(), time.Duration(h.TenureMs)*time.Millisecond
 	if h.Version != wire.Version || name == "" || tenure > maxTenure || h.State == nil {
-		d.log.Warn("agent refused", zap.String("agent", name), zap.Uint32("version", h.Version), zap.Duration("tenure", tenure))
+		d.log.Warn("agent refused", zap.String("agent", name), zap.Uint32("version", h.Version), zap.Int64("tenure-ms", tenure.Milliseconds()))
 		d.control.Drop(l.conn)
 		return
 	}
