Tell entries the state of a target less often while it has room to spare

Change: changes are gathered for 30 ms, and for 8 ms as before where room is scarce (under 0.15 of the cores free, now or when entries last heard) or the target's use has begun or ended.

--- a/core/runs/target.go
+++ b/core/runs/target.go
@@ -67,3 +67,15 @@
 func (r *Runs) usable(now time.Time) bool {
 	return r.life != nil && r.clean && !r.leaving && !r.life.Draining && now.Sub(r.answered) <= extendWithin
 }
+
+// scarcePart is the part of the target's cores below which free ones are scarce: about one task of many targets.
+const scarcePart = 0.15
+
+// Scarce reports whether hardly any of the target's cores are free, so that entries have to learn of each that is freed or taken.
+func (r *Runs) Scarce() bool {
+	if r.life == nil {
+		return false
+	}
+	used, _ := r.used()
+	return float64(used) > (1-scarcePart)*float64(r.life.Millicores)
+}
--- a/io/runsd/daemon.go
+++ b/io/runsd/daemon.go
@@ -29,8 +29,10 @@
 	silence = 450 * time.Millisecond
 	// drainTime is for how long running tasks may end after the word to stop.
 	drainTime = 4500 * time.Millisecond
-	// stateDelay gathers changes of the target's state before they are told, as each is told to every entry.
-	stateDelay = 8 * time.Millisecond
+	// ampleDelay gathers changes of the target's state before they are told, as each is told to every entry; scarceDelay does so
+	// when entries wait for room, of which a longer delay would leave a part unused.
+	ampleDelay  = 30 * time.Millisecond
+	scarceDelay = 8 * time.Millisecond
 )
 
 // target is the process that the agent stands beside.
@@ -63,12 +65,16 @@
 	spread  *spread.Spread
 	metrics *metrics
 
-	links   map[string]*link // by address
-	conns   map[uint64]*link
-	owners  map[string]*link // by the entry's incarnation
-	pending bool
-	wake    chan struct{}
-	ctx     context.Context
+	links  map[string]*link // by address
+	conns  map[uint64]*link
+	owners map[string]*link // by the entry's incarnation
+	// The state of the target on its way to the entries, and what they were last told of it.
+	pending    bool
+	soon       bool
+	toldScarce bool
+	toldUsable bool
+	wake       chan struct{}
+	ctx        context.Context
 }
 
 // New returns a daemon that acts at t; doc is the operators' document, which it passes on between entries.
--- a/io/runsd/effects.go
+++ b/io/runsd/effects.go
@@ -65,11 +65,23 @@
 
 // Changed tells every entry the new state a little later.
 func (e effects) Changed() {
-	if e.d.pending {
+	d := e.d
+	urgent := d.urgent()
+	if d.pending && (d.soon || !urgent) {
 		return
 	}
-	e.d.pending = true
-	time.AfterFunc(stateDelay, func() { e.d.loop.Post(func(time.Time) { e.d.tellState() }) })
+	d.pending, d.soon = true, urgent
+	delay := ampleDelay
+	if urgent {
+		delay = scarceDelay
+	}
+	time.AfterFunc(delay, func() { d.loop.Post(func(time.Time) { d.tellState() }) })
+}
+
+// urgent reports whether entries wait for the new state: room is scarce or was when they last heard, or the target has become
+// usable or ceased to be.
+func (d *Daemon) urgent() bool {
+	return d.runs.Scarce() || d.toldScarce || d.runs.State(uptime.Now(), "").Usable != d.toldUsable
 }
 
 // flush sends an entry the ends that were gathered, with the state.
@@ -85,7 +97,11 @@
 }
 
 func (d *Daemon) tellState() {
-	d.pending = false
+	if !d.pending {
+		return
+	}
+	d.pending, d.soon = false, false
+	d.toldScarce, d.toldUsable = d.runs.Scarce(), d.runs.State(uptime.Now(), "").Usable
 	for _, l := range d.owners {
 		s := d.state(l)
 		if l.told != nil && sameState(l.told, s) {
