Let two orders wait at a full target for a moment

Change: an order that finds no room waits at the agent for 15 ms if fewer than two do, and starts when a run ends; it counts as used room, is withdrawn like a run, and never starts for a silent owner or beside its task's earlier run.

--- a/core/runs/order.go
+++ b/core/runs/order.go
@@ -1,6 +1,9 @@
 package runs
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Heard takes an owner's echo of a heartbeat with its stamp.
 func (r *Runs) Heard(name string, stamp time.Time) {
@@ -23,7 +26,7 @@
 func (r *Runs) Sync(name string, open []uint64) {
 	for _, id := range open {
 		k := attemptKey{name, id}
-		if r.attempts[k] != nil {
+		if r.attempts[k] != nil || r.waits(k) >= 0 {
 			continue
 		}
 		e, ok := r.ends[k]
@@ -34,18 +37,24 @@
 	}
 }
 
-// Order starts a task or refuses it at once.
+// Order starts a task, lets it wait for room for a moment, or refuses it.
 func (r *Runs) Order(now time.Time, name string, o *Order) {
 	w := r.owner(name)
 	w.seen = max(w.seen, o.Attempt)
 	ak := attemptKey{name, o.Attempt}
-	if r.attempts[ak] != nil {
+	if r.attempts[ak] != nil || r.waits(ak) >= 0 {
 		return
 	}
-	if how := r.barred(now, w, o); how != "" {
+	switch how := r.barred(now, w, o); {
+	case how == "":
+		r.start(now, name, o)
+	case how != Room || !r.park(now, name, o):
 		r.tell(now, ak, how, 0)
-		return
 	}
+}
+
+// start begins a run for an order.
+func (r *Runs) start(now time.Time, name string, o *Order) {
 	if n := r.numbers[o.Task]; o.Number <= n {
 		o.Number = n + 1
 	}
@@ -53,7 +62,7 @@
 	r.numbers[o.Task] = o.Number
 	u := &run{key: k, owner: name, order: o, state: runChart.InitialID(), began: now}
 	r.runs[k] = u
-	r.attempts[ak] = u
+	r.attempts[attemptKey{name, o.Attempt}] = u
 	until := r.extend(now)
 	r.out.Start(k, o, until)
 	r.out.Changed()
@@ -91,6 +100,11 @@
 		r.step(now, u, onHalt)
 		return
 	}
+	if i := r.waits(k); i >= 0 {
+		r.waiting = slices.Delete(r.waiting, i, i+1)
+		r.tell(now, k, stopped, 0)
+		return
+	}
 	e, ok := r.ends[k]
 	if !ok {
 		e.how = Unknown
--- a/core/runs/runs.go
+++ b/core/runs/runs.go
@@ -80,6 +80,7 @@
 	owners   map[string]*owner
 	runs     map[Key]*run
 	attempts map[attemptKey]*run
+	waiting  []waiting // orders that wait for room, in their turn
 	ends     map[attemptKey]ended
 	numbers  map[string]int // highest number of tasks that ended lately
 	unknown  map[Key]time.Time
@@ -120,6 +121,9 @@
 			r.callStop(now, u)
 		}
 	}
+	if len(r.waiting) > 0 {
+		r.admit(now)
+	}
 	for k, e := range r.ends {
 		if now.After(e.expires) {
 			delete(r.ends, k)
@@ -172,6 +176,7 @@
 	ranMS := uint32(now.Sub(u.began).Milliseconds())
 	r.out.Closed(u.key, u.owner, u.order.Attempt, u.how, ranMS)
 	r.tell(now, ak, u.how, ranMS)
+	r.admit(now)
 	r.out.Changed()
 }
 
--- a/core/runs/snapshot.go
+++ b/core/runs/snapshot.go
@@ -12,6 +12,7 @@
 	Ack      int64      `json:"ends-taken-note-of"`
 	Pace     float64    `json:"pace"`
 	Runs     []runState `json:"runs"`
+	Waiting  int        `json:"orders-waiting"`
 }
 
 type runState struct {
@@ -26,6 +27,7 @@
 func (r *Runs) Snapshot() *Snapshot {
 	out := &Snapshot{
 		Target: r.life, Clean: r.clean, Leaving: r.leaving, Answered: r.answered, Extended: r.extended, Ack: r.ack, Pace: r.pace.value(),
+		Waiting: len(r.waiting),
 	}
 	for _, u := range r.sorted() {
 		out.Runs = append(out.Runs, runState{
--- a/core/runs/target.go
+++ b/core/runs/target.go
@@ -28,6 +28,7 @@
 	r.clean, r.ack, r.answered, r.extended = false, 0, time.Time{}, time.Time{}
 	r.pace = pace{}
 	clear(r.unknown)
+	r.dropWaiting(now)
 	for _, u := range r.sorted() {
 		u.how = lapsed
 		r.step(now, u, onReborn)
@@ -55,8 +56,9 @@
 func (r *Runs) Life() *Life { return r.life }
 
 // Leave refuses everything from now on; what runs goes on.
-func (r *Runs) Leave() {
+func (r *Runs) Leave(now time.Time) {
 	r.leaving = true
+	r.dropWaiting(now)
 	r.out.Changed()
 }
 
--- a/io/runsd/daemon.go
+++ b/io/runsd/daemon.go
@@ -115,7 +115,7 @@
 	<-ctx.Done()
 	defer stop()
 	d.log.Info("agent stopping")
-	d.loop.Call(context.Background(), func(time.Time) { d.runs.Leave() })
+	d.loop.Call(context.Background(), func(time.Time) { d.runs.Leave(uptime.Now()) })
 	for end := uptime.Now().Add(drainTime); uptime.Now().Before(end); time.Sleep(tickPeriod) {
 		left := 0
 		d.loop.Call(context.Background(), func(time.Time) { left = d.runs.Len() })
