Move a task once from a target that seems slow, and only if its caller gains

Change: a task is moved once for its target's sake, and only if the answer is in time then, or of use at all (within three objectives and the deadline); slow at the second target as well, it is the task that is long. Ruled out: no such moves (targets that turn slow keep their tasks then); blaming the target's learned pace (it is told from the third such run on, too late for short tasks).

--- a/core/sched/forecast.go
+++ b/core/sched/forecast.go
@@ -38,8 +38,8 @@
 	return a.forecast.end.Add(-time.Duration(float64(lookError) * float64(whole) / float64(ran)))
 }
 
-// Forecast takes an agent's word that an attempt takes unusually long. If the target seems to be slow, the task is moved to one
-// that ends it earlier. If the task itself is too long for its target, it is moved to a faster one, or waits where it is for room
+// Forecast takes an agent's word that an attempt takes unusually long. If the target seems to be slow, the task is moved to
+// another once, if its caller gains by it. If it is slow there as well, it is the task that is long. If the task itself is too long for its target, it is moved to a faster one, or waits where it is for room
 // there; if it is too long for the deadline anywhere, the job is given up now, which frees its room for jobs that can end in time.
 func (s *Sched) Forecast(now time.Time, name string, id uint64, left time.Duration) {
 	t := s.find(name)
@@ -54,10 +54,8 @@
 	whole := now.Add(left).Sub(a.sent)
 	a.forecast = forecast{end: now.Add(left), work: time.Duration(float64(whole) / t.state.Pace)}
 	usual := time.Duration(float64(a.expected) * min(t.state.Pace, s.medianPace()))
-	if float64(whole) > targetsFault*float64(usual) {
-		if a.forecast.end.After(j.objective) {
-			s.move(now, a, a.expected, t.state.Pace)
-		}
+	if task := &j.tasks[a.index]; float64(whole) > targetsFault*float64(usual) && !task.moved {
+		task.moved = s.moveIfBetter(now, a)
 		return
 	}
 	j.expected = max(j.expected, a.forecast.work)
@@ -85,7 +83,7 @@
 		}
 		faster := fasterPace * a.target.state.Pace
 		switch {
-		case s.move(now, a, a.forecast.work, faster):
+		case s.move(now, a, a.forecast.work, faster, j.batch.Deadline):
 		case s.rescuable(now, a, faster):
 			s.keep(j, faster)
 			s.risky = append(s.risky, a)
@@ -113,15 +111,15 @@
 	return stopTime + time.Duration(fairMargin*to.state.Pace*float64(work))
 }
 
-// move stops an attempt if a target with room and at most the given pace would end its task earlier and in time, so that it is
+// move stops an attempt if a target with room and at most the given pace would end its task earlier and by a time, so that it is
 // placed anew once the attempt is over; it reports whether it did.
-func (s *Sched) move(now time.Time, a *attempt, work time.Duration, most float64) bool {
+func (s *Sched) move(now time.Time, a *attempt, work time.Duration, most float64, by time.Time) bool {
 	j := a.job
 	t := &j.tasks[a.index]
 	kept := s.kept
 	s.kept = 0
 	defer func() { s.kept = kept }()
-	end := min(a.forecast.end.Sub(now), j.batch.Deadline.Sub(now))
+	end := earlier(a.forecast.end, by).Sub(now)
 	for _, to := range s.targets {
 		if to == a.target || to.state.Pace > most || !to.state.Usable || !to.connected || !s.fits(j, to) || !s.room(now, j, t, to) {
 			continue
@@ -135,6 +133,32 @@
 	return false
 }
 
+// lateObjectives is up to how many times its objective an answer is of some use to its caller.
+const lateObjectives = 3
+
+// moveIfBetter moves an attempt from a target that seems to be slow, if its answer comes in time only then, or is of use only then:
+// work thrown away for an answer that is as late as before is lost for others. It reports whether it did.
+func (s *Sched) moveIfBetter(now time.Time, a *attempt) bool {
+	j := a.job
+	late := j.arrived.Add(lateObjectives * j.objective.Sub(j.arrived))
+	for _, by := range []time.Time{j.objective, earlier(late, j.batch.Deadline)} {
+		if !a.forecast.end.After(by) {
+			return false
+		}
+		if s.move(now, a, a.expected, a.target.state.Pace, by) {
+			return true
+		}
+	}
+	return false
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // medianPace returns the median pace of the usable targets, 1 if there are none.
 func (s *Sched) medianPace() float64 {
 	s.paces = s.paces[:0]
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -174,6 +174,33 @@
 	require.Equal(t, []string{"slow", "slow", "slow", "slow", "fast", "fast", "fast", "fast"}, g.places)
 }
 
+func TestATaskIsMovedOnceFromATargetThatSeemsSlow(t *testing.T) {
+	g := newRig()
+	for _, name := range []string{"a", "b", "c"} {
+		g.join(name, 1)
+	}
+	g.submit(g.batch("j", 1, 200*time.Millisecond))
+	g.pass(60 * time.Millisecond)
+	g.sched.Forecast(g.now, g.places[0], 1, 540*time.Millisecond)
+	require.Equal(t, []uint64{1}, g.stops, "a sound target ends it by its objective of 380 ms")
+	g.ended(g.places[0], EndStopped, 0)
+	g.pass(60 * time.Millisecond)
+	g.sched.Forecast(g.now, g.places[1], 2, 540*time.Millisecond)
+	require.Equal(t, []uint64{1}, g.stops, "it is as slow at another target, so it is the task that is long")
+}
+
+func TestATaskThatIsLateEitherWayStays(t *testing.T) {
+	g := newRig()
+	g.join("a", 1)
+	g.join("b", 1)
+	g.submit(g.batch("j", 1, 200*time.Millisecond))
+	g.pass(200 * time.Millisecond)
+	g.sched.Forecast(g.now, g.places[0], 1, 500*time.Millisecond)
+	require.Empty(t, g.stops, "moved it would end at 460 ms, stopped and begun anew, past its objective of 380 ms")
+	g.sched.Forecast(g.now, g.places[0], 1, 1000*time.Millisecond)
+	require.Equal(t, []uint64{1}, g.stops, "an answer after three objectives is of no use")
+}
+
 func TestATaskTooLongForItsTargetWaitsThereForRoomAtAFasterOne(t *testing.T) {
 	g := newRig()
 	g.join("slow", 1.25)
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -57,6 +57,7 @@
 	failures int
 	number   int
 	avoid    *target
+	moved    bool // from a target that seemed to be slow
 }
 
 // job is a repeatable job from its submission until it is answered and no attempt of it is open.
