Say in one place which targets take a job's tasks, and where work waits

No change of behaviour. Ruled out: one loop over the targets for move and rescuable, which ask different things of a target.

--- a/core/sched/choose.go
+++ b/core/sched/choose.go
@@ -38,14 +38,14 @@
 }
 
 // choose returns the target at which a task is attempted, nil if it has to wait. Nobody gains by an answer long before the
-// objective, so a task gets the slowest target that is safe for it, and the fast ones stay free for long tasks. If it waits for
-// a target, targets as fast as that are kept from the jobs behind it.
+// objective, so a task gets a slow target that is safe for it, and the fast ones stay free for long tasks. If it waits for a
+// target, targets as fast as that are kept from the jobs behind it.
 func (s *Sched) choose(now time.Time, j *job, t *task) *target {
 	safe, fair := j.paces(now)
 	s.safe, s.fair, s.rest = s.safe[:0], s.fair[:0], s.rest[:0]
 	safeSomewhere, fairSomewhere := false, false
 	for _, to := range s.targets {
-		if !to.state.Usable || !to.connected || !s.fits(j, to) {
+		if !s.serves(j, to) {
 			continue
 		}
 		pace := to.state.Pace
@@ -146,6 +146,11 @@
 	return s.pick(s.rest, faster)
 }
 
+// serves reports whether a target takes tasks of the job at present, if it has room.
+func (s *Sched) serves(j *job, to *target) bool {
+	return to.state.Usable && to.connected && s.fits(j, to)
+}
+
 // fits reports whether a target may run a job's tasks at all.
 func (s *Sched) fits(j *job, to *target) bool {
 	b := j.batch
--- a/core/sched/forecast.go
+++ b/core/sched/forecast.go
@@ -38,9 +38,11 @@
 	return a.forecast.end.Add(-time.Duration(float64(lookError) * float64(whole) / float64(ran)))
 }
 
-// Forecast takes an agent's word that an attempt takes unusually long. If the target seems to be slow, the task is moved to
-// another once, if its caller gains by it. If it is slow there as well, it is the task that is long. If the task itself is too long for its target, it is moved to a faster one, or waits where it is for room
-// there; if it is too long for the deadline anywhere, the job is given up now, which frees its room for jobs that can end in time.
+// Forecast takes an agent's word that an attempt takes unusually long.
+//
+// If the target seems to be slow, the task is moved to another once, if its caller gains by it; if it is slow there as well, it is
+// the task that is long. A task too long for its target is moved to a faster one, or waits where it is for room there. If it is too
+// long for the deadline anywhere, the job is given up now, which frees its room for jobs that can end in time.
 func (s *Sched) Forecast(now time.Time, name string, id uint64, left time.Duration) {
 	t := s.find(name)
 	if t == nil || t.attempts[id] == nil {
@@ -59,16 +61,21 @@
 		return
 	}
 	j.expected = max(j.expected, a.forecast.work)
+	s.watch(a, now.Add(time.Duration(riskyMargin*float64(left))).After(j.batch.Deadline))
+	if len(s.risky) > 0 {
+		s.place(now)
+	}
+}
+
+// watch enters an attempt among the risky ones, or takes it from them.
+func (s *Sched) watch(a *attempt, risky bool) {
 	at := slices.Index(s.risky, a)
-	switch risky := now.Add(time.Duration(riskyMargin * float64(left))).After(j.batch.Deadline); {
+	switch {
 	case risky && at < 0:
 		s.risky = append(s.risky, a)
 	case !risky && at >= 0:
 		s.risky = slices.Delete(s.risky, at, at+1)
 	}
-	if len(s.risky) > 0 {
-		s.place(now)
-	}
 }
 
 // rescue moves the tasks that would miss their deadline where they are. One that finds no room at a faster target keeps such
@@ -98,7 +105,7 @@
 // rescuable reports whether a target of at most the given pace, full or not, could end an attempt's task in time.
 func (s *Sched) rescuable(now time.Time, a *attempt, most float64) bool {
 	for _, to := range s.targets {
-		if to != a.target && to.state.Pace <= most && to.state.Usable && to.connected && s.fits(a.job, to) &&
+		if to != a.target && to.state.Pace <= most && s.serves(a.job, to) &&
 			!now.Add(again(a.forecast.work, to)).After(a.job.batch.Deadline) {
 			return true
 		}
@@ -121,10 +128,7 @@
 	defer func() { s.kept = kept }()
 	end := earlier(a.forecast.end, by).Sub(now)
 	for _, to := range s.targets {
-		if to == a.target || to.state.Pace > most || !to.state.Usable || !to.connected || !s.fits(j, to) || !s.room(now, j, t, to) {
-			continue
-		}
-		if again(work, to) <= end {
+		if to != a.target && to.state.Pace <= most && s.serves(j, to) && s.room(now, j, t, to) && again(work, to) <= end {
 			s.out.Moved(j.batch.ID, a.target.name, a.forecast.end.Sub(now).Milliseconds())
 			s.stop(a)
 			return true
