--- a/io/schedd/daemon.go
+++ b/io/schedd/daemon.go
@@ -14,7 +14,6 @@
 	"persimmonstage/core/ident"
 	"persimmonstage/core/newest"
 	"persimmonstage/core/sched"
-	"persimmonstage/core/strain"
 	"persimmonstage/io/ctrl"
 	"persimmonstage/io/feed"
 	"persimmonstage/io/loop"
@@ -55,14 +54,12 @@
 	doc     *newest.Newest
 	metrics *metrics
 
-	links    map[uint64]*link
-	byName   map[string]*link
-	dirty    []*link
-	flushed  bool
-	entries  map[string]time.Time // until when each address is passed on to agents
-	targets  atomic.Int64
-	strain   strain.Strain
-	strained atomic.Bool
+	links   map[uint64]*link
+	byName  map[string]*link
+	dirty   []*link
+	flushed bool
+	entries map[string]time.Time // until when each address is passed on to agents
+	targets atomic.Int64
 }
 
 // New returns a daemon; doc is the operators' document, which it passes on between agents and takes from them.
@@ -95,10 +92,8 @@
 	return nil
 }
 
-// Ready reports whether jobs can be served: the operators' document is known, so is a target, and the host isn't too slow.
-func (d *Daemon) Ready() bool {
-	return d.doc.Version() > 0 && d.targets.Load() > 0 && !d.strained.Load()
-}
+// Ready reports whether jobs can be served: the operators' document is known, and so is a target.
+func (d *Daemon) Ready() bool { return d.doc.Version() > 0 && d.targets.Load() > 0 }
 
 // Targets returns the number of connected targets.
 func (d *Daemon) Targets() int { return int(d.targets.Load()) }
@@ -120,10 +115,6 @@
 
 func (d *Daemon) tick(time.Time) {
 	now := uptime.Now()
-	if d.strain.Tick(now, tickPeriod) {
-		d.strained.Store(d.strain.Strained())
-		d.log.Warn("host strained", zap.Bool("strained", d.strain.Strained()), zap.Int64("late-us", d.strain.Mean().Microseconds()))
-	}
 	d.sched.Tick(now)
 	for _, l := range d.links {
 		if now.Sub(l.heard) > silence {
