Set all targets to fail a kind before it is offered again

The test set its four targets to fail one after the other while work came, so for a moment the kind failed at some of them only, which is rightly held against these. Change: the kind is offered and whole at first, nothing is offered while the faults are set, then it is offered again; the check is the same, and the first offer has to be whole. Ruled out: the judge of sick targets: with a pause of 200 ms between the settings the old test fails three times of three in the same way.

--- a/test/faults/sick_test.go
+++ b/test/faults/sick_test.go
@@ -108,11 +108,15 @@
 	mixed := steady
 	mixed.kinds = []string{"sort", "compress"}
 	failed := map[string]int{}
+	warm := offer(f, t, mixed, func() { awaitWarm(f, 4) })
+	requireAllComplete(t, warm)
+	// Nothing is offered while the targets are set to fail, one after the other: a kind that fails at some of them only is
+	// rightly held against these.
+	for _, name := range fleet.Names("target", 4) {
+		f.TargetFaults(name, `{"fail-kind": "compress"}`)
+	}
+	mixed.first = len(warm)
 	got := offer(f, t, mixed, func() {
-		awaitWarm(f, 4)
-		for _, name := range fleet.Names("target", 4) {
-			f.TargetFaults(name, `{"fail-kind": "compress"}`)
-		}
 		before := len(f.AllStarts(4))
 		f.Await("many of them failed", func() bool {
 			s, ok := f.State("entry-1")
--- a/test/faults/stop_test.go
+++ b/test/faults/stop_test.go
@@ -25,6 +25,7 @@
 	workMS  int
 	life    time.Duration
 	entries []string
+	first   int // number of each caller's first job, so that a second flow has other ids
 }
 
 // offer runs a flow for as long as during runs, and gives what was told; the ids begin with the kind.
@@ -37,7 +38,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			for n := 0; ; n++ {
+			for n := w.first; ; n++ {
 				select {
 				case <-stop:
 					return
