Call what stands already where the second reading found it written again

No behaviour or assertion changes. Ruled out: one table of end labels for entry and agent, whose words are declared in two packages that don't know each other.

--- a/core/runs/order.go
+++ b/core/runs/order.go
@@ -29,14 +29,19 @@
 		if r.attempts[k] != nil || r.waits(k) >= 0 {
 			continue
 		}
-		e, ok := r.ends[k]
-		if !ok {
-			e.how = Unknown
-		}
-		r.out.Ended(name, id, e.how, e.ranMS)
+		r.tellAgain(k)
 	}
 }
 
+// tellAgain tells an owner the end of an attempt that isn't here any more.
+func (r *Runs) tellAgain(k attemptKey) {
+	e, ok := r.ends[k]
+	if !ok {
+		e.how = Unknown
+	}
+	r.out.Ended(k.owner, k.attempt, e.how, e.ranMS)
+}
+
 // Order starts a task, lets it wait for room for a moment, or refuses it.
 func (r *Runs) Order(now time.Time, name string, o *Order) {
 	w := r.owner(name)
@@ -105,11 +110,7 @@
 		r.tell(now, k, stopped, 0)
 		return
 	}
-	e, ok := r.ends[k]
-	if !ok {
-		e.how = Unknown
-	}
-	r.out.Ended(name, id, e.how, e.ranMS)
+	r.tellAgain(k)
 }
 
 // Answered takes the target's answer to the call for a start.
--- a/core/runs/runs.go
+++ b/core/runs/runs.go
@@ -1,6 +1,7 @@
 package runs
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -121,9 +122,7 @@
 			r.callStop(now, u)
 		}
 	}
-	if len(r.waiting) > 0 {
-		r.admit(now)
-	}
+	r.admit(now)
 	for k, e := range r.ends {
 		if now.After(e.expires) {
 			delete(r.ends, k)
@@ -142,13 +141,7 @@
 func (r *Runs) sorted() []*run {
 	list := slices.Collect(maps.Values(r.runs))
 	slices.SortFunc(list, func(a, b *run) int {
-		if a.owner != b.owner {
-			if a.owner < b.owner {
-				return -1
-			}
-			return 1
-		}
-		return int(a.order.Attempt) - int(b.order.Attempt)
+		return cmp.Or(cmp.Compare(a.owner, b.owner), cmp.Compare(a.order.Attempt, b.order.Attempt))
 	})
 	return list
 }
--- a/core/sched/choose.go
+++ b/core/sched/choose.go
@@ -148,9 +148,12 @@
 
 // serves reports whether a target takes tasks of the job at present, if it has room.
 func (s *Sched) serves(j *job, to *target) bool {
-	return to.state.Usable && to.connected && s.fits(j, to)
+	return to.open() && s.fits(j, to)
 }
 
+// open reports whether a target takes tasks at present.
+func (t *target) open() bool { return t.connected && t.state.Usable }
+
 // fits reports whether a target may run a job's tasks at all.
 func (s *Sched) fits(j *job, to *target) bool {
 	b := j.batch
@@ -217,7 +220,7 @@
 func (s *Sched) utilisation() float64 {
 	used, all := uint64(0), uint64(0)
 	for _, t := range s.targets {
-		if t.state.Usable && t.connected {
+		if t.open() {
 			u, _ := t.used()
 			used += u
 			all += t.state.Millicores
--- a/core/sched/crowd_test.go
+++ b/core/sched/crowd_test.go
@@ -21,19 +21,14 @@
 	now     time.Time
 	entries []*crowdEntry
 	targets []*crowdTarget
-	later   []crowdEvent
+	began   time.Time
+	later   map[time.Duration][]func() // by the step of the replay at which they are due
 	starts  int
 	room    int // attempts refused for want of it
 	served  int
 	jobs    int
 }
 
-// crowdEvent happens at a time of the replay.
-type crowdEvent struct {
-	at time.Time
-	do func()
-}
-
 type crowdEntry struct {
 	crowd *crowd
 	sched *Sched
@@ -98,11 +93,13 @@
 }
 
 func (c *crowd) after(d time.Duration, do func()) {
-	c.later = append(c.later, crowdEvent{c.now.Add(d), do})
+	at := c.now.Add(d + floodStep - 1).Sub(c.began).Truncate(floodStep)
+	c.later[at] = append(c.later[at], do)
 }
 
 func newCrowd(seed uint64, entries, targets int) *crowd {
-	c := &crowd{rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0)}
+	c := &crowd{rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), later: map[time.Duration][]func(){}}
+	c.began = c.now
 	for i := range targets {
 		t := &crowdTarget{name: fmt.Sprint("t", i), pace: 1.2, seen: map[*crowdEntry]uint64{}}
 		if i%4 == 0 {
@@ -131,15 +128,11 @@
 				c.submit(&kinds[k].route, kinds[k].tasks, kinds[k].work)
 			}
 		}
-		for len(c.later) > 0 {
-			i := slices.IndexFunc(c.later, func(e crowdEvent) bool { return !e.at.After(c.now) })
-			if i < 0 {
-				break
-			}
-			do := c.later[i].do
-			c.later = slices.Delete(c.later, i, i+1)
+		due := c.now.Sub(c.began)
+		for _, do := range c.later[due] {
 			do()
 		}
+		delete(c.later, due)
 		if at%crowdGather == 0 {
 			c.tell()
 		}
--- a/core/sched/forecast.go
+++ b/core/sched/forecast.go
@@ -167,7 +167,7 @@
 func (s *Sched) medianPace() float64 {
 	s.paces = s.paces[:0]
 	for _, t := range s.targets {
-		if t.connected && t.state.Usable {
+		if t.open() {
 			s.paces = append(s.paces, t.state.Pace)
 		}
 	}
--- a/core/sched/order.go
+++ b/core/sched/order.go
@@ -47,7 +47,7 @@
 func (s *Sched) fastestPace(service string) float64 {
 	least := 0.0
 	for _, t := range s.targets {
-		if t.connected && t.state.Usable && t.state.Service == service && (least == 0 || t.state.Pace < least) {
+		if t.open() && t.state.Service == service && (least == 0 || t.state.Pace < least) {
 			least = t.state.Pace
 		}
 	}
