Let each agent offer its target to twelve entries instead of all of them

Change: core/subset ranks the entries by the hash of both names; an agent connects to the first twelve that answer, goes on to the next ones when some are lost, and gives surplus ones up after they have been told and nothing of theirs runs. Ruled out: entries that pick targets (they would have to agree, and a new one has none); subsets by data centre (all callers may come to one).

--- a/core/runs/runs.go
+++ b/core/runs/runs.go
@@ -107,6 +107,16 @@
 // Len returns the number of runs without an end.
 func (r *Runs) Len() int { return len(r.runs) }
 
+// Holds reports whether an owner has runs without an end or orders that wait here.
+func (r *Runs) Holds(name string) bool {
+	for k := range r.attempts {
+		if k.owner == name {
+			return true
+		}
+	}
+	return slices.ContainsFunc(r.waiting, func(w waiting) bool { return w.owner == name })
+}
+
 // Tick does what is due: runs of silent owners, a lapsed lease, stops that went unanswered.
 func (r *Runs) Tick(now time.Time) {
 	lapse := !r.extended.IsZero() && now.Sub(r.extended) > Lease+time.Duration(clockError*float64(Lease))
--- a/io/runsd/daemon.go
+++ b/io/runsd/daemon.go
@@ -14,6 +14,7 @@
 	"persimmonstage/core/newest"
 	"persimmonstage/core/runs"
 	"persimmonstage/core/spread"
+	"persimmonstage/core/subset"
 	"persimmonstage/io/ctrl"
 	"persimmonstage/io/feed"
 	"persimmonstage/io/loop"
@@ -63,6 +64,7 @@
 	target  target
 	doc     *newest.Newest
 	spread  *spread.Spread
+	subset  *subset.Subset
 	metrics *metrics
 
 	links  map[string]*link // by address
@@ -84,6 +86,7 @@
 		cfg: cfg, log: log, target: t, doc: doc,
 		self:    ident.Ident{Name: cfg.Name, Incarnation: inc.String()},
 		spread:  spread.New(rand.New(rand.NewPCG(binary.BigEndian.Uint64(inc[:8]), binary.BigEndian.Uint64(inc[8:])))),
+		subset:  subset.New(cfg.Name),
 		loop:    loop.New(),
 		links:   make(map[string]*link),
 		conns:   make(map[uint64]*link),
@@ -158,6 +161,7 @@
 func (d *Daemon) tick(time.Time) {
 	now := uptime.Now()
 	d.runs.Tick(now)
+	d.subset.Choose(now)
 	for _, l := range d.links {
 		d.keep(now, l)
 	}
--- a/io/runsd/effects.go
+++ b/io/runsd/effects.go
@@ -107,11 +107,18 @@
 		if l.told != nil && sameState(l.told, s) {
 			continue
 		}
-		l.told = s
-		d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_RunReport{RunReport: &wire.RunReport{State: s}}})
+		d.sendState(l, s)
 	}
 }
 
+// tellOwner tells one entry the present state.
+func (d *Daemon) tellOwner(l *link) { d.sendState(l, d.state(l)) }
+
+func (d *Daemon) sendState(l *link, s *wire.TargetState) {
+	l.told = s
+	d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_RunReport{RunReport: &wire.RunReport{State: s}}})
+}
+
 // sameState compares what changes from run to run; a new seen attempt alone is no news.
 func sameState(a, b *wire.TargetState) bool {
 	return a.Service == b.Service && a.Usable == b.Usable && a.PacePermille == b.PacePermille &&
@@ -124,7 +131,7 @@
 	s := d.runs.State(uptime.Now(), l.owner)
 	return &wire.TargetState{
 		Service: s.Service, Millicores: s.Millicores, MemoryMb: s.MemoryMB,
-		UsedMillicores: s.UsedMillicores, UsedMemoryMb: s.UsedMemoryMB, Usable: s.Usable,
+		UsedMillicores: s.UsedMillicores, UsedMemoryMb: s.UsedMemoryMB, Usable: s.Usable && l.leftAt.IsZero(),
 		PacePermille: uint32(s.Pace * permille), Labels: s.Labels, Seen: s.Seen,
 	}
 }
--- a/io/runsd/links.go
+++ b/io/runsd/links.go
@@ -39,6 +39,7 @@
 	flushing bool
 	told     *wire.TargetState
 	sentDoc  int64
+	leftAt   time.Time // when the entry was told that it gets the target no more; zero if it may use it
 }
 
 // Entries takes addresses of entries to connect to.
@@ -48,7 +49,7 @@
 
 func (d *Daemon) learn(addrs []string) {
 	for _, addr := range addrs {
-		if d.links[addr] == nil {
+		if d.subset.Learn(addr) {
 			d.links[addr] = &link{addr: addr, lostAt: uptime.Now()}
 			d.log.Info("entry learned", zap.String("address", addr))
 		}
@@ -61,9 +62,10 @@
 	switch {
 	case l.conn == 0 && now.Sub(l.lostAt) > forgetAfter && !l.dialing:
 		delete(d.links, l.addr)
+		d.subset.Forget(l.addr)
 		d.log.Info("entry forgotten", zap.String("entry", l.entry), zap.String("address", l.addr))
 	case l.conn == 0:
-		if d.runs.Clean() && !l.dialing && !now.Before(l.nextDial) {
+		if d.runs.Clean() && d.subset.Wanted(l.addr) && !l.dialing && !now.Before(l.nextDial) {
 			d.dial(l)
 		}
 	case now.Sub(l.heard) > silence:
@@ -72,6 +74,10 @@
 		d.lost(now, l)
 	case !l.greeted:
 		d.hello(now, l)
+	case d.parted(now, l):
+		d.log.Info("entry given up", zap.String("entry", l.entry), zap.String("address", l.addr))
+		d.control.Drop(l.conn)
+		d.unlink(now, l)
 	case l.owner != "" && !now.Before(l.nextBeat):
 		l.nextBeat = now.Add(beatEvery)
 		d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_TargetBeat{TargetBeat: &wire.TargetBeat{
@@ -121,16 +127,43 @@
 }
 
 func (d *Daemon) lost(now time.Time, l *link) {
+	if d.owners[l.owner] == l {
+		d.logOwner("entry lost", l)
+	}
+	d.unlink(now, l)
+}
+
+// unlink forgets the connection of a link.
+func (d *Daemon) unlink(now time.Time, l *link) {
 	delete(d.conns, l.conn)
 	if d.owners[l.owner] == l {
 		delete(d.owners, l.owner)
-		d.logOwner("entry lost", l)
 	}
 	d.spread.Lost(l.addr)
-	l.conn, l.owner, l.report, l.lostAt = 0, "", nil, now
+	d.subset.Down(now, l.addr)
+	l.conn, l.owner, l.report, l.lostAt, l.leftAt = 0, "", nil, now, time.Time{}
 	d.backOff(now, l)
 }
 
+// partTime is how long after the word that an entry gets the target no more its connection is kept for orders that were under way.
+const partTime = time.Second
+
+// parted takes the target from an entry that isn't wanted any more, or gives it back if it is, and reports whether the connection
+// may end: the entry has known for a while, and nothing of it runs here.
+func (d *Daemon) parted(now time.Time, l *link) bool {
+	surplus := d.subset.Surplus(now, l.addr)
+	switch {
+	case l.owner == "":
+	case surplus && l.leftAt.IsZero():
+		l.leftAt = now
+		d.tellOwner(l)
+	case !surplus && !l.leftAt.IsZero() && d.subset.Wanted(l.addr):
+		l.leftAt = time.Time{}
+		d.tellOwner(l)
+	}
+	return surplus && !l.leftAt.IsZero() && now.Sub(l.leftAt) > partTime && !d.runs.Holds(l.owner)
+}
+
 func (d *Daemon) opened(conn uint64) {
 	if l := d.conns[conn]; l != nil && !l.greeted {
 		d.hello(uptime.Now(), l)
@@ -170,6 +203,7 @@
 func (d *Daemon) welcomed(l *link, a *wire.TargetHelloAnswer) {
 	l.entry, l.owner = a.Entry.GetName(), string(a.Entry.GetIncarnation())
 	d.owners[l.owner] = l
+	d.subset.Up(l.addr)
 	d.logOwner("entry joined", l)
 	d.runs.Heard(l.owner, time.Unix(0, a.Stamp))
 	d.runs.Sync(l.owner, a.Open)
