End stand-in servers whole that are closed before they accept

Change: io/served closes the listener itself; the stand-ins of the log and of leases share it instead of two copies. Ruled out: the source's Run and logcl (their goroutines had ended in the stack).

--- a/io/lessor/server.go
+++ b/io/lessor/server.go
@@ -3,12 +3,13 @@
 import (
 	"bytes"
 	"encoding/json"
-	"net"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"persimmonstage/io/served"
 )
 
 const (
@@ -30,10 +31,8 @@
 type Server struct {
 	lag           time.Duration
 	checkpointing bool
-	http          fasthttp.Server
-	listener      net.Listener
+	served        *served.Served
 	done          chan struct{}
-	served        chan error
 	once          sync.Once
 
 	mu     sync.Mutex
@@ -44,32 +43,31 @@
 // Start serves on addr ("IP:PORT", port 0 picks a free one); usage is reported late by lag, and checkpointing says whether the
 // tasks can be checkpointed.
 func Start(addr string, lag time.Duration, checkpointing bool) (*Server, error) {
-	ln, err := net.Listen("tcp", addr)
-	if err != nil {
-		return nil, err
-	}
 	s := &Server{
-		lag: lag, checkpointing: checkpointing, listener: ln, done: make(chan struct{}), served: make(chan error, 1),
+		lag: lag, checkpointing: checkpointing, done: make(chan struct{}),
 		book: book{leases: map[string]*entry{}, live: map[string]*entry{}, counts: counts{Throttled: map[string]int{}, Stopped: map[string]int{}}},
 	}
-	s.http = fasthttp.Server{
+	http := &fasthttp.Server{
 		Handler: s.handle, Name: "stand-in-leases", IdleTimeout: idleTimeout, MaxRequestBodySize: maxBodyBytes,
 		NoDefaultDate: true, CloseOnShutdown: true,
 	}
-	go func() { s.served <- s.http.Serve(ln) }()
+	var err error
+	s.served, err = served.Start(addr, http)
+	if err != nil {
+		return nil, err
+	}
 	return s, nil
 }
 
 // Addr returns the address it listens on, as "IP:PORT".
-func (s *Server) Addr() string { return s.listener.Addr().String() }
+func (s *Server) Addr() string { return s.served.Addr() }
 
 // Close answers what is in progress and stops; its leases are gone.
 func (s *Server) Close() error {
 	var err error
 	s.once.Do(func() {
 		close(s.done)
-		err = s.http.Shutdown()
-		<-s.served
+		err = s.served.Close()
 	})
 	return err
 }
--- a/io/logsrv/server.go
+++ b/io/logsrv/server.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"regexp"
 	"strconv"
 	"sync"
@@ -11,6 +10,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+
+	"persimmonstage/io/served"
 )
 
 // Bounds of one server, so that a test run can't fill the machine's memory.
@@ -32,13 +33,11 @@
 
 // Server is the stand-in of the platform's log service.
 type Server struct {
-	store    *store
-	faults   faults
-	http     fasthttp.Server
-	listener net.Listener
-	done     chan struct{}
-	served   chan error
-	once     sync.Once
+	store  *store
+	faults faults
+	served *served.Served
+	done   chan struct{}
+	once   sync.Once
 }
 
 // Start serves on addr ("IP:PORT", port 0 picks a free one); a stream keeps at most count records, none older than age
@@ -47,12 +46,8 @@
 	if count <= 0 {
 		return nil, errors.Newf("retention of %d records: must be at least 1", count)
 	}
-	ln, err := net.Listen("tcp", addr)
-	if err != nil {
-		return nil, err
-	}
-	s := &Server{store: newStore(count, age), listener: ln, done: make(chan struct{}), served: make(chan error, 1)}
-	s.http = fasthttp.Server{
+	s := &Server{store: newStore(count, age), done: make(chan struct{})}
+	http := &fasthttp.Server{
 		Handler:                      s.handle,
 		Name:                         "stand-in-log",
 		IdleTimeout:                  idleTimeout,
@@ -61,20 +56,23 @@
 		DisablePreParseMultipartForm: true,
 		CloseOnShutdown:              true,
 	}
-	go func() { s.served <- s.http.Serve(ln) }()
+	var err error
+	s.served, err = served.Start(addr, http)
+	if err != nil {
+		return nil, err
+	}
 	return s, nil
 }
 
 // Addr returns the address it listens on, as "IP:PORT".
-func (s *Server) Addr() string { return s.listener.Addr().String() }
+func (s *Server) Addr() string { return s.served.Addr() }
 
 // Close wakes every waiting reader, answers what is in progress and stops; its records are gone.
 func (s *Server) Close() error {
 	var err error
 	s.once.Do(func() {
 		close(s.done)
-		err = s.http.Shutdown()
-		<-s.served
+		err = s.served.Close()
 	})
 	return err
 }
