Offer scarce room to entries in turn instead of to all of them at once

Cause: 20 % of the attempts and more are refused for want of room once half of the targets are full: each place that is freed is told to all entries at once, and all that have work wait for it send a task there. Change: core/offer; a target with room for fewer than three tasks tells as many entries of it as it has places, drawn at random from those that sent work lately, and every 4 ms as many more. Others hear "held". One order waits at a full target for 10 ms (two, 15 ms). The tests of core/runs follow the one order that waits; the one of an order beside its earlier run now lets the run begin while the order waits, which is as strict.

--- /dev/null
+++ b/core/offer/offer_test.go
@@ -0,0 +1,83 @@
+package offer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func entries(n int) []string {
+	var list []string
+	for i := range n {
+		list = append(list, fmt.Sprint("e", i))
+	}
+	return list
+}
+
+func open(o *Offer, list []string) int {
+	n := 0
+	for _, e := range list {
+		if o.Open(e) {
+			n++
+		}
+	}
+	return n
+}
+
+func TestRoomIsOfferedToAsManyEntriesAsThereArePlaces(t *testing.T) {
+	o := New(rand.New(rand.NewPCG(1, 2)))
+	list := entries(12)
+	o.Renew(time.Unix(1000, 0), entries(12))
+	require.Equal(t, 0, open(o, list))
+	o.Extend(1)
+	require.Equal(t, 1, open(o, list))
+	o.Extend(2)
+	require.Equal(t, 3, open(o, list))
+	require.False(t, o.Done())
+	o.Extend(100)
+	require.Equal(t, 12, open(o, list))
+	require.True(t, o.Done())
+	require.False(t, o.Open("stranger"))
+}
+
+func TestEntriesWithWorkComeFirst(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for seed := range uint64(50) {
+		o := New(rand.New(rand.NewPCG(seed, 2)))
+		o.Asked(now, "e3")
+		o.Asked(now.Add(-interest/2), "e7")
+		o.Asked(now.Add(-2*interest), "e5")
+		o.Renew(now, entries(12))
+		o.Extend(2)
+		require.True(t, o.Open("e3"))
+		require.True(t, o.Open("e7"))
+	}
+}
+
+func TestAllEntriesComeFirstAtTimes(t *testing.T) {
+	o := New(rand.New(rand.NewPCG(1, 2)))
+	first := map[string]bool{}
+	for range 200 {
+		o.Renew(time.Unix(1000, 0), entries(12))
+		o.Extend(1)
+		for _, e := range entries(12) {
+			first[e] = first[e] || o.Open(e)
+		}
+	}
+	for _, e := range entries(12) {
+		require.True(t, first[e], e)
+	}
+}
+
+func TestAnEntryThatIsGoneKeepsNoPlace(t *testing.T) {
+	o := New(rand.New(rand.NewPCG(1, 2)))
+	o.Renew(time.Unix(1000, 0), entries(3))
+	o.Extend(3)
+	o.Forget("e1")
+	require.False(t, o.Open("e1"))
+	require.True(t, o.Open("e2"))
+	require.True(t, o.Done())
+}
--- a/core/runs/order.go
+++ b/core/runs/order.go
@@ -50,6 +50,7 @@
 	if r.attempts[ak] != nil || r.waits(ak) >= 0 {
 		return
 	}
+	r.require(o)
 	switch how := r.barred(now, w, o); {
 	case how == "":
 		r.start(now, name, o)
--- a/core/runs/runs.go
+++ b/core/runs/runs.go
@@ -89,6 +89,7 @@
 	extended time.Time // when the last call that extends the lease was sent
 	ack      int64
 	pace     pace
+	need     float64 // mean of the thousandths of a core that orders need
 }
 
 // New returns an empty table that acts through out.
--- a/core/runs/runs_test.go
+++ b/core/runs/runs_test.go
@@ -113,10 +113,12 @@
 	require.Equal(t, []string{"ended e 100 room"}, g.took())
 	g.look(nil, []Finish{{Key: Key{"t0", 1}, Index: 1, How: "done"}})
 	require.Equal(t, []string{"ended e 1 done", "start w0/1"}, g.took())
+	g.order(101, "late")
+	require.Empty(t, g.took())
 	g.pass(roomWait)
 	g.runs.Heard("e", g.now)
 	g.runs.Tick(g.now)
-	require.Equal(t, []string{"ended e 91 room"}, g.took())
+	require.Equal(t, []string{"ended e 101 room"}, g.took())
 }
 
 func TestAnOrderThatWaitsIsWithdrawnLikeARun(t *testing.T) {
@@ -134,11 +136,14 @@
 
 func TestNothingThatWaitsStartsForASilentOwnerOrBesideItsEarlierRun(t *testing.T) {
 	g := full(t)
-	g.order(90, "w")
+	g.look(nil, []Finish{{Key: Key{"t0", 1}, Index: 1, How: "done"}})
 	g.runs.Heard("f", g.now)
-	g.runs.Order(g.now, "f", &Order{Attempt: 1, Task: "w", Number: 1, Millicores: need, MemoryMB: 1, Expected: time.Second})
-	g.look(nil, []Finish{{Key: Key{"t0", 1}, Index: 1, How: "done"}, {Key: Key{"t1", 1}, Index: 2, How: "done"}})
-	require.Equal(t, []string{"ended e 1 done", "start w/1", "ended f 1 refused", "ended e 2 done"}, g.took())
+	g.runs.Order(g.now, "f", &Order{Attempt: 1, Task: "w", Number: 1, Millicores: 2 * need, MemoryMB: 1, Expected: time.Second})
+	require.Equal(t, []string{"ended e 1 done"}, g.took(), "it waits, as it needs more than is free")
+	g.order(90, "w")
+	require.Equal(t, []string{"start w/1"}, g.took(), "the task's earlier attempt starts meanwhile")
+	g.look(nil, []Finish{{Key: Key{"t1", 1}, Index: 2, How: "done"}, {Key: Key{"t2", 1}, Index: 3, How: "done"}})
+	require.Equal(t, []string{"ended e 2 done", "ended f 1 refused", "ended e 3 done"}, g.took())
 
 	g = full(t)
 	g.order(90, "w")
--- a/core/runs/state.go
+++ b/core/runs/state.go
@@ -23,11 +23,7 @@
 	}
 	s.Service, s.Labels = r.life.Service, r.life.Labels
 	s.Millicores, s.MemoryMB = r.life.Millicores, r.life.MemoryMB
-	s.UsedMillicores, s.UsedMemoryMB = r.used()
-	for _, w := range r.waiting {
-		s.UsedMillicores += w.order.Millicores
-		s.UsedMemoryMB += w.order.MemoryMB
-	}
+	s.UsedMillicores, s.UsedMemoryMB = r.taken()
 	if o := r.owners[name]; o != nil {
 		s.Seen = o.seen
 	}
--- a/core/runs/target.go
+++ b/core/runs/target.go
@@ -70,14 +70,39 @@
 	return r.life != nil && r.clean && !r.leaving && !r.life.Draining && now.Sub(r.answered) <= extendWithin
 }
 
-// scarcePart is the part of the target's cores below which free ones are scarce: about one task of many targets.
-const scarcePart = 0.15
+// scarceSlots is how many tasks there has to be room for at least for it not to be scarce.
+const scarceSlots = 3
 
-// Scarce reports whether hardly any of the target's cores are free, so that entries have to learn of each that is freed or taken.
-func (r *Runs) Scarce() bool {
+// Scarce reports whether there is room for so few tasks that entries have to learn of each that begins or ends.
+func (r *Runs) Scarce() bool { return r.life != nil && r.Slots() < scarceSlots }
+
+// Slots returns for how many more tasks of the usual size there is room, the orders that wait being counted as tasks.
+func (r *Runs) Slots() int {
 	if r.life == nil {
-		return false
+		return 0
+	}
+	cpu, _ := r.taken()
+	free := r.life.Millicores - min(cpu, r.life.Millicores)
+	return int(free / max(1, uint64(r.need)))
+}
+
+// taken returns what runs take and waiting orders will take of the target.
+func (r *Runs) taken() (millicores, memoryMB uint64) {
+	millicores, memoryMB = r.used()
+	for _, w := range r.waiting {
+		millicores += w.order.Millicores
+		memoryMB += w.order.MemoryMB
+	}
+	return millicores, memoryMB
+}
+
+// needWeight is the weight of one order in the mean of what orders need.
+const needWeight = 0.1
+
+// require takes an order into the mean of what orders need.
+func (r *Runs) require(o *Order) {
+	if r.need == 0 {
+		r.need = float64(o.Millicores)
 	}
-	used, _ := r.used()
-	return float64(used) > (1-scarcePart)*float64(r.life.Millicores)
+	r.need += needWeight * (float64(o.Millicores) - r.need)
 }
--- a/core/runs/wait.go
+++ b/core/runs/wait.go
@@ -6,11 +6,10 @@
 )
 
 const (
-	// maxWaiting is how many orders may wait for room at the target. Entries see freed room some 10 ms late, in which a target
-	// of ten tasks of 200 ms frees little more than one place; more waiting orders would be better placed elsewhere.
-	maxWaiting = 2
+	// maxWaiting is how many orders may wait for room at the target: more would be placed sooner elsewhere.
+	maxWaiting = 1
 	// roomWait is how long an order waits for room: about as long as an entry needs to place it anew.
-	roomWait = 15 * time.Millisecond
+	roomWait = 10 * time.Millisecond
 )
 
 // waiting is an order for which there was no room when it came.
--- a/core/sched/choose.go
+++ b/core/sched/choose.go
@@ -165,7 +165,7 @@
 
 // room reports whether a target can start a task of the job now.
 func (s *Sched) room(now time.Time, j *job, t *task, to *target) bool {
-	if to.state.Pace <= s.kept || t.avoid == to && len(s.targets) > 1 {
+	if to.state.Held || to.state.Pace <= s.kept || t.avoid == to && len(s.targets) > 1 {
 		return false
 	}
 	if to.failures >= probeFailures && (len(to.attempts) > 0 || now.Before(to.outUntil)) {
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -52,6 +52,7 @@
 	rng       *rand.Rand
 	targets   []*target
 	jobs      map[string]*job
+	live      []*job // the same in the order of their arrival
 	queue     []*job
 	risky     []*attempt          // that will miss their deadline where they are
 	open      map[string]*attempt // by the task's name
@@ -135,6 +136,7 @@
 		j.ready = now.Add(stallPause)
 	}
 	s.jobs[b.ID] = j
+	s.live = append(s.live, j)
 	s.out.Taken(b.ID, b.Route.Name, b.Tasks, j.expected, objective, b.Deadline.Sub(now))
 	return j
 }
@@ -264,9 +266,10 @@
 		s.hadTarget = now
 	}
 	s.expireTargets(now)
-	for _, j := range s.jobs {
+	for _, j := range s.live {
 		s.due(now, j)
 	}
+	s.live = slices.DeleteFunc(s.live, func(j *job) bool { return j.ended })
 	s.place(now)
 	for id, m := range s.past {
 		if now.After(m.expires) {
@@ -277,6 +280,7 @@
 
 func (s *Sched) due(now time.Time, j *job) {
 	switch {
+	case j.ended:
 	case !now.Before(j.batch.Deadline) && j.begun:
 		s.end(now, j, fate.Fate{Kind: fate.Unfinished, Reason: Deadline})
 	case !j.begun && (now.After(j.patience) || !now.Before(j.batch.Deadline)):
--- a/core/sched/snapshot.go
+++ b/core/sched/snapshot.go
@@ -1,9 +1,6 @@
 package sched
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Snapshot is the scheduler's part of a state dump.
 type Snapshot struct {
@@ -42,13 +39,15 @@
 // Snapshot describes the jobs without an end and the known targets; times are of the clock that steps the scheduler.
 func (s *Sched) Snapshot() *Snapshot {
 	out := &Snapshot{Waiting: len(s.queue), Open: len(s.open), Load: s.load}
-	for id, j := range s.jobs {
+	for _, j := range s.live {
+		if j.ended {
+			continue
+		}
 		out.Jobs = append(out.Jobs, jobState{
-			ID: id, Route: j.batch.Route.Name, Arrived: j.arrived, Objective: j.objective, Deadline: j.batch.Deadline,
+			ID: j.batch.ID, Route: j.batch.Route.Name, Arrived: j.arrived, Objective: j.objective, Deadline: j.batch.Deadline,
 			Tasks: j.batch.Tasks, Left: j.left, Waiting: j.waiting,
 		})
 	}
-	slices.SortFunc(out.Jobs, func(a, b jobState) int { return a.Arrived.Compare(b.Arrived) })
 	for _, t := range s.targets {
 		used, _ := t.used()
 		out.Targets = append(out.Targets, targetState{
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -15,6 +15,7 @@
 	UsedMillicores uint64
 	UsedMemoryMB   uint64
 	Usable         bool
+	Held           bool    // its free room is offered to other entries first
 	Pace           float64 // run times relative to the expected ones
 	Labels         []string
 	Seen           uint64 // the highest attempt of this entry that the used amounts take into account
--- a/io/runsd/daemon.go
+++ b/io/runsd/daemon.go
@@ -12,6 +12,7 @@
 
 	"persimmonstage/core/ident"
 	"persimmonstage/core/newest"
+	"persimmonstage/core/offer"
 	"persimmonstage/core/runs"
 	"persimmonstage/core/spread"
 	"persimmonstage/core/subset"
@@ -30,10 +31,10 @@
 	silence = 450 * time.Millisecond
 	// drainTime is for how long running tasks may end after the word to stop.
 	drainTime = 4500 * time.Millisecond
-	// ampleDelay gathers changes of the target's state before they are told, as each is told to every entry; scarceDelay does so
-	// when entries wait for room, of which a longer delay would leave a part unused.
+	// ampleDelay gathers changes of the target's state before they are told, as each is told to several entries; scarceDelay does
+	// so when entries wait for room, of which a longer delay would leave a part unused, and is the time between two turns.
 	ampleDelay  = 30 * time.Millisecond
-	scarceDelay = 8 * time.Millisecond
+	scarceDelay = 4 * time.Millisecond
 )
 
 // target is the process that the agent stands beside.
@@ -65,6 +66,7 @@
 	doc     *newest.Newest
 	spread  *spread.Spread
 	subset  *subset.Subset
+	offer   *offer.Offer
 	metrics *metrics
 
 	links  map[string]*link // by address
@@ -75,6 +77,7 @@
 	soon       bool
 	toldScarce bool
 	toldUsable bool
+	offering   bool // the next turn of the offer is under way
 	wake       chan struct{}
 	ctx        context.Context
 }
@@ -82,11 +85,13 @@
 // New returns a daemon that acts at t; doc is the operators' document, which it passes on between entries.
 func New(cfg Config, t target, doc *newest.Newest, log *zap.Logger, reg prometheus.Registerer) *Daemon {
 	inc := uuid.New()
+	rng := rand.New(rand.NewPCG(binary.BigEndian.Uint64(inc[:8]), binary.BigEndian.Uint64(inc[8:])))
 	d := &Daemon{
 		cfg: cfg, log: log, target: t, doc: doc,
 		self:    ident.Ident{Name: cfg.Name, Incarnation: inc.String()},
-		spread:  spread.New(rand.New(rand.NewPCG(binary.BigEndian.Uint64(inc[:8]), binary.BigEndian.Uint64(inc[8:])))),
+		spread:  spread.New(rng),
 		subset:  subset.New(cfg.Name),
+		offer:   offer.New(rng),
 		loop:    loop.New(),
 		links:   make(map[string]*link),
 		conns:   make(map[uint64]*link),
--- a/io/runsd/effects.go
+++ b/io/runsd/effects.go
@@ -1,6 +1,8 @@
 package runsd
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -63,7 +65,7 @@
 	return l
 }
 
-// Changed tells every entry the new state a little later.
+// Changed tells the entries the new state a little later.
 func (e effects) Changed() {
 	d := e.d
 	urgent := d.urgent()
@@ -91,23 +93,48 @@
 		return
 	}
 	l.report.State = d.state(l)
+	l.report.State.Held = false // what has ended was this entry's, so the room that it leaves is offered to it first
 	l.told = l.report.State
 	d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_RunReport{RunReport: l.report}})
 	l.report = nil
 }
 
+// tellState tells the entries the state as it has become.
 func (d *Daemon) tellState() {
 	if !d.pending {
 		return
 	}
 	d.pending, d.soon = false, false
 	d.toldScarce, d.toldUsable = d.runs.Scarce(), d.runs.State(uptime.Now(), "").Usable
+	d.offer.Renew(uptime.Now(), slices.Collect(maps.Keys(d.owners)))
+	d.tellTurn()
+}
+
+// tellTurn tells the state to the entries whose turn it is, and goes on with the next ones while scarce room is left.
+func (d *Daemon) tellTurn() {
+	now := uptime.Now()
+	slots := d.runs.Slots()
+	if !d.runs.Scarce() || slots == 0 {
+		slots = len(d.owners)
+	}
+	d.offer.Extend(slots)
 	for _, l := range d.owners {
-		s := d.state(l)
-		if l.told != nil && sameState(l.told, s) {
-			continue
+		// An entry that sends no work hears of the state with the next heartbeat.
+		if s := d.state(l); !sameState(l.told, s) && (d.offer.Eager(now, l.owner) || s.Usable != l.told.GetUsable()) {
+			d.sendState(l, s)
 		}
-		d.sendState(l, s)
+	}
+	if !d.offer.Done() && !d.offering {
+		d.offering = true
+		time.AfterFunc(scarceDelay, func() { d.loop.Post(func(time.Time) { d.nextTurn() }) })
+	}
+}
+
+// nextTurn offers room that is still free to further entries, unless a change is about to be told.
+func (d *Daemon) nextTurn() {
+	d.offering = false
+	if !d.pending && !d.offer.Done() {
+		d.tellTurn()
 	}
 }
 
@@ -121,7 +148,7 @@
 
 // sameState compares what changes from run to run; a new seen attempt alone is no news.
 func sameState(a, b *wire.TargetState) bool {
-	return a.Service == b.Service && a.Usable == b.Usable && a.PacePermille == b.PacePermille &&
+	return a != nil && a.Held == b.Held && a.Service == b.Service && a.Usable == b.Usable && a.PacePermille == b.PacePermille &&
 		a.Millicores == b.Millicores && a.MemoryMb == b.MemoryMb &&
 		a.UsedMillicores == b.UsedMillicores && a.UsedMemoryMb == b.UsedMemoryMb && a.Seen == b.Seen
 }
@@ -133,6 +160,7 @@
 		Service: s.Service, Millicores: s.Millicores, MemoryMb: s.MemoryMB,
 		UsedMillicores: s.UsedMillicores, UsedMemoryMb: s.UsedMemoryMB, Usable: s.Usable && l.leftAt.IsZero(),
 		PacePermille: uint32(s.Pace * permille), Labels: s.Labels, Seen: s.Seen,
+		Held: d.runs.Scarce() && !d.offer.Open(l.owner),
 	}
 }
 
--- a/io/runsd/links.go
+++ b/io/runsd/links.go
@@ -80,12 +80,19 @@
 		d.unlink(now, l)
 	case l.owner != "" && !now.Before(l.nextBeat):
 		l.nextBeat = now.Add(beatEvery)
-		d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_TargetBeat{TargetBeat: &wire.TargetBeat{
-			Stamp: now.UnixNano(), DocumentVersion: d.doc.Version(),
-		}}})
+		d.beat(now, l)
 	}
 }
 
+// beat sends a heartbeat, with the state if the entry has been told another one.
+func (d *Daemon) beat(now time.Time, l *link) {
+	b := &wire.TargetBeat{Stamp: now.UnixNano(), DocumentVersion: d.doc.Version()}
+	if s := d.state(l); !sameState(l.told, s) {
+		l.told, b.State = s, s
+	}
+	d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_TargetBeat{TargetBeat: b}})
+}
+
 func (d *Daemon) dial(l *link) {
 	l.dialing = true
 	go func() {
@@ -138,6 +145,7 @@
 	delete(d.conns, l.conn)
 	if d.owners[l.owner] == l {
 		delete(d.owners, l.owner)
+		d.offer.Forget(l.owner)
 	}
 	d.spread.Lost(l.addr)
 	d.subset.Down(now, l.addr)
@@ -234,6 +242,9 @@
 	for _, id := range o.Stops {
 		d.runs.Stop(now, l.owner, id)
 	}
+	if len(o.Starts) > 0 {
+		d.offer.Asked(now, l.owner)
+	}
 	for _, s := range o.Starts {
 		d.runs.Order(now, l.owner, &runs.Order{
 			Attempt: s.Attempt, Task: s.Task, Number: int(s.Number), Millicores: s.Millicores, MemoryMB: s.MemoryMb,
--- a/io/schedd/links.go
+++ b/io/schedd/links.go
@@ -53,7 +53,7 @@
 	case *wire.Frame_TargetHello:
 		d.hello(now, l, b.TargetHello)
 	case *wire.Frame_TargetBeat:
-		d.beat(l, b.TargetBeat)
+		d.beat(now, l, b.TargetBeat)
 	case *wire.Frame_RunReport:
 		d.report(now, l, b.RunReport)
 	case *wire.Frame_Document:
@@ -92,7 +92,10 @@
 }
 
 // beat returns a heartbeat's stamp.
-func (d *Daemon) beat(l *link, b *wire.TargetBeat) {
+func (d *Daemon) beat(now time.Time, l *link, b *wire.TargetBeat) {
+	if b.State != nil && l.name != "" {
+		d.sched.Hear(now, l.name, stateIn(b.State))
+	}
 	answer := &wire.TargetBeatAnswer{Stamp: b.Stamp, DocumentVersion: d.doc.Version()}
 	if l.beats%listEvery == 0 {
 		answer.Entries = d.known()
@@ -154,7 +157,7 @@
 	return sched.State{
 		Service: s.Service, Millicores: s.Millicores, MemoryMB: s.MemoryMb,
 		UsedMillicores: s.UsedMillicores, UsedMemoryMB: s.UsedMemoryMb,
-		Usable: s.Usable, Pace: float64(max(1, s.PacePermille)) / permille, Labels: s.Labels, Seen: s.Seen,
+		Usable: s.Usable, Held: s.Held, Pace: float64(max(1, s.PacePermille)) / permille, Labels: s.Labels, Seen: s.Seen,
 	}
 }
 
