Send fewer heartbeats and shorter states

Cause: of the messages between an agent and its entries most are heartbeats to entries that have nothing at the target, and states that repeat the target's service, size and labels. Ruled out: a longer tenure or silence, which would make the loss of a process cost more.

--- a/core/sched/forecast.go
+++ b/core/sched/forecast.go
@@ -44,7 +44,7 @@
 // the task that is long. A task too long for its target is moved to a faster one, or waits where it is for room there. If it is too
 // long for the deadline anywhere, the job is given up now, which frees its room for jobs that can end in time.
 func (s *Sched) Forecast(now time.Time, name string, id uint64, left time.Duration) {
-	t := s.find(name)
+	t := s.byName[name]
 	if t == nil || t.attempts[id] == nil {
 		return
 	}
--- a/core/sched/lost.go
+++ b/core/sched/lost.go
@@ -22,10 +22,11 @@
 // Join enters a target or takes its agent's new connection, and returns the attempts there that are still open. All that an
 // earlier process of the agent ran is over.
 func (s *Sched) Join(now time.Time, name, incarnation, dataCentre string, st State) []uint64 {
-	t := s.find(name)
+	t := s.byName[name]
 	if t == nil {
 		t = &target{name: name, attempts: make(map[uint64]*attempt)}
 		s.targets = append(s.targets, t)
+		s.byName[name] = t
 	}
 	if t.incarnation != incarnation {
 		s.lapse(now, t)
@@ -46,7 +47,7 @@
 
 // Hear takes an agent's newer word of its target.
 func (s *Sched) Hear(now time.Time, name string, st State) {
-	t := s.find(name)
+	t := s.byName[name]
 	if t == nil || !t.connected {
 		return
 	}
@@ -57,7 +58,7 @@
 
 // Lose notes that the connection of a target has ended; its attempts may go on until deadAt.
 func (s *Sched) Lose(name string, deadAt time.Time) {
-	if t := s.find(name); t != nil && t.connected {
+	if t := s.byName[name]; t != nil && t.connected {
 		t.connected = false
 		t.deadAt = deadAt
 	}
@@ -65,7 +66,7 @@
 
 // Ended takes the end of an attempt.
 func (s *Sched) Ended(now time.Time, name string, id uint64, how string) {
-	t := s.find(name)
+	t := s.byName[name]
 	if t == nil || t.attempts[id] == nil {
 		return
 	}
@@ -78,15 +79,6 @@
 	return slices.Sorted(maps.Keys(t.attempts))
 }
 
-func (s *Sched) find(name string) *target {
-	for _, t := range s.targets {
-		if t.name == name {
-			return t
-		}
-	}
-	return nil
-}
-
 // expireTargets ends the attempts at targets that were lost so long ago that nothing can run there, and forgets the targets.
 func (s *Sched) expireTargets(now time.Time) {
 	s.targets = slices.DeleteFunc(s.targets, func(t *target) bool {
@@ -94,6 +86,7 @@
 			return false
 		}
 		s.lapse(now, t)
+		delete(s.byName, t.name)
 		return true
 	})
 }
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -51,6 +51,7 @@
 	out       effects
 	rng       *rand.Rand
 	targets   []*target
+	byName    map[string]*target
 	jobs      map[string]*job
 	live      []*job // the same in the order of their arrival
 	queue     []*job
@@ -76,6 +77,7 @@
 func New(out effects, rng *rand.Rand) *Sched {
 	return &Sched{
 		out: out, rng: rng,
+		byName:  make(map[string]*target),
 		jobs:    make(map[string]*job),
 		open:    make(map[string]*attempt),
 		past:    make(map[string]memory),
--- a/core/subset/subset.go
+++ b/core/subset/subset.go
@@ -33,14 +33,15 @@
 type Subset struct {
 	self    string
 	members []*member // in their order
+	byAddr  map[string]*member
 }
 
 // New returns an empty subset of the agent called self.
-func New(self string) *Subset { return &Subset{self: self} }
+func New(self string) *Subset { return &Subset{self: self, byAddr: make(map[string]*member)} }
 
 // Learn enters an entry's address, unless it is known, and reports whether it was news.
 func (s *Subset) Learn(addr string) bool {
-	if s.find(addr) != nil {
+	if s.byAddr[addr] != nil {
 		return false
 	}
 	m := &member{addr: addr, rank: xxhash.Sum64String(s.self + " " + addr)}
@@ -48,24 +49,26 @@
 		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.addr, b.addr))
 	})
 	s.members = slices.Insert(s.members, at, m)
+	s.byAddr[addr] = m
 	return true
 }
 
 // Forget removes an entry's address.
 func (s *Subset) Forget(addr string) {
+	delete(s.byAddr, addr)
 	s.members = slices.DeleteFunc(s.members, func(m *member) bool { return m.addr == addr })
 }
 
 // Up notes that an entry answers.
 func (s *Subset) Up(addr string) {
-	if m := s.find(addr); m != nil {
+	if m := s.byAddr[addr]; m != nil {
 		m.up = true
 	}
 }
 
 // Down notes that an entry's connection has ended.
 func (s *Subset) Down(now time.Time, addr string) {
-	if m := s.find(addr); m != nil && m.up {
+	if m := s.byAddr[addr]; m != nil && m.up {
 		m.up = false
 		m.hopeUntil = now.Add(hope)
 	}
@@ -84,25 +87,16 @@
 
 // Wanted reports whether a connection to an entry is wanted.
 func (s *Subset) Wanted(addr string) bool {
-	m := s.find(addr)
+	m := s.byAddr[addr]
 	return m != nil && m.wanted
 }
 
 // Surplus reports whether an entry has not been wanted for so long that its connection is given up.
 func (s *Subset) Surplus(now time.Time, addr string) bool {
-	m := s.find(addr)
+	m := s.byAddr[addr]
 	return m != nil && !m.wanted && now.Sub(m.surplus) > settle
 }
 
-func (s *Subset) find(addr string) *member {
-	for _, m := range s.members {
-		if m.addr == addr {
-			return m
-		}
-	}
-	return nil
-}
-
 func (m *member) want(now time.Time, wanted bool) {
 	switch {
 	case wanted && !m.wanted && !m.up:
--- a/core/subset/subset_test.go
+++ b/core/subset/subset_test.go
@@ -55,7 +55,7 @@
 	n := map[string]int{}
 	for _, e := range f.entries {
 		for _, a := range f.agents {
-			if a.find(e).up && !f.dead[e] {
+			if a.byAddr[e].up && !f.dead[e] {
 				n[e]++
 			}
 		}
--- a/io/runsd/daemon.go
+++ b/io/runsd/daemon.go
@@ -25,8 +25,11 @@
 const (
 	// tickPeriod is the time between two looks at what is due.
 	tickPeriod = 20 * time.Millisecond
-	// beatEvery is the time between two heartbeats to an entry; the tenure holds four.
+	// beatEvery is the time between two heartbeats to an entry whose tasks run here; the tenure holds four.
 	beatEvery = 120 * time.Millisecond
+	// idleBeat is the same for an entry that has nothing here: its next order has to find a fresh echo, and either side has to
+	// notice the other's silence.
+	idleBeat = 200 * time.Millisecond
 	// silence is how long an entry may answer nothing before its connection is given up.
 	silence = 450 * time.Millisecond
 	// drainTime is for how long running tasks may end after the word to stop.
--- a/io/runsd/effects.go
+++ b/io/runsd/effects.go
@@ -92,9 +92,9 @@
 	if l.report == nil || l.owner == "" {
 		return
 	}
-	l.report.State = d.state(l)
-	l.report.State.Held = false // what has ended was this entry's, so the room that it leaves is offered to it first
-	l.told = l.report.State
+	s := d.state(l)
+	s.Held = false // what has ended was this entry's, so the room that it leaves is offered to it first
+	l.report.State = l.tell(s)
 	d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_RunReport{RunReport: l.report}})
 	l.report = nil
 }
@@ -142,14 +142,30 @@
 func (d *Daemon) tellOwner(l *link) { d.sendState(l, d.state(l)) }
 
 func (d *Daemon) sendState(l *link, s *wire.TargetState) {
+	d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_RunReport{RunReport: &wire.RunReport{State: l.tell(s)}}})
+}
+
+// tell notes what the entry is told and returns it without what it knows already of the target itself.
+func (l *link) tell(s *wire.TargetState) *wire.TargetState {
+	known := l.told != nil && sameTarget(l.told, s)
 	l.told = s
-	d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_RunReport{RunReport: &wire.RunReport{State: s}}})
+	if !known {
+		return s
+	}
+	return &wire.TargetState{
+		Brief: true, UsedMillicores: s.UsedMillicores, UsedMemoryMb: s.UsedMemoryMb, Usable: s.Usable, PacePermille: s.PacePermille,
+		Seen: s.Seen, Held: s.Held,
+	}
+}
+
+// sameTarget compares what is told of the target itself.
+func sameTarget(a, b *wire.TargetState) bool {
+	return a.Service == b.Service && a.Millicores == b.Millicores && a.MemoryMb == b.MemoryMb && slices.Equal(a.Labels, b.Labels)
 }
 
 // sameState compares what changes from run to run; a new seen attempt alone is no news.
 func sameState(a, b *wire.TargetState) bool {
-	return a != nil && a.Held == b.Held && a.Service == b.Service && a.Usable == b.Usable && a.PacePermille == b.PacePermille &&
-		a.Millicores == b.Millicores && a.MemoryMb == b.MemoryMb &&
+	return a != nil && sameTarget(a, b) && a.Held == b.Held && a.Usable == b.Usable && a.PacePermille == b.PacePermille &&
 		a.UsedMillicores == b.UsedMillicores && a.UsedMemoryMb == b.UsedMemoryMb && a.Seen == b.Seen
 }
 
--- a/io/runsd/links.go
+++ b/io/runsd/links.go
@@ -79,16 +79,19 @@
 		d.control.Drop(l.conn)
 		d.unlink(now, l)
 	case l.owner != "" && !now.Before(l.nextBeat):
-		l.nextBeat = now.Add(beatEvery)
 		d.beat(now, l)
 	}
 }
 
 // beat sends a heartbeat, with the state if the entry has been told another one.
 func (d *Daemon) beat(now time.Time, l *link) {
+	l.nextBeat = now.Add(idleBeat)
+	if d.runs.Holds(l.owner) {
+		l.nextBeat = now.Add(beatEvery)
+	}
 	b := &wire.TargetBeat{Stamp: now.UnixNano(), DocumentVersion: d.doc.Version()}
 	if s := d.state(l); !sameState(l.told, s) {
-		l.told, b.State = s, s
+		b.State = l.tell(s)
 	}
 	d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_TargetBeat{TargetBeat: b}})
 }
@@ -244,6 +247,7 @@
 	}
 	if len(o.Starts) > 0 {
 		d.offer.Asked(now, l.owner)
+		l.nextBeat = earlier(l.nextBeat, now.Add(beatEvery))
 	}
 	for _, s := range o.Starts {
 		d.runs.Order(now, l.owner, &runs.Order{
@@ -252,3 +256,10 @@
 		})
 	}
 }
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- a/io/schedd/links.go
+++ b/io/schedd/links.go
@@ -18,6 +18,7 @@
 	heard  time.Time
 	orders *wire.RunOrders // that wait for the end of the posted steps
 	beats  int
+	told   *wire.TargetState // the last one that was whole
 }
 
 func (d *Daemon) opened(conn uint64) {
@@ -82,7 +83,7 @@
 	d.byName[name] = l
 	d.targets.Store(int64(len(d.byName)))
 	inc := string(h.Agent.GetIncarnation())
-	open := d.sched.Join(now, name, inc, h.DataCentre, stateIn(h.State))
+	open := d.sched.Join(now, name, inc, h.DataCentre, l.stateIn(h.State))
 	d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_TargetHelloAnswer{TargetHelloAnswer: &wire.TargetHelloAnswer{
 		Entry: &wire.Ident{Name: d.self.Name, Incarnation: []byte(d.self.Incarnation)}, Open: open, DocumentVersion: d.doc.Version(),
 		Stamp: h.Stamp,
@@ -94,7 +95,7 @@
 // beat returns a heartbeat's stamp.
 func (d *Daemon) beat(now time.Time, l *link, b *wire.TargetBeat) {
 	if b.State != nil && l.name != "" {
-		d.sched.Hear(now, l.name, stateIn(b.State))
+		d.sched.Hear(now, l.name, l.stateIn(b.State))
 	}
 	answer := &wire.TargetBeatAnswer{Stamp: b.Stamp, DocumentVersion: d.doc.Version()}
 	if l.beats%listEvery == 0 {
@@ -132,7 +133,7 @@
 		return
 	}
 	if r.State != nil {
-		d.sched.Hear(now, l.name, stateIn(r.State))
+		d.sched.Hear(now, l.name, l.stateIn(r.State))
 	}
 	for _, e := range r.Ends {
 		d.metrics.ends.WithLabelValues(endLabel(e.How)).Inc()
@@ -152,12 +153,17 @@
 	return "other"
 }
 
-func stateIn(s *wire.TargetState) sched.State {
+// stateIn returns what an agent tells of its target, with what a brief word leaves out.
+func (l *link) stateIn(s *wire.TargetState) sched.State {
 	const permille = 1000
+	if !s.Brief {
+		l.told = s
+	}
+	whole := l.told
 	return sched.State{
-		Service: s.Service, Millicores: s.Millicores, MemoryMB: s.MemoryMb,
+		Service: whole.GetService(), Millicores: whole.GetMillicores(), MemoryMB: whole.GetMemoryMb(), Labels: whole.GetLabels(),
 		UsedMillicores: s.UsedMillicores, UsedMemoryMB: s.UsedMemoryMb,
-		Usable: s.Usable, Held: s.Held, Pace: float64(max(1, s.PacePermille)) / permille, Labels: s.Labels, Seen: s.Seen,
+		Usable: s.Usable, Held: s.Held, Pace: float64(max(1, s.PacePermille)) / permille, Seen: s.Seen,
 	}
 }
 
