Wait for targets that come back, refuse too long jobs at once, move hung tasks when room appears

Causes: (1) an entry that woke from a freeze has no target for some tens of ms and refused the jobs of that time as overload; (2) a job that no target could end in time any more waited to the end of its patience and was refused as overload; (3) a task that hangs in a full fleet was moved only if there was room at the moment of a word of its agent. Change: while no target takes work, jobs wait as long as they can meet their objective, and are refused as no-target then; a job that no target, full or not, ends before the deadline is refused as too-long; a stuck task is tried again with each word of any target.

--- a/core/sched/forecast.go
+++ b/core/sched/forecast.go
@@ -57,7 +57,7 @@
 	a.forecast = forecast{end: now.Add(left), work: time.Duration(float64(whole) / t.state.Pace)}
 	usual := time.Duration(float64(a.expected) * min(t.state.Pace, s.medianPace()))
 	if task := &j.tasks[a.index]; float64(whole) > targetsFault*float64(usual) && !task.moved {
-		task.moved = s.moveIfBetter(now, a)
+		s.unstick(now, a)
 		return
 	}
 	j.expected = max(j.expected, a.forecast.work)
@@ -140,12 +140,49 @@
 // lateObjectives is up to how many times its objective an answer is of some use to its caller.
 const lateObjectives = 3
 
+// unstick moves an attempt from a target that seems to be slow, now or as soon as there is room: a target at which tasks hang goes
+// on to be silent, and the next word of it may come when the room is taken again.
+func (s *Sched) unstick(now time.Time, a *attempt) {
+	task := &a.job.tasks[a.index]
+	switch {
+	case s.moveIfBetter(now, a):
+		task.moved = true
+	case s.gains(now, a) && !slices.Contains(s.stuck, a):
+		s.stuck = append(s.stuck, a)
+	}
+}
+
+// retryStuck tries again to move the attempts that found no room.
+func (s *Sched) retryStuck(now time.Time) {
+	list := s.stuck
+	s.stuck = nil
+	for _, a := range list {
+		if !a.job.ended && !a.stopping && a.target.attempts[a.id] == a {
+			s.unstick(now, a)
+		}
+	}
+}
+
+// gains reports whether the caller would gain if an attempt were moved once there is room at the fastest target.
+func (s *Sched) gains(now time.Time, a *attempt) bool {
+	for _, to := range s.targets {
+		if to != a.target && to.state.Pace <= a.target.state.Pace && s.serves(a.job, to) && !now.Add(again(a.expected, to)).After(a.job.useful()) {
+			return true
+		}
+	}
+	return false
+}
+
+// useful returns until when an answer is of use to a job's caller.
+func (j *job) useful() time.Time {
+	return earlier(j.arrived.Add(lateObjectives*j.objective.Sub(j.arrived)), j.batch.Deadline)
+}
+
 // moveIfBetter moves an attempt from a target that seems to be slow, if its answer comes in time only then, or is of use only then:
 // work thrown away for an answer that is as late as before is lost for others. It reports whether it did.
 func (s *Sched) moveIfBetter(now time.Time, a *attempt) bool {
 	j := a.job
-	late := j.arrived.Add(lateObjectives * j.objective.Sub(j.arrived))
-	for _, by := range []time.Time{j.objective, earlier(late, j.batch.Deadline)} {
+	for _, by := range []time.Time{j.objective, j.useful()} {
 		if !a.forecast.end.After(by) {
 			return false
 		}
@@ -163,6 +200,13 @@
 	return b
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // medianPace returns the median pace of the usable targets, 1 if there are none.
 func (s *Sched) medianPace() float64 {
 	s.paces = s.paces[:0]
--- a/core/sched/order.go
+++ b/core/sched/order.go
@@ -113,6 +113,7 @@
 func (s *Sched) place(now time.Time) {
 	s.kept = 0
 	s.rescue(now)
+	s.retryStuck(now)
 	if len(s.queue) == 0 {
 		return
 	}
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -20,6 +20,9 @@
 	stallPause = 25 * time.Millisecond
 	// targetless is how long without any target jobs still wait for one: it is about the time of a restart.
 	targetless = 2 * time.Second
+	// rejoinTime is how long after the loss of all its targets has ended a job waits for the rest of them: agents connect again
+	// within it, one after the other.
+	rejoinTime = 60 * time.Millisecond
 	// defaultWork is the run time of a task of which nothing is declared or known.
 	defaultWork = 200 * time.Millisecond
 	// unlikelyPart is the part of its expected run time in which hardly a task ends: run times are known to some 30 %, so two in
@@ -56,6 +59,7 @@
 	live      []*job // the same in the order of their arrival
 	queue     []*job
 	risky     []*attempt          // that will miss their deadline where they are
+	stuck     []*attempt          // at targets that seem to be slow, to be moved once there is room
 	open      map[string]*attempt // by the task's name
 	next      uint64
 	callers   uint64 // number of the last caller
@@ -105,7 +109,7 @@
 	j := s.enter(now, b, number)
 	j.waiters = append(j.waiters, waiter{s.callers, w})
 	if reason := s.hopeless(now, j); reason != "" {
-		s.end(now, j, fate.Fate{Kind: fate.Refused, Reason: reason, RetryAfter: s.retryAfter()})
+		s.refuse(now, j, reason)
 		return s.callers
 	}
 	s.enqueue(j)
@@ -170,10 +174,7 @@
 		}
 		known = true
 		if s.fits(j, t) {
-			if s.overrun(now, j) {
-				return Overload
-			}
-			return ""
+			return s.hopelessNow(now, j)
 		}
 	}
 	switch {
@@ -185,6 +186,42 @@
 	return ""
 }
 
+// hopelessNow returns why no target will run the tasks of a job that some targets may run, if that is known.
+func (s *Sched) hopelessNow(now time.Time, j *job) string {
+	switch s.reach(now, j) {
+	case reachNone:
+		return ""
+	case reachLate:
+		return TooLong
+	}
+	if s.overrun(now, j) {
+		return Overload
+	}
+	return ""
+}
+
+// What the targets that take a job's tasks at present, full or not, can do for it.
+const (
+	reachNone = iota // there is none
+	reachLate        // none of them ends a task before the deadline
+	reachSome
+)
+
+// reach tells what the targets can do for a job that hasn't begun.
+func (s *Sched) reach(now time.Time, j *job) int {
+	best := reachNone
+	for _, t := range s.targets {
+		if !s.serves(j, t) {
+			continue
+		}
+		if run := time.Duration(t.state.Pace * float64(j.expected)); !now.Add(run).After(j.batch.Deadline) {
+			return reachSome
+		}
+		best = reachLate
+	}
+	return best
+}
+
 func (s *Sched) retryAfter() time.Duration {
 	return retryBase + time.Duration(s.rng.Int64N(int64(retrySpread)))
 }
@@ -285,13 +322,33 @@
 	case j.ended:
 	case !now.Before(j.batch.Deadline) && j.begun:
 		s.end(now, j, fate.Fate{Kind: fate.Unfinished, Reason: Deadline})
-	case !j.begun && (now.After(j.patience) || !now.Before(j.batch.Deadline)):
-		s.end(now, j, fate.Fate{Kind: fate.Refused, Reason: Overload, RetryAfter: s.retryAfter()})
-	case j.begun && j.waiting > 0 && s.outOfTime(now, j):
+	case !j.begun:
+		s.dueFirst(now, j)
+	case j.waiting > 0 && s.outOfTime(now, j):
 		s.end(now, j, fate.Fate{Kind: fate.Unfinished, Reason: NoTimeLeft})
 	}
 }
 
+// dueFirst refuses a job that has waited too long for its first start, or that no target can end in time any more. While no target
+// takes work, as after a stall of this process, a job waits as long as it could still meet its objective.
+func (s *Sched) dueFirst(now time.Time, j *job) {
+	reach := s.reach(now, j)
+	switch {
+	case reach == reachNone && now.Add(j.expected).Before(j.objective):
+		j.patience = later(j.patience, now.Add(rejoinTime))
+	case reach == reachNone && now.After(j.patience):
+		s.refuse(now, j, NoTarget)
+	case reach == reachLate:
+		s.refuse(now, j, TooLong)
+	case now.After(j.patience), !now.Before(j.batch.Deadline):
+		s.refuse(now, j, Overload)
+	}
+}
+
+func (s *Sched) refuse(now time.Time, j *job, reason string) {
+	s.end(now, j, fate.Fate{Kind: fate.Refused, Reason: reason, RetryAfter: s.retryAfter()})
+}
+
 // outOfTime reports whether a task of the job that has no attempt can't end before the deadline at any target, full or not, so
 // that its caller learns it now and what its other tasks take becomes free.
 func (s *Sched) outOfTime(now time.Time, j *job) bool {
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -345,3 +345,61 @@
 	require.Equal(t, fate.Fate{Kind: fate.Unfinished, Reason: NoTimeLeft}, g.fates["j"])
 	require.Equal(t, []uint64{1}, g.stops)
 }
+
+// TestJobsWaitWhileAllTargetsAreAway replays the wake of an entry whose agents gave it up while it stood still: its jobs wait until
+// they are back, and are refused for the true reason if they don't come.
+func TestJobsWaitWhileAllTargetsAreAway(t *testing.T) {
+	g := newRig()
+	g.join("a", 1)
+	g.sched.Lose("a", g.now.Add(800*time.Millisecond))
+	g.submit(g.batch("early", 1, 100*time.Millisecond))
+	g.pass(70 * time.Millisecond)
+	require.Empty(t, g.fates, "its patience of 33 ms is past, but no target is there")
+	g.join("b", 1)
+	require.Equal(t, []string{"b"}, g.places)
+
+	g = newRig()
+	g.join("a", 1)
+	g.sched.Lose("a", g.now.Add(800*time.Millisecond))
+	g.submit(g.batch("never", 1, 100*time.Millisecond))
+	for range 40 {
+		g.pass(5 * time.Millisecond)
+	}
+	require.Equal(t, fate.Refused, g.fates["never"].Kind)
+	require.Equal(t, NoTarget, g.fates["never"].Reason)
+}
+
+// TestAJobThatNoTargetCanEndInTimeIsRefusedOnceThatIsKnown replays a job of long tasks in a fleet whose fast targets are full.
+func TestAJobThatNoTargetCanEndInTimeIsRefusedOnceThatIsKnown(t *testing.T) {
+	g := newRig()
+	g.join("fast", 0.6)
+	full := used(10, g.sched.next)
+	full.Pace = 0.6
+	g.sched.Hear(g.now, "fast", full)
+	g.join("slow", 1.2)
+	g.submit(g.batch("j", 1, 2300*time.Millisecond))
+	g.pass(100 * time.Millisecond)
+	require.Empty(t, g.fates, "the fast target could still end it in 1.38 s")
+	g.pass(30 * time.Millisecond)
+	require.Equal(t, fate.Refused, g.fates["j"].Kind, "its patience is half a second")
+	require.Equal(t, TooLong, g.fates["j"].Reason)
+	g.submit(g.batch("longer", 1, 4*time.Second))
+	require.Equal(t, TooLong, g.fates["longer"].Reason)
+}
+
+// TestAStuckTaskIsMovedAsSoonAsThereIsRoom replays a task that hangs in a full fleet: the next word of it would come later.
+func TestAStuckTaskIsMovedAsSoonAsThereIsRoom(t *testing.T) {
+	g := newRig()
+	g.join("a", 1)
+	g.submit(g.batch("j", 1, 200*time.Millisecond))
+	g.join("b", 1)
+	g.hear("b", 10)
+	g.pass(60 * time.Millisecond)
+	g.sched.Forecast(g.now, "a", 1, 20*time.Second)
+	require.Empty(t, g.stops, "the other target is full")
+	g.now = g.now.Add(30 * time.Millisecond)
+	g.hear("b", 9)
+	require.Equal(t, []uint64{1}, g.stops)
+	g.ended("a", EndStopped, 0)
+	require.Equal(t, []string{"a", "b"}, g.places)
+}
