Say what sameState compares

Cause: its comment said that a new seen attempt is no news, while the code compares it. Change: the comment only. Result: no behaviour changes.

--- a/io/runsd/effects.go
+++ b/io/runsd/effects.go
@@ -163,7 +163,7 @@
 	return a.Service == b.Service && a.Millicores == b.Millicores && a.MemoryMb == b.MemoryMb && slices.Equal(a.Labels, b.Labels)
 }
 
-// sameState compares what changes from run to run; a new seen attempt alone is no news.
+// sameState reports whether a state is what the entry was told, nil being nothing.
 func sameState(a, b *wire.TargetState) bool {
 	return a != nil && sameTarget(a, b) && a.Held == b.Held && a.Usable == b.Usable && a.PacePermille == b.PacePermille &&
 		a.UsedMillicores == b.UsedMillicores && a.UsedMemoryMb == b.UsedMemoryMb && a.Seen == b.Seen
