--- a/core/day/gaps.go
+++ b/core/day/gaps.go
@@ -8,6 +8,7 @@
 	"persimmonstage/core/digest"
 	"persimmonstage/core/event"
 	"persimmonstage/core/rollup"
+	"persimmonstage/core/when"
 )
 
 // silence is how long after its last record an entry that has not stopped is taken as missing:
@@ -76,13 +77,13 @@
 			c.done = append(c.done, next)
 			continue
 		}
-		c.done[last].to = later(c.done[last].to, next.to)
+		c.done[last].to = when.Later(c.done[last].to, next.to)
 	}
 }
 
 // clip returns the part of s that lies in the day.
 func (d *Day) clip(s stretch) (part stretch, ok bool) {
-	part = stretch{later(s.from, d.from), earlier(s.to, d.to)}
+	part = stretch{when.Later(s.from, d.from), when.Earlier(s.to, d.to)}
 	return part, part.from.Before(part.to)
 }
 
@@ -105,12 +106,12 @@
 		return
 	}
 	last := c.last()
-	end := earlier(d.to, now)
+	end := when.Earlier(d.to, now)
 	if end.Sub(last) <= silence {
 		return
 	}
 	if at, ok := takenOver(c.entry, last, spans); ok {
-		g.AddGap(c.entry, last, later(at, last), 0, c.entry+" died and another entry took over; what it had not yet written is missing.")
+		g.AddGap(c.entry, last, when.Later(at, last), 0, c.entry+" died and another entry took over; what it had not yet written is missing.")
 		return
 	}
 	if at, ok := d.replaced(c, last); ok {
--- a/core/day/harms.go
+++ b/core/day/harms.go
@@ -10,6 +10,7 @@
 	"persimmonstage/core/ended"
 	"persimmonstage/core/event"
 	"persimmonstage/core/series"
+	"persimmonstage/core/when"
 )
 
 const (
@@ -135,8 +136,8 @@
 		}
 		sum.Jobs += n.jobs
 		sum.WorstLate = max(sum.WorstLate, n.worst)
-		sum.First = earlier(sum.First, n.from)
-		sum.Last = later(sum.Last, n.to)
+		sum.First = when.Earlier(sum.First, n.from)
+		sum.Last = when.Later(sum.Last, n.to)
 	}
 	all := make([]digest.Harm, 0, len(sums))
 	for _, sum := range sums {
@@ -170,17 +171,3 @@
 		}
 	}
 }
-
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
-
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
--- a/core/runs/state.go
+++ b/core/runs/state.go
@@ -12,6 +12,8 @@
 	Usable         bool
 	Pace           float64
 	Labels         []string
+	Slots          int    // for how many more tasks of the usual size there is room, waiting orders being counted as tasks
+	Scarce         bool   // there is room for so few tasks that entries have to learn of each that begins or ends
 	Seen           uint64 // the highest attempt of the asking owner that is taken into account
 }
 
@@ -24,6 +26,8 @@
 	s.Service, s.Labels = r.life.Service, r.life.Labels
 	s.Millicores, s.MemoryMB = r.life.Millicores, r.life.MemoryMB
 	s.UsedMillicores, s.UsedMemoryMB = r.taken()
+	s.Slots = int((s.Millicores - min(s.UsedMillicores, s.Millicores)) / max(1, uint64(r.need)))
+	s.Scarce = s.Slots < scarceSlots
 	if o := r.owners[name]; o != nil {
 		s.Seen = o.seen
 	}
--- a/core/runs/target.go
+++ b/core/runs/target.go
@@ -73,19 +73,6 @@
 // scarceSlots is how many tasks there has to be room for at least for it not to be scarce.
 const scarceSlots = 3
 
-// Scarce reports whether there is room for so few tasks that entries have to learn of each that begins or ends.
-func (r *Runs) Scarce() bool { return r.life != nil && r.Slots() < scarceSlots }
-
-// Slots returns for how many more tasks of the usual size there is room, the orders that wait being counted as tasks.
-func (r *Runs) Slots() int {
-	if r.life == nil {
-		return 0
-	}
-	cpu, _ := r.taken()
-	free := r.life.Millicores - min(cpu, r.life.Millicores)
-	return int(free / max(1, uint64(r.need)))
-}
-
 // taken returns what runs take and waiting orders will take of the target.
 func (r *Runs) taken() (millicores, memoryMB uint64) {
 	millicores, memoryMB = r.used()
--- a/core/sched/forecast.go
+++ b/core/sched/forecast.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"persimmonstage/core/fate"
+	"persimmonstage/core/when"
 )
 
 const (
@@ -126,7 +127,7 @@
 	kept := s.kept
 	s.kept = 0
 	defer func() { s.kept = kept }()
-	end := earlier(a.forecast.end, by).Sub(now)
+	end := when.Earlier(a.forecast.end, by).Sub(now)
 	for _, to := range s.targets {
 		if to != a.target && to.state.Pace <= most && s.serves(j, to) && s.room(now, j, t, to) && again(work, to) <= end {
 			s.out.Moved(j.batch.ID, a.target.name, a.forecast.end.Sub(now).Milliseconds())
@@ -175,7 +176,7 @@
 
 // useful returns until when an answer is of use to a job's caller.
 func (j *job) useful() time.Time {
-	return earlier(j.arrived.Add(lateObjectives*j.objective.Sub(j.arrived)), j.batch.Deadline)
+	return when.Earlier(j.arrived.Add(lateObjectives*j.objective.Sub(j.arrived)), j.batch.Deadline)
 }
 
 // moveIfBetter moves an attempt from a target that seems to be slow, if its answer comes in time only then, or is of use only then:
@@ -193,20 +194,6 @@
 	return false
 }
 
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // medianPace returns the median pace of the usable targets, 1 if there are none.
 func (s *Sched) medianPace() float64 {
 	s.paces = s.paces[:0]
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -9,6 +9,7 @@
 
 	"persimmonstage/core/batch"
 	"persimmonstage/core/fate"
+	"persimmonstage/core/when"
 )
 
 const (
@@ -335,7 +336,7 @@
 	reach := s.reach(now, j)
 	switch {
 	case reach == reachNone && now.Add(j.expected).Before(j.objective):
-		j.patience = later(j.patience, now.Add(rejoinTime))
+		j.patience = when.Later(j.patience, now.Add(rejoinTime))
 	case reach == reachNone && now.After(j.patience):
 		s.refuse(now, j, NoTarget)
 	case reach == reachLate:
--- a/core/tally/tally.go
+++ b/core/tally/tally.go
@@ -10,6 +10,7 @@
 	"persimmonstage/core/rollup"
 	"persimmonstage/core/series"
 	"persimmonstage/core/surge"
+	"persimmonstage/core/when"
 )
 
 const (
@@ -140,7 +141,7 @@
 func (t *Tally) Close(now time.Time) {
 	t.advance(now)
 	t.current.Final = true
-	t.finish(later(now.UTC(), t.current.From))
+	t.finish(when.Later(now.UTC(), t.current.From))
 	t.current = nil
 }
 
@@ -243,7 +244,7 @@
 	if back {
 		return now
 	}
-	return later(end, now.Truncate(RecordLength))
+	return when.Later(end, now.Truncate(RecordLength))
 }
 
 func (t *Tally) begin(from time.Time) {
@@ -281,7 +282,7 @@
 // tellSpans adds the spans that still last to r.
 func (t *Tally) tellSpans(r *rollup.Rollup) {
 	for _, e := range t.spans {
-		e.Until, e.Open = later(r.To, e.At), true
+		e.Until, e.Open = when.Later(r.To, e.At), true
 		r.AddEvent(e)
 	}
 }
@@ -294,10 +295,3 @@
 	}
 	return -1
 }
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- /dev/null
+++ b/core/when/doc.go
@@ -0,0 +1,2 @@
+// Package when compares moments.
+package when
--- /dev/null
+++ b/core/when/when.go
@@ -0,0 +1,19 @@
+package when
+
+import "time"
+
+// Earlier returns the earlier of two moments.
+func Earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// Later returns the later of two moments.
+func Later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- a/io/runsd/effects.go
+++ b/io/runsd/effects.go
@@ -83,7 +83,8 @@
 // urgent reports whether entries wait for the new state: room is scarce or was when they last heard, or the target has become
 // usable or ceased to be.
 func (d *Daemon) urgent() bool {
-	return d.runs.Scarce() || d.toldScarce || d.runs.State(uptime.Now(), "").Usable != d.toldUsable
+	st := d.runs.State(uptime.Now(), "")
+	return st.Scarce || d.toldScarce || st.Usable != d.toldUsable
 }
 
 // flush sends an entry the ends that were gathered, with the state.
@@ -92,9 +93,8 @@
 	if l.report == nil || l.owner == "" {
 		return
 	}
-	s := d.state(l)
-	s.Held = d.full() // what has ended was this entry's, so the room that it leaves is offered to it first
-	l.report.State = l.tell(s)
+	// What has ended was this entry's, so the room that it leaves is offered to it first.
+	l.report.State = l.tell(d.stateFor(l, true))
 	d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_RunReport{RunReport: l.report}})
 	l.report = nil
 }
@@ -105,7 +105,8 @@
 		return
 	}
 	d.pending, d.soon = false, false
-	d.toldScarce, d.toldUsable = d.runs.Scarce(), d.runs.State(uptime.Now(), "").Usable
+	st := d.runs.State(uptime.Now(), "")
+	d.toldScarce, d.toldUsable = st.Scarce, st.Usable
 	d.offer.Renew(uptime.Now(), slices.Collect(maps.Keys(d.owners)))
 	d.tellTurn()
 }
@@ -113,8 +114,9 @@
 // tellTurn tells the state to the entries whose turn it is, and goes on with the next ones while scarce room is left.
 func (d *Daemon) tellTurn() {
 	now := uptime.Now()
-	slots := d.runs.Slots()
-	if !d.runs.Scarce() || d.full() {
+	st := d.runs.State(now, "")
+	slots := st.Slots
+	if !st.Scarce || slots == 0 {
 		slots = len(d.owners)
 	}
 	d.offer.Extend(slots)
@@ -169,14 +171,17 @@
 		a.UsedMillicores == b.UsedMillicores && a.UsedMemoryMb == b.UsedMemoryMb && a.Seen == b.Seen
 }
 
-func (d *Daemon) state(l *link) *wire.TargetState {
+func (d *Daemon) state(l *link) *wire.TargetState { return d.stateFor(l, d.offer.Open(l.owner)) }
+
+// stateFor returns the state for an entry that has been offered the room or hasn't; a full target is held from all.
+func (d *Daemon) stateFor(l *link, offered bool) *wire.TargetState {
 	const permille = 1000
 	s := d.runs.State(uptime.Now(), l.owner)
 	return &wire.TargetState{
 		Service: s.Service, Millicores: s.Millicores, MemoryMb: s.MemoryMB,
 		UsedMillicores: s.UsedMillicores, UsedMemoryMb: s.UsedMemoryMB, Usable: s.Usable && l.leftAt.IsZero(),
 		PacePermille: uint32(s.Pace * permille), Labels: s.Labels, Seen: s.Seen,
-		Held: d.full() || d.runs.Scarce() && !d.offer.Open(l.owner),
+		Held: s.Scarce && (s.Slots == 0 || !offered),
 	}
 }
 
@@ -188,9 +193,6 @@
 	return !sameState(told, s)
 }
 
-// full reports whether the target has no room for a task of the usual size.
-func (d *Daemon) full() bool { return d.runs.Scarce() && d.runs.Slots() == 0 }
-
 func endLabel(how string) string {
 	switch how {
 	case "done", "failed", "stopped", "lapsed", runs.Room, runs.Refused, runs.Unknown:
--- a/io/runsd/links.go
+++ b/io/runsd/links.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"persimmonstage/core/runs"
+	"persimmonstage/core/when"
 	"persimmonstage/io/uptime"
 	"persimmonstage/io/wire"
 )
@@ -247,7 +248,7 @@
 	}
 	if len(o.Starts) > 0 {
 		d.offer.Asked(now, l.owner)
-		l.nextBeat = earlier(l.nextBeat, now.Add(beatEvery))
+		l.nextBeat = when.Earlier(l.nextBeat, now.Add(beatEvery))
 	}
 	for _, s := range o.Starts {
 		d.runs.Order(now, l.owner, &runs.Order{
@@ -256,10 +257,3 @@
 		})
 	}
 }
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
