--- a/io/load/load_test.go
+++ b/io/load/load_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
@@ -34,6 +35,30 @@
 	return "http://" + l.Addr().String()
 }
 
+// serveFloodLate starts an entry that answers the jobs of a flood after all others.
+func serveFloodLate(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+		var sub struct {
+			Team  string            `json:"team"`
+			Tasks []json.RawMessage `json:"tasks"`
+		}
+		if json.Unmarshal(ctx.PostBody(), &sub) != nil {
+			return
+		}
+		if sub.Team == "flood" {
+			time.Sleep(300 * time.Millisecond)
+		}
+		body, _ := json.Marshal(map[string]any{"outcome": "complete", "results": make([][]byte, len(sub.Tasks))})
+		ctx.SetBody(body)
+	}}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Shutdown() })
+	return "http://" + l.Addr().String()
+}
+
 func TestPhaseCountsEveryJobOnce(t *testing.T) {
 	l := &load.Generator{
 		Entries: []string{serve(t, func(n int) int { return n })}, Kinds: mix.Fixed(3, 0), Rate: 500, Seconds: 0.2, Seed: 1,
@@ -56,6 +81,18 @@
 	require.Contains(t, svg.String(), "<svg")
 }
 
+// The answers to the flood arrive only after those to the load: a phase that ends with the load's last answer would count the
+// flood's jobs that are still open as lost, which happened once to the last job of a flood on a busy machine.
+func TestPhaseWaitsForTheAnswersToTheFlood(t *testing.T) {
+	l := &load.Generator{
+		Entries: []string{serveFloodLate(t)}, Kinds: mix.Fixed(3, 0), Rate: 200, Seconds: 0.1, Seed: 1, Slots: 8,
+	}
+	require.NoError(t, l.RunFlood(t.Context(), "flood", "resubmissions", 2))
+	for _, r := range l.Score("flood").Rows() {
+		require.Equal(t, map[string]int{score.Complete: r.Jobs}, r.Outcomes, "%s %v", r.Kind, r.Reasons)
+	}
+}
+
 func TestAnswerWithTooFewResultsIsNotComplete(t *testing.T) {
 	l := &load.Generator{Entries: []string{serve(t, func(n int) int { return n - 1 })}, Kinds: mix.Fixed(3, 0), Rate: 200, Seconds: 0.1}
 	require.NoError(t, l.RunPhase(t.Context(), "calm"))
--- a/io/load/phase.go
+++ b/io/load/phase.go
@@ -13,6 +13,9 @@
 )
 
 const (
+	// floodGrace is how long the answers to a flood are awaited after the last answer to the load. A flood above capacity leaves a
+	// backlog that may take minutes, which isn't waited for.
+	floodGrace = 2 * time.Second
 	// unanswered is the reason of a job that had no answer when its stream was closed.
 	unanswered        = "unanswered-at-the-end"
 	tooManyOpen       = "not-sent-too-many-open"
@@ -55,7 +58,8 @@
 	closed  bool
 }
 
-// offer submits the jobs of the load and of the flood, and waits for the answers to those of the load.
+// offer submits the jobs of the load and of the flood, and waits for the answers: without limit to those of the load, and for
+// floodGrace to those of the flood.
 func (p *phase) offer(ctx context.Context, g *Generator, f *flood) {
 	var open, offered atomic.Int64
 	started := time.Now()
@@ -77,6 +81,7 @@
 	wg.Wait()
 	base.wait.Wait()
 	for _, s := range streams {
+		s.waitUntilAnswered(floodGrace)
 		s.close()
 	}
 	close(done)
@@ -158,6 +163,19 @@
 	}
 }
 
+// waitUntilAnswered waits until all submitted jobs are answered, but not longer than most.
+func (s *stream) waitUntilAnswered(most time.Duration) {
+	answered := make(chan struct{})
+	go func() {
+		s.wait.Wait()
+		close(answered)
+	}()
+	select {
+	case <-answered:
+	case <-time.After(most):
+	}
+}
+
 // close counts the jobs that are not answered yet.
 func (s *stream) close() {
 	s.mu.Lock()
