Repeat calls soon only while a fifth of the answers is lost

Change: the short timeout and overlapping polls start at a fifth of lost answers; below that the timeouts are as they were.

--- a/core/polls/poll.go
+++ b/core/polls/poll.go
@@ -9,13 +9,12 @@
 const (
 	// calmWait is how long the target waits for an end while no answers are lost.
 	calmWait = 120 * time.Millisecond
-	// calmMargin is how long beyond calmWait an answer is awaited.
-	calmMargin = 30 * time.Millisecond
+	// margin is how long beyond its wait an answer is awaited.
+	margin = 30 * time.Millisecond
 	// lossyWait replaces calmWait after a loss, because a lost answer is noticed only after the wait.
 	lossyWait = 25 * time.Millisecond
-	// manyLosses is the fraction of lost answers from which on polls overlap, so that a lost one delays no end by more than
+	// overlapWait and overlapPeriod apply while many answers are lost: polls overlap, so that a lost one delays no end by more than
 	// overlapPeriod.
-	manyLosses    = 0.2
 	overlapWait   = 30 * time.Millisecond
 	overlapPeriod = 15 * time.Millisecond
 	// overlapPause is the least time between two overlapping polls: it bounds the polls of a target at which many runs end.
@@ -36,11 +35,11 @@
 func Next(now time.Time, calls *rtt.Estimator, silent bool) Poll {
 	switch {
 	case silent:
-		return sequential(now, lossyWait, calmMargin, silentPause)
+		return sequential(now, lossyWait, silentPause)
 	case !calls.AtRisk(now):
-		return sequential(now, calmWait, calmMargin, 0)
-	case calls.Loss(now) < manyLosses:
-		return sequential(now, lossyWait, calls.Timeout(now), 0)
+		return sequential(now, calmWait, 0)
+	case !calls.Lossy(now):
+		return sequential(now, lossyWait, 0)
 	}
 	return Poll{
 		Wait: overlapWait, AnswerBy: now.Add(overlapWait + calls.Timeout(now)),
@@ -49,7 +48,7 @@
 }
 
 // sequential returns a poll that is answered or lost before the next one is sent, which follows a loss after pause.
-func sequential(now time.Time, wait, margin, pause time.Duration) Poll {
+func sequential(now time.Time, wait, pause time.Duration) Poll {
 	by := now.Add(wait + margin)
 	return Poll{Wait: wait, AnswerBy: by, Earliest: now, Latest: by.Add(pause)}
 }
--- a/core/rtt/estimator.go
+++ b/core/rtt/estimator.go
@@ -11,9 +11,12 @@
 	lossWeight = 1.0 / 16
 	// lossPeriod is how long after a loss answers still count as at risk.
 	lossPeriod = 3 * time.Second
-	// calmTimeout is the timeout while no answers are lost: waiting costs nothing then, and a needless repeat costs a connection.
-	calmTimeout = 20 * time.Millisecond
-	minTimeout  = 6 * time.Millisecond
+	// manyLosses is the fraction of lost answers from which on a call is repeated soon. Below, most calls that take long are only
+	// slow, and each needless repeat costs a connection and looks like a further loss.
+	manyLosses = 0.2
+	// usualTimeout is the timeout below manyLosses.
+	usualTimeout = 20 * time.Millisecond
+	minTimeout   = 6 * time.Millisecond
 )
 
 // Estimator is the estimate for one target; the zero value has seen no call.
@@ -46,18 +49,13 @@
 	return !e.lostAt.IsZero() && now.Sub(e.lostAt) < lossPeriod
 }
 
-// Loss returns the fraction of recent calls without an answer.
-func (e *Estimator) Loss(now time.Time) float64 {
-	if !e.AtRisk(now) {
-		return 0
-	}
-	return e.loss
-}
+// Lossy reports whether so many answers are lost that calls have to be repeated soon.
+func (e *Estimator) Lossy(now time.Time) bool { return e.AtRisk(now) && e.loss >= manyLosses }
 
 // Timeout returns how long to wait for an answer before the call is repeated.
 func (e *Estimator) Timeout(now time.Time) time.Duration {
-	if !e.AtRisk(now) || e.mean == 0 {
-		return calmTimeout
+	if !e.Lossy(now) || e.mean == 0 {
+		return usualTimeout
 	}
-	return min(calmTimeout, max(minTimeout, e.mean+deviations*e.deviation))
+	return min(usualTimeout, max(minTimeout, e.mean+deviations*e.deviation))
 }
