--- a/core/proof/repeat_test.go
+++ b/core/proof/repeat_test.go
@@ -223,7 +223,7 @@
 	e.send(a, func() { a.runs.Stop(a.w.now, owner, id) })
 }
 
-func (e *repeatEntry) JobAccepted(string, string, int, time.Duration, time.Duration, time.Duration) {}
+func (e *repeatEntry) JobAccepted(*sched.JobArrival) {}
 
 func (e *repeatEntry) JobStarted(time.Duration) {}
 
--- /dev/null
+++ b/core/record/doc.go
@@ -0,0 +1,2 @@
+// Package record parses the log lines that the processes write.
+package record
--- a/core/sched/contention_test.go
+++ b/core/sched/contention_test.go
@@ -74,9 +74,8 @@
 	largeTaskMillicores = 15_000 // a target has room for 4
 )
 
-func (e *contendingEntry) JobStarted(time.Duration) {}
-func (e *contendingEntry) JobAccepted(string, string, int, time.Duration, time.Duration, time.Duration) {
-}
+func (e *contendingEntry) JobStarted(time.Duration)                                {}
+func (e *contendingEntry) JobAccepted(*JobArrival)                                 {}
 func (e *contendingEntry) AttemptEnded(string, int, string, string, time.Duration) {}
 func (e *contendingEntry) TaskMoved(_, _ string, _ int64)                          {}
 func (e *contendingEntry) JobEnded(*JobSummary)                                    {}
--- a/core/sched/effects.go
+++ b/core/sched/effects.go
@@ -24,7 +24,7 @@
 	// Stop orders a target to stop an attempt; the attempt stays open until its end is reported.
 	Stop(target string, attempt uint64)
 	// JobAccepted is called for every new job, before it may be refused.
-	JobAccepted(id, route string, tasks int, expected, objective, deadline time.Duration)
+	JobAccepted(a *JobArrival)
 	// JobStarted is called when the first task of a job is sent, with the time that the job waited.
 	JobStarted(waited time.Duration)
 	// AttemptEnded is called for every attempt that ended other than done.
@@ -35,6 +35,17 @@
 	JobEnded(st *JobSummary)
 }
 
+// JobArrival is what is known of a job when it is accepted, for logs.
+type JobArrival struct {
+	ID         string
+	Route      string
+	Tasks      int
+	Millicores uint64        // of a task
+	Expected   time.Duration // run time of a task on a target of pace 1
+	Objective  time.Duration // until then the answer is due
+	Deadline   time.Duration // until then the caller waits
+}
+
 // JobSummary is the outcome of a job and how it came about, for logs and metrics.
 type JobSummary struct {
 	ID        string
--- a/core/sched/overload_test.go
+++ b/core/sched/overload_test.go
@@ -111,8 +111,7 @@
 
 func (sim *overloadSim) JobStarted(time.Duration) {}
 
-func (sim *overloadSim) JobAccepted(string, string, int, time.Duration, time.Duration, time.Duration) {
-}
+func (sim *overloadSim) JobAccepted(*JobArrival) {}
 
 func (sim *overloadSim) AttemptEnded(string, int, string, string, time.Duration) {}
 
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -143,7 +143,10 @@
 	}
 	s.jobs[b.ID] = j
 	s.live = append(s.live, j)
-	s.out.JobAccepted(b.ID, b.Route.Name, b.Tasks, j.expected, objective, b.Deadline.Sub(now))
+	s.out.JobAccepted(&JobArrival{
+		ID: b.ID, Route: b.Route.Name, Tasks: b.Tasks, Millicores: b.Millicores, Expected: j.expected, Objective: objective,
+		Deadline: b.Deadline.Sub(now),
+	})
 	return j
 }
 
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -30,11 +30,11 @@
 	h.startTargets = append(h.startTargets, target)
 }
 
-func (h *harness) Stop(_ string, id uint64)                                                     { h.stops = append(h.stops, id) }
-func (h *harness) JobStarted(time.Duration)                                                     {}
-func (h *harness) JobAccepted(string, string, int, time.Duration, time.Duration, time.Duration) {}
-func (h *harness) AttemptEnded(string, int, string, string, time.Duration)                      {}
-func (h *harness) TaskMoved(_, _ string, _ int64)                                               { h.moves++ }
+func (h *harness) Stop(_ string, id uint64)                                { h.stops = append(h.stops, id) }
+func (h *harness) JobStarted(time.Duration)                                {}
+func (h *harness) JobAccepted(*JobArrival)                                 {}
+func (h *harness) AttemptEnded(string, int, string, string, time.Duration) {}
+func (h *harness) TaskMoved(_, _ string, _ int64)                          { h.moves++ }
 
 func (h *harness) JobEnded(st *JobSummary) { h.summaries = append(h.summaries, st) }
 
--- a/core/trace/trace.go
+++ b/core/trace/trace.go
@@ -7,25 +7,18 @@
 	"slices"
 	"strings"
 	"time"
+
+	"persimmonstage/core/record"
 )
 
 // Trace collects the log lines about one job; create it with New.
 type Trace struct {
 	id     string
-	lines  []line
-	starts []line // starts and stops of all processes
+	lines  []record.Record
+	starts []record.Record // starts and stops of all processes
 	last   time.Time
 }
 
-// line is one log line.
-type line struct {
-	at      time.Time
-	role    string
-	name    string
-	message string
-	fields  map[string]any
-}
-
 // Messages of the log lines that the trace evaluates.
 const (
 	jobTaken      = "job taken"
@@ -41,63 +34,41 @@
 
 // Add adds a log line if it concerns the job; a prefix before the JSON object is ignored, as are lines without one.
 func (t *Trace) Add(text string) {
-	_, object, found := strings.Cut(text, "{")
-	if !found {
-		return
-	}
-	fields := map[string]any{}
-	if json.Unmarshal([]byte("{"+object), &fields) != nil {
-		return
-	}
-	l := line{
-		role: stringField(fields, "role"), name: stringField(fields, "name"), message: stringField(fields, "message"), fields: fields,
-	}
-	at, err := time.Parse(time.RFC3339Nano, stringField(fields, "time"))
-	if err != nil {
+	l, ok := record.Parse(text)
+	if !ok {
 		return
 	}
-	l.at = at
-	if l.at.After(t.last) {
-		t.last = l.at
+	if l.At.After(t.last) {
+		t.last = l.At
 	}
 	switch {
-	case stringField(fields, "id") == t.id, strings.HasPrefix(stringField(fields, "task"), t.id+"."):
+	case l.Text("id") == t.id, strings.HasPrefix(l.Text("task"), t.id+"."):
 		t.lines = append(t.lines, l)
-	case l.message == entryStarted, l.message == agentStarted, l.message == entryStopping, l.message == agentStopping:
+	case l.Message == entryStarted, l.Message == agentStarted, l.Message == entryStopping, l.Message == agentStopping:
 		t.starts = append(t.starts, l)
 	}
 }
 
-func stringField(fields map[string]any, key string) string {
-	s, _ := fields[key].(string)
-	return s
-}
-
-func intField(fields map[string]any, key string) int {
-	n, _ := fields[key].(float64)
-	return int(n)
-}
-
 // Lines returns the job's events in order of time, one a line, with the milliseconds since the first.
 func (t *Trace) Lines() []string {
 	t.sort()
 	var out []string
 	for _, l := range t.lines {
-		out = append(out, fmt.Sprintf("%7d ms  %s  %s%s", l.at.Sub(t.lines[0].at).Milliseconds(), l.name, l.message, l.details()))
+		out = append(out, fmt.Sprintf("%7d ms  %s  %s%s", l.At.Sub(t.lines[0].At).Milliseconds(), l.Name, l.Message, details(&l)))
 	}
 	return out
 }
 
 func (t *Trace) sort() {
-	slices.SortStableFunc(t.lines, func(a, b line) int { return a.at.Compare(b.at) })
-	slices.SortStableFunc(t.starts, func(a, b line) int { return a.at.Compare(b.at) })
+	slices.SortStableFunc(t.lines, func(a, b record.Record) int { return a.At.Compare(b.At) })
+	slices.SortStableFunc(t.starts, func(a, b record.Record) int { return a.At.Compare(b.At) })
 }
 
 // details renders the fields that are specific to the message, sorted by name.
-func (l *line) details() string {
+func details(l *record.Record) string {
 	var b strings.Builder
-	keys := make([]string, 0, len(l.fields))
-	for k := range l.fields {
+	keys := make([]string, 0, len(l.Fields))
+	for k := range l.Fields {
 		keys = append(keys, k)
 	}
 	slices.SortFunc(keys, cmp.Compare[string])
@@ -106,7 +77,7 @@
 		case "time", "level", "role", "name", "message", "id":
 			continue
 		}
-		if value, err := json.Marshal(l.fields[k]); err == nil {
+		if value, err := json.Marshal(l.Fields[k]); err == nil {
 			fmt.Fprintf(&b, " %s=%s", k, strings.Trim(string(value), `"`))
 		}
 	}
@@ -119,9 +90,9 @@
 	if len(t.lines) == 0 {
 		return "no process logged anything about it: no request with this id was read, or its log lines were dropped"
 	}
-	var end *line
+	var end *record.Record
 	for i := range t.lines {
-		if t.lines[i].message == jobEnded {
+		if t.lines[i].Message == jobEnded {
 			end = &t.lines[i]
 		}
 	}
@@ -135,26 +106,25 @@
 func (t *Trace) explainNoEnd() string {
 	last := t.lines[len(t.lines)-1]
 	for _, l := range t.lines {
-		if l.message == jobTaken {
+		if l.Message == jobTaken {
 			last = l
 		}
 	}
 	for _, s := range t.starts {
-		if s.name == last.name && s.at.After(last.at) {
+		if s.Name == last.Name && s.At.After(last.At) {
 			return fmt.Sprintf("%s terminated without logging the end of the job, and restarted %d ms later",
-				last.name, s.at.Sub(last.at).Milliseconds())
+				last.Name, s.At.Sub(last.At).Milliseconds())
 		}
 	}
 	return fmt.Sprintf("%s logged nothing about it in the last %d ms of the logs: it died, hangs, or is still working on it",
-		last.name, t.last.Sub(last.at).Milliseconds())
+		last.Name, t.last.Sub(last.At).Milliseconds())
 }
 
-func (t *Trace) explainEnd(end *line) string {
-	f := end.fields
-	took, tasks, done := intField(f, "took-ms"), intField(f, "tasks"), intField(f, "done")
-	switch stringField(f, "fate") {
+func (t *Trace) explainEnd(end *record.Record) string {
+	took, tasks, done := end.Int("took-ms"), end.Int("tasks"), end.Int("done")
+	switch end.Text("fate") {
 	case "done":
-		if objective := intField(f, "objective-ms"); took > objective {
+		if objective := end.Int("objective-ms"); took > objective {
 			return fmt.Sprintf("answered in %d ms, after its objective of about %d ms%s", took, objective, t.delays())
 		}
 		return fmt.Sprintf("answered in %d ms, in time", took)
@@ -163,35 +133,34 @@
 	case "failed":
 		return fmt.Sprintf("a task failed in every permitted attempt%s", t.failures())
 	case "unfinished":
-		if stringField(f, "reason") == "too-long" {
-			return fmt.Sprintf("given up after %d ms, as a task would have run past the deadline%s", took, openTasks(f))
+		if end.Text("reason") == "too-long" {
+			return fmt.Sprintf("given up after %d ms, as a task would have run past the deadline%s", took, openTasks(end))
 		}
-		return fmt.Sprintf("%d of %d tasks had ended at the deadline%s%s", done, tasks, openTasks(f), t.delays())
+		return fmt.Sprintf("%d of %d tasks had ended at the deadline%s%s", done, tasks, openTasks(end), t.delays())
 	case "cancelled":
-		if stringField(f, "reason") == "caller-left" {
+		if end.Text("reason") == "caller-left" {
 			return fmt.Sprintf("the caller left after %d ms", took)
 		}
 		return fmt.Sprintf("the caller withdrew it after %d ms", took)
 	}
-	return "ended as " + stringField(f, "fate")
+	return "ended as " + end.Text("fate")
 }
 
-func (t *Trace) explainRefusal(end *line) string {
-	f := end.fields
-	switch stringField(f, "reason") {
+func (t *Trace) explainRefusal(end *record.Record) string {
+	switch end.Text("reason") {
 	case "overload":
 		return fmt.Sprintf("refused: no target had room for %d ms, with %d%% of %d targets' cores taken",
-			intField(f, "waited-ms"), intField(f, "load-percent"), intField(f, "agents"))
+			end.Int("waited-ms"), end.Int("load-percent"), end.Int("agents"))
 	case "no-target":
 		return "refused: the entry knew no target of the queue's service"
 	case "too-large":
 		return "refused: a task takes more than any target holds"
 	}
-	return "refused: " + stringField(f, "reason")
+	return "refused: " + end.Text("reason")
 }
 
-func openTasks(f map[string]any) string {
-	list, _ := f["open"].([]any)
+func openTasks(end *record.Record) string {
+	list, _ := end.Fields["open"].([]any)
 	if len(list) == 0 {
 		return ""
 	}
@@ -202,8 +171,8 @@
 func (t *Trace) failures() string {
 	var at []string
 	for _, l := range t.lines {
-		if l.message == "attempt ended" && stringField(l.fields, "how") == "failed" {
-			at = append(at, stringField(l.fields, "agent"))
+		if l.Message == "attempt ended" && l.Text("how") == "failed" {
+			at = append(at, l.Text("agent"))
 		}
 	}
 	if len(at) == 0 {
@@ -217,8 +186,8 @@
 	n := map[string]int{}
 	var order []string
 	for _, l := range t.lines {
-		if l.message == "attempt ended" {
-			how := stringField(l.fields, "how")
+		if l.Message == "attempt ended" {
+			how := l.Text("how")
 			if n[how] == 0 {
 				order = append(order, how)
 			}
--- a/io/runsd/daemon.go
+++ b/io/runsd/daemon.go
@@ -40,6 +40,9 @@
 	// two turns.
 	stateDelay  = 30 * time.Millisecond
 	scarceDelay = 5 * time.Millisecond
+	// stateLogPeriod is the time between two log lines about the target's state.
+	stateLogPeriod = 2 * time.Second
+	permille       = 1000
 )
 
 // target is the target on the agent's host.
@@ -85,6 +88,7 @@
 	sentScarce    bool
 	sentUsable    bool
 	turnScheduled bool // the next turn of the offer is scheduled
+	nextStateLog  time.Time
 	wake          chan struct{}
 	ctx           context.Context
 }
@@ -178,4 +182,17 @@
 		d.maintain(now, l)
 	}
 	d.fetch(now)
+	d.logState(now)
+}
+
+// logState logs the target's capacity and speed every stateLogPeriod.
+func (d *Daemon) logState(now time.Time) {
+	l := d.runs.Instance()
+	if l == nil || now.Before(d.nextStateLog) {
+		return
+	}
+	d.nextStateLog = now.Add(stateLogPeriod)
+	s := d.runs.State(now, "")
+	d.log.Info("target state", zap.String("target", l.ID), zap.Uint64("millicores", s.Millicores), zap.Uint64("used-millicores", s.UsedMillicores),
+		zap.Int("pace-permille", int(permille*s.Pace)), zap.Bool("usable", s.Usable), zap.Bool("draining", l.Draining), zap.Int("runs", d.runs.Len()))
 }
--- a/io/runsd/effects.go
+++ b/io/runsd/effects.go
@@ -176,7 +176,6 @@
 
 // stateFor returns the state for an entry. Scarce room is held from entries to which it isn't offered, a full target from all.
 func (d *Daemon) stateFor(l *link, offered bool) *wire.TargetState {
-	const permille = 1000
 	s := d.runs.State(uptime.Now(), l.owner)
 	return &wire.TargetState{
 		Service: s.Service, Millicores: s.Millicores, MemoryMb: s.MemoryMB,
--- a/io/schedd/effects.go
+++ b/io/schedd/effects.go
@@ -37,9 +37,10 @@
 func (e effects) JobStarted(waited time.Duration) { e.d.metrics.waited.Observe(waited.Seconds()) }
 
 // JobAccepted logs a new job, so that there is a record of it if the entry crashes.
-func (e effects) JobAccepted(id, route string, tasks int, expected, objective, deadline time.Duration) {
-	e.d.log.Info("job taken", zap.String("id", id), zap.String("route", route), zap.Int("tasks", tasks),
-		zap.Int64("expected-ms", expected.Milliseconds()), zap.Int64("objective-ms", objective.Milliseconds()), zap.Int64("deadline-ms", deadline.Milliseconds()),
+func (e effects) JobAccepted(a *sched.JobArrival) {
+	e.d.log.Info("job taken", zap.String("id", a.ID), zap.String("route", a.Route), zap.Int("tasks", a.Tasks),
+		zap.Uint64("millicores", a.Millicores), zap.Int64("expected-ms", a.Expected.Milliseconds()),
+		zap.Int64("objective-ms", a.Objective.Milliseconds()), zap.Int64("deadline-ms", a.Deadline.Milliseconds()),
 		zap.Int64("configuration", e.d.doc.Version()))
 }
 
