Give each route its share of the capacity in an overload

Cause: in a flood all kinds lost about the same part, and checks of eight short tasks most: they wait for .15 of 156 ms, 23 ms, in which an entry starts some six tasks. Change: demand and use are measured by route over a second; the capacity in use is divided so that no route gets less than another that asks for more; jobs of the routes above their share wait behind the others and their wait is reckoned from the starts of their like; the others wait for up to .35 of their objective, which they rarely need.

--- a/core/sched/order.go
+++ b/core/sched/order.go
@@ -7,15 +7,29 @@
 	"time"
 )
 
-// startDeadlineFraction is the fraction of its objective that a job waits for its first start. After a quarter the remaining time
-// is hardly enough for the work, and an early refusal is better for the caller.
-const startDeadlineFraction = 0.15
+const (
+	// startDeadlineFraction is the fraction of its objective that a job waits for its first start if its route is above its share.
+	// After a quarter the remaining time is hardly enough for the work, and an early refusal is better for the caller.
+	startDeadlineFraction = 0.15
+	// shareDeadlineFraction is the same for other routes, whose jobs go first and so mostly wait for less than that.
+	shareDeadlineFraction = 0.35
+)
+
+func startFraction(overShare bool) float64 {
+	if overShare {
+		return startDeadlineFraction
+	}
+	return shareDeadlineFraction
+}
 
 // compareUrgency orders waiting jobs. Jobs that can still meet their objective come first, and among these the started ones, as
-// their finished work would be lost with one unfinished task. The rest are ordered by start deadline: under overload every kind
-// of work then loses about the same fraction, as a kind with a short objective is served first but also refused first.
+// their finished work would be lost with one unfinished task. Then those of routes that keep to their share, so that a flood of
+// one kind of work takes nothing from the others. The rest are ordered by start deadline.
 func compareUrgency(a, b *job) int {
-	return cmp.Or(compareBool(a.late, b.late), compareBool(b.started, a.started), a.startDeadline.Compare(b.startDeadline))
+	return cmp.Or(
+		compareBool(a.late, b.late), compareBool(b.started, a.started), compareBool(a.overShare, b.overShare),
+		a.startDeadline.Compare(b.startDeadline),
+	)
 }
 
 // compareBool sorts false before true.
@@ -39,6 +53,7 @@
 			pace = s.fastestPace(service)
 			s.fastest[service] = pace
 		}
+		j.overShare = s.shares.over[j.batch.Route.Name]
 		j.late = now.Add(time.Duration(pace * float64(j.expected))).After(j.objective)
 	}
 }
@@ -92,13 +107,23 @@
 func (s *Sched) wouldWaitTooLong(now time.Time, j *job) bool {
 	ahead, backlog := 1, false
 	for _, o := range s.queue {
-		if o.ended || o.waiting == 0 || now.Before(o.ready) || !o.startDeadline.Before(j.startDeadline) {
+		if o.ended || o.waiting == 0 || now.Before(o.ready) || !o.precedes(j) {
 			continue
 		}
 		ahead += o.waiting
 		backlog = backlog || now.Sub(o.arrived) > backlogAge
 	}
-	return backlog && float64(s.startRate.timeFor(now, ahead)) > waitMargin*float64(j.startDeadline.Sub(now))
+	// Jobs of other routes will come and precede one that is above its share, so it gets only what its like got.
+	rate := &s.startRate
+	if j.overShare {
+		rate = &s.overRate
+	}
+	return backlog && float64(rate.timeFor(now, ahead)) > waitMargin*float64(j.startDeadline.Sub(now))
+}
+
+// precedes reports whether an unstarted job is served before another one.
+func (j *job) precedes(other *job) bool {
+	return cmp.Or(compareBool(j.overShare, other.overShare), j.startDeadline.Compare(other.startDeadline)) < 0
 }
 
 // enqueue adds a job to the queue unless it is there.
@@ -117,6 +142,7 @@
 	if len(s.queue) == 0 {
 		return
 	}
+	s.shares.update(now)
 	s.markLate(now)
 	slices.SortStableFunc(s.queue, compareUrgency)
 	s.load = s.utilisation()
@@ -159,6 +185,10 @@
 	s.openByTask[a.name] = a
 	j.waiting--
 	s.startRate.add(now)
+	if j.overShare {
+		s.overRate.add(now)
+	}
+	s.shares.started(now, j.taskWork())
 	if !j.started {
 		j.started = true
 		j.waited = now.Sub(j.arrived)
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -69,6 +69,8 @@
 	hadTargetAt  time.Time // last tick with a target, or the first tick
 	load         float64
 	startRate    startRate
+	overRate     startRate // of the jobs of routes above their share
+	shares       shares
 	reservedPace float64     // targets up to this pace are reserved for a waiting job
 	safe         []candidate // reused by choose
 	tight        []candidate
@@ -87,6 +89,7 @@
 		endedJobs:  make(map[string]endedJob),
 		meanLogs:   make(map[string]float64),
 		fastest:    make(map[string]float64),
+		shares:     newShares(),
 	}
 }
 
@@ -137,10 +140,12 @@
 	j.expected = s.estimateRunTime(b)
 	objective := b.Route.Objective(j.expected)
 	j.objective = now.Add(objective)
-	j.startDeadline = now.Add(time.Duration(startDeadlineFraction * float64(objective)))
+	j.overShare = s.shares.over[b.Route.Name]
+	j.startDeadline = now.Add(time.Duration(startFraction(j.overShare) * float64(objective)))
 	if now.Sub(s.lastTick) > stallThreshold {
 		j.ready = now.Add(stallDelay)
 	}
+	s.shares.arrived(now, b.Route.Name, float64(b.Tasks)*j.taskWork())
 	s.jobs[b.ID] = j
 	s.live = append(s.live, j)
 	s.out.JobAccepted(&JobArrival{
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -73,6 +73,7 @@
 	waiting       int // unfinished tasks without an attempt
 	started       bool
 	late          bool          // would miss the objective even if started now
+	overShare     bool          // its route is above its share in an overload
 	waited        time.Duration // until the first start
 	starts        int
 	ended         bool
