End a started job when nothing of it runs and no target is left

Cause: an entry that was cut off from all targets held the 32 jobs that ran then until their deadlines, 1.49 s, though their attempts were over with the leases after 0.8 s. Change: such a job ends as not finished, no-target; its caller can send it to another entry. explain and regret name the reason. Ruled out: ending it when the connections are lost (the attempts may still run and end within the lease), and refusing it (it ran). Shown: TestStartedJobEndsWithItsLastAttemptWhenNoTargetIsLeft fails before.

--- a/core/regret/jobs.go
+++ b/core/regret/jobs.go
@@ -72,6 +72,9 @@
 		delete(r.jobs, j.id) // its caller left, or the work itself failed
 	default:
 		j.reason = j.because(notFinished)
+		if l.Text("reason") == "no-target" {
+			j.reason = noTargets
+		}
 	}
 }
 
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -332,6 +332,9 @@
 		s.endJob(now, j, jobend.Outcome{Kind: jobend.Unfinished, Reason: Deadline})
 	case !j.started:
 		s.expireUnstarted(now, j)
+	case len(s.targets) == 0 && j.waiting == j.left:
+		// Nothing of the job runs any more, and its caller can send it to another entry.
+		s.endJob(now, j, jobend.Outcome{Kind: jobend.Unfinished, Reason: NoTarget})
 	case j.waiting > 0 && s.outOfTime(now, j):
 		s.endJob(now, j, jobend.Outcome{Kind: jobend.Unfinished, Reason: NoTimeLeft})
 	}
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -410,3 +410,17 @@
 	h.endAttempt("a", EndStopped, 0)
 	require.Equal(t, []string{"a", "b"}, h.startTargets)
 }
+
+// An entry that was cut off from all targets held the jobs that ran at that moment until their deadlines, though their attempts
+// were over with the leases.
+func TestStartedJobEndsWithItsLastAttemptWhenNoTargetIsLeft(t *testing.T) {
+	h := newHarness()
+	h.join("a", 1)
+	h.submit(h.batch("j", 2, 300*time.Millisecond))
+	require.Len(t, h.starts, 2)
+	h.sched.Disconnect("a", h.now.Add(800*time.Millisecond))
+	h.advance(799 * time.Millisecond)
+	require.Empty(t, h.outcomes, "the attempts may still run")
+	h.advance(2 * time.Millisecond)
+	require.Equal(t, jobend.Outcome{Kind: jobend.Unfinished, Reason: NoTarget}, h.outcomes["j"])
+}
--- a/core/trace/trace.go
+++ b/core/trace/trace.go
@@ -133,8 +133,11 @@
 	case "failed":
 		return fmt.Sprintf("a task failed in every permitted attempt%s", t.failures())
 	case "unfinished":
-		if end.Text("reason") == "too-long" {
+		switch end.Text("reason") {
+		case "too-long":
 			return fmt.Sprintf("given up after %d ms, as a task would have run past the deadline%s", took, openTasks(end))
+		case "no-target":
+			return fmt.Sprintf("given up after %d ms, as the entry had lost all targets and nothing of it ran any more%s", took, t.delays())
 		}
 		return fmt.Sprintf("%d of %d tasks had ended at the deadline%s%s", done, tasks, openTasks(end), t.delays())
 	case "cancelled":
--- a/core/trace/trace_test.go
+++ b/core/trace/trace_test.go
@@ -25,6 +25,7 @@
 		{`,"fate":"refused","reason":"too-large"`, "more than any target holds"},
 		{`,"fate":"failed"`, "failed in every permitted attempt"},
 		{`,"fate":"unfinished","reason":"too-long","took-ms":80,"open":["t@1.2"]`, "given up after 80 ms"},
+		{`,"fate":"unfinished","reason":"no-target","took-ms":801`, "given up after 801 ms, as the entry had lost all targets"},
 		{`,"fate":"unfinished","reason":"deadline","tasks":3,"done":2`, "2 of 3 tasks had ended"},
 		{`,"fate":"cancelled","reason":"caller-left","took-ms":7`, "the caller left after 7 ms"},
 		{`,"fate":"cancelled","reason":"withdrawn","took-ms":7`, "withdrew it after 7 ms"},
