--- a/core/sched/order.go
+++ b/core/sched/order.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 )
@@ -81,24 +80,14 @@
 	waitMargin = 1.3
 )
 
-// startRate measures the rate of starts as an exponentially decaying sum; the zero value is a rate of zero.
-type startRate struct {
-	sum float64
-	at  time.Time
-}
-
-func (r *startRate) add(now time.Time) {
-	r.sum = r.decayed(now) + 1
-	r.at = now
-}
+// startRate measures the rate of starts; the zero value is a rate of zero.
+type startRate struct{ starts decayingSum }
 
-func (r *startRate) decayed(now time.Time) float64 {
-	return r.sum * math.Exp(-float64(now.Sub(r.at))/float64(startRateSpan))
-}
+func (r *startRate) add(now time.Time) { r.starts.add(now, startRateSpan, 1) }
 
 // timeFor returns how long n starts take at the current rate.
 func (r *startRate) timeFor(now time.Time, n int) time.Duration {
-	return time.Duration(float64(n) / max(1, r.decayed(now)) * float64(startRateSpan))
+	return time.Duration(float64(n) / max(1, r.starts.value(now, startRateSpan)) * float64(startRateSpan))
 }
 
 // wouldWaitTooLong reports whether a new job would wait past its start deadline. While jobs are waiting, capacity is used as fast
--- a/io/verb/explain.go
+++ b/io/verb/explain.go
@@ -1,11 +1,8 @@
 package verb
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
-	"os"
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
@@ -13,9 +10,6 @@
 	"persimmonstage/core/trace"
 )
 
-// maxLogLine is the longest log line that can be read, in bytes.
-const maxLogLine = 1 << 20
-
 // explain prints a job's log lines and the cause of its end.
 func explain() *cli.Command {
 	return &cli.Command{
@@ -34,10 +28,8 @@
 		return prefixError(c, errors.New("ID and FILE: missing"))
 	}
 	t := trace.New(c.Args().First())
-	for _, file := range c.Args().Tail() {
-		if err := addFile(t, file, c.Root().Reader); err != nil {
-			return prefixError(c, err)
-		}
+	if err := readLogs(c, c.Args().Tail(), t.Add); err != nil {
+		return prefixError(c, err)
 	}
 	for _, l := range t.Lines() {
 		fmt.Fprintln(c.Root().Writer, l)
@@ -45,21 +37,3 @@
 	fmt.Fprintf(c.Root().Writer, "cause: %s\n", t.Cause())
 	return nil
 }
-
-func addFile(t *trace.Trace, file string, stdin io.Reader) error {
-	r := stdin
-	if file != "-" {
-		f, err := os.Open(file)
-		if err != nil {
-			return err
-		}
-		defer f.Close()
-		r = f
-	}
-	lines := bufio.NewScanner(r)
-	lines.Buffer(nil, maxLogLine)
-	for lines.Scan() {
-		t.Add(lines.Text())
-	}
-	return errors.Wrap(lines.Err(), file)
-}
--- a/io/verb/regret.go
+++ b/io/verb/regret.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"maps"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -16,7 +15,6 @@
 
 	"persimmonstage/core/regret"
 	"persimmonstage/io/graph"
-	"persimmonstage/io/merge"
 )
 
 // regretCommand prints what was earned by window, and the most that could have been.
@@ -47,7 +45,7 @@
 		return prefixError(c, err)
 	}
 	report := regret.New(weights)
-	if err := readLogs(c, report.Add); err != nil {
+	if err := readLogs(c, c.Args().Slice(), report.Add); err != nil {
 		return prefixError(c, err)
 	}
 	rows := report.Rows()
@@ -73,36 +71,6 @@
 	return weights, nil
 }
 
-// readLogs passes the lines of all files to add, in order of time.
-func readLogs(c *cli.Command, add func(text string)) error {
-	var m merge.Merge
-	for _, file := range c.Args().Slice() {
-		r := c.Root().Reader
-		if file != "-" {
-			f, err := os.Open(file)
-			if err != nil {
-				return err
-			}
-			defer f.Close()
-			r = f
-		}
-		m.Add(file, r)
-	}
-	return m.Run(add, progressOf(c))
-}
-
-// progressOf returns a terminal for progress, or nil.
-func progressOf(c *cli.Command) io.Writer {
-	f, ok := c.Root().ErrWriter.(*os.File)
-	if !ok {
-		return nil
-	}
-	if info, err := f.Stat(); err != nil || info.Mode()&os.ModeCharDevice == 0 {
-		return nil
-	}
-	return f
-}
-
 // writeRegret writes a line for each window and one for their sum.
 func writeRegret(out io.Writer, rows []regret.Row) error {
 	reasons := map[string]bool{}
