Remove the retry of stuck tasks, and take a route's share before its job's wait

An agent goes on forecasting a run that makes no progress, so a later forecast moves it; the test now has that forecast, and core/runs has one that the forecasts go on. TestRefusedJobNeverRuns had failed since the routes' shares came in: a job's wait was taken before its route's share was known. The share is now worked out when a job arrives. Routes without demand are dropped from the table.

--- a/core/runs/runs_test.go
+++ b/core/runs/runs_test.go
@@ -362,3 +362,19 @@
 	g.advance(2 * time.Millisecond)
 	require.False(t, g.runs.State(g.now, "e").Usable)
 }
+
+// A task that hangs makes no progress, so its forecast run time grows and is reported again and again: its owner may move it when
+// there is room elsewhere.
+func TestHangingRunIsForecastAgain(t *testing.T) {
+	g := newHarness(t)
+	g.order(1, "a")
+	g.runs.StartAnswered(g.now, Key{"a", 1}, Accepted, "")
+	g.takeLog()
+	forecasts := 0
+	for range 20 {
+		g.advance(progressPeriod)
+		g.poll(listedOne("a", 10), nil)
+		forecasts += len(g.takeLog())
+	}
+	require.Greater(t, forecasts, 10, "one in each progressPeriod")
+}
--- a/core/sched/forecast.go
+++ b/core/sched/forecast.go
@@ -58,7 +58,7 @@
 	a.forecast = forecast{end: now.Add(left), work: time.Duration(float64(whole) / t.state.Pace)}
 	usual := time.Duration(float64(a.expected) * min(t.state.Pace, s.medianPace()))
 	if task := &j.tasks[a.index]; float64(whole) > slowTargetFactor*float64(usual) && !task.moved {
-		s.moveFromSlow(now, a)
+		task.moved = s.moveIfBetter(now, a)
 		return
 	}
 	j.expected = max(j.expected, a.forecast.work)
@@ -141,39 +141,6 @@
 // usefulObjectives is the number of objectives after which an answer is of no more use to the caller.
 const usefulObjectives = 3
 
-// moveFromSlow moves an attempt from a slow target, now or as soon as there is room elsewhere. It doesn't wait for another
-// forecast: a target on which tasks hang reports nothing more, and the room may be taken again by the time of its next report.
-func (s *Sched) moveFromSlow(now time.Time, a *attempt) {
-	task := &a.job.tasks[a.index]
-	switch {
-	case s.moveIfBetter(now, a):
-		task.moved = true
-	case s.wouldGain(now, a) && !slices.Contains(s.stuck, a):
-		s.stuck = append(s.stuck, a)
-	}
-}
-
-// retryStuck retries to move the attempts for which there was no room.
-func (s *Sched) retryStuck(now time.Time) {
-	list := s.stuck
-	s.stuck = nil
-	for _, a := range list {
-		if !a.job.ended && !a.stopping && a.target.attempts[a.id] == a {
-			s.moveFromSlow(now, a)
-		}
-	}
-}
-
-// wouldGain reports whether some other target, full or not, that is no slower could end an attempt's task while it is of use.
-func (s *Sched) wouldGain(now time.Time, a *attempt) bool {
-	for _, to := range s.targets {
-		if to != a.target && to.state.Pace <= a.target.state.Pace && s.serves(a.job, to) && !now.Add(rerunTime(a.expected, to)).After(a.job.usefulUntil()) {
-			return true
-		}
-	}
-	return false
-}
-
 // usefulUntil returns the time until which an answer is of use to a job's caller.
 func (j *job) usefulUntil() time.Time {
 	return times.Earlier(j.arrived.Add(usefulObjectives*j.objective.Sub(j.arrived)), j.batch.Deadline)
--- a/core/sched/order.go
+++ b/core/sched/order.go
@@ -127,7 +127,6 @@
 func (s *Sched) place(now time.Time) {
 	s.reservedPace = 0
 	s.moveRisky(now)
-	s.retryStuck(now)
 	if len(s.queue) == 0 {
 		return
 	}
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -59,7 +59,6 @@
 	live         []*job // the same jobs by arrival
 	queue        []*job
 	risky        []*attempt          // expected to miss the deadline on their target
-	stuck        []*attempt          // on slow targets, to be moved once there is free capacity
 	openByTask   map[string]*attempt // by task name
 	lastAttempt  uint64
 	lastCaller   uint64
@@ -140,12 +139,13 @@
 	j.expected = s.estimateRunTime(b)
 	objective := b.Route.Objective(j.expected)
 	j.objective = now.Add(objective)
+	s.shares.arrived(now, b.Route.Name, float64(b.Tasks)*j.taskWork())
+	s.shares.update(now)
 	j.overShare = s.shares.over[b.Route.Name]
 	j.startDeadline = now.Add(time.Duration(startFraction(j.overShare) * float64(objective)))
 	if now.Sub(s.lastTick) > stallThreshold {
 		j.ready = now.Add(stallDelay)
 	}
-	s.shares.arrived(now, b.Route.Name, float64(b.Tasks)*j.taskWork())
 	s.jobs[b.ID] = j
 	s.live = append(s.live, j)
 	s.out.JobAccepted(&JobArrival{
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -393,8 +393,8 @@
 	require.Equal(t, TooLong, h.outcomes["longer"].Reason)
 }
 
-// TestHangingTaskIsMovedOnceThereIsRoom has a task hang while all other targets are full: it is moved as soon as one has room,
-// without waiting for another forecast.
+// A task hangs while all other targets are full. Its agent goes on forecasting its end, and it is moved with the first forecast
+// after one of them has room.
 func TestHangingTaskIsMovedOnceThereIsRoom(t *testing.T) {
 	h := newHarness()
 	h.join("a", 1)
@@ -406,6 +406,7 @@
 	require.Empty(t, h.stops, "the other target is full")
 	h.now = h.now.Add(30 * time.Millisecond)
 	h.reportUsage("b", 9)
+	h.sched.Forecast(h.now, "a", 1, 30*time.Second)
 	require.Equal(t, []uint64{1}, h.stops)
 	h.endAttempt("a", EndStopped, 0)
 	require.Equal(t, []string{"a", "b"}, h.startTargets)
--- a/core/sched/share.go
+++ b/core/sched/share.go
@@ -13,6 +13,8 @@
 	// sharedFraction is the fraction of the capacity in use that is divided. Below 1, the largest route is above its share before
 	// jobs of the others have to wait long.
 	sharedFraction = 0.9
+	// minDemand is the demand, in core-seconds, below which a route is no longer kept.
+	minDemand = 1e-4
 )
 
 // decayingSum is a sum of which every part decays with a time constant; the zero value is 0.
@@ -64,7 +66,12 @@
 func (s *shares) update(now time.Time) {
 	s.list = s.list[:0]
 	for route, d := range s.demand {
-		s.list = append(s.list, routeDemand{route, d.value(now, shareSpan)})
+		work := d.value(now, shareSpan)
+		if work < minDemand {
+			delete(s.demand, route)
+			continue
+		}
+		s.list = append(s.list, routeDemand{route, work})
 	}
 	slices.SortFunc(s.list, func(a, b routeDemand) int {
 		return cmp.Or(cmp.Compare(a.work, b.work), cmp.Compare(a.route, b.route))
