Repeat calls that fail at once after a short pause, and don't count them as lost answers

Cause, found reading the change: a start or stop whose connection is refused was repeated at once for up to 140 ms, hundreds of times, and a poll whose connection broke was followed only when its wait was over. Change: after a failure at once calls are repeated 2 ms later, at most as often as calls that time out; polls 5 ms later. A refused connection is no lost answer, so it doesn't shorten timeouts. Test: TestCallsThatFailAtOnceAreRepeatedAFewTimes (without the pause: no end of calls in simulated time).

--- a/core/polls/poll.go
+++ b/core/polls/poll.go
@@ -17,8 +17,9 @@
 	// overlapPeriod.
 	overlapWait   = 30 * time.Millisecond
 	overlapPeriod = 15 * time.Millisecond
-	// overlapPause is the least time between two overlapping polls: it bounds the polls of a target at which many runs end.
-	overlapPause = 5 * time.Millisecond
+	// failurePause is the time after a poll that fails at once, and the least time between two overlapping polls: it bounds the polls
+	// of a target that refuses connections, or at which many runs end.
+	failurePause = 5 * time.Millisecond
 	// silentPause is the time between two polls of a target that doesn't answer at all.
 	silentPause = 50 * time.Millisecond
 )
@@ -29,6 +30,7 @@
 	AnswerBy time.Time     // when the answer counts as lost
 	Earliest time.Time     // the next poll is sent once this one is answered, but not before Earliest
 	Latest   time.Time     // the next poll is sent at Latest even if this one isn't answered
+	Pause    time.Duration // between a poll that fails before Latest, for example by a broken connection, and the next one
 }
 
 // Next returns the poll that is sent now; silent tells that the target has answered no call for long.
@@ -37,18 +39,18 @@
 	case silent:
 		return sequential(now, lossyWait, silentPause)
 	case !calls.AtRisk(now):
-		return sequential(now, calmWait, 0)
+		return sequential(now, calmWait, failurePause)
 	case !calls.Lossy(now):
-		return sequential(now, lossyWait, 0)
+		return sequential(now, lossyWait, failurePause)
 	}
 	return Poll{
 		Wait: overlapWait, AnswerBy: now.Add(overlapWait + calls.Timeout(now)),
-		Earliest: now.Add(overlapPause), Latest: now.Add(overlapPeriod),
+		Earliest: now.Add(failurePause), Latest: now.Add(overlapPeriod), Pause: failurePause,
 	}
 }
 
-// sequential returns a poll that is answered or lost before the next one is sent, which follows a loss after pause.
+// sequential returns a poll that is answered or has failed before the next one is sent, which follows a failure after pause.
 func sequential(now time.Time, wait, pause time.Duration) Poll {
 	by := now.Add(wait + margin)
-	return Poll{Wait: wait, AnswerBy: by, Earliest: now, Latest: by.Add(pause)}
+	return Poll{Wait: wait, AnswerBy: by, Earliest: now, Latest: by.Add(pause), Pause: pause}
 }
--- a/io/runsd/target.go
+++ b/io/runsd/target.go
@@ -19,6 +19,8 @@
 	startBudget = 140 * time.Millisecond
 	// stopBudget is the same for a stop, which the table of runs repeats later.
 	stopBudget = 60 * time.Millisecond
+	// refusedPause is the time between two calls if the first one's connection was refused or broken.
+	refusedPause = 2 * time.Millisecond
 	// maxPollLosses is the number of consecutive lost answers from which on a target may count as lost.
 	maxPollLosses = 3
 	// idlePause is the time between two checks whether there is a target to poll.
@@ -42,19 +44,23 @@
 			d.idle(ctx)
 			continue
 		}
-		answered := make(chan struct{})
+		answered := make(chan bool, 1)
 		go d.sendPoll(ctx, &p, answered)
 		d.awaitNextPoll(ctx, &p, answered)
 	}
 }
 
-// awaitNextPoll waits until the next poll is due.
-func (d *Daemon) awaitNextPoll(ctx context.Context, p *poll, answered <-chan struct{}) {
+// awaitNextPoll waits until the next poll is due; answered tells whether this one was answered or has failed.
+func (d *Daemon) awaitNextPoll(ctx context.Context, p *poll, answered <-chan bool) {
 	latest := time.NewTimer(p.Latest.Sub(uptime.Now()))
 	defer latest.Stop()
 	select {
-	case <-answered:
-		if pause := p.Earliest.Sub(uptime.Now()); pause > 0 {
+	case ok := <-answered:
+		pause := p.Pause
+		if ok {
+			pause = p.Earliest.Sub(uptime.Now())
+		}
+		if pause > 0 {
 			loop.Sleep(ctx, pause)
 		}
 	case <-latest.C:
@@ -62,19 +68,20 @@
 	}
 }
 
-// sendPoll polls the target once, and closes answered if it answers.
-func (d *Daemon) sendPoll(ctx context.Context, p *poll, answered chan<- struct{}) {
+// sendPoll polls the target once and sends to answered whether it answered.
+func (d *Daemon) sendPoll(ctx context.Context, p *poll, answered chan<- bool) {
 	bounded, cancel := context.WithTimeout(ctx, p.AnswerBy.Sub(p.sent))
 	listing, err := d.target.Poll(bounded, p.instance, p.ack, p.until, p.Wait)
 	cancel()
 	if err != nil {
 		d.loop.Post(func(time.Time) { d.pollFailed(p, err) })
+		answered <- false
 		return
 	}
 	listing.Sent = p.sent
 	delay := uptime.Now().Sub(p.sent)
 	d.loop.Post(func(time.Time) { d.pollAnswered(p, listing, delay) })
-	close(answered)
+	answered <- true
 }
 
 func (d *Daemon) pollAnswered(p *poll, listing *runs.Listing, delay time.Duration) {
@@ -93,12 +100,13 @@
 func (d *Daemon) pollFailed(p *poll, err error) {
 	d.metrics.polls.WithLabelValues("failed").Inc()
 	now := uptime.Now()
-	d.calls.Lost(now)
 	if d.runs.Instance() != nil && !d.isCurrent(p.instance) {
 		return
 	}
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		d.runs.TargetDown(now)
+	} else {
+		d.calls.Lost(now)
 	}
 	d.pollLosses++
 	if d.pollLosses == maxPollLosses {
@@ -179,19 +187,27 @@
 	return answer, reason
 }
 
-// repeat repeats a call until it is answered, at most for budget. Every second repetition waits twice as long for its answer.
+// repeat repeats a call until it is answered, or until the timeouts of the calls add up to budget. Every second repetition waits
+// twice as long for its answer.
 func (d *Daemon) repeat(timeout, budget time.Duration, call func(ctx context.Context) runs.Answer) runs.Answer {
-	end := uptime.Now().Add(budget)
+	spent := time.Duration(0)
 	for n := 1; ; n++ {
 		sent := uptime.Now()
 		ctx, cancel := context.WithTimeout(d.ctx, timeout)
 		answer := call(ctx)
+		failedAtOnce := answer == runs.Lost && ctx.Err() == nil
 		cancel()
-		now := uptime.Now()
-		d.loop.Post(func(time.Time) { d.recordCall(now, answer, now.Sub(sent)) })
-		if answer != runs.Lost || !now.Before(end) || d.ctx.Err() != nil {
+		if !failedAtOnce {
+			now := uptime.Now()
+			d.loop.Post(func(time.Time) { d.recordCall(now, answer, now.Sub(sent)) })
+		}
+		spent += timeout
+		if answer != runs.Lost || spent >= budget || d.ctx.Err() != nil {
 			return answer
 		}
+		if failedAtOnce {
+			loop.Sleep(d.ctx, refusedPause)
+		}
 		if n%2 == 0 {
 			timeout *= 2
 		}
--- /dev/null
+++ b/io/runsd/target_test.go
@@ -0,0 +1,54 @@
+package runsd
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"persimmonstage/core/newest"
+	"persimmonstage/core/runs"
+)
+
+// refusingTarget refuses every connection at once, as a target whose process has ended.
+type refusingTarget struct{ starts, stops, polls int }
+
+func (t *refusingTarget) Start(context.Context, *runs.Instance, *runs.Order, runs.Key, time.Time) (runs.Answer, string) {
+	t.starts++
+	return runs.Lost, "refused"
+}
+
+func (t *refusingTarget) Stop(context.Context, *runs.Instance, runs.Key) runs.Answer {
+	t.stops++
+	return runs.Lost
+}
+
+func (t *refusingTarget) Poll(context.Context, *runs.Instance, int64, time.Time, time.Duration) (*runs.Listing, error) {
+	t.polls++
+	return nil, errors.New("refused")
+}
+
+// A refused connection fails at once. If the next call followed at once as well, a start at a target that has just ended would be
+// called thousands of times within its budget.
+func TestCallsThatFailAtOnceAreRepeatedAFewTimes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		target := &refusingTarget{}
+		d := New(Config{Name: "a"}, target, &newest.Newest{}, zap.NewNop(), prometheus.NewRegistry())
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		d.ctx = ctx
+		began := time.Now()
+		answer, _ := d.callStart(&runs.Instance{}, &runs.Order{}, runs.Key{}, time.Time{}, 20*time.Millisecond)
+		require.Equal(t, runs.Lost, answer)
+		require.LessOrEqual(t, target.starts, 5)
+		require.Equal(t, time.Duration(target.starts-1)*refusedPause, time.Since(began))
+		answer = d.repeat(6*time.Millisecond, stopBudget, func(ctx context.Context) runs.Answer { return target.Stop(ctx, nil, runs.Key{}) })
+		require.Equal(t, runs.Lost, answer)
+		require.LessOrEqual(t, target.stops, 7)
+	})
+}
