--- a/core/regret/jobs.go
+++ b/core/regret/jobs.go
@@ -30,14 +30,13 @@
 
 // Reasons of a difference between earned and bound.
 const (
-	refused       = "refused"
-	noTargets     = "entry without targets"
-	late          = "late"
-	movedLate     = "moved too late"
-	targetLost    = "target thought lost"
-	notFinished   = "not finished"
-	entryLost     = "entry lost"
-	withoutReason = ""
+	refused     = "refused"
+	noTargets   = "entry without targets"
+	late        = "late"
+	movedLate   = "moved too late"
+	targetLost  = "target thought lost"
+	notFinished = "not finished"
+	entryLost   = "entry lost"
 )
 
 func (r *Report) jobTaken(l *record.Record) {
@@ -81,7 +80,7 @@
 func (j *job) done(at time.Time) {
 	switch {
 	case !at.After(j.objective):
-		j.earned, j.reason = 1, withoutReason
+		j.earned, j.reason = 1, ""
 	case !at.After(j.useful):
 		j.earned, j.reason = lateValue, j.because(late)
 	default:
--- a/core/regret/report.go
+++ b/core/regret/report.go
@@ -9,10 +9,10 @@
 )
 
 const (
-	// Window is the length of a row of the report.
-	Window = 2 * time.Second
+	// window is the length of a row of the report.
+	window = 2 * time.Second
 	// span is how much of the log is worked out at once.
-	span = 5 * Window
+	span = 5 * window
 	// settle is how long after its arrival a job has ended in any case.
 	settle = 5 * time.Second
 	// slice is the resolution of the capacity.
@@ -102,12 +102,12 @@
 		return cmp.Or(a.arrived.Compare(b.arrived), cmp.Compare(a.id, b.id))
 	})
 	bounds := r.bounds(list)
-	for i := range int(span / Window) {
-		r.rows = append(r.rows, Row{At: r.next.Add(time.Duration(i) * Window).Sub(r.from), Lost: map[string]float64{}})
+	for i := range int(span / window) {
+		r.rows = append(r.rows, Row{At: r.next.Add(time.Duration(i) * window).Sub(r.from), Lost: map[string]float64{}})
 	}
-	rows := r.rows[len(r.rows)-int(span/Window):]
+	rows := r.rows[len(r.rows)-int(span/window):]
 	for i, j := range list {
-		at := min(len(rows)-1, max(0, int(j.arrived.Sub(r.next)/Window)))
+		at := min(len(rows)-1, max(0, int(j.arrived.Sub(r.next)/window)))
 		rows[at].add(j, bounds[i], r.weight(j))
 	}
 	r.next = end
