--- a/core/record/record.go
+++ b/core/record/record.go
@@ -6,6 +6,19 @@
 	"time"
 )
 
+// Messages of log lines that are evaluated.
+const (
+	JobTaken      = "job taken"
+	JobEnded      = "job ended"
+	AttemptEnded  = "attempt ended"
+	TaskMoved     = "task moved"
+	TargetState   = "target state"
+	EntryStarted  = "entry started"
+	AgentStarted  = "agent started"
+	EntryStopping = "entry stopping"
+	AgentStopping = "agent stopping"
+)
+
 // Record is one log line; fields of the wrong type count as missing.
 type Record struct {
 	At      time.Time
--- a/core/regret/fleet.go
+++ b/core/regret/fleet.go
@@ -25,7 +25,7 @@
 
 // line takes note that an agent wrote a line; after its restart the time before is without capacity.
 func (f *fleet) line(l *record.Record) {
-	if spans := f.spans[l.Name]; l.Message == "agent started" && len(spans) > 0 {
+	if spans := f.spans[l.Name]; l.Message == record.AgentStarted && len(spans) > 0 {
 		f.end(l.Name, f.lastLine[l.Name])
 	}
 	f.lastLine[l.Name] = l.At
--- a/core/regret/report.go
+++ b/core/regret/report.go
@@ -62,20 +62,20 @@
 		r.fleet.line(l)
 	}
 	switch l.Message {
-	case "job taken":
+	case record.JobTaken:
 		if r.next.IsZero() {
 			r.from, r.next = l.At, l.At
 		}
 		r.jobTaken(l)
-	case "job ended":
+	case record.JobEnded:
 		r.jobEnded(l)
-	case "attempt ended":
+	case record.AttemptEnded:
 		r.attemptEnded(l)
-	case "task moved":
+	case record.TaskMoved:
 		if j := r.jobs[l.Text("id")]; j != nil {
 			j.moved = true
 		}
-	case "target state":
+	case record.TargetState:
 		r.fleet.state(l)
 	}
 }
--- a/core/trace/trace.go
+++ b/core/trace/trace.go
@@ -19,16 +19,6 @@
 	last   time.Time
 }
 
-// Messages of the log lines that the trace evaluates.
-const (
-	jobTaken      = "job taken"
-	jobEnded      = "job ended"
-	entryStarted  = "entry started"
-	agentStarted  = "agent started"
-	entryStopping = "entry stopping"
-	agentStopping = "agent stopping"
-)
-
 // New returns an empty trace of the job with the given id.
 func New(id string) *Trace { return &Trace{id: id} }
 
@@ -44,7 +34,7 @@
 	switch {
 	case l.Text("id") == t.id, strings.HasPrefix(l.Text("task"), t.id+"."):
 		t.lines = append(t.lines, l)
-	case l.Message == entryStarted, l.Message == agentStarted, l.Message == entryStopping, l.Message == agentStopping:
+	case l.Message == record.EntryStarted, l.Message == record.AgentStarted, l.Message == record.EntryStopping, l.Message == record.AgentStopping:
 		t.starts = append(t.starts, l)
 	}
 }
@@ -92,7 +82,7 @@
 	}
 	var end *record.Record
 	for i := range t.lines {
-		if t.lines[i].Message == jobEnded {
+		if t.lines[i].Message == record.JobEnded {
 			end = &t.lines[i]
 		}
 	}
@@ -106,7 +96,7 @@
 func (t *Trace) explainNoEnd() string {
 	last := t.lines[len(t.lines)-1]
 	for _, l := range t.lines {
-		if l.Message == jobTaken {
+		if l.Message == record.JobTaken {
 			last = l
 		}
 	}
@@ -174,7 +164,7 @@
 func (t *Trace) failures() string {
 	var at []string
 	for _, l := range t.lines {
-		if l.Message == "attempt ended" && l.Text("how") == "failed" {
+		if l.Message == record.AttemptEnded && l.Text("how") == "failed" {
 			at = append(at, l.Text("agent"))
 		}
 	}
@@ -189,7 +179,7 @@
 	n := map[string]int{}
 	var order []string
 	for _, l := range t.lines {
-		if l.Message == "attempt ended" {
+		if l.Message == record.AttemptEnded {
 			how := l.Text("how")
 			if n[how] == 0 {
 				order = append(order, how)
