Log which tasks ran at a target when it crashed

The incident's hypotheses couldn't be told apart: the end of a run with its target's process and the end by an expired lease were both "lapsed", and no line named what ran at the crash. Such runs now end as "crashed", the agent logs "target crashed" with the tasks and their run times, and counts persimmonstage_target_crashes_total. Orders carry their queue, for the reports. Placement is unchanged: entries treat both ends alike. go test ./core/... ./io/... ./platform/... passes.

--- a/core/proof/repeat_test.go
+++ b/core/proof/repeat_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"persimmonstage/core/batch"
+	"persimmonstage/core/crash"
 	"persimmonstage/core/heap"
 	"persimmonstage/core/jobend"
 	"persimmonstage/core/route"
@@ -331,6 +332,7 @@
 func (a *repeatAgent) Ended(owner string, attempt uint64, how string, _ uint32) {
 	a.report(owner, func(e *repeatEntry) { e.sched.Ended(e.w.now, a.name, attempt, how) })
 }
+func (a *repeatAgent) Crashed(*crash.Report)                           {}
 func (a *repeatAgent) Forecast(string, uint64, time.Duration)          {}
 func (a *repeatAgent) Closed(runs.Key, string, uint64, string, uint32) {}
 func (a *repeatAgent) Changed() {
--- a/core/regret/jobs.go
+++ b/core/regret/jobs.go
@@ -1,6 +1,7 @@
 package regret
 
 import (
+	"slices"
 	"time"
 
 	"persimmonstage/core/record"
@@ -104,10 +105,13 @@
 	if len(id) > idLength {
 		id = id[:idLength]
 	}
-	if j := r.jobs[id]; j != nil && (l.Text("how") == "lapsed" || l.Text("how") == "unknown") {
+	if j := r.jobs[id]; j != nil && slices.Contains(lostEnds, l.Text("how")) {
 		j.lost = true
 	}
 }
 
+// lostEnds are the ends of attempts whose target or agent was lost.
+var lostEnds = []string{"lapsed", "crashed", "unknown"}
+
 // idLength is the length of a job's id, with which the names of its tasks begin.
 const idLength = 16
--- a/core/runs/effects.go
+++ b/core/runs/effects.go
@@ -1,6 +1,10 @@
 package runs
 
-import "time"
+import (
+	"time"
+
+	"persimmonstage/core/crash"
+)
 
 // effects executes the decisions of the table; answers of the target are passed to StartAnswered, StopAnswered and Listed.
 type effects interface {
@@ -12,6 +16,8 @@
 	Ended(owner string, attempt uint64, how string, ranMS uint32)
 	// Closed logs the end of a run.
 	Closed(k Key, owner string, attempt uint64, how string, ranMS uint32)
+	// Crashed reports what ran when the target's process crashed; it is called before the runs are ended.
+	Crashed(c *crash.Report)
 	// Forecast reports to an owner the remaining run time of an attempt that takes unusually long.
 	Forecast(owner string, attempt uint64, left time.Duration)
 	// Changed is called when the result of State has changed.
@@ -28,6 +34,7 @@
 type Order struct {
 	Attempt    uint64
 	Task       string
+	Route      string
 	Number     int
 	Millicores uint64
 	MemoryMB   uint64
--- a/core/runs/runs.go
+++ b/core/runs/runs.go
@@ -32,6 +32,7 @@
 	NoRoom  = "room"
 	Refused = "refused"
 	Unknown = "unknown"
+	Crashed = "crashed" // the target's process ended while the attempt ran
 	lapsed  = "lapsed"
 	stopped = "stopped"
 	done    = "done"
--- a/core/runs/runs_test.go
+++ b/core/runs/runs_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"persimmonstage/core/crash"
 )
 
 // harness drives a table and records the calls of its effects.
@@ -29,6 +31,12 @@
 func (g *harness) Forecast(owner string, attempt uint64, left time.Duration) {
 	g.log = append(g.log, fmt.Sprintf("forecast %s %d %d", owner, attempt, left.Milliseconds()))
 }
+
+func (g *harness) Crashed(c *crash.Report) {
+	for _, task := range c.Tasks {
+		g.log = append(g.log, fmt.Sprintf("crashed %s %d", task.Name, task.Ran.Milliseconds()))
+	}
+}
 func (g *harness) Changed()                                   {}
 func (g *harness) Closed(Key, string, uint64, string, uint32) {}
 
@@ -247,7 +255,7 @@
 	g.runs.StartAnswered(g.now, Key{"a", 1}, Accepted, "")
 	g.takeLog()
 	require.True(t, g.runs.Announced(g.now, newInstance("i-1", 9, 1)), "same id, later start time")
-	require.Equal(t, []string{"ended e 1 lapsed"}, g.takeLog())
+	require.Equal(t, []string{"crashed a 0", "ended e 1 crashed"}, g.takeLog())
 	g.order(2, "b")
 	require.Equal(t, []string{"ended e 2 refused"}, g.takeLog())
 	g.poll(listedOne("left", 3), nil)
@@ -318,7 +326,7 @@
 	g.runs.StartAnswered(g.now, Key{"a", 1}, Accepted, "")
 	g.takeLog()
 	g.runs.TargetDown(g.now)
-	require.Equal(t, []string{"ended e 1 lapsed"}, g.takeLog())
+	require.Equal(t, []string{"crashed a 0", "ended e 1 crashed"}, g.takeLog())
 	g.order(2, "b")
 	require.Equal(t, []string{"ended e 2 refused"}, g.takeLog())
 	g.poll(nil, nil)
--- a/core/runs/target.go
+++ b/core/runs/target.go
@@ -1,6 +1,10 @@
 package runs
 
-import "time"
+import (
+	"time"
+
+	"persimmonstage/core/crash"
+)
 
 // Announced processes a target's announcement and reports whether it comes from a new process of the target.
 func (r *Runs) Announced(now time.Time, l *Instance) bool {
@@ -18,19 +22,40 @@
 	if r.instance != nil && l.Born < r.instance.Born && now.Sub(r.lastAnswer) <= staleAfter {
 		return false
 	}
+	r.crash(now)
 	r.instance = l
-	r.reset(now)
 	return true
 }
 
+// crash ends all runs of a process of the target that has ended, and reports them unless the process was leaving.
+func (r *Runs) crash(now time.Time) {
+	how := lapsed
+	if r.instance != nil && !r.instance.Draining {
+		how = Crashed
+		r.reportCrash(now)
+	}
+	r.reset(now, how)
+}
+
+// reportCrash reports the tasks that ran when the target's process ended.
+func (r *Runs) reportCrash(now time.Time) {
+	report := &crash.Report{At: now}
+	for _, u := range r.sorted() {
+		report.Tasks = append(report.Tasks, crash.Task{Name: u.key.Task, Route: u.order.Route, Ran: now.Sub(u.began)})
+	}
+	if len(report.Tasks) > 0 {
+		r.out.Crashed(report)
+	}
+}
+
 // reset ends all runs of the target's earlier process and discards what was learned about it.
-func (r *Runs) reset(now time.Time) {
+func (r *Runs) reset(now time.Time, how string) {
 	r.clean, r.ack, r.lastAnswer, r.lastExtended, r.listedClock = false, 0, time.Time{}, time.Time{}, 0
 	r.pace = pace{}
 	clear(r.unknownStops)
 	r.dropWaiting(now)
 	for _, u := range r.sorted() {
-		u.how = lapsed
+		u.how = how
 		r.step(now, u, onRestarted)
 	}
 	r.out.Changed()
@@ -39,7 +64,7 @@
 // TargetDown ends all runs: nothing listens at the target's address any more, so its runs have ended with its process.
 func (r *Runs) TargetDown(now time.Time) {
 	if r.instance != nil {
-		r.reset(now)
+		r.crash(now)
 	}
 }
 
@@ -49,7 +74,7 @@
 		return
 	}
 	r.instance = nil
-	r.reset(now)
+	r.reset(now, lapsed)
 }
 
 // Instance returns the target's latest announcement, or nil if there is no target.
--- a/core/sched/effects.go
+++ b/core/sched/effects.go
@@ -10,6 +10,7 @@
 type Start struct {
 	Attempt    uint64
 	Task       string
+	Route      string
 	Number     int
 	Millicores uint64
 	MemoryMB   uint64
--- a/core/sched/order.go
+++ b/core/sched/order.go
@@ -183,7 +183,7 @@
 		s.out.JobStarted(j.waited)
 	}
 	s.out.Start(to.name, &Start{
-		Attempt: a.id, Task: a.name, Number: t.number, Millicores: j.batch.Millicores, MemoryMB: j.batch.MemoryMB,
+		Attempt: a.id, Task: a.name, Route: j.batch.Route.Name, Number: t.number, Millicores: j.batch.Millicores, MemoryMB: j.batch.MemoryMB,
 		ExpectedMS: uint32(max(1, j.expected.Milliseconds())), Payload: j.batch.Payload,
 	})
 }
--- a/core/sched/targets.go
+++ b/core/sched/targets.go
@@ -17,6 +17,7 @@
 	EndNoRoom  = "room"
 	EndRefused = "refused"
 	EndUnknown = "unknown"
+	EndCrashed = "crashed" // the target's process ended while the attempt ran
 )
 
 // Join adds a target or a new connection of its agent, and returns its open attempts. Attempts started by an earlier process of
--- a/io/runsd/effects.go
+++ b/io/runsd/effects.go
@@ -1,12 +1,14 @@
 package runsd
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
+	"persimmonstage/core/crash"
 	"persimmonstage/core/runs"
 	"persimmonstage/io/uptime"
 	"persimmonstage/io/wire"
@@ -42,6 +44,16 @@
 		zap.String("entry", entry), zap.String("how", how), zap.Uint32("ran-ms", ranMS))
 }
 
+// Crashed counts and logs a crash of the target with the tasks that ran then.
+func (e effects) Crashed(c *crash.Report) {
+	e.d.metrics.crashes.Inc()
+	tasks := make([]string, 0, len(c.Tasks))
+	for _, t := range c.Tasks {
+		tasks = append(tasks, fmt.Sprintf("%s@%d", t.Name, t.Ran.Milliseconds()))
+	}
+	e.d.log.Warn("target crashed", zap.Strings("tasks", tasks))
+}
+
 // Forecast adds the remaining run time of an attempt to its owner's report.
 func (e effects) Forecast(owner string, attempt uint64, left time.Duration) {
 	if l := e.d.queueReport(owner); l != nil {
@@ -195,7 +207,7 @@
 
 func endLabel(how string) string {
 	switch how {
-	case "done", "failed", "stopped", "lapsed", runs.NoRoom, runs.Refused, runs.Unknown:
+	case "done", "failed", "stopped", "lapsed", runs.Crashed, runs.NoRoom, runs.Refused, runs.Unknown:
 		return how
 	}
 	return "other"
--- a/io/runsd/links.go
+++ b/io/runsd/links.go
@@ -252,7 +252,7 @@
 	}
 	for _, s := range o.Starts {
 		d.runs.Order(now, l.owner, &runs.Order{
-			Attempt: s.Attempt, Task: s.Task, Number: int(s.Number), Millicores: s.Millicores, MemoryMB: s.MemoryMb,
+			Attempt: s.Attempt, Task: s.Task, Route: s.Route, Number: int(s.Number), Millicores: s.Millicores, MemoryMB: s.MemoryMb,
 			Expected: time.Duration(s.ExpectedMs) * time.Millisecond, Payload: s.Payload,
 		})
 	}
--- a/io/runsd/metrics.go
+++ b/io/runsd/metrics.go
@@ -4,10 +4,11 @@
 
 // metrics holds the daemon's counters.
 type metrics struct {
-	ends   *prometheus.CounterVec
-	starts *prometheus.CounterVec
-	polls  *prometheus.CounterVec
-	stops  prometheus.Counter
+	ends    *prometheus.CounterVec
+	starts  *prometheus.CounterVec
+	polls   *prometheus.CounterVec
+	stops   prometheus.Counter
+	crashes prometheus.Counter
 }
 
 func vec(name, help, label string) *prometheus.CounterVec {
@@ -22,7 +23,10 @@
 		stops: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "persimmonstage_runs_stops_total", Help: "Stops called at the target.",
 		}),
+		crashes: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "persimmonstage_target_crashes_total", Help: "Crashes of the target while tasks ran there.",
+		}),
 	}
-	reg.MustRegister(m.ends, m.starts, m.polls, m.stops)
+	reg.MustRegister(m.ends, m.starts, m.polls, m.stops, m.crashes)
 	return m
 }
--- a/io/schedd/links.go
+++ b/io/schedd/links.go
@@ -147,7 +147,7 @@
 // endLabel returns the metric label for how an attempt ended; unknown values become "other", which bounds the cardinality.
 func endLabel(how string) string {
 	switch how {
-	case sched.EndDone, sched.EndFailed, sched.EndStopped, sched.EndLapsed, sched.EndNoRoom, sched.EndRefused, sched.EndUnknown:
+	case sched.EndDone, sched.EndFailed, sched.EndStopped, sched.EndLapsed, sched.EndNoRoom, sched.EndRefused, sched.EndUnknown, sched.EndCrashed:
 		return how
 	}
 	return "other"
