--- a/core/sched/overload_test.go
+++ b/core/sched/overload_test.go
@@ -36,6 +36,7 @@
 	work      []time.Duration // run time of each task at a pace of 1
 	arrived   time.Time
 	objective time.Duration
+	served    bool // in time
 }
 
 // overloadRun is a running attempt on a simulated target.
@@ -73,6 +74,7 @@
 	submitted    []float64
 	ends         [][]jobEnd
 	pendingStops []pendingStop
+	onSubmit     func(id string, j *overloadJob) // called before a job is submitted, unless nil
 }
 
 // pendingStop is a stopped attempt whose end wasn't reported yet.
@@ -193,12 +195,16 @@
 	j.objective = kind.route.Objective(longest)
 	sim.jobs[id] = j
 	sim.submitted[k]++
+	if sim.onSubmit != nil {
+		sim.onSubmit(id, j)
+	}
 	b := &batch.Batch{
 		ID: id, Route: &kind.route, Tasks: tasks, Millicores: uint64(6_200 * sim.logNormal(0.2)), MemoryMB: 64,
 		Declared: time.Duration(float64(work) * sim.logNormal(0.4)), Deadline: sim.now.Add(1490 * time.Millisecond),
 	}
 	sim.sched.Submit(sim.now, b, func(end jobend.Outcome) {
 		ok := end.Kind == jobend.Done && sim.now.Sub(j.arrived) <= j.objective
+		j.served = ok
 		if ok {
 			sim.served[k]++
 		}
