Give up tasks that crash their targets, and confine their route

Callers of every kind lost service for ten seconds when a tenth of one kind's jobs had a task that crashes each target which starts it: one such task was attempted at up to 12 targets, as only ends reported as failed counted, and the first starts of further such jobs (3.4 a second, 3.2 s of a target each) took away the rest.

Agents report to all entries what ran at a crash (TargetCrash); later connections get the recent reports. core/blame divides the blame of a crash among these tasks, by earlier crashes under them and by the inverse of their run time. A task is given up after three crashes, or two of which it carries half the blame, and its job ends as failed. A route whose tasks crash further targets is confined to its share of the targets (one part in the number of active routes), those that crashed first, and the others don't use these. All entries infer the same, as the reports decide and not their order.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SOURCES := $(shell git ls-files -co --exclude-standard '*.go' | grep -v '\.pb\.go$$')
 
 # A pattern of the tests named in KNOWN-RED.txt, one entry a line that begins with the test's name; it matches none if there are none.
-KNOWN_RED := ^($(shell awk 'NF { printf "%s%s", sep, $$1; sep = "|" } END { if (!sep) printf "none" }' KNOWN-RED.txt 2>/dev/null))$$
+KNOWN_RED := ^($(shell cat KNOWN-RED.txt 2>/dev/null | awk 'NF { sub(":$$", "", $$1); printf "%s%s", sep, $$1; sep = "|" } END { if (!sep) printf "none" }'))$$
 
 .PHONY: check format lint build test wire accept gopls
 
--- /dev/null
+++ b/core/blame/blame.go
@@ -0,0 +1,219 @@
+package blame
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"persimmonstage/core/crash"
+)
+
+const (
+	// retention is how long a crash is remembered; callers give up and resubmit within seconds.
+	retention = 30 * time.Second
+	// maxReports bounds the number of remembered crashes.
+	maxReports = 256
+	// maxCrashes is the number of crashes under a task after which it is given up in any case.
+	maxCrashes = 3
+	// provenCrashes is the same for a task that carries most of the blame of these crashes, on average provenBlame of each.
+	provenCrashes = 2
+	provenBlame   = 0.5
+	// youngestRun is added to run times in weights, so that tasks that were just started share the blame.
+	youngestRun = 2 * time.Millisecond
+	// recurrenceFactor is the factor on a task's weight for each earlier crash under it.
+	recurrenceFactor = 4
+	// blameSpan is the time constant with which the blame of a route decays.
+	blameSpan = 5 * time.Second
+	// maxBlame bounds the blame of a route, so that it is released in a bounded time after its last crash.
+	maxBlame = 3.0
+	// A route is confined from confineBlame on, if it has at least confineFraction of all blame, until its blame is below
+	// releaseBlame or releaseFraction of all blame. One task alone doesn't reach confineBlame before it is given up.
+	confineBlame    = 1.4
+	confineFraction = 0.6
+	releaseBlame    = 0.5
+	releaseFraction = 0.25
+)
+
+// suspect is a task that ran at a target when it crashed.
+type suspect struct {
+	crashes int
+	blame   float64 // sum over the crashes, at most 1 of each
+}
+
+// routeBlame is the decaying blame of a route.
+type routeBlame struct {
+	sum      float64
+	at       time.Time
+	confined bool
+}
+
+func (r *routeBlame) decay(now time.Time) {
+	r.sum *= math.Exp(-max(0, float64(now.Sub(r.at))) / float64(blameSpan))
+	r.at = now
+}
+
+// targetReport is a report with the target that crashed.
+type targetReport struct {
+	target string
+	*crash.Report
+}
+
+// Blame holds the evidence of the recent crashes; create it with New. It is used by one goroutine. What it infers depends only on
+// the reports and not on the order of their arrival, so that all entries infer the same, including one that was just started.
+type Blame struct {
+	reports []targetReport // by time
+	tasks   map[string]*suspect
+	routes  map[string]*routeBlame
+	first   map[string]time.Time // the first crash of each target
+}
+
+// New returns a Blame without evidence.
+func New() *Blame {
+	b := &Blame{}
+	b.clear()
+	return b
+}
+
+func (b *Blame) clear() {
+	b.tasks, b.routes, b.first = make(map[string]*suspect), make(map[string]*routeBlame), make(map[string]time.Time)
+}
+
+// Add takes a report of a target's crash and reports whether it is new.
+func (b *Blame) Add(target string, r *crash.Report) bool {
+	if slices.ContainsFunc(b.reports, func(o targetReport) bool { return o.target == target && o.ID == r.ID }) {
+		return false
+	}
+	b.reports = append(b.reports, targetReport{target, r})
+	slices.SortStableFunc(b.reports, func(x, y targetReport) int { return cmp.Or(x.At.Compare(y.At), cmp.Compare(x.target, y.target)) })
+	if n := len(b.reports); n > maxReports {
+		b.reports = slices.Delete(b.reports, 0, n-maxReports)
+	}
+	b.infer()
+	return true
+}
+
+// infer works out the blame from the reports.
+func (b *Blame) infer() {
+	b.clear()
+	for _, r := range b.reports {
+		if _, known := b.first[r.target]; !known {
+			b.first[r.target] = r.At
+		}
+		b.blameRoutes(r.At, b.blameTasks(r.Report))
+	}
+}
+
+// routeShares is the blame of one crash, by route, and whether a task is involved that was in a crash before.
+type routeShares struct {
+	shares    map[string]float64
+	recurrent bool
+}
+
+// blameTasks divides the blame of a crash among the tasks that ran then. A task that was in earlier crashes is more suspect, and so
+// is one that was started shortly before: nothing is known of the time that a task runs before it crashes its target, so the
+// likelihood falls with the inverse of the run time.
+func (b *Blame) blameTasks(r *crash.Report) routeShares {
+	out := routeShares{shares: make(map[string]float64)}
+	weights := make([]float64, len(r.Tasks))
+	total := 0.0
+	for i, t := range r.Tasks {
+		earlier := b.Crashes(t.Name)
+		out.recurrent = out.recurrent || earlier > 0
+		weights[i] = math.Pow(recurrenceFactor, float64(earlier)) / (t.Ran + youngestRun).Seconds()
+		total += weights[i]
+	}
+	for i, t := range r.Tasks {
+		share := weights[i] / total
+		out.shares[t.Route] += share
+		s := b.tasks[t.Name]
+		if s == nil {
+			s = &suspect{}
+			b.tasks[t.Name] = s
+		}
+		s.crashes++
+		s.blame += share
+	}
+	return out
+}
+
+// blameRoutes adds a crash to the blame of the routes. A crash without a task of an earlier one may have any cause, so it counts
+// only against confined routes.
+func (b *Blame) blameRoutes(at time.Time, crashed routeShares) {
+	for name, share := range crashed.shares {
+		r := b.routes[name]
+		if r == nil {
+			r = &routeBlame{at: at}
+			b.routes[name] = r
+		}
+		r.decay(at)
+		if crashed.recurrent || r.confined {
+			r.sum = min(maxBlame, r.sum+share)
+		}
+	}
+	b.judgeRoutes(at)
+}
+
+// judgeRoutes confines and releases routes.
+func (b *Blame) judgeRoutes(now time.Time) {
+	total := 0.0
+	for _, r := range b.routes {
+		r.decay(now)
+		total += r.sum
+	}
+	for _, r := range b.routes {
+		if r.confined {
+			r.confined = r.sum >= releaseBlame && r.sum >= releaseFraction*total
+		} else {
+			r.confined = r.sum >= confineBlame && r.sum >= confineFraction*total
+		}
+	}
+}
+
+// Expire forgets old crashes and releases routes whose blame has decayed.
+func (b *Blame) Expire(now time.Time) {
+	n := 0
+	for n < len(b.reports) && now.Sub(b.reports[n].At) > retention {
+		n++
+	}
+	if n > 0 {
+		b.reports = slices.Delete(b.reports, 0, n)
+		b.infer()
+	}
+	b.judgeRoutes(now)
+}
+
+// Crashes returns the number of recent crashes under a task.
+func (b *Blame) Crashes(task string) int {
+	if s := b.tasks[task]; s != nil {
+		return s.crashes
+	}
+	return 0
+}
+
+// Proven reports whether a task is to be given up because it crashes targets.
+func (b *Blame) Proven(task string) bool {
+	s := b.tasks[task]
+	if s == nil {
+		return false
+	}
+	return s.crashes >= maxCrashes || s.crashes >= provenCrashes && s.blame >= provenBlame*float64(s.crashes)
+}
+
+// Confined returns the names of the confined routes in alphabetical order.
+func (b *Blame) Confined() []string {
+	var out []string
+	for name, r := range b.routes {
+		if r.confined {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// FirstCrash returns the time of a target's first recent crash, false if there is none.
+func (b *Blame) FirstCrash(target string) (time.Time, bool) {
+	at, ok := b.first[target]
+	return at, ok
+}
--- /dev/null
+++ b/core/blame/blame_test.go
@@ -0,0 +1,108 @@
+package blame
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"persimmonstage/core/crash"
+)
+
+var start = time.Unix(1000, 0)
+
+// report returns a report of a crash at a time, in ms after start, under tasks that ran for 50 ms but for the first one, the cause.
+func report(ms int, cause string, others ...string) *crash.Report {
+	r := &crash.Report{ID: int64(ms), At: start.Add(time.Duration(ms) * time.Millisecond)}
+	r.Tasks = append(r.Tasks, crash.Task{Name: cause, Route: cause[:1], Ran: 10 * time.Millisecond})
+	for _, name := range others {
+		r.Tasks = append(r.Tasks, crash.Task{Name: name, Route: name[:1], Ran: 50 * time.Millisecond})
+	}
+	return r
+}
+
+// deadlyReports are crashes under two tasks of route a, each at two targets, among tasks of other routes.
+func deadlyReports() map[string]*crash.Report {
+	return map[string]*crash.Report{
+		"t1": report(0, "a1", "b1", "b2", "c1"),
+		"t2": report(20, "a1", "b3", "b4", "a3"),
+		"t3": report(40, "a2", "b1", "b5", "c2"),
+		"t4": report(60, "a2", "b6", "c3", "c4"),
+	}
+}
+
+func TestATaskUnderWhichTwoTargetsCrashedIsProven(t *testing.T) {
+	b := New()
+	reports := deadlyReports()
+	b.Add("t1", reports["t1"])
+	require.False(t, b.Proven("a1"))
+	b.Add("t2", reports["t2"])
+	require.True(t, b.Proven("a1"))
+	require.False(t, b.Proven("b1"))
+	require.Empty(t, b.Confined(), "one task alone doesn't confine its route")
+}
+
+func TestABystanderIsProvenOnlyAfterThreeCrashes(t *testing.T) {
+	b := New()
+	for i := range maxCrashes {
+		require.False(t, b.Proven("b1"))
+		b.Add(fmt.Sprint("t", i), report(i, fmt.Sprint("a", i), "b1"))
+	}
+	require.True(t, b.Proven("b1"))
+}
+
+func TestARouteIsConfinedUntilItsBlameHasDecayed(t *testing.T) {
+	b := New()
+	for _, target := range []string{"t1", "t2", "t3", "t4"} {
+		b.Add(target, deadlyReports()[target])
+	}
+	require.Equal(t, []string{"a"}, b.Confined())
+	b.Expire(start.Add(3 * time.Second))
+	require.Equal(t, []string{"a"}, b.Confined())
+	b.Expire(start.Add(10 * time.Second))
+	require.Empty(t, b.Confined())
+}
+
+// TestTargetsThatCrashTogetherConfineNoRoute covers a rack that loses power: no task is in two crashes.
+func TestTargetsThatCrashTogetherConfineNoRoute(t *testing.T) {
+	b := New()
+	for i := range 30 {
+		b.Add(fmt.Sprint("t", i), report(i, fmt.Sprint("a", i), fmt.Sprint("b", i)))
+	}
+	require.Empty(t, b.Confined())
+}
+
+// TestEntriesInferTheSameWhateverTheOrderOfTheReports covers an entry that was started after the crashes and gets the reports from
+// each agent as it connects.
+func TestEntriesInferTheSameWhateverTheOrderOfTheReports(t *testing.T) {
+	reports := deadlyReports()
+	rng := rand.New(rand.NewPCG(1, 1))
+	for range 20 {
+		b := New()
+		names := []string{"t1", "t2", "t3", "t4", "t1"}
+		rng.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+		added := 0
+		for _, name := range names {
+			if b.Add(name, reports[name]) {
+				added++
+			}
+		}
+		require.Equal(t, 4, added)
+		require.Equal(t, []string{"a"}, b.Confined())
+		require.True(t, b.Proven("a2"))
+		at, ok := b.FirstCrash("t3")
+		require.True(t, ok)
+		require.Equal(t, reports["t3"].At, at)
+	}
+}
+
+func TestOldCrashesAreForgotten(t *testing.T) {
+	b := New()
+	b.Add("t1", report(0, "a1"))
+	b.Expire(start.Add(retention + time.Second))
+	require.Zero(t, b.Crashes("a1"))
+	_, ok := b.FirstCrash("t1")
+	require.False(t, ok)
+}
--- a/core/crash/report.go
+++ b/core/crash/report.go
@@ -4,6 +4,7 @@
 
 // Report lists the tasks that ran at a target when its process crashed; it is plain data.
 type Report struct {
+	ID    int64     // identifies the crash among those of the target
 	At    time.Time // of the clock of the process that holds the report
 	Tasks []Task
 }
--- a/core/proof/repeat_test.go
+++ b/core/proof/repeat_test.go
@@ -232,6 +232,8 @@
 
 func (e *repeatEntry) TaskMoved(string, string, int64) {}
 
+func (e *repeatEntry) RouteConfined(string, bool, []string) {}
+
 func (e *repeatEntry) JobEnded(*sched.JobSummary) {}
 
 // repeatAgent is an agent's process together with its target and the calls between them.
--- a/core/runs/listed.go
+++ b/core/runs/listed.go
@@ -26,6 +26,7 @@
 	}
 	wasUsable := r.usable(now)
 	r.lastAnswer = now
+	r.brokenAt = time.Time{}
 	outdated := l.Clock < r.listedClock
 	r.listedClock = max(r.listedClock, l.Clock)
 	if !outdated && r.stopUnknown(now, l) {
--- a/core/runs/runs.go
+++ b/core/runs/runs.go
@@ -87,6 +87,7 @@
 	lastNumbers  map[string]int // last run number of each recent task
 	unknownStops map[Key]time.Time
 	lastAnswer   time.Time // when the target last answered a poll or accepted a start
+	brokenAt     time.Time // when the first connection broke since the last answer
 	listedClock  int64     // the target's clock in the newest list that was processed
 	lastExtended time.Time // when the last call that extends the lease was sent
 	ack          int64
--- a/core/runs/runs_test.go
+++ b/core/runs/runs_test.go
@@ -386,3 +386,19 @@
 	}
 	require.Greater(t, forecasts, 10, "one in each progressPeriod")
 }
+
+// A crash is noticed some milliseconds after it happened, and orders that arrive in between have no part in it.
+func TestACrashReportListsWhatRanWhenTheConnectionBroke(t *testing.T) {
+	g := newHarness(t)
+	g.order(1, "a")
+	g.runs.StartAnswered(g.now, Key{"a", 1}, Accepted, "")
+	g.advance(10 * time.Millisecond)
+	g.runs.ConnectionBroken(g.now)
+	g.advance(5 * time.Millisecond)
+	g.order(2, "b")
+	g.takeLog()
+	g.runs.TargetDown(g.now)
+	require.Equal(t, []string{"crashed a 10", "ended e 1 crashed", "stop b/1"}, g.takeLog())
+	g.runs.TargetDown(g.now)
+	require.Equal(t, []string{"ended e 2 crashed"}, g.takeLog(), "a refused connection after the crash is no further crash")
+}
--- a/core/runs/target.go
+++ b/core/runs/target.go
@@ -39,9 +39,16 @@
 
 // reportCrash reports the tasks that ran when the target's process ended.
 func (r *Runs) reportCrash(now time.Time) {
-	report := &crash.Report{At: now}
+	at := now
+	if !r.brokenAt.IsZero() {
+		at = r.brokenAt
+	}
+	report := &crash.Report{ID: now.UnixNano(), At: at}
 	for _, u := range r.sorted() {
-		report.Tasks = append(report.Tasks, crash.Task{Name: u.key.Task, Route: u.order.Route, Ran: now.Sub(u.began)})
+		if u.how == Crashed || u.began.After(at) { // started before an earlier crash, or after this one
+			continue
+		}
+		report.Tasks = append(report.Tasks, crash.Task{Name: u.key.Task, Route: u.order.Route, Ran: at.Sub(u.began)})
 	}
 	if len(report.Tasks) > 0 {
 		r.out.Crashed(report)
@@ -51,6 +58,7 @@
 // reset ends all runs of the target's earlier process and discards what was learned about it.
 func (r *Runs) reset(now time.Time, how string) {
 	r.clean, r.ack, r.lastAnswer, r.lastExtended, r.listedClock = false, 0, time.Time{}, time.Time{}, 0
+	r.brokenAt = time.Time{}
 	r.pace = pace{}
 	clear(r.unknownStops)
 	r.dropWaiting(now)
@@ -61,6 +69,13 @@
 	r.out.Changed()
 }
 
+// ConnectionBroken records that a connection to the target broke, which is when its process ended if that has happened.
+func (r *Runs) ConnectionBroken(now time.Time) {
+	if r.brokenAt.IsZero() {
+		r.brokenAt = now
+	}
+}
+
 // TargetDown ends all runs: nothing listens at the target's address any more, so its runs have ended with its process.
 func (r *Runs) TargetDown(now time.Time) {
 	if r.instance != nil {
--- a/core/sched/choose.go
+++ b/core/sched/choose.go
@@ -93,9 +93,10 @@
 	return now.Before(j.arrived.Add(time.Duration(safeWaitFraction * float64(j.startDeadline.Sub(j.arrived)))))
 }
 
-// reservePace reserves the targets up to a pace for a waiting job, unless it waits for particular targets (MaxPerTarget).
+// reservePace reserves the targets up to a pace for a waiting job, unless it waits for particular targets (MaxPerTarget, or those
+// of confined routes).
 func (s *Sched) reservePace(j *job, pace float64) {
-	if j.batch.MaxPerTarget == 0 {
+	if j.batch.MaxPerTarget == 0 && !s.confined[j.batch.Route.Name] {
 		s.reservedPace = max(s.reservedPace, pace)
 	}
 }
@@ -151,7 +152,7 @@
 
 // serves reports whether a target currently accepts tasks of the job, regardless of its free capacity.
 func (s *Sched) serves(j *job, to *target) bool {
-	return to.available() && s.fits(j, to)
+	return to.available() && s.admits(j, to) && s.fits(j, to)
 }
 
 // available reports whether a target is connected and usable.
@@ -168,7 +169,7 @@
 
 // hasRoom reports whether a target that serves the job can start the task now.
 func (s *Sched) hasRoom(now time.Time, j *job, t *task, to *target) bool {
-	if to.state.Held || to.state.Pace <= s.reservedPace || t.avoid == to && len(s.targets) > 1 {
+	if to.state.Held || to.state.Pace <= s.reservedPace && to.isolatedFor == "" || t.avoid == to && len(s.targets) > 1 {
 		return false
 	}
 	if to.failures >= probeFailures && (len(to.attempts) > 0 || now.Before(to.pausedUntil)) {
--- /dev/null
+++ b/core/sched/confine.go
@@ -0,0 +1,121 @@
+package sched
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"persimmonstage/core/crash"
+)
+
+// Crashed takes an agent's report of its target's crash. The load pattern is a route of which some jobs crash each target that
+// starts them: such a task is given up after a few crashes, and its route is confined to a share of the targets, which the other
+// routes don't use, as the first start of each further such job costs a target.
+func (s *Sched) Crashed(now time.Time, target string, r *crash.Report) {
+	if s.blame.Add(target, r) {
+		s.isolateTargets(now)
+	}
+}
+
+// isolateTargets gives each confined route the same share of its service's targets as if all active routes were confined. The
+// targets that crashed first are isolated first. All entries know of these crashes, so they isolate the same targets.
+func (s *Sched) isolateTargets(now time.Time) {
+	s.blame.Expire(now)
+	confined := s.blame.Confined()
+	if len(confined) == 0 && len(s.confined) == 0 {
+		return
+	}
+	before := s.confined
+	s.confined = make(map[string]bool)
+	for _, t := range s.targets {
+		t.isolatedFor = ""
+	}
+	for _, route := range confined {
+		service, active := s.services[route], s.activeRoutes(s.services[route])
+		if active > 1 {
+			s.confined[route] = true
+			s.isolate(route, service, active)
+		}
+	}
+	s.logConfined(before)
+}
+
+// logConfined reports the routes whose confinement has changed, with their targets.
+func (s *Sched) logConfined(before map[string]bool) {
+	for route := range s.services {
+		if s.confined[route] == before[route] {
+			continue
+		}
+		var isolated []string
+		for _, t := range s.targets {
+			if t.isolatedFor == route {
+				isolated = append(isolated, t.name)
+			}
+		}
+		s.out.RouteConfined(route, s.confined[route], isolated)
+	}
+}
+
+// activeRoutes returns the number of a service's routes with recent jobs.
+func (s *Sched) activeRoutes(service string) int {
+	n := 0
+	for route := range s.shares.demand {
+		if s.services[route] == service {
+			n++
+		}
+	}
+	return n
+}
+
+// isolate isolates one part in active of a service's targets for a route, at least one.
+func (s *Sched) isolate(route, service string, active int) {
+	var free []*target
+	all := 0
+	for _, t := range s.targets {
+		if t.state.Service != service {
+			continue
+		}
+		all++
+		if t.isolatedFor == "" {
+			free = append(free, t)
+		}
+	}
+	slices.SortFunc(free, s.compareIsolation)
+	n := max(1, int(math.Round(float64(all)/float64(active))))
+	for _, t := range free[:min(n, len(free))] {
+		t.isolatedFor = route
+	}
+}
+
+// compareIsolation orders targets by their first recent crash; those without one come last, in an order that is the same at all
+// entries.
+func (s *Sched) compareIsolation(a, b *target) int {
+	atA, crashedA := s.blame.FirstCrash(a.name)
+	atB, crashedB := s.blame.FirstCrash(b.name)
+	return cmp.Or(
+		compareBool(!crashedA, !crashedB), atA.Compare(atB), cmp.Compare(xxhash.Sum64String(a.name), xxhash.Sum64String(b.name)),
+		cmp.Compare(a.name, b.name),
+	)
+}
+
+// admits reports whether a target is open to a job's route: isolated ones are for one confined route, the others for the routes
+// that aren't confined.
+func (s *Sched) admits(j *job, to *target) bool {
+	if name := j.batch.Route.Name; s.confined[name] {
+		return to.isolatedFor == name
+	}
+	return to.isolatedFor == ""
+}
+
+// provenTask reports whether a job has a task that is known to crash targets.
+func (s *Sched) provenTask(j *job) bool {
+	for i := range j.tasks {
+		if s.blame.Proven(j.batch.TaskName(i)) {
+			return true
+		}
+	}
+	return false
+}
--- a/core/sched/crashing_test.go
+++ b/core/sched/crashing_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"persimmonstage/core/crash"
 )
 
 const (
@@ -101,6 +103,11 @@
 	runs := t.runs
 	t.runs = nil
 	sim.updateDown(t)
+	report := &crash.Report{ID: sim.now.UnixNano(), At: sim.now}
+	for _, r := range runs {
+		report.Tasks = append(report.Tasks, crash.Task{Name: r.start.Task, Route: r.start.Route, Ran: sim.now.Sub(r.startTime)})
+	}
+	sim.sched.Crashed(sim.now, t.name, report)
 	for _, r := range runs {
 		sim.sched.Ended(sim.now, t.name, r.start.Attempt, EndCrashed)
 	}
--- a/core/sched/effects.go
+++ b/core/sched/effects.go
@@ -32,6 +32,8 @@
 	AttemptEnded(task string, number int, target, how string, ran time.Duration)
 	// TaskMoved is called when an attempt is stopped in favour of another target, with its remaining run time.
 	TaskMoved(id, target string, leftMS int64)
+	// RouteConfined is called when a route is confined to some targets because it crashes them, or is released again.
+	RouteConfined(route string, confined bool, targets []string)
 	// JobEnded is called when a job has an outcome.
 	JobEnded(st *JobSummary)
 }
--- a/core/sched/order.go
+++ b/core/sched/order.go
@@ -96,7 +96,7 @@
 func (s *Sched) wouldWaitTooLong(now time.Time, j *job) bool {
 	ahead, backlog := 1, false
 	for _, o := range s.queue {
-		if o.ended || o.waiting == 0 || now.Before(o.ready) || !o.precedes(j) {
+		if o.ended || o.waiting == 0 || now.Before(o.ready) || !o.precedes(j) || !s.sameTargets(o, j) {
 			continue
 		}
 		ahead += o.waiting
@@ -110,6 +110,12 @@
 	return backlog && float64(rate.timeFor(now, ahead)) > waitMargin*float64(j.startDeadline.Sub(now))
 }
 
+// sameTargets reports whether two jobs of a service may use the same targets.
+func (s *Sched) sameTargets(a, b *job) bool {
+	nameA, nameB := a.batch.Route.Name, b.batch.Route.Name
+	return nameA == nameB || !s.confined[nameA] && !s.confined[nameB]
+}
+
 // precedes reports whether an unstarted job is served before another one.
 func (j *job) precedes(other *job) bool {
 	return cmp.Or(compareBool(j.overShare, other.overShare), j.startDeadline.Compare(other.startDeadline)) < 0
--- a/core/sched/overload_test.go
+++ b/core/sched/overload_test.go
@@ -119,6 +119,8 @@
 
 func (sim *overloadSim) TaskMoved(_, _ string, _ int64) {}
 
+func (sim *overloadSim) RouteConfined(string, bool, []string) {}
+
 func (sim *overloadSim) JobEnded(*JobSummary) {}
 
 const (
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"persimmonstage/core/batch"
+	"persimmonstage/core/blame"
 	"persimmonstage/core/jobend"
 	"persimmonstage/core/times"
 )
@@ -47,6 +48,8 @@
 	Exhausted  = "attempts-exhausted"
 	Withdrawn  = "withdrawn"
 	CallerLeft = "caller-left"
+	Crashing   = "crashes-targets" // a task of the job crashes the targets that start it
+	Confined   = "confined"        // the route crashes targets, and those that it is confined to are down
 )
 
 // Sched schedules an entry's repeatable jobs on the targets that are connected to the entry; create it with New.
@@ -70,8 +73,11 @@
 	startRate    startRate
 	overRate     startRate // of the jobs of routes above their share
 	shares       shares
-	reservedPace float64     // targets up to this pace are reserved for a waiting job
-	safe         []candidate // reused by choose
+	blame        *blame.Blame
+	confined     map[string]bool   // the routes that are confined to isolated targets
+	services     map[string]string // by route
+	reservedPace float64           // targets up to this pace are reserved for a waiting job
+	safe         []candidate       // reused by choose
 	tight        []candidate
 	rest         []candidate
 	paces        []float64          // reused by medianPace
@@ -89,6 +95,9 @@
 		meanLogs:   make(map[string]float64),
 		fastest:    make(map[string]float64),
 		shares:     newShares(),
+		blame:      blame.New(),
+		confined:   make(map[string]bool),
+		services:   make(map[string]string),
 	}
 }
 
@@ -110,6 +119,10 @@
 	}
 	j := s.addJob(now, b, number)
 	j.waiters = append(j.waiters, waiter{s.lastCaller, w})
+	if s.provenTask(j) {
+		s.endJob(now, j, jobend.Outcome{Kind: jobend.Failed, Reason: Crashing})
+		return s.lastCaller
+	}
 	if reason := s.refusalReason(now, j); reason != "" {
 		s.refuse(now, j, reason)
 		return s.lastCaller
@@ -141,6 +154,10 @@
 	j.objective = now.Add(objective)
 	s.shares.arrived(now, b.Route.Name, float64(b.Tasks)*j.taskWork())
 	s.shares.update(now)
+	if _, known := s.services[b.Route.Name]; !known {
+		s.services[b.Route.Name] = b.Route.Service
+		s.isolateTargets(now)
+	}
 	j.overShare = s.shares.over[b.Route.Name]
 	j.startDeadline = now.Add(time.Duration(startFraction(j.overShare) * float64(objective)))
 	if now.Sub(s.lastTick) > stallThreshold {
@@ -198,6 +215,9 @@
 func (s *Sched) refusalReasonNow(now time.Time, j *job) string {
 	switch s.checkTargets(now, j) {
 	case targetsNone:
+		if s.confined[j.batch.Route.Name] {
+			return Confined
+		}
 		return ""
 	case targetsLate:
 		return TooLong
@@ -313,6 +333,7 @@
 		s.hadTargetAt = now
 	}
 	s.expireTargets(now)
+	s.isolateTargets(now)
 	for _, j := range s.live {
 		s.expireJob(now, j)
 	}
@@ -335,6 +356,8 @@
 	case len(s.targets) == 0 && j.waiting == j.left:
 		// Nothing of the job runs any more, and its caller can send it to another entry.
 		s.endJob(now, j, jobend.Outcome{Kind: jobend.Unfinished, Reason: NoTarget})
+	case j.waiting == j.left && s.confined[j.batch.Route.Name] && s.checkTargets(now, j) == targetsNone:
+		s.endJob(now, j, jobend.Outcome{Kind: jobend.Unfinished, Reason: Confined})
 	case j.waiting > 0 && s.outOfTime(now, j):
 		s.endJob(now, j, jobend.Outcome{Kind: jobend.Unfinished, Reason: NoTimeLeft})
 	}
@@ -345,6 +368,8 @@
 func (s *Sched) expireUnstarted(now time.Time, j *job) {
 	targets := s.checkTargets(now, j)
 	switch {
+	case targets == targetsNone && s.confined[j.batch.Route.Name]:
+		s.refuse(now, j, Confined)
 	case targets == targetsNone && now.Add(j.expected).Before(j.objective):
 		j.startDeadline = times.Later(j.startDeadline, now.Add(reconnectTime))
 	case targets == targetsNone && now.After(j.startDeadline):
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -36,6 +36,8 @@
 func (h *harness) AttemptEnded(string, int, string, string, time.Duration) {}
 func (h *harness) TaskMoved(_, _ string, _ int64)                          { h.moves++ }
 
+func (h *harness) RouteConfined(string, bool, []string) {}
+
 func (h *harness) JobEnded(st *JobSummary) { h.summaries = append(h.summaries, st) }
 
 func (h *harness) advance(d time.Duration) { h.now = h.now.Add(d); h.sched.Tick(h.now) }
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -34,6 +34,7 @@
 	sentMillicores uint64
 	sentMemoryMB   uint64
 	failures       int       // consecutive
+	isolatedFor    string    // the only route that may use it; empty if it isn't isolated
 	pausedUntil    time.Time // no attempts until then, after consecutive failures
 }
 
--- a/core/sched/targets.go
+++ b/core/sched/targets.go
@@ -129,6 +129,12 @@
 			return
 		}
 		t.avoid = a.target
+	case EndCrashed:
+		if s.blame.Proven(a.name) {
+			s.endJob(now, j, jobend.Outcome{Kind: jobend.Failed, Reason: Crashing})
+			return
+		}
+		t.avoid = a.target
 	case EndNoRoom:
 		t.avoid = nil
 	default:
--- a/io/runsd/daemon.go
+++ b/io/runsd/daemon.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"persimmonstage/core/crash"
 	"persimmonstage/core/fetch"
 	"persimmonstage/core/ident"
 	"persimmonstage/core/newest"
@@ -43,6 +44,10 @@
 	// stateLogPeriod is the time between two log lines about the target's state.
 	stateLogPeriod = 2 * time.Second
 	permille       = 1000
+	// maxCrashReports is the number of the target's latest crashes that are kept for entries that connect later, and
+	// crashRetention is how long each is.
+	maxCrashReports = 16
+	crashRetention  = 30 * time.Second
 )
 
 // target is the target on the agent's host.
@@ -78,6 +83,7 @@
 
 	calls      rtt.Estimator // of the calls to the target
 	pollLosses int           // consecutive
+	crashes    []*crash.Report
 
 	links  map[string]*link // by address
 	conns  map[uint64]*link
--- a/io/runsd/effects.go
+++ b/io/runsd/effects.go
@@ -44,9 +44,16 @@
 		zap.String("entry", entry), zap.String("how", how), zap.Uint32("ran-ms", ranMS))
 }
 
-// Crashed counts and logs a crash of the target with the tasks that ran then.
+// Crashed logs a crash of the target with the tasks that ran then, and reports it to all entries.
 func (e effects) Crashed(c *crash.Report) {
 	e.d.metrics.crashes.Inc()
+	e.d.crashes = append(e.d.crashes, c)
+	if n := len(e.d.crashes); n > maxCrashReports {
+		e.d.crashes = slices.Delete(e.d.crashes, 0, n-maxCrashReports)
+	}
+	for _, l := range e.d.owners {
+		e.d.sendCrash(l, c)
+	}
 	tasks := make([]string, 0, len(c.Tasks))
 	for _, t := range c.Tasks {
 		tasks = append(tasks, fmt.Sprintf("%s@%d", t.Name, t.Ran.Milliseconds()))
@@ -54,6 +61,15 @@
 	e.d.log.Warn("target crashed", zap.Strings("tasks", tasks))
 }
 
+// sendCrash reports a crash of the target to an entry.
+func (d *Daemon) sendCrash(l *link, c *crash.Report) {
+	m := &wire.TargetCrash{Stamp: c.ID, AgeMs: uint32(uptime.Now().Sub(c.At).Milliseconds())}
+	for _, t := range c.Tasks {
+		m.Tasks = append(m.Tasks, &wire.CrashedTask{Task: t.Name, Route: t.Route, RanMs: uint32(t.Ran.Milliseconds())})
+	}
+	d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_TargetCrash{TargetCrash: m}})
+}
+
 // Forecast adds the remaining run time of an attempt to its owner's report.
 func (e effects) Forecast(owner string, attempt uint64, left time.Duration) {
 	if l := e.d.queueReport(owner); l != nil {
--- a/io/runsd/links.go
+++ b/io/runsd/links.go
@@ -218,11 +218,21 @@
 	d.subset.Up(l.addr)
 	d.logOwner("entry joined", l)
 	d.runs.RecordEcho(l.owner, time.Unix(0, a.Stamp))
+	d.sendCrashes(l)
 	d.runs.ResendEnds(l.owner, a.Open)
 	d.spread.SetVersion(uptime.Now(), l.addr, a.DocumentVersion, d.doc.Version())
 	effects{d}.Changed()
 }
 
+// sendCrashes reports the target's recent crashes to an entry that has connected.
+func (d *Daemon) sendCrashes(l *link) {
+	for _, c := range d.crashes {
+		if uptime.Now().Sub(c.At) < crashRetention {
+			d.sendCrash(l, c)
+		}
+	}
+}
+
 func (d *Daemon) heartbeatAnswered(l *link, a *wire.TargetBeatAnswer) {
 	d.runs.RecordEcho(l.owner, time.Unix(0, a.Stamp))
 	d.addLinks(a.Entries)
--- a/io/runsd/target.go
+++ b/io/runsd/target.go
@@ -99,9 +99,13 @@
 	if d.runs.Instance() != nil && !d.isCurrent(p.instance) {
 		return
 	}
-	if errors.Is(err, syscall.ECONNREFUSED) {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
 		d.runs.TargetDown(now)
-	} else {
+	case now.Before(p.AnswerBy):
+		d.runs.ConnectionBroken(now)
+		d.calls.Lost(now)
+	default:
 		d.calls.Lost(now)
 	}
 	d.pollLosses++
--- a/io/schedd/effects.go
+++ b/io/schedd/effects.go
@@ -56,6 +56,12 @@
 	e.d.log.Info("task moved", zap.String("id", id), zap.String("agent", target), zap.Int64("left-ms", leftMS))
 }
 
+// RouteConfined counts and logs that a route is confined to isolated targets or released.
+func (e effects) RouteConfined(route string, confined bool, targets []string) {
+	e.d.metrics.confinements.Inc()
+	e.d.log.Warn("route confined", zap.String("route", route), zap.Bool("confined", confined), zap.Strings("agents", targets))
+}
+
 // JobEnded counts and logs the outcome of a job.
 func (e effects) JobEnded(st *sched.JobSummary) {
 	e.d.metrics.jobs.WithLabelValues(st.Outcome.Kind.String()).Inc()
--- a/io/schedd/links.go
+++ b/io/schedd/links.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"persimmonstage/core/crash"
 	"persimmonstage/core/sched"
 	"persimmonstage/io/uptime"
 	"persimmonstage/io/wire"
@@ -57,6 +58,8 @@
 		d.heartbeat(now, l, b.TargetBeat)
 	case *wire.Frame_RunReport:
 		d.report(now, l, b.RunReport)
+	case *wire.Frame_TargetCrash:
+		d.targetCrashed(now, l, b.TargetCrash)
 	case *wire.Frame_Document:
 		d.UpdateDocument(b.Document.Version, b.Document.Data)
 	case *wire.Frame_DocumentWant:
@@ -144,6 +147,17 @@
 	}
 }
 
+func (d *Daemon) targetCrashed(now time.Time, l *link, m *wire.TargetCrash) {
+	if l.name == "" {
+		return
+	}
+	report := &crash.Report{ID: m.Stamp, At: now.Add(-time.Duration(m.AgeMs) * time.Millisecond)}
+	for _, t := range m.Tasks {
+		report.Tasks = append(report.Tasks, crash.Task{Name: t.Task, Route: t.Route, Ran: time.Duration(t.RanMs) * time.Millisecond})
+	}
+	d.sched.Crashed(now, l.name, report)
+}
+
 // endLabel returns the metric label for how an attempt ended; unknown values become "other", which bounds the cardinality.
 func endLabel(how string) string {
 	switch how {
--- a/io/schedd/metrics.go
+++ b/io/schedd/metrics.go
@@ -4,13 +4,15 @@
 
 // metrics holds the daemon's Prometheus metrics.
 type metrics struct {
-	jobs     *prometheus.CounterVec
-	ends     *prometheus.CounterVec
-	starts   prometheus.Counter
-	stops    prometheus.Counter
-	moves    prometheus.Counter
-	waited   prometheus.Histogram
-	response *prometheus.HistogramVec
+	jobs   *prometheus.CounterVec
+	ends   *prometheus.CounterVec
+	starts prometheus.Counter
+	stops  prometheus.Counter
+	moves  prometheus.Counter
+	// confinements counts both confinements and releases of routes.
+	confinements prometheus.Counter
+	waited       prometheus.Histogram
+	response     *prometheus.HistogramVec
 }
 
 const (
@@ -37,6 +39,9 @@
 		moves: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "persimmonstage_tasks_moved_total", Help: "Attempts stopped in favour of another target.",
 		}),
+		confinements: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "persimmonstage_route_confinements_total", Help: "Routes confined to isolated targets because they crash targets, or released.",
+		}),
 		waited: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "persimmonstage_repeatable_wait_seconds", Help: "Time from a job's arrival to its first start.", Buckets: bounds,
 		}),
@@ -44,6 +49,6 @@
 			Name: "persimmonstage_repeatable_response_seconds", Help: "Time from a job's arrival to its end, by fate.", Buckets: bounds,
 		}, []string{"fate"}),
 	}
-	reg.MustRegister(m.jobs, m.ends, m.starts, m.stops, m.moves, m.waited, m.response)
+	reg.MustRegister(m.jobs, m.ends, m.starts, m.stops, m.moves, m.confinements, m.waited, m.response)
 	return m
 }
