Let agents of crashed targets connect to new entries

An agent that was clean once has no runs of its earlier process left, whatever becomes of the target, and may connect; its target stays unusable until it is back and clean.

--- a/core/runs/listed.go
+++ b/core/runs/listed.go
@@ -70,7 +70,7 @@
 		r.ack = max(r.ack, f.Index)
 	}
 	if !left {
-		r.clean = true
+		r.clean, r.established = true, true
 		clear(r.unknownStops)
 		r.out.Changed()
 	}
--- a/core/runs/runs.go
+++ b/core/runs/runs.go
@@ -78,6 +78,7 @@
 	out          effects
 	instance     *Instance
 	clean        bool // nothing that earlier processes of the agent started runs at the target
+	established  bool // clean since the agent started
 	leaving      bool
 	owners       map[string]*owner
 	runs         map[Key]*run
--- a/core/runs/runs_test.go
+++ b/core/runs/runs_test.go
@@ -402,3 +402,17 @@
 	g.runs.TargetDown(g.now)
 	require.Equal(t, []string{"ended e 2 crashed"}, g.takeLog(), "a refused connection after the crash is no further crash")
 }
+
+// TestAnAgentStaysEstablishedAfterACrash guards against an entry that starts while targets are down and doesn't learn of their
+// crashes: agents connected to it only once their target was back.
+func TestAnAgentStaysEstablishedAfterACrash(t *testing.T) {
+	g := &harness{t: t, now: time.Unix(1000, 0)}
+	g.runs = New(g)
+	g.runs.Announced(g.now, newInstance("i-1", 5, 1))
+	require.False(t, g.runs.Established(), "runs of an earlier process of the agent may be left")
+	g.poll(nil, nil)
+	require.True(t, g.runs.Established())
+	g.runs.TargetDown(g.now)
+	require.False(t, g.runs.Clean())
+	require.True(t, g.runs.Established())
+}
--- a/core/runs/target.go
+++ b/core/runs/target.go
@@ -105,6 +105,10 @@
 // Clean reports whether no run of an earlier process of the agent can be left at the target.
 func (r *Runs) Clean() bool { return r.clean }
 
+// Established reports whether no run of an earlier process of the agent can be left, as Clean, but stays true after a crash of the
+// target.
+func (r *Runs) Established() bool { return r.established }
+
 // Silent reports whether the target has not answered for so long that its lease isn't extended.
 func (r *Runs) Silent(now time.Time) bool { return now.Sub(r.lastAnswer) > extendWithin }
 
--- a/io/runsd/links.go
+++ b/io/runsd/links.go
@@ -66,7 +66,7 @@
 		d.subset.Remove(l.addr)
 		d.log.Info("entry forgotten", zap.String("entry", l.entry), zap.String("address", l.addr))
 	case l.conn == 0:
-		if d.runs.Clean() && d.subset.Selected(l.addr) && !l.dialing && !now.Before(l.nextDial) {
+		if d.runs.Established() && d.subset.Selected(l.addr) && !l.dialing && !now.Before(l.nextDial) {
 			d.dial(l)
 		}
 	case now.Sub(l.lastReceived) > silenceTimeout:
