Keep suspects of a confined route from taking down its other targets

A suspect is now attempted again only while more than half of the route's targets are up, else its job ends at once.

--- a/core/sched/confine.go
+++ b/core/sched/confine.go
@@ -110,6 +110,39 @@
 	return to.isolatedFor == ""
 }
 
+// mayAttempt reports whether a task may be attempted. A suspect of a confined route most likely costs a further target, so it is
+// attempted again only while more than half of the route's targets are up.
+func (s *Sched) mayAttempt(j *job, i int) bool {
+	route := j.batch.Route.Name
+	if !s.confined[route] || s.blame.Crashes(j.batch.TaskName(i)) == 0 {
+		return true
+	}
+	all, up := 0, 0
+	for _, t := range s.targets {
+		if t.isolatedFor != route {
+			continue
+		}
+		all++
+		if t.available() {
+			up++
+		}
+	}
+	return 2*up > all
+}
+
+// isBlocked reports whether a started job waits for an attempt that it can't get soon: its targets are down, or a task is suspect.
+func (s *Sched) isBlocked(now time.Time, j *job) bool {
+	if !s.confined[j.batch.Route.Name] || j.waiting == 0 {
+		return false
+	}
+	for i := range j.tasks {
+		if t := &j.tasks[i]; !t.done && t.attempt == nil && !s.mayAttempt(j, i) {
+			return true
+		}
+	}
+	return j.waiting == j.left && s.checkTargets(now, j) == targetsNone
+}
+
 // provenTask reports whether a job has a task that is known to crash targets.
 func (s *Sched) provenTask(j *job) bool {
 	for i := range j.tasks {
--- a/core/sched/order.go
+++ b/core/sched/order.go
@@ -155,6 +155,9 @@
 		if t.done || t.attempt != nil || s.openByTask[j.batch.TaskName(i)] != nil {
 			continue
 		}
+		if !s.mayAttempt(j, i) {
+			continue
+		}
 		to := s.choose(now, j, t)
 		if to == nil {
 			return
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -356,7 +356,7 @@
 	case len(s.targets) == 0 && j.waiting == j.left:
 		// Nothing of the job runs any more, and its caller can send it to another entry.
 		s.endJob(now, j, jobend.Outcome{Kind: jobend.Unfinished, Reason: NoTarget})
-	case j.waiting == j.left && s.confined[j.batch.Route.Name] && s.checkTargets(now, j) == targetsNone:
+	case s.isBlocked(now, j):
 		s.endJob(now, j, jobend.Outcome{Kind: jobend.Unfinished, Reason: Confined})
 	case j.waiting > 0 && s.outOfTime(now, j):
 		s.endJob(now, j, jobend.Outcome{Kind: jobend.Unfinished, Reason: NoTimeLeft})
