Compare the run times up to crashes before blaming a task again

A task that crashes its targets does so at about the same point of its run; earlier crashes count only if the run times differ by at most a factor of two. TestBystandersOfSeveralCrashesDontConfineTheirRoute failed before.

--- a/core/blame/blame.go
+++ b/core/blame/blame.go
@@ -21,8 +21,10 @@
 	provenBlame   = 0.5
 	// youngestRun is added to run times in weights, so that tasks that were just started share the blame.
 	youngestRun = 2 * time.Millisecond
-	// recurrenceFactor is the factor on a task's weight for each earlier crash under it.
+	// recurrenceFactor is the factor on a task's weight for each earlier crash under it, if the run times up to this crash and the
+	// last one differ by at most sameRunRatio.
 	recurrenceFactor = 4
+	sameRunRatio     = 2.0
 	// blameSpan is the time constant with which the blame of a route decays.
 	blameSpan = 5 * time.Second
 	// maxBlame bounds the blame of a route, so that it is released in a bounded time after its last crash.
@@ -38,7 +40,20 @@
 // suspect is a task that ran at a target when it crashed.
 type suspect struct {
 	crashes int
-	blame   float64 // sum over the crashes, at most 1 of each
+	blame   float64       // sum over the crashes, at most 1 of each
+	ran     time.Duration // up to the last crash
+}
+
+// weight returns the weight of a task that ran for a time up to a further crash; s is nil at its first one.
+func (s *suspect) weight(ran time.Duration) float64 {
+	w := 1 / (ran + youngestRun).Seconds()
+	if s == nil {
+		return w
+	}
+	if ratio := float64(ran+youngestRun) / float64(s.ran+youngestRun); ratio > sameRunRatio || ratio < 1/sameRunRatio {
+		return w
+	}
+	return w * math.Pow(recurrenceFactor, float64(s.crashes))
 }
 
 // routeBlame is the decaying blame of a route.
@@ -112,15 +127,16 @@
 
 // blameTasks divides the blame of a crash among the tasks that ran then. A task that was in earlier crashes is more suspect, and so
 // is one that was started shortly before: nothing is known of the time that a task runs before it crashes its target, so the
-// likelihood falls with the inverse of the run time.
+// likelihood falls with the inverse of the run time. A task crashes its targets at about the same point of its run, so that a
+// bystander of an earlier crash that ran for another time is no more suspect than others.
 func (b *Blame) blameTasks(r *crash.Report) routeShares {
 	out := routeShares{shares: make(map[string]float64)}
 	weights := make([]float64, len(r.Tasks))
 	total := 0.0
 	for i, t := range r.Tasks {
-		earlier := b.Crashes(t.Name)
-		out.recurrent = out.recurrent || earlier > 0
-		weights[i] = math.Pow(recurrenceFactor, float64(earlier)) / (t.Ran + youngestRun).Seconds()
+		s := b.tasks[t.Name]
+		out.recurrent = out.recurrent || s != nil
+		weights[i] = s.weight(t.Ran)
 		total += weights[i]
 	}
 	for i, t := range r.Tasks {
@@ -133,6 +149,7 @@
 		}
 		s.crashes++
 		s.blame += share
+		s.ran = t.Ran
 	}
 	return out
 }
--- a/core/blame/blame_test.go
+++ b/core/blame/blame_test.go
@@ -106,3 +106,18 @@
 	_, ok := b.FirstCrash("t1")
 	require.False(t, ok)
 }
+
+// TestBystandersOfSeveralCrashesDontConfineTheirRoute covers a fleet in which most tasks were in a crash before: those of the busiest
+// route, retried at once, are at the next crash again, after another run time than before.
+func TestBystandersOfSeveralCrashesDontConfineTheirRoute(t *testing.T) {
+	b := New()
+	for i := range 6 {
+		r := report(20*i, fmt.Sprint("a", i/2))
+		for k := range 3 {
+			ran := []time.Duration{5, 25, 125}[(i+k)%3] * time.Millisecond
+			r.Tasks = append(r.Tasks, crash.Task{Name: fmt.Sprint("b", k), Route: "b", Ran: ran})
+		}
+		b.Add(fmt.Sprint("t", i), r)
+	}
+	require.NotContains(t, b.Confined(), "b")
+}
