--- a/core/runs/effects.go
+++ b/core/runs/effects.go
@@ -61,6 +61,11 @@
 	return l.ID == m.ID && l.Born == m.Born && l.Addr == m.Addr
 }
 
+// SameCapacity reports whether two announcements state the same capacity, which may change while a target runs.
+func (l *Instance) SameCapacity(m *Instance) bool {
+	return l.Millicores == m.Millicores && l.MemoryMB == m.MemoryMB
+}
+
 // Listing is the target's answer to a poll; it is plain data.
 type Listing struct {
 	Born     int64
--- a/core/runs/runs_test.go
+++ b/core/runs/runs_test.go
@@ -17,6 +17,8 @@
 	now   time.Time
 	log   []string
 	until time.Time
+	// changes counts the calls of Changed.
+	changes int
 }
 
 func (g *harness) Start(k Key, _ *Order, until time.Time) {
@@ -37,7 +39,7 @@
 		g.log = append(g.log, fmt.Sprintf("crashed %s %d", task.Name, task.Ran.Milliseconds()))
 	}
 }
-func (g *harness) Changed()                                   {}
+func (g *harness) Changed()                                   { g.changes++ }
 func (g *harness) Closed(Key, string, uint64, string, uint32) {}
 
 const (
@@ -416,3 +418,24 @@
 	require.False(t, g.runs.Clean())
 	require.True(t, g.runs.Established())
 }
+
+// TestAShrunkCapacityIsReportedAtOnce guards against starts that bring a target over a capacity which has shrunk while it runs.
+func TestAShrunkCapacityIsReportedAtOnce(t *testing.T) {
+	g := newHarness(t)
+	g.order(1, "a")
+	g.changes = 0
+	shrunk := newInstance("i-1", 5, 2)
+	shrunk.Millicores = need + need/2
+	require.False(t, g.runs.Announced(g.now, shrunk))
+	require.Equal(t, 1, g.changes)
+	require.Equal(t, shrunk.Millicores, g.runs.State(g.now, "e").Millicores)
+	g.takeLog()
+	g.order(2, "b")
+	g.advance(roomWait + time.Millisecond)
+	g.runs.Tick(g.now)
+	require.Equal(t, []string{"ended e 2 room"}, g.takeLog())
+	g.runs.RecordEcho("e", g.now)
+	g.runs.Announced(g.now, newInstance("i-1", 5, 3))
+	g.order(3, "b")
+	require.Equal(t, []string{"start b/1"}, g.takeLog(), "the capacity has grown again")
+}
--- a/core/runs/target.go
+++ b/core/runs/target.go
@@ -12,7 +12,7 @@
 		if l.Sequence < r.instance.Sequence {
 			return false
 		}
-		changed := r.instance.Draining != l.Draining
+		changed := r.instance.Draining != l.Draining || !r.instance.SameCapacity(l)
 		r.instance = l
 		if changed {
 			r.out.Changed()
