--- a/core/blame/blame.go
+++ b/core/blame/blame.go
@@ -10,9 +10,11 @@
 )
 
 const (
-	// retention is how long a crash is remembered; callers give up and resubmit within seconds.
-	retention = 30 * time.Second
-	// maxReports bounds the number of remembered crashes.
+	// retention is how long a crash is remembered at least; callers give up and resubmit within seconds. Old crashes are forgotten
+	// every forgetPeriod, as everything is inferred anew then.
+	retention    = 30 * time.Second
+	forgetPeriod = time.Second
+	// maxReports is the number of crashes that are kept when there are twice as many.
 	maxReports = 256
 	// maxCrashes is the number of crashes under a task after which it is given up in any case.
 	maxCrashes = 3
@@ -99,24 +101,43 @@
 	if slices.ContainsFunc(b.reports, func(o targetReport) bool { return o.target == target && o.ID == r.ID }) {
 		return false
 	}
-	b.reports = append(b.reports, targetReport{target, r})
-	slices.SortStableFunc(b.reports, func(x, y targetReport) int { return cmp.Or(x.At.Compare(y.At), cmp.Compare(x.target, y.target)) })
-	if n := len(b.reports); n > maxReports {
-		b.reports = slices.Delete(b.reports, 0, n-maxReports)
+	added := targetReport{target, r}
+	n := len(b.reports)
+	b.reports = append(b.reports, added)
+	if n < 2*maxReports && (n == 0 || b.reports[n-1].compare(added) < 0) {
+		b.inferFrom(added)
+		return true
 	}
-	b.infer()
+	slices.SortStableFunc(b.reports, targetReport.compare)
+	b.keep(maxReports)
 	return true
 }
 
+// compare orders reports by time.
+func (r targetReport) compare(o targetReport) int {
+	return cmp.Or(r.At.Compare(o.At), cmp.Compare(r.target, o.target))
+}
+
+// keep forgets all but the last n reports and infers everything anew.
+func (b *Blame) keep(n int) {
+	b.reports = slices.Delete(b.reports, 0, max(0, len(b.reports)-n))
+	b.infer()
+}
+
 // infer works out the blame from the reports.
 func (b *Blame) infer() {
 	b.clear()
 	for _, r := range b.reports {
-		if _, known := b.first[r.target]; !known {
-			b.first[r.target] = r.At
-		}
-		b.blameRoutes(r.At, b.blameTasks(r.Report))
+		b.inferFrom(r)
+	}
+}
+
+// inferFrom adds the latest report to what was inferred from the earlier ones.
+func (b *Blame) inferFrom(r targetReport) {
+	if _, known := b.first[r.target]; !known {
+		b.first[r.target] = r.At
 	}
+	b.blameRoutes(r.At, b.blameTasks(r.Report))
 }
 
 // routeShares is the blame of one crash, by route, and whether a task is involved that was in a crash before.
@@ -189,13 +210,12 @@
 
 // Expire forgets old crashes and releases routes whose blame has decayed.
 func (b *Blame) Expire(now time.Time) {
-	n := 0
-	for n < len(b.reports) && now.Sub(b.reports[n].At) > retention {
-		n++
-	}
-	if n > 0 {
-		b.reports = slices.Delete(b.reports, 0, n)
-		b.infer()
+	if len(b.reports) > 0 && now.Sub(b.reports[0].At) > retention+forgetPeriod {
+		old := slices.IndexFunc(b.reports, func(r targetReport) bool { return now.Sub(r.At) <= retention })
+		if old < 0 {
+			old = len(b.reports)
+		}
+		b.keep(len(b.reports) - old)
 	}
 	b.judgeRoutes(now)
 }
