--- a/core/trace/trace.go
+++ b/core/trace/trace.go
@@ -121,11 +121,16 @@
 	case "refused":
 		return t.explainRefusal(end)
 	case "failed":
-		return fmt.Sprintf("a task failed in every permitted attempt%s", t.failures())
+		if end.Text("reason") == "crashes-targets" {
+			return fmt.Sprintf("a task crashed the targets that started it%s", t.agentsWhere("crashed"))
+		}
+		return fmt.Sprintf("a task failed in every permitted attempt%s", t.agentsWhere("failed"))
 	case "unfinished":
 		switch end.Text("reason") {
 		case "too-long":
 			return fmt.Sprintf("given up after %d ms, as a task would have run past the deadline%s", took, openTasks(end))
+		case "confined":
+			return fmt.Sprintf("given up after %d ms, as its queue crashes targets, and most of those that are left to it are down%s", took, t.delays())
 		case "no-target":
 			return fmt.Sprintf("given up after %d ms, as the entry had lost all targets and nothing of it ran any more%s", took, t.delays())
 		}
@@ -148,6 +153,8 @@
 		return "refused: the entry knew no target of the queue's service"
 	case "too-large":
 		return "refused: a task takes more than any target holds"
+	case "confined":
+		return "refused: its queue crashes targets, and those that are left to it are down"
 	}
 	return "refused: " + end.Text("reason")
 }
@@ -160,11 +167,11 @@
 	return fmt.Sprintf("; open at %v (target@pace)", list)
 }
 
-// failures lists the agents at which attempts failed.
-func (t *Trace) failures() string {
+// agentsWhere lists the agents at which attempts ended in one way.
+func (t *Trace) agentsWhere(how string) string {
 	var at []string
 	for _, l := range t.lines {
-		if l.Message == record.AttemptEnded && l.Text("how") == "failed" {
+		if l.Message == record.AttemptEnded && l.Text("how") == how {
 			at = append(at, l.Text("agent"))
 		}
 	}
