Leave every route a target when others are confined

A route was confined to a rounded share of its service's targets whatever the others had left: on a service with one target and two routes the confined one took the only target, and one without jobs kept its share unused. Found by reading; at least one target is left for each other active route now, none is confined if there are fewer targets than routes, and a confined route without recent jobs takes no targets until its next job. With eleven targets and three routes the share stays four. TestEveryRouteKeepsATarget and TestAConfinedRouteWithoutJobsTakesNoTargets cover it; they were not run on the code before, whose functions differ. A job's tasks are looked up among the suspects only if there are any.

--- a/core/blame/blame.go
+++ b/core/blame/blame.go
@@ -220,6 +220,9 @@
 	b.judgeRoutes(now)
 }
 
+// HasSuspects reports whether there was a recent crash.
+func (b *Blame) HasSuspects() bool { return len(b.tasks) > 0 }
+
 // Crashes returns the number of recent crashes under a task.
 func (b *Blame) Crashes(task string) int {
 	if s := b.tasks[task]; s != nil {
--- a/core/sched/confine.go
+++ b/core/sched/confine.go
@@ -34,10 +34,8 @@
 		t.isolatedFor = ""
 	}
 	for _, route := range confined {
-		service, active := s.services[route], s.activeRoutes(s.services[route])
-		if active > 1 {
+		if s.isActive(route) && s.isolate(route) {
 			s.confined[route] = true
-			s.isolate(route, service, active)
 		}
 	}
 	s.logConfined(before)
@@ -59,21 +57,42 @@
 	}
 }
 
-// activeRoutes returns the number of a service's routes with recent jobs.
-func (s *Sched) activeRoutes(service string) int {
-	n := 0
+// isActive reports whether a route had jobs recently.
+func (s *Sched) isActive(route string) bool { return s.shares.demand[route] != nil }
+
+// unconfinedRoutes returns the number of a service's active routes that aren't confined, and of all its active routes.
+func (s *Sched) unconfinedRoutes(service string) (unconfined, active int) {
 	for route := range s.shares.demand {
-		if s.services[route] == service {
-			n++
+		if s.services[route] != service {
+			continue
+		}
+		active++
+		if !s.confined[route] {
+			unconfined++
 		}
 	}
-	return n
+	return unconfined, active
 }
 
-// isolate isolates one part in active of a service's targets for a route, at least one.
-func (s *Sched) isolate(route, service string, active int) {
-	var free []*target
-	all := 0
+// isolate isolates a route's share of its service's targets and leaves at least one for each other route that isn't confined yet. It
+// reports false, without any effect, if there are too few targets or no other routes.
+func (s *Sched) isolate(route string) bool {
+	service := s.services[route]
+	free, all := s.sharedTargets(service)
+	unconfined, active := s.unconfinedRoutes(service)
+	if active < 2 || len(free) < unconfined {
+		return false
+	}
+	slices.SortFunc(free, s.compareIsolation)
+	share := int(math.Round(float64(all) / float64(active)))
+	for _, t := range free[:max(1, min(share, len(free)-(unconfined-1)))] {
+		t.isolatedFor = route
+	}
+	return true
+}
+
+// sharedTargets returns the targets of a service that aren't isolated, and the number of all its targets.
+func (s *Sched) sharedTargets(service string) (free []*target, all int) {
 	for _, t := range s.targets {
 		if t.state.Service != service {
 			continue
@@ -83,11 +102,7 @@
 			free = append(free, t)
 		}
 	}
-	slices.SortFunc(free, s.compareIsolation)
-	n := max(1, int(math.Round(float64(all)/float64(active))))
-	for _, t := range free[:min(n, len(free))] {
-		t.isolatedFor = route
-	}
+	return free, all
 }
 
 // compareIsolation orders targets by their first recent crash; those without one come last, in an order that is the same at all
@@ -145,6 +160,9 @@
 
 // provenTask reports whether a job has a task that is known to crash targets.
 func (s *Sched) provenTask(j *job) bool {
+	if !s.blame.HasSuspects() {
+		return false
+	}
 	for i := range j.tasks {
 		if s.blame.Proven(j.batch.TaskName(i)) {
 			return true
--- a/core/sched/confine_test.go
+++ b/core/sched/confine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -122,3 +123,51 @@
 	require.Empty(t, h.starts)
 	require.Equal(t, jobend.Failed, h.outcomes["b1"].Kind)
 }
+
+// TestEveryRouteKeepsATarget covers fleets that are small for their routes: with fewer targets than routes none is confined, else each
+// confined route and the others together have at least one target.
+func TestEveryRouteKeepsATarget(t *testing.T) {
+	for targets := 1; targets <= 7; targets++ {
+		for routes := 1; routes <= 5; routes++ {
+			for confined := 1; confined <= routes; confined++ {
+				h := newHarness()
+				for i := range targets {
+					h.join(fmt.Sprint("t", i), 1)
+				}
+				requireTargetForEach(t, h, targets, routes, confined)
+			}
+		}
+	}
+}
+
+func requireTargetForEach(t *testing.T, h *harness, targets, routes, confined int) {
+	for r := range routes {
+		name := fmt.Sprint("r", r)
+		h.sched.services[name] = "s"
+		h.sched.shares.arrived(h.now, name, 1)
+	}
+	for r := range confined {
+		if name := fmt.Sprint("r", r); h.sched.isolate(name) {
+			h.sched.confined[name] = true
+		}
+	}
+	for r := range routes {
+		rt := &route.Route{Name: fmt.Sprint("r", r), Service: "s"}
+		j := &job{batch: &batch.Batch{Route: rt, Millicores: 1, MemoryMB: 1}}
+		require.True(t, slices.ContainsFunc(h.sched.targets, func(to *target) bool { return h.sched.serves(j, to) }),
+			"%d targets, %d routes, %d confined: route %d", targets, routes, confined, r)
+	}
+}
+
+// TestAConfinedRouteWithoutJobsTakesNoTargets covers a route whose deadly jobs were its last ones.
+func TestAConfinedRouteWithoutJobsTakesNoTargets(t *testing.T) {
+	h := newConfinedHarness(t)
+	delete(h.sched.shares.demand, "bad")
+	h.advance(10 * time.Millisecond)
+	require.Empty(t, h.sched.confined)
+	h.submitTo("bad", "b1", 20)
+	require.True(t, h.sched.confined["bad"], "again from its first job on")
+	for _, name := range h.startTargets {
+		require.Contains(t, []string{"t0", "t1", "t2"}, name)
+	}
+}
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -152,10 +152,11 @@
 	j.expected = s.estimateRunTime(b)
 	objective := b.Route.Objective(j.expected)
 	j.objective = now.Add(objective)
+	wasActive := s.isActive(b.Route.Name)
+	s.services[b.Route.Name] = b.Route.Service
 	s.shares.arrived(now, b.Route.Name, float64(b.Tasks)*j.taskWork())
 	s.shares.update(now)
-	if _, known := s.services[b.Route.Name]; !known {
-		s.services[b.Route.Name] = b.Route.Service
+	if !wasActive {
 		s.isolateTargets(now)
 	}
 	j.overShare = s.shares.over[b.Route.Name]
