--- a/core/trace/trace.go
+++ b/core/trace/trace.go
@@ -171,7 +171,7 @@
 func (t *Trace) agentsWhere(how string) string {
 	var at []string
 	for _, l := range t.lines {
-		if l.Message == record.AttemptEnded && l.Text("how") == how {
+		if l.Message == record.AttemptEnded && l.Text("how") == how && !slices.Contains(at, l.Text("agent")) {
 			at = append(at, l.Text("agent"))
 		}
 	}
