--- a/core/blame/blame.go
+++ b/core/blame/blame.go
@@ -149,7 +149,7 @@
 // blameTasks divides the blame of a crash among the tasks that ran then. A task that was in earlier crashes is more suspect, and so
 // is one that was started shortly before: nothing is known of the time that a task runs before it crashes its target, so the
 // likelihood falls with the inverse of the run time. A task crashes its targets at about the same point of its run, so that a
-// bystander of an earlier crash that ran for another time is no more suspect than others.
+// task that was in an earlier crash after another time is no more suspect than others.
 func (b *Blame) blameTasks(r *crash.Report) routeShares {
 	out := routeShares{shares: make(map[string]float64)}
 	weights := make([]float64, len(r.Tasks))
@@ -189,11 +189,11 @@
 			r.sum = min(maxBlame, r.sum+share)
 		}
 	}
-	b.judgeRoutes(at)
+	b.updateConfined(at)
 }
 
-// judgeRoutes confines and releases routes.
-func (b *Blame) judgeRoutes(now time.Time) {
+// updateConfined confines and releases routes.
+func (b *Blame) updateConfined(now time.Time) {
 	total := 0.0
 	for _, r := range b.routes {
 		r.decay(now)
@@ -217,7 +217,7 @@
 		}
 		b.keep(len(b.reports) - old)
 	}
-	b.judgeRoutes(now)
+	b.updateConfined(now)
 }
 
 // HasSuspects reports whether there was a recent crash.
--- a/core/blame/blame_test.go
+++ b/core/blame/blame_test.go
@@ -44,7 +44,7 @@
 	require.Empty(t, b.Confined(), "one task alone doesn't confine its route")
 }
 
-func TestABystanderIsProvenOnlyAfterThreeCrashes(t *testing.T) {
+func TestATaskBesideTheCauseIsProvenOnlyAfterThreeCrashes(t *testing.T) {
 	b := New()
 	for i := range maxCrashes {
 		require.False(t, b.Proven("b1"))
@@ -107,9 +107,9 @@
 	require.False(t, ok)
 }
 
-// TestBystandersOfSeveralCrashesDontConfineTheirRoute covers a fleet in which most tasks were in a crash before: those of the busiest
+// TestTasksBesideTheCauseDontConfineTheirRoute covers a fleet in which most tasks were in a crash before: those of the busiest
 // route, retried at once, are at the next crash again, after another run time than before.
-func TestBystandersOfSeveralCrashesDontConfineTheirRoute(t *testing.T) {
+func TestTasksBesideTheCauseDontConfineTheirRoute(t *testing.T) {
 	b := New()
 	for i := range 6 {
 		r := report(20*i, fmt.Sprint("a", i/2))
