Process the orders that an entry sent together in core/runs

No change of behaviour: the stops of a frame are still carried out before its starts. The order in which they are carried out decides whether a run is left without an owner, so it belongs to the core, where the search in core/proof can reach it.

--- a/core/runs/order.go
+++ b/core/runs/order.go
@@ -43,6 +43,16 @@
 	r.out.Ended(k.owner, k.attempt, e.how, e.ranMS)
 }
 
+// Orders carries out the orders that an owner gathered and sent together.
+func (r *Runs) Orders(now time.Time, name string, starts []*Order, stops []uint64) {
+	for _, id := range stops {
+		r.Stop(now, name, id)
+	}
+	for _, o := range starts {
+		r.Order(now, name, o)
+	}
+}
+
 // Order starts a task, queues it for a short time if there is no room, or refuses it.
 func (r *Runs) Order(now time.Time, name string, o *Order) {
 	w := r.owner(name)
--- a/io/runsd/links.go
+++ b/io/runsd/links.go
@@ -253,17 +253,16 @@
 }
 
 func (d *Daemon) orders(now time.Time, l *link, o *wire.RunOrders) {
-	for _, id := range o.Stops {
-		d.runs.Stop(now, l.owner, id)
-	}
 	if len(o.Starts) > 0 {
 		d.offer.RecordOrder(now, l.owner)
 		l.nextHeartbeat = times.Earlier(l.nextHeartbeat, now.Add(heartbeatPeriod))
 	}
+	starts := make([]*runs.Order, 0, len(o.Starts))
 	for _, s := range o.Starts {
-		d.runs.Order(now, l.owner, &runs.Order{
+		starts = append(starts, &runs.Order{
 			Attempt: s.Attempt, Task: s.Task, Route: s.Route, Number: int(s.Number), Millicores: s.Millicores, MemoryMB: s.MemoryMb,
 			Expected: time.Duration(s.ExpectedMs) * time.Millisecond, Payload: s.Payload,
 		})
 	}
+	d.runs.Orders(now, l.owner, starts, o.Stops)
 }
