Log the attempts that an agent doesn't know

The reported double run needs an entry and an agent that disagree about an attempt. An end reported as unknown was visible only at the entry, without the attempt's number, so that it couldn't be matched with the agent's line about the end of the run. The agent now logs it with attempt and entry: the same attempt in a later 'run ended' line shows a run that nobody owned.

--- a/io/runsd/effects.go
+++ b/io/runsd/effects.go
@@ -29,6 +29,9 @@
 // Ended adds an end to its owner's report; an owner that isn't connected asks for it after it has reconnected.
 func (e effects) Ended(owner string, attempt uint64, how string, ranMS uint32) {
 	e.d.metrics.ends.WithLabelValues(endLabel(how)).Inc()
+	if how == runs.Unknown {
+		e.d.log.Warn("attempt unknown", zap.Uint64("attempt", attempt), zap.String("entry", e.d.entryName(owner)))
+	}
 	if l := e.d.queueReport(owner); l != nil {
 		l.report.Ends = append(l.report.Ends, &wire.RunEnd{Attempt: attempt, How: how, RanMs: ranMS})
 	}
@@ -36,12 +39,16 @@
 
 // Closed logs the end of a run.
 func (e effects) Closed(k runs.Key, owner string, attempt uint64, how string, ranMS uint32) {
-	entry := ""
-	if l := e.d.owners[owner]; l != nil {
-		entry = l.entry
-	}
 	e.d.log.Info("run ended", zap.String("task", k.Task), zap.Int("number", k.Number), zap.Uint64("attempt", attempt),
-		zap.String("entry", entry), zap.String("how", how), zap.Uint32("ran-ms", ranMS))
+		zap.String("entry", e.d.entryName(owner)), zap.String("how", how), zap.Uint32("ran-ms", ranMS))
+}
+
+// entryName returns the name of a connected entry for logs, empty if it isn't connected.
+func (d *Daemon) entryName(owner string) string {
+	if l := d.owners[owner]; l != nil {
+		return l.entry
+	}
+	return ""
 }
 
 // Crashed logs a crash of the target with the tasks that ran then, and reports it to all entries.
