Deliver messages in order and per connection in the search of double runs

Four things made sequences that the fleet can't have, or differ from run to run: a frozen entry read the end of a connection before its request, orders gathered for a broken connection were sent over its successor, events at the same time had no fixed order, and a target listed its runs in the order of a map. What an entry reads when it wakes now comes in order, with up to 2 ms between two connections, so that a timer may come first.

--- a/core/proof/repeat_test.go
+++ b/core/proof/repeat_test.go
@@ -1,8 +1,10 @@
 package proof
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -17,6 +19,7 @@
 	"persimmonstage/core/route"
 	"persimmonstage/core/runs"
 	"persimmonstage/core/sched"
+	"persimmonstage/core/times"
 )
 
 // The schedulers of two entries and the run tables of three agents are stepped together on a simulated clock: targets lose
@@ -32,27 +35,36 @@
 	repeatWait        = 4 * time.Second
 )
 
+// repeatEvent is something that happens at a time; of those at the same time, the one that was scheduled first comes first.
 type repeatEvent struct {
-	at time.Time
-	do func()
+	at     time.Time
+	number int
+	do     func()
+}
+
+func (e repeatEvent) before(other repeatEvent) bool {
+	return cmp.Or(e.at.Compare(other.at), cmp.Compare(e.number, other.number)) < 0
 }
 
 // repeatWorld holds the simulated clock, the targets and the processes.
 type repeatWorld struct {
-	t       *testing.T
-	seed    uint64
-	rng     *rand.Rand
-	now     time.Time
-	events  *heap.Heap[repeatEvent]
-	entries []*repeatEntry
-	agents  []*repeatAgent
-	running map[string]int
-	starts  int
-	done    int
+	t      *testing.T
+	seed   uint64
+	rng    *rand.Rand
+	now    time.Time
+	events *heap.Heap[repeatEvent]
+	// scheduled is the number of events so far.
+	scheduled int
+	entries   []*repeatEntry
+	agents    []*repeatAgent
+	running   map[string]int
+	starts    int
+	done      int
 }
 
 func (w *repeatWorld) after(d time.Duration, do func()) {
-	w.events.Push(repeatEvent{w.now.Add(d), do})
+	w.scheduled++
+	w.events.Push(repeatEvent{w.now.Add(d), w.scheduled, do})
 }
 
 func (w *repeatWorld) every(d time.Duration, do func()) {
@@ -135,7 +147,7 @@
 		if t.w.now.Before(t.leaseEnd) {
 			return
 		}
-		for k := range t.running {
+		for _, k := range t.sortedRuns() {
 			t.end(k, "lapsed")
 		}
 	})
@@ -150,12 +162,19 @@
 	}
 	t.finished = slices.DeleteFunc(t.finished, func(f runs.Finish) bool { return f.Index <= ack })
 	l := &runs.Listing{Sent: sent, Finished: slices.Clone(t.finished)}
-	for k := range t.running {
+	for _, k := range t.sortedRuns() {
 		l.Running = append(l.Running, runs.Progress{Key: k, Percent: 50})
 	}
 	return l
 }
 
+// sortedRuns returns the runs in a fixed order, so that a seed gives the same sequence each time.
+func (t *repeatTarget) sortedRuns() []runs.Key {
+	return slices.SortedFunc(maps.Keys(t.running), func(a, b runs.Key) int {
+		return cmp.Or(cmp.Compare(a.Task, b.Task), cmp.Compare(a.Number, b.Number))
+	})
+}
+
 // repeatLink is a connection between an agent and an entry's process; messages of a closed one are dropped.
 type repeatLink struct {
 	entry         *repeatEntry
@@ -163,6 +182,7 @@
 	up            bool
 	agentReceived time.Time
 	entryReceived time.Time
+	orders        *repeatOrders
 }
 
 // repeatEntry is an entry's process.
@@ -176,9 +196,10 @@
 	sendCutUntil    map[*repeatAgent]time.Time // until when messages to an agent are lost
 	receiveCutUntil map[*repeatAgent]time.Time // until when messages from an agent are lost
 	links           map[string]*repeatLink
-	onDeath         []func() // callbacks of the callers for when the process dies
-	steps           []func() // posted and not processed yet
-	orders          map[string]*repeatOrders
+	onDeath         []func()      // callbacks of the callers for when the process dies
+	held            []func()      // not read yet, as the process is frozen
+	steps           []func()      // posted and not processed yet
+	dirty           []*repeatLink // those with orders to send
 }
 
 // repeatOrders is what an entry gathers for an agent while it processes the steps that are already posted, and sends in one frame.
@@ -191,19 +212,39 @@
 
 func (e *repeatEntry) alive() bool { return !e.w.now.Before(e.deadUntil) }
 
-// whenRunning calls do in the process as soon as it isn't frozen, unless the process has been replaced by then.
-func (e *repeatEntry) whenRunning(do func()) { e.whenRunningAs(e.life, do) }
+// whenRunning calls do in the process as soon as it isn't frozen, in the order of the calls, unless the process has been replaced
+// by then.
+func (e *repeatEntry) whenRunning(do func()) {
+	life := e.life
+	e.held = append(e.held, func() {
+		if e.alive() && e.life == life {
+			e.post(do)
+		}
+	})
+	if len(e.held) == 1 {
+		e.release()
+	}
+}
 
-func (e *repeatEntry) whenRunningAs(life int, do func()) {
+// release processes what was held while the process was frozen. Connections are read one after the other, so that a timer of the
+// process may come first, and a request is processed before the end of its connection is noticed.
+func (e *repeatEntry) release() {
 	if e.w.now.Before(e.frozenUntil) {
-		e.w.after(e.frozenUntil.Sub(e.w.now), func() { e.whenRunningAs(life, do) })
+		e.w.after(e.frozenUntil.Sub(e.w.now), e.release)
 		return
 	}
-	if e.alive() && e.life == life {
-		e.post(do)
+	held := e.held
+	e.held = nil
+	delay := time.Duration(0)
+	for _, do := range held {
+		e.w.after(delay, do)
+		delay += time.Duration(e.w.rng.Int64N(int64(maxReadDelay)))
 	}
 }
 
+// maxReadDelay bounds the time between two readings of connections that have something to read.
+const maxReadDelay = 2 * time.Millisecond
+
 // maxStepDelay bounds the time until a posted step is processed: usually none, sometimes this long, as on a host without processor
 // time to spare.
 const maxStepDelay = 40 * time.Millisecond
@@ -232,29 +273,38 @@
 	})
 }
 
-// flush sends each agent its orders in one frame.
+// flush sends the orders that were gathered, one frame a connection.
 func (e *repeatEntry) flush() {
 	owner := e.id()
-	for _, a := range e.w.agents {
-		o := e.orders[a.name]
-		if o == nil {
-			continue
-		}
-		delete(e.orders, a.name)
-		e.send(a, func() { a.runs.Orders(a.w.now, owner, o.starts, o.stops) })
+	for _, l := range e.dirty {
+		o := l.orders
+		l.orders = nil
+		e.sendOver(l, func() { l.agent.runs.Orders(e.w.now, owner, o.starts, o.stops) })
 	}
+	e.dirty = nil
 }
 
+// ordersFor returns what is gathered for the present connection of a target's agent.
 func (e *repeatEntry) ordersFor(target string) *repeatOrders {
-	if e.orders[target] == nil {
-		e.orders[target] = &repeatOrders{}
+	l := e.links[target]
+	if l == nil {
+		return &repeatOrders{}
+	}
+	if l.orders == nil {
+		l.orders = &repeatOrders{}
+		e.dirty = append(e.dirty, l)
 	}
-	return e.orders[target]
+	return l.orders
 }
 
 func (e *repeatEntry) send(a *repeatAgent, do func()) {
-	l := e.links[a.name]
-	if l == nil || !l.up || e.w.now.Before(e.sendCutUntil[a]) {
+	if l := e.links[a.name]; l != nil {
+		e.sendOver(l, do)
+	}
+}
+
+func (e *repeatEntry) sendOver(l *repeatLink, do func()) {
+	if !l.up || e.w.now.Before(e.sendCutUntil[l.agent]) {
 		return
 	}
 	e.w.after(repeatLatency, func() {
@@ -490,7 +540,7 @@
 		l.up = false
 	}
 	e.links = map[string]*repeatLink{}
-	e.steps, e.orders = nil, map[string]*repeatOrders{}
+	e.held, e.steps, e.dirty = nil, nil, nil
 	for _, b := range e.onDeath {
 		w.after(repeatLatency, b)
 	}
@@ -555,7 +605,7 @@
 	until := w.now.Add(time.Duration(100+w.rng.IntN(2500)) * time.Millisecond)
 	switch w.rng.IntN(6) {
 	case 0:
-		e.frozenUntil = until
+		e.frozenUntil = times.Later(e.frozenUntil, until)
 	case 1:
 		e.deadUntil = until
 		w.bootEntry(e)
@@ -573,7 +623,7 @@
 func newRepeatWorld(t *testing.T, seed uint64) *repeatWorld {
 	w := &repeatWorld{
 		t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 3)), now: time.Unix(1000, 0), running: map[string]int{},
-		events: heap.New(func(a, b repeatEvent) bool { return a.at.Before(b.at) }, func(repeatEvent, int) {}),
+		events: heap.New(repeatEvent.before, func(repeatEvent, int) {}),
 	}
 	for i := range 2 {
 		e := &repeatEntry{
