Start no run whose owner was told that the attempt is unknown

What callers saw: a task that must run once ran twice at the same time. On an entry that woke, or had more steps to process than time, the caller's leaving was processed together with its request: the starts of the job and their stops left in one frame. The agent processed the stops first, reported the attempts as unknown, which ends them for the entry, and then started the runs. The entry was alive, so no tenure or lease ended them; the caller came again 1.3 s later at another entry, which numbered from 1 as well.

The class of the fault is an end that is reported before it is final. Runs now keeps every end that it reports, also 'unknown', and refuses an order whose attempt has an end. So the order in which a stop and its start arrive doesn't matter any more, in a frame or otherwise. Attempt numbers aren't reused within an entry's process, so no sound order is refused. Ruled out: only processing starts before stops, which mends the frame but not the false end.

--- a/core/proof/repeat_test.go
+++ b/core/proof/repeat_test.go
@@ -503,7 +503,7 @@
 		e.links[a.name] = l
 		open := e.sched.Join(w.now, a.name, fmt.Sprint(a.life), "z", a.state(e))
 		a.runs.RecordEcho(e.id(), w.now)
-		a.runs.ResendEnds(e.id(), open)
+		a.runs.ResendEnds(w.now, e.id(), open)
 	case w.now.Sub(l.agentReceived) > repeatLinkTimeout:
 		w.drop(l)
 	default:
--- a/core/runs/order.go
+++ b/core/runs/order.go
@@ -24,21 +24,23 @@
 
 // ResendEnds reports to a reconnected owner the ends that it may have missed: those of all open attempts of its list that are
 // neither running nor waiting here.
-func (r *Runs) ResendEnds(name string, open []uint64) {
+func (r *Runs) ResendEnds(now time.Time, name string, open []uint64) {
 	for _, id := range open {
 		k := attemptKey{name, id}
 		if r.attempts[k] != nil || r.waitingIndex(k) >= 0 {
 			continue
 		}
-		r.resendEnd(k)
+		r.resendEnd(now, k)
 	}
 }
 
-// resendEnd reports the end of an attempt that has ended before, or Unknown if its end isn't kept any more.
-func (r *Runs) resendEnd(k attemptKey) {
+// resendEnd reports the end of an attempt again, or Unknown if none is kept. Its owner then takes the attempt as ended, so the end
+// is kept: an order of the attempt that arrives later must not start a run that nobody would stop.
+func (r *Runs) resendEnd(now time.Time, k attemptKey) {
 	e, ok := r.ends[k]
 	if !ok {
-		e.how = Unknown
+		e = attemptEnd{how: Unknown, expires: now.Add(endRetention)}
+		r.ends[k] = e
 	}
 	r.out.Ended(k.owner, k.attempt, e.how, e.ranMS)
 }
@@ -61,6 +63,10 @@
 	if r.attempts[ak] != nil || r.waitingIndex(ak) >= 0 {
 		return
 	}
+	if _, ended := r.ends[ak]; ended {
+		r.resendEnd(now, ak)
+		return
+	}
 	r.learnNeed(o)
 	switch how := r.refusal(now, w, o); {
 	case how == "":
@@ -122,7 +128,7 @@
 		r.reportEnd(now, k, stopped, 0)
 		return
 	}
-	r.resendEnd(k)
+	r.resendEnd(now, k)
 }
 
 // StartAnswered processes the target's answer to the call that starts a run.
--- a/core/runs/runs_test.go
+++ b/core/runs/runs_test.go
@@ -135,7 +135,7 @@
 	g := newFullHarness(t)
 	g.order(90, "w")
 	g.order(90, "w")
-	g.runs.ResendEnds("e", []uint64{90})
+	g.runs.ResendEnds(g.now, "e", []uint64{90})
 	require.Empty(t, g.takeLog(), "still waiting")
 	g.runs.Stop(g.now, "e", 90)
 	require.Equal(t, []string{"ended e 90 stopped"}, g.takeLog())
@@ -296,7 +296,7 @@
 	g.advance(time.Millisecond)
 	g.poll([]Progress{{Key: Key{"b", 1}}}, []Finish{{Key: Key{"a", 1}, Index: 1, How: "failed"}})
 	g.takeLog()
-	g.runs.ResendEnds("e", []uint64{1, 2, 3})
+	g.runs.ResendEnds(g.now, "e", []uint64{1, 2, 3})
 	require.Equal(t, []string{"ended e 1 failed", "ended e 3 unknown"}, g.takeLog(), "2 is still running; 3 never arrived")
 }
 
