Notice a stall of an entry also if its timer comes before the requests

An entry that wakes holds back the jobs that it reads then for 25 ms, as their callers may have left meanwhile. It recognized the stall by the time since the last tick, so that a tick which came before the first request hid it, and the jobs of callers that had left seconds ago were started at once.

The end of a stall is now recorded by whatever comes first, and jobs that arrive within 25 ms after it are held back.

--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -18,7 +18,8 @@
 	outcomeRetention = 10 * time.Second
 	// stallThreshold is the time since the last tick after which the process is considered to have stalled.
 	stallThreshold = 250 * time.Millisecond
-	// stallDelay is how long a job that arrives after a stall is held back, as its caller may have disconnected during the stall.
+	// stallDelay is how long a job that arrives within the same time after a stall is held back, as its caller may have
+	// disconnected during the stall.
 	stallDelay = 25 * time.Millisecond
 	// noTargetTimeout is how long jobs are still queued when there is no target; a restart takes about as long.
 	noTargetTimeout = 2 * time.Second
@@ -68,6 +69,7 @@
 	endedJobs    map[string]endedJob
 	meanLogs     map[string]float64 // mean logarithm of the declared run times, by route
 	lastTick     time.Time
+	stallEnd     time.Time // when the last stall was noticed
 	hadTargetAt  time.Time // last tick with a target, or the first tick
 	load         float64
 	startRate    startRate
@@ -161,7 +163,8 @@
 	}
 	j.overShare = s.shares.over[b.Route.Name]
 	j.startDeadline = now.Add(time.Duration(startFraction(j.overShare) * float64(objective)))
-	if now.Sub(s.lastTick) > stallThreshold {
+	s.noticeStall(now)
+	if now.Sub(s.stallEnd) < stallDelay {
 		j.ready = now.Add(stallDelay)
 	}
 	s.jobs[b.ID] = j
@@ -173,6 +176,13 @@
 	return j
 }
 
+// noticeStall records the end of a stall of the process, if there was one since the last tick.
+func (s *Sched) noticeStall(now time.Time) {
+	if now.Sub(s.lastTick) > stallThreshold {
+		s.stallEnd = now
+	}
+}
+
 // estimateRunTime returns the geometric mean of the declared run time and the route's mean of declared run times: the error of a
 // declared run time is about as large as the differences between the jobs of a route.
 func (s *Sched) estimateRunTime(b *batch.Batch) time.Duration {
@@ -329,6 +339,9 @@
 
 // Tick handles timeouts: of jobs past their start deadline or deadline, of attempts on lost targets, and of kept outcomes.
 func (s *Sched) Tick(now time.Time) {
+	if !s.lastTick.IsZero() {
+		s.noticeStall(now)
+	}
 	s.lastTick = now
 	if s.hadTargetAt.IsZero() || len(s.targets) > 0 {
 		s.hadTargetAt = now
