Don't call a start again after the lease that was granted for it

What callers could see: a task of a lost job runs for some milliseconds beside its second attempt. A process that is frozen meanwhile continued with the call when it woke, with the old end of the lease; a target whose lease a poll had extended since then accepts it, as the lease is the same for all runs.

Found by reading, while frozen agents were added to core/proof; the new test failed before. A call is now made only before the end of the lease that the decision granted. The other test passed no lease and now passes one of an hour.

--- a/io/runsd/target.go
+++ b/io/runsd/target.go
@@ -172,11 +172,19 @@
 }
 
 // callStart repeats a start until it is answered; the target executes a repeated start only once. A rejection after a lost answer
-// may be caused by the first call having succeeded, so the result is then Lost.
+// may be caused by the first call having succeeded, so the result is then Lost. No call is made after the lease that was granted
+// for the start, as this process may have stalled meanwhile.
 func (d *Daemon) callStart(instance *runs.Instance, o *runs.Order, k runs.Key, until time.Time, timeout time.Duration) (runs.Answer, string) {
 	reason := ""
 	calls := 0
 	answer := d.repeat(timeout, startBudget, func(ctx context.Context) (answer runs.Answer) {
+		if !uptime.Now().Before(until) {
+			reason = "lease ended"
+			if calls == 0 {
+				return runs.Rejected
+			}
+			return runs.Lost
+		}
 		calls++
 		answer, reason = d.target.Start(ctx, instance, o, k, until)
 		return answer
--- a/io/runsd/target_test.go
+++ b/io/runsd/target_test.go
@@ -13,6 +13,7 @@
 
 	"persimmonstage/core/newest"
 	"persimmonstage/core/runs"
+	"persimmonstage/io/uptime"
 )
 
 // refusingTarget refuses every connection at once, as a target whose process has ended.
@@ -43,7 +44,7 @@
 		defer stop()
 		d.ctx = ctx
 		began := time.Now()
-		answer, _ := d.callStart(&runs.Instance{}, &runs.Order{}, runs.Key{}, time.Time{}, 20*time.Millisecond)
+		answer, _ := d.callStart(&runs.Instance{}, &runs.Order{}, runs.Key{}, uptime.Now().Add(time.Hour), 20*time.Millisecond)
 		require.Equal(t, runs.Lost, answer)
 		require.LessOrEqual(t, target.starts, 5)
 		require.Equal(t, time.Duration(target.starts-1)*refusedPause, time.Since(began))
@@ -52,3 +53,17 @@
 		require.LessOrEqual(t, target.stops, 7)
 	})
 }
+
+// A process that was frozen between the decision to start a run and the call, or between two calls, finds the lease ended.
+func TestAStartIsNotCalledAfterItsLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		target := &refusingTarget{}
+		d := New(Config{Name: "a"}, target, &newest.Newest{}, zap.NewNop(), prometheus.NewRegistry())
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		d.ctx = ctx
+		answer, _ := d.callStart(&runs.Instance{}, &runs.Order{}, runs.Key{}, uptime.Now(), 20*time.Millisecond)
+		require.Equal(t, runs.Rejected, answer)
+		require.Zero(t, target.starts)
+	})
+}
