Let the lease of a target lapse that doesn't confirm the end of a run

What callers could see: a task runs beside its second attempt for as long as its target leaves stops unanswered. A target may answer polls and leave orders unanswered, or carry them out late. Each poll extended the one lease under which everything at the target runs, also runs whose owner was silent or had stopped them, and starts that might still take effect. The entry counted such attempts as over after 800 ms, and callers come again after 1.3 s.

The lease is extended, and orders are accepted, only while each run at the target may still run or has just been asked to stop: 100 ms after the tenure of a silent owner, 500 ms after an owner's stop. runs.Expiry (1,250 ms) is the sum, and entries wait for it instead of 800 ms after a lost connection; before a caller comes again at 1,300 ms everything has ended. Ruled out: raising the fencing token, which keeps late starts out but leaves runs.

--- a/core/proof/repeat_test.go
+++ b/core/proof/repeat_test.go
@@ -23,7 +23,7 @@
 )
 
 // The schedulers of two entries and the run tables of three agents are stepped together on a simulated clock: targets lose
-// answers and execute starts late, links are cut one way or both ways, and processes are killed or frozen. Callers resubmit a
+// answers and execute starts late, links are cut one way or both ways, and hosts' processes are killed or frozen. Callers resubmit a
 // job 1.3 s after a failure. No task may run twice at the same time.
 var repeatSeeds = flag.Int("repeat-seeds", 150, "sequences of repeatable jobs")
 
@@ -187,17 +187,15 @@
 
 // repeatEntry is an entry's process.
 type repeatEntry struct {
-	w               *repeatWorld
+	repeatHost
 	name            string
 	life            int
 	sched           *sched.Sched
-	frozenUntil     time.Time
 	deadUntil       time.Time
 	sendCutUntil    map[*repeatAgent]time.Time // until when messages to an agent are lost
 	receiveCutUntil map[*repeatAgent]time.Time // until when messages from an agent are lost
 	links           map[string]*repeatLink
 	onDeath         []func()      // callbacks of the callers for when the process dies
-	held            []func()      // not read yet, as the process is frozen
 	steps           []func()      // posted and not processed yet
 	dirty           []*repeatLink // those with orders to send
 }
@@ -216,29 +214,47 @@
 // by then.
 func (e *repeatEntry) whenRunning(do func()) {
 	life := e.life
-	e.held = append(e.held, func() {
+	e.deliver(func() {
 		if e.alive() && e.life == life {
 			e.post(do)
 		}
 	})
-	if len(e.held) == 1 {
-		e.release()
+}
+
+// repeatHost is the host of a process; while it is frozen, what arrives for the process is held.
+type repeatHost struct {
+	w           *repeatWorld
+	frozenUntil time.Time
+	arrived     []func() // not read yet
+	reading     bool
+}
+
+func (h *repeatHost) frozen() bool { return h.w.now.Before(h.frozenUntil) }
+
+func (h *repeatHost) freeze(until time.Time) { h.frozenUntil = times.Later(h.frozenUntil, until) }
+
+func (h *repeatHost) thaw() { h.frozenUntil = time.Time{} }
+
+func (h *repeatHost) deliver(do func()) {
+	h.arrived = append(h.arrived, do)
+	if !h.reading {
+		h.reading = true
+		h.read()
 	}
 }
 
-// release processes what was held while the process was frozen. Connections are read one after the other, so that a timer of the
-// process may come first, and a request is processed before the end of its connection is noticed.
-func (e *repeatEntry) release() {
-	if e.w.now.Before(e.frozenUntil) {
-		e.w.after(e.frozenUntil.Sub(e.w.now), e.release)
+// read processes what has arrived, in order. After a freeze connections are read one after the other, so that a timer of the process
+// may come first, and a request is processed before the end of its connection is noticed.
+func (h *repeatHost) read() {
+	if h.frozen() {
+		h.w.after(h.frozenUntil.Sub(h.w.now), h.read)
 		return
 	}
-	held := e.held
-	e.held = nil
-	delay := time.Duration(0)
-	for _, do := range held {
-		e.w.after(delay, do)
-		delay += time.Duration(e.w.rng.Int64N(int64(maxReadDelay)))
+	do := h.arrived[0]
+	h.arrived = h.arrived[1:]
+	do()
+	if h.reading = len(h.arrived) > 0; h.reading {
+		h.w.after(time.Duration(h.w.rng.Int64N(int64(maxReadDelay))), h.read)
 	}
 }
 
@@ -307,11 +323,17 @@
 	if !l.up || e.w.now.Before(e.sendCutUntil[l.agent]) {
 		return
 	}
+	a, life := l.agent, l.agent.life
 	e.w.after(repeatLatency, func() {
-		if l.up {
-			l.agentReceived = e.w.now
-			do()
+		if !l.up {
+			return
 		}
+		a.deliver(func() {
+			if a.life == life {
+				l.agentReceived = e.w.now
+				do()
+			}
+		})
 	})
 }
 
@@ -342,11 +364,13 @@
 
 // repeatAgent is an agent's process together with its target and the calls between them.
 type repeatAgent struct {
-	w      *repeatWorld
+	repeatHost
 	name   string
 	life   int
 	runs   *runs.Runs
 	target *repeatTarget
+	// ordersLateUntil is until when the target leaves all starts and stops unanswered and executes them late.
+	ordersLateUntil time.Time
 }
 
 func (w *repeatWorld) agent(name string) *repeatAgent {
@@ -358,14 +382,35 @@
 	return nil
 }
 
-// inSameProcess wraps do so that it has no effect once the process has been replaced.
-func (a *repeatAgent) inSameProcess(do func()) func() {
+// whenRunning calls do in the process as soon as it isn't frozen, unless the process has been replaced by then.
+func (a *repeatAgent) whenRunning(do func()) {
 	life := a.life
-	return func() {
+	a.deliver(func() {
 		if a.life == life {
 			do()
 		}
-	}
+	})
+}
+
+// later calls do in the process after d, or as soon as it isn't frozen.
+func (a *repeatAgent) later(d time.Duration, do func()) {
+	life := a.life
+	a.w.after(d, func() {
+		a.deliver(func() {
+			if a.life == life {
+				do()
+			}
+		})
+	})
+}
+
+// regularly calls do in the process once per period while it isn't frozen.
+func (a *repeatAgent) regularly(period time.Duration, do func()) {
+	a.w.every(period, func() {
+		if !a.frozen() {
+			do()
+		}
+	})
 }
 
 // lateShare is the fraction of an agent's calls that get no answer and are executed up to lateSpan later: half of them in every
@@ -385,6 +430,9 @@
 
 func (w *repeatWorld) isLate() bool { return w.rng.Float64() < w.lateShare() }
 
+// isOrderLate is isLate for starts and stops, which a target may leave unanswered while it answers polls.
+func (a *repeatAgent) isOrderLate() bool { return a.w.now.Before(a.ordersLateUntil) || a.w.isLate() }
+
 func (w *repeatWorld) late(do func()) {
 	w.after(time.Duration(w.rng.Int64N(int64(lateSpan))), do)
 }
@@ -393,45 +441,49 @@
 func (a *repeatAgent) Start(k runs.Key, o *runs.Order, until time.Time) { a.callStart(k, o, until, 1) }
 
 func (a *repeatAgent) callStart(k runs.Key, o *runs.Order, until time.Time, call int) {
+	if !a.w.now.Before(until) { // the process was frozen meanwhile
+		answer := runs.Lost
+		if call == 1 {
+			answer = runs.Rejected
+		}
+		a.runs.StartAnswered(a.w.now, k, answer, "lease ended")
+		return
+	}
 	work, token := o.Expected, a.life
 	start := func() runs.Answer { return a.target.start(token, k, work, until) }
-	var answer runs.Answer
-	answered := a.inSameProcess(func() { a.runs.StartAnswered(a.w.now, k, answer, "old") })
 	switch {
-	case a.w.isLate():
+	case a.isOrderLate():
 		a.w.late(func() { start() })
 	case a.w.rng.IntN(12) == 0: // executed, but the answer is lost
 		a.w.after(repeatLatency, func() { start() })
 	default:
 		a.w.after(repeatLatency, func() {
-			answer = start()
+			answer := start()
 			if answer == runs.Rejected && call > 1 {
 				answer = runs.Lost // an earlier call may have been executed, or may still be
 			}
-			answered()
+			a.whenRunning(func() { a.runs.StartAnswered(a.w.now, k, answer, "old") })
 		})
 		return
 	}
-	a.w.after(repeatTimeout, a.inSameProcess(func() {
+	a.later(repeatTimeout, func() {
 		if call == repeatCalls {
-			answer = runs.Lost
-			answered()
+			a.runs.StartAnswered(a.w.now, k, runs.Lost, "old")
 			return
 		}
 		a.callStart(k, o, until, call+1)
-	}))
+	})
 }
 
 func (a *repeatAgent) Stop(k runs.Key) {
 	token := a.life
-	if a.w.isLate() {
+	if a.isOrderLate() {
 		a.w.late(func() { a.target.stop(token, k) })
 		return
 	}
-	confirmed := a.inSameProcess(func() { a.runs.StopAnswered(a.w.now, k, runs.Accepted) })
 	a.w.after(repeatLatency, func() {
 		a.target.stop(token, k)
-		a.w.after(repeatLatency, confirmed)
+		a.later(repeatLatency, func() { a.runs.StopAnswered(a.w.now, k, runs.Accepted) })
 	})
 }
 
@@ -481,12 +533,14 @@
 		return
 	}
 	// The target answers at some time within the wait, and answers may overtake one another.
-	var l *runs.Listing
-	listed := a.inSameProcess(func() { a.runs.Listed(a.w.now, l) })
+	life := a.life
 	a.w.after(time.Duration(a.w.rng.IntN(30))*time.Millisecond, func() {
-		l = a.target.poll(token, ack, until, sent)
+		if a.life != life {
+			return
+		}
+		l := a.target.poll(token, ack, until, sent)
 		l.Clock = a.w.now.UnixMilli()
-		a.w.after(time.Duration(1+a.w.rng.IntN(40))*time.Millisecond, listed)
+		a.later(time.Duration(1+a.w.rng.IntN(40))*time.Millisecond, func() { a.runs.Listed(a.w.now, l) })
 	})
 }
 
@@ -496,7 +550,7 @@
 	passes := !w.now.Before(e.sendCutUntil[a]) && !w.now.Before(e.receiveCutUntil[a])
 	switch {
 	case l == nil || !l.up:
-		if !passes || !e.alive() || w.now.Before(e.frozenUntil) || !a.runs.Clean() {
+		if !passes || !e.alive() || e.frozen() || a.frozen() || !a.runs.Clean() {
 			return
 		}
 		l = &repeatLink{entry: e, agent: a, up: true, agentReceived: w.now, entryReceived: w.now}
@@ -504,9 +558,10 @@
 		open := e.sched.Join(w.now, a.name, fmt.Sprint(a.life), "z", a.state(e))
 		a.runs.RecordEcho(e.id(), w.now)
 		a.runs.ResendEnds(w.now, e.id(), open)
-	case w.now.Sub(l.agentReceived) > repeatLinkTimeout:
+	case !a.frozen() && w.now.Sub(l.agentReceived) > repeatLinkTimeout,
+		!e.frozen() && w.now.Sub(l.entryReceived) > repeatLinkTimeout:
 		w.drop(l)
-	default:
+	case !a.frozen():
 		stamp, owner := w.now, e.id()
 		a.report(owner, func(e *repeatEntry) { e.send(a, func() { a.runs.RecordEcho(owner, stamp) }) })
 	}
@@ -516,13 +571,14 @@
 	l.up = false
 	l.entry.whenRunning(func() {
 		if l.entry.links[l.agent.name] == l { // else the agent has connected again
-			l.entry.sched.Disconnect(l.agent.name, w.now.Add(800*time.Millisecond))
+			l.entry.sched.Disconnect(l.agent.name, w.now.Add(runs.Expiry))
 		}
 	})
 }
 
 func (w *repeatWorld) bootAgent(a *repeatAgent) {
 	a.life++
+	a.thaw()
 	a.runs = runs.New(a)
 	a.runs.Announced(w.now, &runs.Instance{ID: "i", Addr: a.name, Born: 1, Service: "s", Millicores: 20_000, MemoryMB: 1000, Sequence: 1})
 	for _, e := range w.entries {
@@ -534,13 +590,13 @@
 
 func (w *repeatWorld) bootEntry(e *repeatEntry) {
 	e.life++
-	e.frozenUntil = time.Time{}
+	e.thaw()
 	e.sched = sched.New(e, rand.New(rand.NewPCG(w.seed, uint64(e.life))))
 	for _, l := range e.links {
 		l.up = false
 	}
 	e.links = map[string]*repeatLink{}
-	e.held, e.steps, e.dirty = nil, nil, nil
+	e.steps, e.dirty = nil, nil
 	for _, b := range e.onDeath {
 		w.after(repeatLatency, b)
 	}
@@ -603,9 +659,13 @@
 func (w *repeatWorld) injectFault() {
 	e, a := w.entries[w.rng.IntN(len(w.entries))], w.agents[w.rng.IntN(len(w.agents))]
 	until := w.now.Add(time.Duration(100+w.rng.IntN(2500)) * time.Millisecond)
-	switch w.rng.IntN(6) {
+	switch w.rng.IntN(8) {
+	case 7:
+		a.ordersLateUntil = until
 	case 0:
-		e.frozenUntil = times.Later(e.frozenUntil, until)
+		e.freeze(until)
+	case 6:
+		a.freeze(until)
 	case 1:
 		e.deadUntil = until
 		w.bootEntry(e)
@@ -627,26 +687,26 @@
 	}
 	for i := range 2 {
 		e := &repeatEntry{
-			w: w, name: fmt.Sprint("e", i),
+			repeatHost: repeatHost{w: w}, name: fmt.Sprint("e", i),
 			sendCutUntil: map[*repeatAgent]time.Time{}, receiveCutUntil: map[*repeatAgent]time.Time{},
 		}
 		w.entries = append(w.entries, e)
 		w.bootEntry(e)
 	}
 	for i := range 3 {
-		a := &repeatAgent{w: w, name: fmt.Sprint("a", i)}
+		a := &repeatAgent{repeatHost: repeatHost{w: w}, name: fmt.Sprint("a", i)}
 		a.target = &repeatTarget{w: w, running: map[runs.Key]time.Time{}, lastEnded: map[string]int{}}
 		w.agents = append(w.agents, a)
 		w.bootAgent(a)
-		w.every(15*time.Millisecond, a.poll)
-		w.every(20*time.Millisecond, func() { a.runs.Tick(w.now) })
+		a.regularly(15*time.Millisecond, a.poll)
+		a.regularly(20*time.Millisecond, func() { a.runs.Tick(w.now) })
 		for _, e := range w.entries {
 			w.every(120*time.Millisecond, func() { w.maintainLink(a, e) })
 		}
 	}
 	for _, e := range w.entries {
 		w.every(10*time.Millisecond, func() {
-			if e.alive() && !w.now.Before(e.frozenUntil) {
+			if e.alive() && !e.frozen() {
 				e.post(func() { e.sched.Tick(w.now) })
 			}
 		})
--- a/core/runs/listed.go
+++ b/core/runs/listed.go
@@ -4,12 +4,26 @@
 
 // ExtendLease returns the new end of the lease for the next poll of the target, or false if that poll is not to extend it.
 func (r *Runs) ExtendLease(now time.Time) (time.Time, bool) {
-	if !r.clean || len(r.runs) == 0 || r.Silent(now) {
+	if !r.clean || len(r.runs) == 0 || r.Silent(now) || !r.mayExtend(now) {
 		return time.Time{}, false
 	}
 	return r.extend(now), true
 }
 
+// mayExtend reports whether the lease, under which all runs at the target continue, may be extended: not if a run should have ended
+// and the target doesn't confirm that it has, since its task may soon be started elsewhere.
+func (r *Runs) mayExtend(now time.Time) bool {
+	for _, u := range r.runs {
+		if now.Sub(r.owner(u.owner).lastEcho) > Tenure+stopTime {
+			return false
+		}
+		if !u.withdrawn.IsZero() && now.Sub(u.withdrawn) > withdrawTime {
+			return false
+		}
+	}
+	return true
+}
+
 func (r *Runs) extend(now time.Time) time.Time {
 	r.lastExtended = now
 	return now.Add(Lease)
--- a/core/runs/order.go
+++ b/core/runs/order.go
@@ -120,6 +120,9 @@
 func (r *Runs) Stop(now time.Time, name string, id uint64) {
 	k := attemptKey{name, id}
 	if u := r.attempts[k]; u != nil {
+		if u.withdrawn.IsZero() {
+			u.withdrawn = now
+		}
 		r.step(now, u, onStopRequested)
 		return
 	}
--- a/core/runs/runs.go
+++ b/core/runs/runs.go
@@ -13,6 +13,13 @@
 	Lease = 600 * time.Millisecond
 	// Tenure is how long an owner's runs continue after the stamp of the last heartbeat that it returned.
 	Tenure = 500 * time.Millisecond
+	// stopTime is how long after the tenure of a run's owner the lease is still extended if the target hasn't confirmed the run's
+	// end, and withdrawTime is how long after the owner stopped the run.
+	stopTime     = 100 * time.Millisecond
+	withdrawTime = 500 * time.Millisecond
+	// Expiry is how long after the loss of its connection an owner's attempts may still run: until the tenure is over and then, if
+	// the target doesn't confirm the stop, until the lease has ended. Callers resubmit a lost job after 1,300 ms.
+	Expiry = Tenure + stopTime + Lease + 50*time.Millisecond
 	// clockError is the fraction by which the target's clock may be slow.
 	clockError = 0.03
 	// extendWithin is the maximum age of the target's last answer for a call to extend the lease: a call may take effect without
@@ -47,6 +54,7 @@
 	state          int
 	began          time.Time
 	startSettled   time.Time // when the start was answered or timed out
+	withdrawn      time.Time // when its owner stopped it
 	stopSent       time.Time
 	stopConfirmed  time.Time     // when the target confirmed the stop
 	progressAt     time.Time     // when the progress was last evaluated
--- a/core/runs/runs_test.go
+++ b/core/runs/runs_test.go
@@ -454,3 +454,40 @@
 	}
 	require.NotContains(t, g.takeLog(), "start a/1")
 }
+
+// A target may answer polls and leave stops unanswered. Polls extend the lease for all of its runs, also for one that should end.
+func TestTheLeaseIsNotExtendedForARunThatShouldHaveEnded(t *testing.T) {
+	g := newHarness(t)
+	g.order(1, "a")
+	g.runs.StartAnswered(g.now, Key{"a", 1}, Accepted, "")
+	g.advance(Tenure + stopTime)
+	g.runs.RecordEcho("f", g.now)
+	g.runs.Tick(g.now)
+	g.poll(listedOne("a", 50), nil)
+	_, extended := g.runs.ExtendLease(g.now)
+	require.True(t, extended, "the stop may still be confirmed")
+	g.advance(time.Millisecond)
+	g.takeLog()
+	_, extended = g.runs.ExtendLease(g.now)
+	require.False(t, extended)
+	g.runs.Order(g.now, "f", &Order{Attempt: 1, Task: "b", Number: 1, Millicores: need, MemoryMB: 1})
+	require.Equal(t, []string{"ended f 1 refused"}, g.takeLog(), "a start would extend the lease as well")
+	g.runs.StopAnswered(g.now, Key{"a", 1}, Accepted)
+	g.advance(time.Millisecond)
+	g.poll(nil, nil)
+	require.Zero(t, g.runs.Len())
+	g.runs.Order(g.now, "f", &Order{Attempt: 2, Task: "b", Number: 1, Millicores: need, MemoryMB: 1})
+	require.Equal(t, []string{"ended e 1 stopped", "start b/1"}, g.takeLog())
+}
+
+func TestTheLeaseIsNotExtendedForLongForARunThatItsOwnerStopped(t *testing.T) {
+	g := newHarness(t)
+	g.order(1, "a")
+	g.runs.StartAnswered(g.now, Key{"a", 1}, Accepted, "")
+	g.runs.Stop(g.now, "e", 1)
+	g.advance(withdrawTime + time.Millisecond)
+	g.runs.RecordEcho("e", g.now)
+	g.poll(listedOne("a", 50), nil)
+	_, extended := g.runs.ExtendLease(g.now)
+	require.False(t, extended)
+}
--- a/io/schedd/daemon.go
+++ b/io/schedd/daemon.go
@@ -13,6 +13,7 @@
 
 	"persimmonstage/core/ident"
 	"persimmonstage/core/newest"
+	"persimmonstage/core/runs"
 	"persimmonstage/core/sched"
 	"persimmonstage/io/ctrl"
 	"persimmonstage/io/feed"
@@ -26,11 +27,8 @@
 	tickPeriod = 10 * time.Millisecond
 	// agentTimeout is how long an agent may send nothing before its connection is closed.
 	agentTimeout = 450 * time.Millisecond
-	// attemptExpiry is how long after the loss of a connection attempts may still run on the target: the agent's tenure from its
-	// last heartbeat, or the target's lease if the agent is dead, whichever is longer, plus the time that a stop takes.
-	attemptExpiry = 800 * time.Millisecond
-	// maxTenure is the longest tenure of an agent that attemptExpiry covers.
-	maxTenure = 600 * time.Millisecond
+	// maxTenure is the longest tenure of an agent that runs.Expiry covers.
+	maxTenure = runs.Tenure
 	// entryTTL is how long the address of another entry is sent to agents after its last announcement; agents keep it then.
 	entryTTL = time.Minute
 	// entryListEvery is the number of heartbeat answers per answer that lists the entries.
--- a/io/schedd/links.go
+++ b/io/schedd/links.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"persimmonstage/core/crash"
+	"persimmonstage/core/runs"
 	"persimmonstage/core/sched"
 	"persimmonstage/io/uptime"
 	"persimmonstage/io/wire"
@@ -32,7 +33,7 @@
 	}
 }
 
-// lost removes a connection; attempts on its target may still run until attemptExpiry.
+// lost removes a connection; attempts on its target may still run until runs.Expiry has passed.
 func (d *Daemon) lost(now time.Time, l *link) {
 	delete(d.links, l.conn)
 	if l.name == "" || d.byName[l.name] != l {
@@ -40,7 +41,7 @@
 	}
 	delete(d.byName, l.name)
 	d.targets.Store(int64(len(d.byName)))
-	d.sched.Disconnect(l.name, now.Add(attemptExpiry))
+	d.sched.Disconnect(l.name, now.Add(runs.Expiry))
 	d.log.Warn("agent lost", zap.String("agent", l.name), zap.Int("agents", len(d.byName)))
 }
 
