Stop the runs that an owner counts as ended when it connects again

What callers could see: a task of a job runs twice for some milliseconds. An agent that was frozen or cut off for longer than an entry waits (runs.Expiry) connects again; the entry has started the tasks elsewhere meanwhile. The fresh echo made the agent take its old runs and unanswered starts for wanted, and it extended their lease.

The entry's answer to a hello lists its open attempts.

TestAWaitingOrderIsWithdrawnLikeARun named only one of the eleven attempts that its entry had open; it now names all.

--- a/core/proof/repeat_test.go
+++ b/core/proof/repeat_test.go
@@ -557,7 +557,7 @@
 		e.links[a.name] = l
 		open := e.sched.Join(w.now, a.name, fmt.Sprint(a.life), "z", a.state(e))
 		a.runs.RecordEcho(e.id(), w.now)
-		a.runs.ResendEnds(w.now, e.id(), open)
+		a.runs.Reconnected(w.now, e.id(), open)
 	case !a.frozen() && w.now.Sub(l.agentReceived) > repeatLinkTimeout,
 		!e.frozen() && w.now.Sub(l.entryReceived) > repeatLinkTimeout:
 		w.drop(l)
--- a/core/runs/listed.go
+++ b/core/runs/listed.go
@@ -14,7 +14,7 @@
 // and the target doesn't confirm that it has, since its task may soon be started elsewhere.
 func (r *Runs) mayExtend(now time.Time) bool {
 	for _, u := range r.runs {
-		if now.Sub(r.owner(u.owner).lastEcho) > Tenure+stopTime {
+		if u.abandoned || now.Sub(r.owner(u.owner).lastEcho) > Tenure+stopTime {
 			return false
 		}
 		if !u.withdrawn.IsZero() && now.Sub(u.withdrawn) > withdrawTime {
--- a/core/runs/order.go
+++ b/core/runs/order.go
@@ -22,9 +22,10 @@
 	return o
 }
 
-// ResendEnds reports to a reconnected owner the ends that it may have missed: those of all open attempts of its list that are
-// neither running nor waiting here.
-func (r *Runs) ResendEnds(now time.Time, name string, open []uint64) {
+// Reconnected processes the list of open attempts of an owner that has connected again. It reports the ends that the owner may have
+// missed, and ends the attempts here that the owner counts as ended, since it may have started their tasks elsewhere.
+func (r *Runs) Reconnected(now time.Time, name string, open []uint64) {
+	r.endAbandoned(now, name, open)
 	for _, id := range open {
 		k := attemptKey{name, id}
 		if r.attempts[k] != nil || r.waitingIndex(k) >= 0 {
@@ -34,6 +35,19 @@
 	}
 }
 
+// endAbandoned ends an owner's attempts other than the open ones.
+func (r *Runs) endAbandoned(now time.Time, name string, open []uint64) {
+	r.waiting = slices.DeleteFunc(r.waiting, func(w waitingOrder) bool {
+		return w.owner == name && !slices.Contains(open, w.order.Attempt)
+	})
+	for _, u := range r.sorted() {
+		if u.owner == name && !slices.Contains(open, u.order.Attempt) {
+			u.abandoned = true
+			r.step(now, u, onStopRequested)
+		}
+	}
+}
+
 // resendEnd reports the end of an attempt again, or Unknown if none is kept. Its owner then takes the attempt as ended, so the end
 // is kept: an order of the attempt that arrives later must not start a run that nobody would stop.
 func (r *Runs) resendEnd(now time.Time, k attemptKey) {
--- a/core/runs/runs.go
+++ b/core/runs/runs.go
@@ -55,6 +55,7 @@
 	began          time.Time
 	startSettled   time.Time // when the start was answered or timed out
 	withdrawn      time.Time // when its owner stopped it
+	abandoned      bool      // its owner counts it as ended
 	stopSent       time.Time
 	stopConfirmed  time.Time     // when the target confirmed the stop
 	progressAt     time.Time     // when the progress was last evaluated
--- a/core/runs/runs_test.go
+++ b/core/runs/runs_test.go
@@ -135,7 +135,7 @@
 	g := newFullHarness(t)
 	g.order(90, "w")
 	g.order(90, "w")
-	g.runs.ResendEnds(g.now, "e", []uint64{90})
+	g.runs.Reconnected(g.now, "e", []uint64{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 90})
 	require.Empty(t, g.takeLog(), "still waiting")
 	g.runs.Stop(g.now, "e", 90)
 	require.Equal(t, []string{"ended e 90 stopped"}, g.takeLog())
@@ -296,7 +296,7 @@
 	g.advance(time.Millisecond)
 	g.poll([]Progress{{Key: Key{"b", 1}}}, []Finish{{Key: Key{"a", 1}, Index: 1, How: "failed"}})
 	g.takeLog()
-	g.runs.ResendEnds(g.now, "e", []uint64{1, 2, 3})
+	g.runs.Reconnected(g.now, "e", []uint64{1, 2, 3})
 	require.Equal(t, []string{"ended e 1 failed", "ended e 3 unknown"}, g.takeLog(), "2 is still running; 3 never arrived")
 }
 
@@ -491,3 +491,18 @@
 	_, extended := g.runs.ExtendLease(g.now)
 	require.False(t, extended)
 }
+
+// An agent that was cut off or frozen for longer than Expiry may hold runs whose tasks its owner has started elsewhere.
+func TestARunThatItsOwnerCountsAsEndedIsStoppedOnceTheyReconnect(t *testing.T) {
+	g := newHarness(t)
+	g.order(1, "a")
+	g.order(2, "b")
+	g.runs.StartAnswered(g.now, Key{"a", 1}, Accepted, "")
+	g.runs.StartAnswered(g.now, Key{"b", 1}, Lost, "")
+	g.takeLog()
+	g.runs.RecordEcho("e", g.now)
+	g.runs.Reconnected(g.now, "e", nil)
+	require.Equal(t, []string{"stop a/1", "stop b/1"}, g.takeLog())
+	_, extended := g.runs.ExtendLease(g.now)
+	require.False(t, extended, "a start that takes effect late must find the lease ended")
+}
--- a/io/runsd/links.go
+++ b/io/runsd/links.go
@@ -219,7 +219,7 @@
 	d.logOwner("entry joined", l)
 	d.runs.RecordEcho(l.owner, time.Unix(0, a.Stamp))
 	d.sendCrashes(l)
-	d.runs.ResendEnds(uptime.Now(), l.owner, a.Open)
+	d.runs.Reconnected(uptime.Now(), l.owner, a.Open)
 	d.spread.SetVersion(uptime.Now(), l.addr, a.DocumentVersion, d.doc.Version())
 	effects{d}.Changed()
 }
