Connect only to entries named by IP and port

Addresses that an entry passes on with the answer to a heartbeat, or announces in its hello, weren't checked at all, so one odd address reached every agent, which dialled it for half an hour.

--- a/io/addr/addr.go
+++ b/io/addr/addr.go
@@ -11,6 +11,12 @@
 	return err == nil
 }
 
+// Dialable reports whether s is of the form IP:PORT with a port that can be connected to.
+func Dialable(s string) bool {
+	ap, err := netip.ParseAddrPort(s)
+	return err == nil && ap.Port() != 0
+}
+
 // ValidBase reports whether s is of the form http://IP:PORT.
 func ValidBase(s string) bool {
 	u, err := url.Parse(s)
--- a/io/runsd/links.go
+++ b/io/runsd/links.go
@@ -8,6 +8,7 @@
 
 	"persimmonstage/core/runs"
 	"persimmonstage/core/times"
+	"persimmonstage/io/addr"
 	"persimmonstage/io/uptime"
 	"persimmonstage/io/wire"
 )
@@ -49,10 +50,10 @@
 }
 
 func (d *Daemon) addLinks(addrs []string) {
-	for _, addr := range addrs {
-		if d.subset.Add(addr) {
-			d.links[addr] = &link{addr: addr, lostAt: uptime.Now()}
-			d.log.Info("entry learned", zap.String("address", addr))
+	for _, a := range addrs {
+		if addr.Dialable(a) && d.subset.Add(a) {
+			d.links[a] = &link{addr: a, lostAt: uptime.Now()}
+			d.log.Info("entry learned", zap.String("address", a))
 		}
 	}
 }
--- a/io/schedd/links.go
+++ b/io/schedd/links.go
@@ -8,6 +8,7 @@
 
 	"persimmonstage/core/crash"
 	"persimmonstage/core/sched"
+	"persimmonstage/io/addr"
 	"persimmonstage/io/uptime"
 	"persimmonstage/io/wire"
 )
@@ -65,7 +66,9 @@
 	case *wire.Frame_DocumentWant:
 		d.sendDocument(l)
 	case *wire.Frame_EntryHello:
-		d.entries[b.EntryHello.Address] = now.Add(entryTTL)
+		if addr.Dialable(b.EntryHello.Address) {
+			d.entries[b.EntryHello.Address] = now.Add(entryTTL)
+		}
 	default:
 		d.log.Warn("frame not expected", zap.String("agent", l.name))
 	}
