Refuse an order whose need overflows the sum of what is in use

An agent added the need of an order to what its target's runs use; near 2^64 the sum wrapped to a small number, and the order was started on a target without room for it.

Evidence: without the fix TestAnOrderWhoseNeedOverflowsIsRefused fails: the order starts.

The need is compared with what is left of the capacity; a capacity that has shrunk below what is in use still has room for nothing.

--- a/core/runs/order.go
+++ b/core/runs/order.go
@@ -102,12 +102,15 @@
 		}
 	}
 	cpu, mem := r.used()
-	if cpu+o.Millicores > r.instance.Millicores || mem+o.MemoryMB > r.instance.MemoryMB {
+	if exceeds(cpu, o.Millicores, r.instance.Millicores) || exceeds(mem, o.MemoryMB, r.instance.MemoryMB) {
 		return NoRoom
 	}
 	return ""
 }
 
+// exceeds reports whether used and more together are above a capacity; their sum may overflow.
+func exceeds(used, more, capacity uint64) bool { return used > capacity || more > capacity-used }
+
 func (r *Runs) used() (millicores, memoryMB uint64) {
 	for _, u := range r.runs {
 		millicores += u.order.Millicores
--- a/core/runs/runs_test.go
+++ b/core/runs/runs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -454,3 +455,18 @@
 	}
 	require.NotContains(t, g.takeLog(), "start a/1")
 }
+
+// TestAnOrderWhoseNeedOverflowsIsRefused guards against a start on a full target: the sum of what is used and what the order needs
+// overflowed to a small number.
+func TestAnOrderWhoseNeedOverflowsIsRefused(t *testing.T) {
+	for _, o := range []Order{
+		{Millicores: math.MaxUint64 - need + 1, MemoryMB: 1}, {Millicores: 1, MemoryMB: math.MaxUint64}, {Millicores: math.MaxUint64},
+	} {
+		g := newHarness(t)
+		g.order(1, "a")
+		g.takeLog()
+		o.Attempt, o.Task, o.Number = 2, "b", 1
+		g.runs.Order(g.now, "e", &o)
+		require.Equal(t, []string{"ended e 2 room"}, g.takeLog())
+	}
+}
