Skip an odd row of a target's list of runs instead of the list

One row that couldn't be read made the whole answer to a poll unreadable: the agent took the target as lost, reported none of the ends in the list, and the lease of its runs expired.

Without the change of core/runs both tests of partial lists fail.

A list without a row doesn't show that a run is missing, nor that nothing of an earlier agent runs at the target, so it counts as an outdated one: its ends are taken, and nothing else follows from it.

--- a/core/runs/effects.go
+++ b/core/runs/effects.go
@@ -71,6 +71,7 @@
 	Born     int64
 	Sent     time.Time // when the poll was sent
 	Clock    int64     // the target's monotonic clock when it answered, in ms
+	Partial  bool      // rows are missing, so a run that isn't listed may still be running
 	Running  []Progress
 	Finished []Finish
 }
--- a/core/runs/listed.go
+++ b/core/runs/listed.go
@@ -19,7 +19,7 @@
 func (r *Runs) Ack() int64 { return r.ack }
 
 // Listed processes the target's answer to a poll. Answers of polls that overlap may arrive in another order than the target gave
-// them: of an outdated one only the ends count, as they are final.
+// them: of an outdated one only the ends count, as they are final. The same holds for a partial one.
 func (r *Runs) Listed(now time.Time, l *Listing) {
 	if r.instance == nil {
 		return
@@ -27,7 +27,7 @@
 	wasUsable := r.usable(now)
 	r.lastAnswer = now
 	r.brokenAt = time.Time{}
-	outdated := l.Clock < r.listedClock
+	outdated := l.Partial || l.Clock < r.listedClock
 	r.listedClock = max(r.listedClock, l.Clock)
 	if !outdated && r.stopUnknown(now, l) {
 		return
--- a/core/runs/runs_test.go
+++ b/core/runs/runs_test.go
@@ -470,3 +470,27 @@
 		require.Equal(t, []string{"ended e 2 room"}, g.takeLog())
 	}
 }
+
+// TestAPartialListDoesNotShowThatARunIsMissing guards against a second run of a task whose row couldn't be read.
+func TestAPartialListDoesNotShowThatARunIsMissing(t *testing.T) {
+	g := newHarness(t)
+	g.order(1, "a")
+	g.runs.StartAnswered(g.now, Key{"a", 1}, Accepted, "")
+	g.advance(100 * time.Millisecond)
+	g.takeLog()
+	g.runs.Listed(g.now, &Listing{Sent: g.now, Partial: true})
+	require.Empty(t, g.takeLog())
+	g.runs.Listed(g.now, &Listing{Sent: g.now, Partial: true, Finished: []Finish{{Key: Key{"a", 1}, Index: 1, How: "done"}}})
+	require.Equal(t, []string{"ended e 1 done"}, g.takeLog())
+}
+
+// TestAPartialListDoesNotShowThatTheTargetIsClean guards against starts beside a run of an earlier process of the agent.
+func TestAPartialListDoesNotShowThatTheTargetIsClean(t *testing.T) {
+	g := &harness{t: t, now: time.Unix(1000, 0)}
+	g.runs = New(g)
+	g.runs.Announced(g.now, newInstance("i-1", 5, 1))
+	g.runs.Listed(g.now, &Listing{Sent: g.now, Partial: true})
+	require.False(t, g.runs.Clean())
+	g.poll(nil, nil)
+	require.True(t, g.runs.Clean())
+}
