Cap the capacities that agents report to an entry

An entry took any 64-bit capacity and use from the state in an agent's frame; the sum of the use reported and of what was sent since could wrap, so that a full target counted as free.

Evidence: without the cap TestAnAbsurdReportOfAnAgentDoesNotOverflow fails. The other odd frames of that test and of TestAbsurdFramesOfAnEntryDoNotEndTheAgent ended no process before either; the tests guard this.

Capacity and use are capped at 2^40, far above what an agent accepts from its target, so their sums stay in range.

--- a/io/runsd/links_test.go
+++ b/io/runsd/links_test.go
@@ -1,6 +1,7 @@
 package runsd
 
 import (
+	"math"
 	"testing"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -19,3 +20,22 @@
 	})
 	require.Len(t, d.links, 2)
 }
+
+// TestAbsurdFramesOfAnEntryDoNotEndTheAgent guards against an agent that one odd frame ends.
+func TestAbsurdFramesOfAnEntryDoNotEndTheAgent(t *testing.T) {
+	d := New(Config{Name: "a"}, &refusingTarget{}, &newest.Newest{}, zap.NewNop(), prometheus.NewRegistry())
+	d.conns[1] = &link{addr: "10.0.0.1:80", conn: 1}
+	for _, f := range []*wire.Frame{
+		{},
+		{Body: &wire.Frame_TargetHelloAnswer{TargetHelloAnswer: &wire.TargetHelloAnswer{Stamp: math.MinInt64, Open: []uint64{math.MaxUint64}}}},
+		{Body: &wire.Frame_TargetBeatAnswer{TargetBeatAnswer: &wire.TargetBeatAnswer{Stamp: math.MaxInt64, DocumentVersion: math.MinInt64}}},
+		{Body: &wire.Frame_RunOrders{RunOrders: &wire.RunOrders{
+			Starts: []*wire.RunStart{{
+				Attempt: math.MaxUint64, Number: math.MaxUint32, Millicores: math.MaxUint64, MemoryMb: math.MaxUint64, ExpectedMs: math.MaxUint32,
+			}},
+			Stops: []uint64{0, math.MaxUint64},
+		}}},
+	} {
+		require.NotPanics(t, func() { d.received(1, f) })
+	}
+}
--- a/io/schedd/hello_test.go
+++ b/io/schedd/hello_test.go
@@ -1,6 +1,7 @@
 package schedd
 
 import (
+	"math"
 	"testing"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -20,3 +21,36 @@
 	}
 	require.Len(t, d.entries, 2)
 }
+
+// TestAnAbsurdReportOfAnAgentDoesNotOverflow guards against a full target that counts as free, and against the end of the process.
+func TestAnAbsurdReportOfAnAgentDoesNotOverflow(t *testing.T) {
+	for _, n := range []uint64{0, 1 << 63, math.MaxUint64} {
+		s := (&link{}).targetState(&wire.TargetState{
+			Millicores: n, MemoryMb: n, UsedMillicores: n, UsedMemoryMb: n, PacePermille: math.MaxUint32, Seen: n,
+		})
+		require.LessOrEqual(t, s.UsedMillicores+s.Millicores, uint64(1<<41))
+		require.LessOrEqual(t, s.UsedMemoryMB+s.MemoryMB, uint64(1<<41))
+		require.GreaterOrEqual(t, s.UsedMillicores, s.Millicores)
+	}
+	d := New(Config{Name: "e", Address: "10.0.0.9:80"}, &newest.Newest{}, zap.NewNop(), prometheus.NewRegistry())
+	d.opened(1)
+	agent := &wire.Ident{Name: "a", Incarnation: []byte{0xff, 0}}
+	state := &wire.TargetState{Brief: true, Seen: math.MaxUint64, Usable: true}
+	for _, f := range []*wire.Frame{
+		{},
+		{Body: &wire.Frame_TargetHello{TargetHello: &wire.TargetHello{Version: wire.Version, Agent: agent}}},
+		{Body: &wire.Frame_TargetHello{TargetHello: &wire.TargetHello{
+			Version: wire.Version, Agent: agent, State: state, Stamp: math.MinInt64, DocumentVersion: math.MaxInt64,
+		}}},
+		{Body: &wire.Frame_TargetBeat{TargetBeat: &wire.TargetBeat{State: state, Stamp: math.MaxInt64}}},
+		{Body: &wire.Frame_RunReport{RunReport: &wire.RunReport{
+			State: state, Ends: []*wire.RunEnd{{Attempt: math.MaxUint64, How: "\xff", RanMs: math.MaxUint32}},
+			Forecasts: []*wire.RunForecast{{Attempt: math.MaxUint64, LeftMs: math.MaxUint32}},
+		}}},
+		{Body: &wire.Frame_TargetCrash{TargetCrash: &wire.TargetCrash{
+			Stamp: math.MinInt64, AgeMs: math.MaxUint32, Tasks: []*wire.CrashedTask{{Task: "", RanMs: math.MaxUint32}},
+		}}},
+	} {
+		require.NotPanics(t, func() { d.received(1, f) })
+	}
+}
--- a/io/schedd/links.go
+++ b/io/schedd/links.go
@@ -170,6 +170,10 @@
 	return "other"
 }
 
+// maxCapacity bounds a reported capacity, in thousandths of a core or MB, so that sums over all targets don't overflow. It is above
+// what an agent accepts from its target.
+const maxCapacity = 1 << 40
+
 // targetState converts a reported state; the fields that a brief state omits are taken from the last full one.
 func (l *link) targetState(s *wire.TargetState) sched.TargetState {
 	const permille = 1000
@@ -178,8 +182,9 @@
 	}
 	full := l.lastFullState
 	return sched.TargetState{
-		Service: full.GetService(), Millicores: full.GetMillicores(), MemoryMB: full.GetMemoryMb(), Labels: full.GetLabels(),
-		UsedMillicores: s.UsedMillicores, UsedMemoryMB: s.UsedMemoryMb,
+		Service: full.GetService(), Labels: full.GetLabels(),
+		Millicores: min(full.GetMillicores(), maxCapacity), MemoryMB: min(full.GetMemoryMb(), maxCapacity),
+		UsedMillicores: min(s.UsedMillicores, maxCapacity), UsedMemoryMB: min(s.UsedMemoryMb, maxCapacity),
 		Usable: s.Usable, Held: s.Held, Pace: float64(max(1, s.PacePermille)) / permille, Seen: s.Seen,
 	}
 }
