Ignore an echo that is still to come

An agent keeps an entry's runs going for 500 ms after the stamp of the last heartbeat that the entry returned, and took any stamp. One far in the future, from a broken entry, would keep the runs of that entry going after its end, beside those of the caller's second attempt.

Evidence: without the fix TestAnEchoThatIsStillToComeIsIgnored fails.

A stamp after the present time wasn't sent by this process, and is ignored.

--- a/io/runsd/links.go
+++ b/io/runsd/links.go
@@ -218,7 +218,7 @@
 	d.owners[l.owner] = l
 	d.subset.Up(l.addr)
 	d.logOwner("entry joined", l)
-	d.runs.RecordEcho(l.owner, time.Unix(0, a.Stamp))
+	d.recordEcho(l.owner, a.Stamp)
 	d.sendCrashes(l)
 	d.runs.ResendEnds(uptime.Now(), l.owner, a.Open)
 	d.spread.SetVersion(uptime.Now(), l.addr, a.DocumentVersion, d.doc.Version())
@@ -234,8 +234,16 @@
 	}
 }
 
+// recordEcho records the stamp that an entry returned. One that is still to come wasn't sent by this process, and would keep the
+// entry's runs going without its heartbeats.
+func (d *Daemon) recordEcho(owner string, stamp int64) {
+	if at := time.Unix(0, stamp); !at.After(uptime.Now()) {
+		d.runs.RecordEcho(owner, at)
+	}
+}
+
 func (d *Daemon) heartbeatAnswered(l *link, a *wire.TargetBeatAnswer) {
-	d.runs.RecordEcho(l.owner, time.Unix(0, a.Stamp))
+	d.recordEcho(l.owner, a.Stamp)
 	d.addLinks(a.Entries)
 	version, data := d.doc.Get()
 	d.spread.SetVersion(uptime.Now(), l.addr, a.DocumentVersion, version)
--- a/io/runsd/links_test.go
+++ b/io/runsd/links_test.go
@@ -3,12 +3,15 @@
 import (
 	"math"
 	"testing"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
 	"persimmonstage/core/newest"
+	"persimmonstage/core/runs"
+	"persimmonstage/io/uptime"
 	"persimmonstage/io/wire"
 )
 
@@ -39,3 +42,18 @@
 		require.NotPanics(t, func() { d.received(1, f) })
 	}
 }
+
+// TestAnEchoThatIsStillToComeIsIgnored guards against runs that continue at the target after their entry has ended.
+func TestAnEchoThatIsStillToComeIsIgnored(t *testing.T) {
+	for _, stamp := range []int64{math.MaxInt64, uptime.Now().Add(time.Hour).UnixNano()} {
+		target := &refusingTarget{}
+		d := New(Config{Name: "a"}, target, &newest.Newest{}, zap.NewNop(), prometheus.NewRegistry())
+		d.ctx = t.Context()
+		now := uptime.Now()
+		d.runs.Announced(now, &runs.Instance{ID: "i", Addr: "10.0.0.1:80", Millicores: 1000, MemoryMB: 1})
+		d.runs.Listed(now, &runs.Listing{Sent: now})
+		d.heartbeatAnswered(&link{owner: "e"}, &wire.TargetBeatAnswer{Stamp: stamp})
+		d.runs.Order(now, "e", &runs.Order{Attempt: 1, Task: "t", Number: 1})
+		require.Zero(t, d.runs.Len(), "the entry has returned no heartbeat")
+	}
+}
