--- a/core/runs/runs_test.go
+++ b/core/runs/runs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -506,3 +507,42 @@
 	_, extended := g.runs.ExtendLease(g.now)
 	require.False(t, extended, "a start that takes effect late must find the lease ended")
 }
+
+// TestAnOrderWhoseNeedOverflowsIsRefused guards against a start on a full target: the sum of what is used and what the order needs
+// overflowed to a small number.
+func TestAnOrderWhoseNeedOverflowsIsRefused(t *testing.T) {
+	for _, o := range []Order{
+		{Millicores: math.MaxUint64 - need + 1, MemoryMB: 1}, {Millicores: 1, MemoryMB: math.MaxUint64}, {Millicores: math.MaxUint64},
+	} {
+		g := newHarness(t)
+		g.order(1, "a")
+		g.takeLog()
+		o.Attempt, o.Task, o.Number = 2, "b", 1
+		g.runs.Order(g.now, "e", &o)
+		require.Equal(t, []string{"ended e 2 room"}, g.takeLog())
+	}
+}
+
+// TestAPartialListDoesNotShowThatARunIsMissing guards against a second run of a task whose row couldn't be read.
+func TestAPartialListDoesNotShowThatARunIsMissing(t *testing.T) {
+	g := newHarness(t)
+	g.order(1, "a")
+	g.runs.StartAnswered(g.now, Key{"a", 1}, Accepted, "")
+	g.advance(100 * time.Millisecond)
+	g.takeLog()
+	g.runs.Listed(g.now, &Listing{Sent: g.now, Partial: true})
+	require.Empty(t, g.takeLog())
+	g.runs.Listed(g.now, &Listing{Sent: g.now, Partial: true, Finished: []Finish{{Key: Key{"a", 1}, Index: 1, How: "done"}}})
+	require.Equal(t, []string{"ended e 1 done"}, g.takeLog())
+}
+
+// TestAPartialListDoesNotShowThatTheTargetIsClean guards against starts beside a run of an earlier process of the agent.
+func TestAPartialListDoesNotShowThatTheTargetIsClean(t *testing.T) {
+	g := &harness{t: t, now: time.Unix(1000, 0)}
+	g.runs = New(g)
+	g.runs.Announced(g.now, newInstance("i-1", 5, 1))
+	g.runs.Listed(g.now, &Listing{Sent: g.now, Partial: true})
+	require.False(t, g.runs.Clean())
+	g.poll(nil, nil)
+	require.True(t, g.runs.Clean())
+}
--- /dev/null
+++ b/io/runsd/links_test.go
@@ -0,0 +1,59 @@
+package runsd
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"persimmonstage/core/newest"
+	"persimmonstage/core/runs"
+	"persimmonstage/io/uptime"
+	"persimmonstage/io/wire"
+)
+
+// TestAnOddAddressAmongTheEntriesIsNotDialled guards against connections to names and impossible ports that an entry passes on.
+func TestAnOddAddressAmongTheEntriesIsNotDialled(t *testing.T) {
+	d := New(Config{Name: "a"}, &refusingTarget{}, &newest.Newest{}, zap.NewNop(), prometheus.NewRegistry())
+	d.heartbeatAnswered(&link{}, &wire.TargetBeatAnswer{
+		Stamp: 1, Entries: []string{"10.0.0.1:80", "", "e.example:80", "10.0.0.1:0", "10.0.0.1:65536", "10.0.0.2:80"},
+	})
+	require.Len(t, d.links, 2)
+}
+
+// TestAbsurdFramesOfAnEntryDoNotEndTheAgent guards against an agent that one odd frame ends.
+func TestAbsurdFramesOfAnEntryDoNotEndTheAgent(t *testing.T) {
+	d := New(Config{Name: "a"}, &refusingTarget{}, &newest.Newest{}, zap.NewNop(), prometheus.NewRegistry())
+	d.conns[1] = &link{addr: "10.0.0.1:80", conn: 1}
+	for _, f := range []*wire.Frame{
+		{},
+		{Body: &wire.Frame_TargetHelloAnswer{TargetHelloAnswer: &wire.TargetHelloAnswer{Stamp: math.MinInt64, Open: []uint64{math.MaxUint64}}}},
+		{Body: &wire.Frame_TargetBeatAnswer{TargetBeatAnswer: &wire.TargetBeatAnswer{Stamp: math.MaxInt64, DocumentVersion: math.MinInt64}}},
+		{Body: &wire.Frame_RunOrders{RunOrders: &wire.RunOrders{
+			Starts: []*wire.RunStart{{
+				Attempt: math.MaxUint64, Number: math.MaxUint32, Millicores: math.MaxUint64, MemoryMb: math.MaxUint64, ExpectedMs: math.MaxUint32,
+			}},
+			Stops: []uint64{0, math.MaxUint64},
+		}}},
+	} {
+		require.NotPanics(t, func() { d.received(1, f) })
+	}
+}
+
+// TestAnEchoThatIsStillToComeIsIgnored guards against runs that continue at the target after their entry has ended.
+func TestAnEchoThatIsStillToComeIsIgnored(t *testing.T) {
+	for _, stamp := range []int64{math.MaxInt64, uptime.Now().Add(time.Hour).UnixNano()} {
+		target := &refusingTarget{}
+		d := New(Config{Name: "a"}, target, &newest.Newest{}, zap.NewNop(), prometheus.NewRegistry())
+		d.ctx = t.Context()
+		now := uptime.Now()
+		d.runs.Announced(now, &runs.Instance{ID: "i", Addr: "10.0.0.1:80", Millicores: 1000, MemoryMB: 1})
+		d.runs.Listed(now, &runs.Listing{Sent: now})
+		d.heartbeatAnswered(&link{owner: "e"}, &wire.TargetBeatAnswer{Stamp: stamp})
+		d.runs.Order(now, "e", &runs.Order{Attempt: 1, Task: "t", Number: 1})
+		require.Zero(t, d.runs.Len(), "the entry has returned no heartbeat")
+	}
+}
