Take crashes of a whole rack for one crash when tasks are blamed

What callers saw: sound jobs ended as failed (crashes-targets) and their route was confined after two or three racks had crashed by themselves.

Cause: each target's report was weighed alone, as if its crash had a task for its cause. The tasks of the first target of a rack that is noticed are ordered at the next one, which is down already; there they are the youngest, carry most of the blame, and are in two crashes within some milliseconds. And any task of an earlier crash, after whatever run time, made a crash count in full against the routes that ran there.

Now crashes within 10 ms are one: the blame is divided among all their tasks, each of which was in one crash. A task under which two targets crashed is given up only if it ran as long up to both, and a crash counts against routes only if such tasks carry most of its blame.

--- a/core/blame/blame.go
+++ b/core/blame/blame.go
@@ -16,9 +16,13 @@
 	forgetPeriod = time.Second
 	// maxReports is the number of crashes that are kept when there are twice as many.
 	maxReports = 256
+	// coincidence is the span of crashes of several targets that have a cause in common, such as the power of a rack, or none. A task
+	// can't crash two targets in it: the first crash has to be noticed and the task started again.
+	coincidence = 10 * time.Millisecond
 	// maxCrashes is the number of crashes under a task after which it is given up in any case.
 	maxCrashes = 3
-	// provenCrashes is the same for a task that carries most of the blame of these crashes, on average provenBlame of each.
+	// provenCrashes is the same for a task that ran as long up to the last two crashes and carries most of the blame of all, on
+	// average provenBlame of each.
 	provenCrashes = 2
 	provenBlame   = 0.5
 	// youngestRun is added to run times in weights, so that tasks that were just started share the blame.
@@ -44,15 +48,22 @@
 	crashes int
 	blame   float64       // sum over the crashes, at most 1 of each
 	ran     time.Duration // up to the last crash
+	recurs  bool          // whether it ran as long up to the crash before the last
+}
+
+// recursAt reports whether a task ran as long up to a further crash as up to its last one; s is nil at its first one.
+func (s *suspect) recursAt(ran time.Duration) bool {
+	if s == nil {
+		return false
+	}
+	ratio := float64(ran+youngestRun) / float64(s.ran+youngestRun)
+	return ratio <= sameRunRatio && ratio >= 1/sameRunRatio
 }
 
 // weight returns the weight of a task that ran for a time up to a further crash; s is nil at its first one.
 func (s *suspect) weight(ran time.Duration) float64 {
 	w := 1 / (ran + youngestRun).Seconds()
-	if s == nil {
-		return w
-	}
-	if ratio := float64(ran+youngestRun) / float64(s.ran+youngestRun); ratio > sameRunRatio || ratio < 1/sameRunRatio {
+	if !s.recursAt(ran) {
 		return w
 	}
 	return w * math.Pow(recurrenceFactor, float64(s.crashes))
@@ -83,6 +94,7 @@
 	tasks   map[string]*suspect
 	routes  map[string]*routeBlame
 	first   map[string]time.Time // the first crash of each target
+	latest  time.Time            // the first of the latest crashes that coincide
 }
 
 // New returns a Blame without evidence.
@@ -104,12 +116,15 @@
 	added := targetReport{target, r}
 	n := len(b.reports)
 	b.reports = append(b.reports, added)
-	if n < 2*maxReports && (n == 0 || b.reports[n-1].compare(added) < 0) {
-		b.inferFrom(added)
-		return true
+	switch {
+	case n >= 2*maxReports || n > 0 && b.reports[n-1].compare(added) >= 0:
+		slices.SortStableFunc(b.reports, targetReport.compare)
+		b.keep(maxReports)
+	case n > 0 && r.At.Sub(b.latest) <= coincidence:
+		b.infer()
+	default:
+		b.inferFrom(b.reports[n:])
 	}
-	slices.SortStableFunc(b.reports, targetReport.compare)
-	b.keep(maxReports)
 	return true
 }
 
@@ -127,20 +142,54 @@
 // infer works out the blame from the reports.
 func (b *Blame) infer() {
 	b.clear()
-	for _, r := range b.reports {
-		b.inferFrom(r)
+	for rest := b.reports; len(rest) > 0; {
+		n := coincidentPrefix(rest)
+		b.inferFrom(rest[:n])
+		rest = rest[n:]
+	}
+}
+
+// coincidentPrefix returns the number of reports, by time, that coincide with the first one.
+func coincidentPrefix(reports []targetReport) int {
+	n := 1
+	for n < len(reports) && reports[n].At.Sub(reports[0].At) <= coincidence {
+		n++
+	}
+	return n
+}
+
+// inferFrom adds the latest reports, which coincide, to what was inferred from the earlier ones.
+func (b *Blame) inferFrom(coincident []targetReport) {
+	b.latest = coincident[0].At
+	for _, r := range coincident {
+		if _, known := b.first[r.target]; !known {
+			b.first[r.target] = r.At
+		}
 	}
+	b.blameRoutes(coincident[0].At, b.blameTasks(tasksOf(coincident)))
 }
 
-// inferFrom adds the latest report to what was inferred from the earlier ones.
-func (b *Blame) inferFrom(r targetReport) {
-	if _, known := b.first[r.target]; !known {
-		b.first[r.target] = r.At
+// tasksOf returns the tasks that ran at crashes which coincide. A task that was moved from one target to another of them, before
+// the second crash was noticed, is returned once, with its run time at the first one.
+func tasksOf(coincident []targetReport) []crash.Task {
+	if len(coincident) == 1 {
+		return coincident[0].Tasks
 	}
-	b.blameRoutes(r.At, b.blameTasks(r.Report))
+	var out []crash.Task
+	known := make(map[string]bool)
+	for _, r := range coincident {
+		for _, t := range r.Tasks {
+			if !known[t.Name] {
+				known[t.Name] = true
+				out = append(out, t)
+			}
+		}
+	}
+	return out
 }
 
-// routeShares is the blame of one crash, by route, and whether a task is involved that was in a crash before.
+// routeShares is the blame of a crash, or of several that coincide, by route, and whether tasks that were in a
+// crash before after the same run time carry most of it.
 type routeShares struct {
 	shares    map[string]float64
 	recurrent bool
@@ -150,17 +199,16 @@
 // is one that was started shortly before: nothing is known of the time that a task runs before it crashes its target, so the
 // likelihood falls with the inverse of the run time. A task crashes its targets at about the same point of its run, so that a
 // task that was in an earlier crash after another time is no more suspect than others.
-func (b *Blame) blameTasks(r *crash.Report) routeShares {
+func (b *Blame) blameTasks(tasks []crash.Task) routeShares {
 	out := routeShares{shares: make(map[string]float64)}
-	weights := make([]float64, len(r.Tasks))
-	total := 0.0
-	for i, t := range r.Tasks {
+	weights := make([]float64, len(tasks))
+	total, recurring := 0.0, 0.0
+	for i, t := range tasks {
 		s := b.tasks[t.Name]
-		out.recurrent = out.recurrent || s != nil
 		weights[i] = s.weight(t.Ran)
 		total += weights[i]
 	}
-	for i, t := range r.Tasks {
+	for i, t := range tasks {
 		share := weights[i] / total
 		out.shares[t.Route] += share
 		s := b.tasks[t.Name]
@@ -168,15 +216,20 @@
 			s = &suspect{}
 			b.tasks[t.Name] = s
 		}
+		s.recurs = s.crashes > 0 && s.recursAt(t.Ran)
+		if s.recurs {
+			recurring += share
+		}
 		s.crashes++
 		s.blame += share
 		s.ran = t.Ran
 	}
+	out.recurrent = recurring >= provenBlame
 	return out
 }
 
-// blameRoutes adds a crash to the blame of the routes. A crash without a task of an earlier one may have any cause, so it counts
-// only against confined routes.
+// blameRoutes adds a crash to the blame of the routes. A crash that isn't mostly blamed on tasks that recur may have any cause,
+// so it counts only against confined routes.
 func (b *Blame) blameRoutes(at time.Time, crashed routeShares) {
 	for name, share := range crashed.shares {
 		r := b.routes[name]
@@ -237,7 +290,7 @@
 	if s == nil {
 		return false
 	}
-	return s.crashes >= maxCrashes || s.crashes >= provenCrashes && s.blame >= provenBlame*float64(s.crashes)
+	return s.crashes >= maxCrashes || s.recurs && s.crashes >= provenCrashes && s.blame >= provenBlame*float64(s.crashes)
 }
 
 // Confined returns the names of the confined routes in alphabetical order.
--- a/core/sched/overload_test.go
+++ b/core/sched/overload_test.go
@@ -37,6 +37,7 @@
 	arrived   time.Time
 	objective time.Duration
 	served    bool // in time
+	outcome   jobend.Outcome
 }
 
 // overloadRun is a running attempt on a simulated target.
@@ -207,6 +208,7 @@
 	sim.sched.Submit(sim.now, b, func(end jobend.Outcome) {
 		ok := end.Kind == jobend.Done && sim.now.Sub(j.arrived) <= j.objective
 		j.served = ok
+		j.outcome = end
 		if ok {
 			sim.served[k]++
 		}
