--- a/core/proof/repeat_test.go
+++ b/core/proof/repeat_test.go
@@ -373,15 +373,6 @@
 	ordersLateUntil time.Time
 }
 
-func (w *repeatWorld) agent(name string) *repeatAgent {
-	for _, a := range w.agents {
-		if a.name == name {
-			return a
-		}
-	}
-	return nil
-}
-
 // whenRunning calls do in the process as soon as it isn't frozen, unless the process has been replaced by then.
 func (a *repeatAgent) whenRunning(do func()) {
 	life := a.life
