Hold back queued jobs and retries after a stall as well

What callers could see: the double run again. An entry that wakes held back only the jobs that it reads then. A job that was queued before the stall, or a task whose attempt had ended meanwhile, was placed at once when an agent connected or reported, before the entry had read that the caller had left; the caller may have come again elsewhere.

TestJobIsEndedOnceATaskIsCertainToMissTheDeadline moved its clock by 900 and 300 ms in one step, which are stalls; it now ticks every 10 ms and checks the same.

--- a/core/sched/order.go
+++ b/core/sched/order.go
@@ -131,6 +131,10 @@
 // place starts waiting tasks on targets with free capacity, the most urgent job first. The targets that would serve a job in time
 // are reserved for it while they are full, so that the jobs behind it don't take them.
 func (s *Sched) place(now time.Time) {
+	s.noticeStall(now)
+	if now.Sub(s.stallEnd) < stallDelay {
+		return
+	}
 	s.reservedPace = 0
 	s.moveRisky(now)
 	if len(s.queue) == 0 {
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -178,7 +178,7 @@
 
 // noticeStall records the end of a stall of the process, if there was one since the last tick.
 func (s *Sched) noticeStall(now time.Time) {
-	if now.Sub(s.lastTick) > stallThreshold {
+	if !s.lastTick.IsZero() && now.Sub(s.lastTick) > stallThreshold {
 		s.stallEnd = now
 	}
 }
@@ -339,9 +339,7 @@
 
 // Tick handles timeouts: of jobs past their start deadline or deadline, of attempts on lost targets, and of kept outcomes.
 func (s *Sched) Tick(now time.Time) {
-	if !s.lastTick.IsZero() {
-		s.noticeStall(now)
-	}
+	s.noticeStall(now)
 	s.lastTick = now
 	if s.hadTargetAt.IsZero() || len(s.targets) > 0 {
 		s.hadTargetAt = now
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -42,6 +42,13 @@
 
 func (h *harness) advance(d time.Duration) { h.now = h.now.Add(d); h.sched.Tick(h.now) }
 
+// run advances the clock as an entry that isn't stalled.
+func (h *harness) run(d time.Duration) {
+	for range d / tickPeriod {
+		h.advance(tickPeriod)
+	}
+}
+
 func (h *harness) endAttempt(target, how string, i int) {
 	h.sched.Ended(h.now, target, h.starts[i].Attempt, how)
 }
@@ -240,9 +247,9 @@
 	h.advance(100 * time.Millisecond)
 	h.sched.Forecast(h.now, "a", 1, 1420*time.Millisecond)
 	require.Empty(t, h.outcomes, "the time of the progress may be 15 ms off, 15 % of the run time so far")
-	h.advance(900 * time.Millisecond)
+	h.run(900 * time.Millisecond)
 	require.Empty(t, h.outcomes)
-	h.advance(300 * time.Millisecond)
+	h.run(300 * time.Millisecond)
 	require.Equal(t, jobend.Outcome{Kind: jobend.Unfinished, Reason: TooLong}, h.outcomes["j"])
 }
 
@@ -276,9 +283,7 @@
 	h.submit(h.batch("x", 3, 50*time.Millisecond))
 	require.Len(t, h.starts, n)
 	h.sched.Cancel(h.now, "x", Withdrawn)
-	for range probePause / tickPeriod {
-		h.advance(tickPeriod)
-	}
+	h.run(probePause)
 	h.submit(h.batch("y", 3, 50*time.Millisecond))
 	require.Len(t, h.starts, n+1)
 	h.endAttempt("bad", EndDone, n)
@@ -447,3 +452,36 @@
 	h.advance(2 * time.Millisecond)
 	require.Equal(t, jobend.Outcome{Kind: jobend.Unfinished, Reason: NoTarget}, h.outcomes["j"])
 }
+
+// A job that was queued before the stall may have been left during it as well; its caller's retry may run elsewhere by now.
+func TestAQueuedJobIsHeldBackAfterAStall(t *testing.T) {
+	h := newHarness()
+	h.join("a", 1)
+	h.reportUsage("a", capacity/taskMillicores)
+	slow := *testRoute
+	slow.BaseObjective = 20 * time.Second
+	b := h.batch("j", 1, 200*time.Millisecond)
+	b.Route, b.Deadline = &slow, h.now.Add(30*time.Second)
+	h.submit(b)
+	require.Empty(t, h.starts)
+	h.advance(2 * time.Second)
+	require.Empty(t, h.outcomes, "still queued")
+	h.now = h.now.Add(time.Millisecond)
+	h.join("a", 1) // the agent connected while the process was frozen
+	require.Empty(t, h.starts, "started before the end of the caller's connection could be read")
+}
+
+// The same for a task of a started job whose attempt ended meanwhile.
+func TestARetryIsHeldBackAfterAStall(t *testing.T) {
+	h := newHarness()
+	h.join("a", 1)
+	h.join("b", 1)
+	r := &route.Route{Name: "q", Service: "s", MaxAttempts: 3, BaseObjective: 8 * time.Second, Stretch: 2}
+	b := h.batch("j", 1, 200*time.Millisecond)
+	b.Route, b.Deadline = r, h.now.Add(9*time.Second)
+	h.sched.Submit(h.now, b, func(jobend.Outcome) {})
+	require.Len(t, h.starts, 1)
+	h.now = h.now.Add(2 * time.Second) // frozen; the agent stopped the run for the silence
+	h.endAttempt(h.startTargets[0], EndStopped, 0)
+	require.Len(t, h.starts, 1, "the caller may have left during the stall and have come again elsewhere")
+}
