Refuse the hello of an agent's earlier process

What callers could see: tasks started again beside running ones. An entry that was frozen while an agent's process was replaced reads the hellos of both connections in any order. The older one replaced the live connection, and the attempts of the live process counted as ended.

Found by the review of the incident, by reading; the new test shows the replacement and failed before. A hello carries the agent's time: one that is earlier than that of the present connection is refused. After a reboot of the host the old connection is given up after its silence, and the agent dials again.

--- a/io/schedd/hello_test.go
+++ b/io/schedd/hello_test.go
@@ -54,3 +54,18 @@
 		require.NotPanics(t, func() { d.received(1, f) })
 	}
 }
+
+// After a freeze of the entry, the hellos of an agent's earlier process and of its present one are read in any order.
+func TestAnOlderHelloDoesNotReplaceTheConnectionOfANewerProcess(t *testing.T) {
+	d := New(Config{Name: "e", Address: "127.0.0.1:0"}, &newest.Newest{}, zap.NewNop(), prometheus.NewRegistry())
+	hello := func(conn uint64, inc string, stamp int64) {
+		d.opened(conn)
+		d.received(conn, &wire.Frame{Body: &wire.Frame_TargetHello{TargetHello: &wire.TargetHello{
+			Version: wire.Version, Agent: &wire.Ident{Name: "a", Incarnation: []byte(inc)}, Stamp: stamp, TenureMs: 500,
+			State: &wire.TargetState{Service: "s", Millicores: 1000, Usable: true},
+		}}})
+	}
+	hello(2, "new", 2_000)
+	hello(1, "old", 1_000)
+	require.Equal(t, uint64(2), d.byName["a"].conn)
+}
--- a/io/schedd/links.go
+++ b/io/schedd/links.go
@@ -21,6 +21,7 @@
 	lastFrame     time.Time
 	orders        *wire.RunOrders // to be sent by flush
 	heartbeats    int
+	helloStamp    int64             // the agent's time of its hello
 	lastFullState *wire.TargetState // the last one that wasn't brief
 }
 
@@ -82,11 +83,17 @@
 		d.control.Drop(l.conn)
 		return
 	}
-	if old := d.byName[name]; old != nil && old != l {
+	old := d.byName[name]
+	if old != nil && old != l && h.Stamp < old.helloStamp {
+		d.log.Info("agent's hello is outdated", zap.String("agent", name))
+		d.control.Drop(l.conn)
+		return
+	}
+	if old != nil && old != l {
 		d.control.Drop(old.conn)
 		delete(d.links, old.conn)
 	}
-	l.name = name
+	l.name, l.helloStamp = name, h.Stamp
 	d.byName[name] = l
 	d.targets.Store(int64(len(d.byName)))
 	inc := string(h.Agent.GetIncarnation())
