Never defer the end of a lease that a run's end has limited

What callers could see: a task runs beside that of the caller's second submission. The lease of a run that should have ended was limited by the age of the owner's last echo, and by 500 ms from its stop.

Each run keeps the time until which the lease is extended for it, and it is only lowered. 150 ms after a stop (before: 500 ms) lets everything end within 1,288 ms of a lost connection. A run whose stop the target has confirmed doesn't count: it ends by itself. A waiting order that its owner counts as ended is reported, which frees its room.

--- a/core/runs/listed.go
+++ b/core/runs/listed.go
@@ -14,10 +14,10 @@
 // and the target doesn't confirm that it has, since its task may soon be started elsewhere.
 func (r *Runs) mayExtend(now time.Time) bool {
 	for _, u := range r.runs {
-		if u.abandoned || now.Sub(r.owner(u.owner).lastEcho) > Tenure+stopTime {
-			return false
+		if !u.stopConfirmed.IsZero() {
+			continue // it ends by itself, whatever the lease
 		}
-		if !u.withdrawn.IsZero() && now.Sub(u.withdrawn) > withdrawTime {
+		if u.abandoned || now.Sub(r.owner(u.owner).lastEcho) > Tenure+stopTime || !u.extendUntil.IsZero() && now.After(u.extendUntil) {
 			return false
 		}
 	}
@@ -120,3 +120,10 @@
 	}
 	r.step(now, u, onFinished)
 }
+
+// limitLease sets the time until which the lease is extended for a run that should end; neither a later stop nor an echo defers it.
+func (u *run) limitLease(until time.Time) {
+	if u.extendUntil.IsZero() || until.Before(u.extendUntil) {
+		u.extendUntil = until
+	}
+}
--- a/core/runs/order.go
+++ b/core/runs/order.go
@@ -37,9 +37,14 @@
 
 // endAbandoned ends an owner's attempts other than the open ones.
 func (r *Runs) endAbandoned(now time.Time, name string, open []uint64) {
-	r.waiting = slices.DeleteFunc(r.waiting, func(w waitingOrder) bool {
-		return w.owner == name && !slices.Contains(open, w.order.Attempt)
-	})
+	for _, w := range r.takeWaiting() {
+		if w.owner != name || slices.Contains(open, w.order.Attempt) {
+			r.waiting = append(r.waiting, w)
+			continue
+		}
+		r.reportEnd(now, w.key(), stopped, 0)
+		r.out.Changed()
+	}
 	for _, u := range r.sorted() {
 		if u.owner == name && !slices.Contains(open, u.order.Attempt) {
 			u.abandoned = true
@@ -137,9 +142,7 @@
 func (r *Runs) Stop(now time.Time, name string, id uint64) {
 	k := attemptKey{name, id}
 	if u := r.attempts[k]; u != nil {
-		if u.withdrawn.IsZero() {
-			u.withdrawn = now
-		}
+		u.limitLease(now.Add(withdrawTime))
 		r.step(now, u, onStopRequested)
 		return
 	}
--- a/core/runs/runs.go
+++ b/core/runs/runs.go
@@ -16,7 +16,7 @@
 	// stopTime is how long after the tenure of a run's owner the lease is still extended if the target hasn't confirmed the run's
 	// end, and withdrawTime is how long after the owner stopped the run.
 	stopTime     = 100 * time.Millisecond
-	withdrawTime = 500 * time.Millisecond
+	withdrawTime = 150 * time.Millisecond
 	// Expiry is how long after the loss of its connection an owner's attempts may still run: until the tenure is over and then, if
 	// the target doesn't confirm the stop, until the lease has ended. Callers resubmit a lost job after 1,300 ms.
 	Expiry = Tenure + stopTime + Lease + 50*time.Millisecond
@@ -54,7 +54,7 @@
 	state          int
 	began          time.Time
 	startSettled   time.Time // when the start was answered or timed out
-	withdrawn      time.Time // when its owner stopped it
+	extendUntil    time.Time // until when the lease is extended for it although it should end; zero if it may run
 	abandoned      bool      // its owner counts it as ended
 	stopSent       time.Time
 	stopConfirmed  time.Time     // when the target confirmed the stop
@@ -139,7 +139,8 @@
 			u.how = lapsed
 			r.step(now, u, onLeaseExpired)
 		}
-		if now.Sub(r.owner(u.owner).lastEcho) > Tenure {
+		if echo := r.owner(u.owner).lastEcho; now.Sub(echo) > Tenure {
+			u.limitLease(echo.Add(Tenure + stopTime))
 			r.step(now, u, onStopRequested)
 		}
 		if (u.state == stateBarring || u.state == stateStopping) && u.stopConfirmed.IsZero() && now.Sub(u.stopSent) >= stopRetryPeriod {
--- a/core/runs/runs_test.go
+++ b/core/runs/runs_test.go
@@ -546,3 +546,57 @@
 	g.poll(nil, nil)
 	require.True(t, g.runs.Clean())
 }
+
+// The owner was cut off longer than its tenure; it had ended the job meanwhile, and repeats its stop as it connects again. An
+// unanswered start may still take effect, so the lease must not be extended anew.
+func TestAStopRepeatedAfterASilenceDoesNotExtendTheLeaseAgain(t *testing.T) {
+	g := newHarness(t)
+	g.order(1, "a")
+	g.runs.StartAnswered(g.now, Key{"a", 1}, Lost, "")
+	g.advance(Tenure + stopTime + time.Millisecond)
+	g.runs.Tick(g.now)
+	g.poll(nil, nil)
+	_, extended := g.runs.ExtendLease(g.now)
+	require.False(t, extended)
+	g.advance(650 * time.Millisecond) // 1,251 ms after the last echo
+	g.runs.Tick(g.now)
+	g.poll(nil, nil)
+	g.runs.RecordEcho("e", g.now)
+	g.runs.Reconnected(g.now, "e", []uint64{1})
+	g.runs.Stop(g.now, "e", 1)
+	_, extended = g.runs.ExtendLease(g.now)
+	require.False(t, extended, "a start that takes effect late runs until %v after the last echo", Tenure+stopTime+650*time.Millisecond+Lease+withdrawTime)
+}
+
+// The lease must have ended 1,300 ms after the caller left, which may be as early as the last echo before a broken connection.
+func TestTheLeaseEndsBeforeCallersReturnIfTheStopIsRepeatedOnANewConnection(t *testing.T) {
+	g := newHarness(t)
+	g.order(1, "a")
+	g.runs.StartAnswered(g.now, Key{"a", 1}, Accepted, "")
+	began, end := g.now, time.Time{}
+	for g.now.Sub(began) < 3*time.Second {
+		g.advance(10 * time.Millisecond)
+		if since := g.now.Sub(began); since == 470*time.Millisecond { // silent for 450 ms, connected again
+			g.runs.RecordEcho("e", g.now)
+			g.runs.Reconnected(g.now, "e", []uint64{1})
+			g.runs.Stop(g.now, "e", 1)
+		} else if since > 470*time.Millisecond {
+			g.runs.RecordEcho("e", g.now)
+		}
+		g.runs.Tick(g.now)
+		g.poll(listedOne("a", 50), nil)
+		if until, ok := g.runs.ExtendLease(g.now); ok {
+			end = until
+		}
+	}
+	require.LessOrEqual(t, end.Sub(began), 1300*time.Millisecond)
+}
+
+// An end that was told stays told also for a waiting order that the owner counts as ended.
+func TestAnAbandonedWaitingOrderFreesItsRoom(t *testing.T) {
+	g := newFullHarness(t)
+	g.order(90, "w")
+	changes := g.changes
+	g.runs.Reconnected(g.now, "e", []uint64{1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
+	require.Greater(t, g.changes, changes, "the used amounts have changed")
+}
