Accept queued connections in the search when a frozen entry wakes

An agent that connected again still read frames of its old connection, and an agent couldn't connect to a frozen entry, whose kernel accepts connections.

--- a/core/proof/repeat_test.go
+++ b/core/proof/repeat_test.go
@@ -195,9 +195,10 @@
 	sendCutUntil    map[*repeatAgent]time.Time // until when messages to an agent are lost
 	receiveCutUntil map[*repeatAgent]time.Time // until when messages from an agent are lost
 	links           map[string]*repeatLink
-	onDeath         []func()      // callbacks of the callers for when the process dies
-	steps           []func()      // posted and not processed yet
-	dirty           []*repeatLink // those with orders to send
+	queued          map[*repeatAgent]bool // whose connections wait until the frozen process accepts them
+	onDeath         []func()              // callbacks of the callers for when the process dies
+	steps           []func()              // posted and not processed yet
+	dirty           []*repeatLink         // those with orders to send
 }
 
 // repeatOrders is what an entry gathers for an agent while it processes the steps that are already posted, and sends in one frame.
@@ -329,7 +330,7 @@
 			return
 		}
 		a.deliver(func() {
-			if a.life == life {
+			if a.life == life && (e.links[a.name] == l || e.links[a.name] == nil) { // else the agent has connected again
 				l.agentReceived = e.w.now
 				do()
 			}
@@ -541,7 +542,19 @@
 	passes := !w.now.Before(e.sendCutUntil[a]) && !w.now.Before(e.receiveCutUntil[a])
 	switch {
 	case l == nil || !l.up:
-		if !passes || !e.alive() || e.frozen() || a.frozen() || !a.runs.Clean() {
+		if !passes || !e.alive() || a.frozen() || !a.runs.Clean() {
+			return
+		}
+		if e.frozen() { // the connection and the hello wait in the entry's queue of connections
+			if !e.queued[a] {
+				e.queued[a] = true
+				w.after(e.frozenUntil.Sub(w.now)+time.Duration(w.rng.IntN(3000))*time.Microsecond, func() {
+					e.queued[a] = false
+					if !e.frozen() {
+						w.maintainLink(a, e)
+					}
+				})
+			}
 			return
 		}
 		l = &repeatLink{entry: e, agent: a, up: true, agentReceived: w.now, entryReceived: w.now}
@@ -679,7 +692,7 @@
 	for i := range 2 {
 		e := &repeatEntry{
 			repeatHost: repeatHost{w: w}, name: fmt.Sprint("e", i),
-			sendCutUntil: map[*repeatAgent]time.Time{}, receiveCutUntil: map[*repeatAgent]time.Time{},
+			queued: map[*repeatAgent]bool{}, sendCutUntil: map[*repeatAgent]time.Time{}, receiveCutUntil: map[*repeatAgent]time.Time{},
 		}
 		w.entries = append(w.entries, e)
 		w.bootEntry(e)
