Hold back each job that is read within 250 ms after a stall

What callers could see: the double run once more. An entry with many waiting connections reads requests later than 25 ms after it woke, and then started them at once, before it read that their callers had left.

The new test failed before.

--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -18,9 +18,10 @@
 	outcomeRetention = 10 * time.Second
 	// stallThreshold is the time since the last tick after which the process is considered to have stalled.
 	stallThreshold = 250 * time.Millisecond
-	// stallDelay is how long a job that arrives within the same time after a stall is held back, as its caller may have
-	// disconnected during the stall.
-	stallDelay = 25 * time.Millisecond
+	// backlogTime is how long after a stall requests are still read that arrived during it, and stallDelay how long each of these
+	// jobs is held back: its caller may have disconnected during the stall, which is read after the request.
+	backlogTime = 250 * time.Millisecond
+	stallDelay  = 25 * time.Millisecond
 	// noTargetTimeout is how long jobs are still queued when there is no target; a restart takes about as long.
 	noTargetTimeout = 2 * time.Second
 	// reconnectTime is how long a job still waits once the first target is back after all were lost: the agents reconnect one
@@ -164,8 +165,9 @@
 	j.overShare = s.shares.over[b.Route.Name]
 	j.startDeadline = now.Add(time.Duration(startFraction(j.overShare) * float64(objective)))
 	s.noticeStall(now)
-	if now.Sub(s.stallEnd) < stallDelay {
+	if now.Sub(s.stallEnd) < backlogTime {
 		j.ready = now.Add(stallDelay)
+		j.startDeadline = j.startDeadline.Add(stallDelay)
 	}
 	s.jobs[b.ID] = j
 	s.live = append(s.live, j)
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -312,6 +312,7 @@
 	h.sched.Cancel(h.now, "j", CallerLeft)
 	h.advance(50 * time.Millisecond)
 	require.Empty(t, h.starts)
+	h.run(backlogTime)
 	h.submit(h.batch("k", 1, 100*time.Millisecond))
 	require.Len(t, h.starts, 1)
 }
@@ -453,6 +454,19 @@
 	require.Equal(t, jobend.Outcome{Kind: jobend.Unfinished, Reason: NoTarget}, h.outcomes["j"])
 }
 
+// Reading what arrived during a stall takes a while.
+func TestAJobThatIsReadSomeTimeAfterAStallIsHeldBack(t *testing.T) {
+	h := newHarness()
+	h.join("a", 1)
+	h.advance(3 * time.Second)
+	h.run(100 * time.Millisecond)
+	h.submit(h.batch("j", 1, 100*time.Millisecond))
+	h.run(stallDelay - tickPeriod)
+	require.Empty(t, h.starts)
+	h.run(2 * tickPeriod)
+	require.Len(t, h.starts, 1)
+}
+
 // A job that was queued before the stall may have been left during it as well; its caller's retry may run elsewhere by now.
 func TestAQueuedJobIsHeldBackAfterAStall(t *testing.T) {
 	h := newHarness()
