--- /dev/null
+++ b/core/proof/repeat_entry_test.go
@@ -0,0 +1,147 @@
+package proof
+
+import (
+	"fmt"
+	"time"
+
+	"persimmonstage/core/runs"
+	"persimmonstage/core/sched"
+)
+
+// repeatEntry is an entry's process.
+type repeatEntry struct {
+	repeatHost
+	name            string
+	life            int
+	sched           *sched.Sched
+	deadUntil       time.Time
+	sendCutUntil    map[*repeatAgent]time.Time // until when messages to an agent are lost
+	receiveCutUntil map[*repeatAgent]time.Time // until when messages from an agent are lost
+	links           map[string]*repeatLink
+	queued          map[*repeatAgent]bool // whose connections wait until the frozen process accepts them
+	onDeath         []func()              // callbacks of the callers for when the process dies
+	steps           []func()              // posted and not processed yet
+	dirty           []*repeatLink         // those with orders to send
+}
+
+// repeatOrders is what an entry gathers for an agent while it processes the steps that are already posted, and sends in one frame.
+type repeatOrders struct {
+	starts []*runs.Order
+	stops  []uint64
+}
+
+func (e *repeatEntry) id() string { return fmt.Sprint(e.name, "-", e.life) }
+
+func (e *repeatEntry) alive() bool { return !e.w.now.Before(e.deadUntil) }
+
+// whenRunning calls do in the process as soon as it isn't frozen, in the order of the calls, unless the process has been replaced
+// by then.
+func (e *repeatEntry) whenRunning(do func()) {
+	life := e.life
+	e.deliver(func() {
+		if e.alive() && e.life == life {
+			e.post(do)
+		}
+	})
+}
+
+// maxStepDelay bounds the time until a posted step is processed: usually none, sometimes this long, as on a host without processor
+// time to spare.
+const maxStepDelay = 40 * time.Millisecond
+
+// post processes a step together with those that are posted until then, and then sends the orders that they gave.
+func (e *repeatEntry) post(do func()) {
+	e.steps = append(e.steps, do)
+	if len(e.steps) > 1 {
+		return
+	}
+	delay := time.Duration(0)
+	if e.w.rng.IntN(10) == 0 {
+		delay = time.Duration(e.w.rng.Int64N(int64(maxStepDelay)))
+	}
+	life := e.life
+	e.w.after(delay, func() {
+		if !e.alive() || e.life != life {
+			return
+		}
+		steps := e.steps
+		e.steps = nil
+		for _, step := range steps {
+			step()
+		}
+		e.flush()
+	})
+}
+
+// flush sends the orders that were gathered, one frame a connection.
+func (e *repeatEntry) flush() {
+	owner := e.id()
+	for _, l := range e.dirty {
+		o := l.orders
+		l.orders = nil
+		e.sendOver(l, func() { l.agent.runs.Orders(e.w.now, owner, o.starts, o.stops) })
+	}
+	e.dirty = nil
+}
+
+// ordersFor returns what is gathered for the present connection of a target's agent.
+func (e *repeatEntry) ordersFor(target string) *repeatOrders {
+	l := e.links[target]
+	if l == nil {
+		return &repeatOrders{}
+	}
+	if l.orders == nil {
+		l.orders = &repeatOrders{}
+		e.dirty = append(e.dirty, l)
+	}
+	return l.orders
+}
+
+func (e *repeatEntry) send(a *repeatAgent, do func()) {
+	if l := e.links[a.name]; l != nil {
+		e.sendOver(l, do)
+	}
+}
+
+func (e *repeatEntry) sendOver(l *repeatLink, do func()) {
+	if !l.up || e.w.now.Before(e.sendCutUntil[l.agent]) {
+		return
+	}
+	a, life := l.agent, l.agent.life
+	e.w.after(repeatLatency, func() {
+		if !l.up {
+			return
+		}
+		a.deliver(func() {
+			if a.life == life && (e.links[a.name] == l || e.links[a.name] == nil) { // else the agent has connected again
+				l.agentReceived = e.w.now
+				do()
+			}
+		})
+	})
+}
+
+func (e *repeatEntry) Start(target string, s *sched.Start) {
+	o := e.ordersFor(target)
+	o.starts = append(o.starts, &runs.Order{
+		Attempt: s.Attempt, Task: s.Task, Number: s.Number, Millicores: s.Millicores, MemoryMB: s.MemoryMB,
+		Expected: time.Duration(s.ExpectedMS) * time.Millisecond,
+	})
+}
+
+func (e *repeatEntry) Stop(target string, id uint64) {
+	o := e.ordersFor(target)
+	o.stops = append(o.stops, id)
+}
+
+func (e *repeatEntry) JobAccepted(*sched.JobArrival) {}
+
+func (e *repeatEntry) JobStarted(time.Duration) {}
+
+func (e *repeatEntry) AttemptEnded(string, int, string, string, time.Duration) {}
+
+func (e *repeatEntry) TaskMoved(string, string, int64) {}
+
+func (e *repeatEntry) RouteConfined(string, bool, []string) {}
+
+func (e *repeatEntry) JobEnded(*sched.JobSummary) {}
