Name the reason of a start whose lease has ended as targets do

It goes to the entry as the end of the attempt and stands in OPERATIONS.md as 'late'. The comment on two limits of the lease is split. No behaviour changes but the word.

--- a/core/proof/repeat_agent_test.go
+++ b/core/proof/repeat_agent_test.go
@@ -83,7 +83,7 @@
 		if call == 1 {
 			answer = runs.Rejected
 		}
-		a.runs.StartAnswered(a.w.now, k, answer, "lease ended")
+		a.runs.StartAnswered(a.w.now, k, answer, "late")
 		return
 	}
 	work, token := o.Expected, a.life
--- a/core/runs/runs.go
+++ b/core/runs/runs.go
@@ -13,9 +13,9 @@
 	Lease = 600 * time.Millisecond
 	// Tenure is how long an owner's runs continue after the stamp of the last heartbeat that it returned.
 	Tenure = 500 * time.Millisecond
-	// stopTime is how long after the tenure of a run's owner the lease is still extended if the target hasn't confirmed the run's
-	// end, and withdrawTime is how long after the owner stopped the run.
-	stopTime     = 100 * time.Millisecond
+	// stopTime is how long after the tenure of a run's owner the lease is still extended while the target hasn't confirmed the stop.
+	stopTime = 100 * time.Millisecond
+	// withdrawTime is the same after the owner's own stop; it covers a stop that is repeated on a new connection.
 	withdrawTime = 150 * time.Millisecond
 	// Expiry is how long after the loss of its connection an owner's attempts may still run: until the tenure is over and then, if
 	// the target doesn't confirm the stop, until the lease has ended. Callers resubmit a lost job after 1,300 ms.
--- a/io/runsd/target.go
+++ b/io/runsd/target.go
@@ -23,6 +23,8 @@
 	refusedPause = 2 * time.Millisecond
 	// maxPollLosses is the number of consecutive lost answers from which on a target may count as lost.
 	maxPollLosses = 3
+	// reasonLate is the reason of a start whose lease has ended, as targets give it.
+	reasonLate = "late"
 	// idlePause is the time between two checks whether there is a target to poll.
 	idlePause = time.Second
 )
@@ -179,7 +181,7 @@
 	calls := 0
 	answer := d.repeat(timeout, startBudget, func(ctx context.Context) (answer runs.Answer) {
 		if !uptime.Now().Before(until) {
-			reason = "lease ended"
+			reason = reasonLate
 			if calls == 0 {
 				return runs.Rejected
 			}
