Keep the log field key for items that are skipped

The line about an entry's unreadable address named its key; 'item skipped', which replaced it today, called the same thing item, so a name that operators search for was gone. The message and what is checked stay.

--- a/io/skip/skip.go
+++ b/io/skip/skip.go
@@ -43,7 +43,7 @@
 	}
 	r.mu.Unlock()
 	if !logged {
-		r.log.Warn("item skipped", zap.String("source", source), zap.String("item", name), zap.String("error", reason))
+		r.log.Warn("item skipped", zap.String("source", source), zap.String("key", name), zap.String("error", reason))
 	}
 }
 
--- a/io/skip/skip_test.go
+++ b/io/skip/skip_test.go
@@ -22,7 +22,7 @@
 		r.Skip("store", strings.Repeat("k", 1000), "value: not base64")
 	}
 	require.Equal(t, 1, logs.Len())
-	require.Less(t, len(logs.All()[0].ContextMap()["item"].(string)), 100)
+	require.Less(t, len(logs.All()[0].ContextMap()["key"].(string)), 100)
 	families, err := reg.Gather()
 	require.NoError(t, err)
 	require.Equal(t, "persimmonstage_skipped_items_total", families[0].GetName())
