--- a/core/sched/doc.go
+++ b/core/sched/doc.go
@@ -7,5 +7,5 @@
 // order.go handles overload that lasts for seconds; share.go floods of some kinds of work beside others; choose.go targets of
 // different speed, jobs that are as slow as their slowest task, and many entries that compete for the same free capacity;
 // forecast.go tasks that take longer than expected and targets that become slow; targets.go targets and agents that disconnect;
-// confine.go jobs that crash each target which starts them.
+// stall.go stalls of this process, during which callers leave; confine.go jobs that crash each target which starts them.
 package sched
--- a/core/sched/order.go
+++ b/core/sched/order.go
@@ -131,8 +131,7 @@
 // place starts waiting tasks on targets with free capacity, the most urgent job first. The targets that would serve a job in time
 // are reserved for it while they are full, so that the jobs behind it don't take them.
 func (s *Sched) place(now time.Time) {
-	s.noticeStall(now)
-	if now.Sub(s.stallEnd) < stallDelay {
+	if s.isRecovering(now) {
 		return
 	}
 	s.reservedPace = 0
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -16,12 +16,6 @@
 const (
 	// outcomeRetention is how long a job's outcome is kept to answer repeated requests.
 	outcomeRetention = 10 * time.Second
-	// stallThreshold is the time since the last tick after which the process is considered to have stalled.
-	stallThreshold = 250 * time.Millisecond
-	// backlogTime is how long after a stall requests are still read that arrived during it, and stallDelay how long each of these
-	// jobs is held back: its caller may have disconnected during the stall, which is read after the request.
-	backlogTime = 250 * time.Millisecond
-	stallDelay  = 25 * time.Millisecond
 	// noTargetTimeout is how long jobs are still queued when there is no target; a restart takes about as long.
 	noTargetTimeout = 2 * time.Second
 	// reconnectTime is how long a job still waits once the first target is back after all were lost: the agents reconnect one
@@ -164,11 +158,7 @@
 	}
 	j.overShare = s.shares.over[b.Route.Name]
 	j.startDeadline = now.Add(time.Duration(startFraction(j.overShare) * float64(objective)))
-	s.noticeStall(now)
-	if now.Sub(s.stallEnd) < backlogTime {
-		j.ready = now.Add(stallDelay)
-		j.startDeadline = j.startDeadline.Add(stallDelay)
-	}
+	s.holdBack(now, j)
 	s.jobs[b.ID] = j
 	s.live = append(s.live, j)
 	s.out.JobAccepted(&JobArrival{
@@ -178,13 +168,6 @@
 	return j
 }
 
-// noticeStall records the end of a stall of the process, if there was one since the last tick.
-func (s *Sched) noticeStall(now time.Time) {
-	if !s.lastTick.IsZero() && now.Sub(s.lastTick) > stallThreshold {
-		s.stallEnd = now
-	}
-}
-
 // estimateRunTime returns the geometric mean of the declared run time and the route's mean of declared run times: the error of a
 // declared run time is about as large as the differences between the jobs of a route.
 func (s *Sched) estimateRunTime(b *batch.Batch) time.Duration {
--- a/io/runsd/links_test.go
+++ b/io/runsd/links_test.go
@@ -5,11 +5,8 @@
 	"testing"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
-	"go.uber.org/zap"
 
-	"persimmonstage/core/newest"
 	"persimmonstage/core/runs"
 	"persimmonstage/io/uptime"
 	"persimmonstage/io/wire"
@@ -17,7 +14,7 @@
 
 // TestAnOddAddressAmongTheEntriesIsNotDialled guards against connections to names and impossible ports that an entry passes on.
 func TestAnOddAddressAmongTheEntriesIsNotDialled(t *testing.T) {
-	d := New(Config{Name: "a"}, &refusingTarget{}, &newest.Newest{}, zap.NewNop(), prometheus.NewRegistry())
+	d := newTestDaemon(&refusingTarget{})
 	d.heartbeatAnswered(&link{}, &wire.TargetBeatAnswer{
 		Stamp: 1, Entries: []string{"10.0.0.1:80", "", "e.example:80", "10.0.0.1:0", "10.0.0.1:65536", "10.0.0.2:80"},
 	})
@@ -26,7 +23,7 @@
 
 // TestAbsurdFramesOfAnEntryDoNotEndTheAgent guards against an agent that one odd frame ends.
 func TestAbsurdFramesOfAnEntryDoNotEndTheAgent(t *testing.T) {
-	d := New(Config{Name: "a"}, &refusingTarget{}, &newest.Newest{}, zap.NewNop(), prometheus.NewRegistry())
+	d := newTestDaemon(&refusingTarget{})
 	d.conns[1] = &link{addr: "10.0.0.1:80", conn: 1}
 	for _, f := range []*wire.Frame{
 		{},
@@ -47,7 +44,7 @@
 func TestAnEchoThatIsStillToComeIsIgnored(t *testing.T) {
 	for _, stamp := range []int64{math.MaxInt64, uptime.Now().Add(time.Hour).UnixNano()} {
 		target := &refusingTarget{}
-		d := New(Config{Name: "a"}, target, &newest.Newest{}, zap.NewNop(), prometheus.NewRegistry())
+		d := newTestDaemon(target)
 		d.ctx = t.Context()
 		now := uptime.Now()
 		d.runs.Announced(now, &runs.Instance{ID: "i", Addr: "10.0.0.1:80", Millicores: 1000, MemoryMB: 1})
--- a/io/runsd/target_test.go
+++ b/io/runsd/target_test.go
@@ -34,12 +34,16 @@
 	return nil, errors.New("refused")
 }
 
+func newTestDaemon(t target) *Daemon {
+	return New(Config{Name: "a"}, t, &newest.Newest{}, zap.NewNop(), prometheus.NewRegistry())
+}
+
 // A refused connection fails at once. If the next call followed at once as well, a start at a target that has just ended would be
 // called thousands of times within its budget.
 func TestCallsThatFailAtOnceAreRepeatedAFewTimes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		target := &refusingTarget{}
-		d := New(Config{Name: "a"}, target, &newest.Newest{}, zap.NewNop(), prometheus.NewRegistry())
+		d := newTestDaemon(target)
 		ctx, stop := context.WithCancel(t.Context())
 		defer stop()
 		d.ctx = ctx
@@ -58,7 +62,7 @@
 func TestAStartIsNotCalledAfterItsLease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		target := &refusingTarget{}
-		d := New(Config{Name: "a"}, target, &newest.Newest{}, zap.NewNop(), prometheus.NewRegistry())
+		d := newTestDaemon(target)
 		ctx, stop := context.WithCancel(t.Context())
 		defer stop()
 		d.ctx = ctx
--- a/io/schedd/links.go
+++ b/io/schedd/links.go
@@ -83,13 +83,12 @@
 		d.control.Drop(l.conn)
 		return
 	}
-	old := d.byName[name]
-	if old != nil && old != l && h.Stamp < old.helloStamp {
-		d.log.Info("agent's hello is outdated", zap.String("agent", name))
-		d.control.Drop(l.conn)
-		return
-	}
-	if old != nil && old != l {
+	if old := d.byName[name]; old != nil && old != l {
+		if h.Stamp < old.helloStamp {
+			d.log.Info("agent's hello is outdated", zap.String("agent", name))
+			d.control.Drop(l.conn)
+			return
+		}
 		d.control.Drop(old.conn)
 		delete(d.links, old.conn)
 	}
