Log which configuration a request was refused by, and how old it was

Callers got 404 for queues that an operator had added, and no line told why: a 404 left none, and no line or metric told when the store had last confirmed the version in force. The hypotheses of the incident (nobody reads for a host that is turned away, a reader falls behind, a version is known but not used) can't be told apart without it.

'queue not found' carries the id, version, source and age; explain turns it into a cause; two gauges show version and age of each process. Behaviour is unchanged.

--- a/core/newest/newest.go
+++ b/core/newest/newest.go
@@ -1,26 +1,48 @@
 package newest
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
-// Newest holds the highest version of a document that it was given; the zero value holds version 0. It is safe for concurrent
-// use.
+// Newest holds the highest version of a document that it was given, where it came from, and when the store last had no higher one;
+// the zero value holds version 0. It is safe for concurrent use.
 type Newest struct {
-	mu      sync.Mutex
-	version int64
-	data    []byte
+	mu        sync.Mutex
+	version   int64
+	data      []byte
+	source    string
+	confirmed time.Time
 }
 
-// Update replaces the document if the given version is higher than the current one, and reports whether it did.
-func (n *Newest) Update(version int64, data []byte) bool {
+// Update replaces the document if the given version is higher than the current one, and reports whether it did; source names the
+// process or store that it came from.
+func (n *Newest) Update(version int64, data []byte, source string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if version <= n.version {
 		return false
 	}
-	n.version, n.data = version, data
+	n.version, n.data, n.source = version, data, source
 	return true
 }
 
+// Confirm records that the store had no version higher than the current one at the given time.
+func (n *Newest) Confirm(at time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if at.After(n.confirmed) {
+		n.confirmed = at
+	}
+}
+
+// Confirmed returns the latest time at which the store is known to have had no higher version, zero if there is none.
+func (n *Newest) Confirmed() time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.confirmed
+}
+
 // Get returns the current version and its document.
 func (n *Newest) Get() (int64, []byte) {
 	n.mu.Lock()
@@ -28,6 +50,13 @@
 	return n.version, n.data
 }
 
+// Source returns the name of the process or store that the current version came from.
+func (n *Newest) Source() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.source
+}
+
 // Version returns the current version.
 func (n *Newest) Version() int64 {
 	v, _ := n.Get()
--- a/core/newest/newest_test.go
+++ b/core/newest/newest_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -11,11 +12,21 @@
 func TestVersionsOnlyRise(t *testing.T) {
 	var n newest.Newest
 	require.Zero(t, n.Version())
-	require.True(t, n.Update(4, []byte("four")))
-	require.False(t, n.Update(3, []byte("three")), "an older version from the store")
-	require.False(t, n.Update(4, []byte("again")))
-	require.True(t, n.Update(9, []byte("nine")))
+	require.True(t, n.Update(4, []byte("four"), "store"))
+	require.False(t, n.Update(3, []byte("three"), "agent-1"), "an older version from the store")
+	require.False(t, n.Update(4, []byte("again"), "agent-1"))
+	require.Equal(t, "store", n.Source())
+	require.True(t, n.Update(9, []byte("nine"), "agent-1"))
 	v, data := n.Get()
 	require.Equal(t, int64(9), v)
 	require.Equal(t, "nine", string(data))
+	require.Equal(t, "agent-1", n.Source())
+}
+
+func TestTheLatestConfirmationIsKept(t *testing.T) {
+	var n newest.Newest
+	require.True(t, n.Confirmed().IsZero())
+	n.Confirm(time.Unix(20, 0))
+	n.Confirm(time.Unix(10, 0))
+	require.Equal(t, time.Unix(20, 0), n.Confirmed())
 }
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -13,6 +13,7 @@
 	AttemptEnded  = "attempt ended"
 	TaskMoved     = "task moved"
 	TargetState   = "target state"
+	QueueNotFound = "queue not found"
 	EntryStarted  = "entry started"
 	AgentStarted  = "agent started"
 	EntryStopping = "entry stopping"
--- a/core/trace/trace.go
+++ b/core/trace/trace.go
@@ -95,6 +95,9 @@
 // explainNoEnd explains why an accepted job has no end.
 func (t *Trace) explainNoEnd() string {
 	last := t.lines[len(t.lines)-1]
+	if last.Message == record.QueueNotFound {
+		return explainUnknown(&last)
+	}
 	for _, l := range t.lines {
 		if l.Message == record.JobTaken {
 			last = l
@@ -110,6 +113,16 @@
 		last.Name, t.last.Sub(last.At).Milliseconds())
 }
 
+// explainUnknown explains the refusal of a request for a host and path that no queue has.
+func explainUnknown(l *record.Record) string {
+	text := fmt.Sprintf("refused: configuration %d, which came from %s, has no queue for %s%s", l.Int("configuration"), l.Text("source"),
+		l.Text("host"), l.Text("path"))
+	if _, ok := l.Fields["confirmed-ms"]; !ok {
+		return text + "; the store had never confirmed it as the newest"
+	}
+	return fmt.Sprintf("%s; the store had confirmed it as the newest %d ms before", text, l.Int("confirmed-ms"))
+}
+
 func (t *Trace) explainEnd(end *record.Record) string {
 	took, tasks, done := end.Int("took-ms"), end.Int("tasks"), end.Int("done")
 	switch end.Text("fate") {
--- a/core/trace/trace_test.go
+++ b/core/trace/trace_test.go
@@ -51,6 +51,18 @@
 	require.Contains(t, tr.Cause(), "e-1 terminated without logging the end of the job, and restarted 2000 ms later")
 }
 
+// TestRefusalOfAnUnknownQueueNamesTheConfiguration guards against a 404 for a queue that an operator had added, of which no log told
+// by which version, from where and how old, it was decided.
+func TestRefusalOfAnUnknownQueueNamesTheConfiguration(t *testing.T) {
+	tr := trace.New("5c0e7a21d94b36f8")
+	fields := id + `,"host":"a.example","path":"/l/5c0e7a21d94b36f8","configuration":7,"source":"agent-1"`
+	tr.Add(at(3, "e-1", "queue not found", fields))
+	require.Contains(t, tr.Cause(), "configuration 7, which came from agent-1, has no queue for a.example/l/5c0e7a21d94b36f8")
+	require.Contains(t, tr.Cause(), "never confirmed")
+	tr.Add(at(4, "e-1", "queue not found", fields+`,"confirmed-ms":12900`))
+	require.Contains(t, tr.Cause(), "confirmed it as the newest 12900 ms before")
+}
+
 func TestTasksBelongToTheirJobAndOtherLinesAreIgnored(t *testing.T) {
 	tr := trace.New("5c0e7a21d94b36f8")
 	for _, l := range []string{
--- a/io/runsd/daemon.go
+++ b/io/runsd/daemon.go
@@ -19,6 +19,7 @@
 	"persimmonstage/core/runs"
 	"persimmonstage/core/subset"
 	"persimmonstage/io/ctrl"
+	"persimmonstage/io/docmet"
 	"persimmonstage/io/feed"
 	"persimmonstage/io/loop"
 	"persimmonstage/io/uptime"
@@ -116,6 +117,7 @@
 		wake:    make(chan struct{}, 1),
 		metrics: newMetrics(reg),
 	}
+	docmet.Register(reg, doc)
 	d.runs = runs.New(effects{d})
 	d.control = ctrl.New(feed.New(d.loop, d.opened, d.received, d.closed), log)
 	return d
--- a/io/runsd/links.go
+++ b/io/runsd/links.go
@@ -204,7 +204,7 @@
 	case *wire.Frame_RunOrders:
 		d.orders(now, l, b.RunOrders)
 	case *wire.Frame_Document:
-		if d.doc.Update(b.Document.Version, b.Document.Data) {
+		if d.doc.Update(b.Document.Version, b.Document.Data, l.entry) {
 			d.log.Info("configuration taken", zap.Int64("version", b.Document.Version), zap.String("entry", l.entry))
 		}
 	default:
--- a/io/schedd/daemon.go
+++ b/io/schedd/daemon.go
@@ -16,6 +16,7 @@
 	"persimmonstage/core/runs"
 	"persimmonstage/core/sched"
 	"persimmonstage/io/ctrl"
+	"persimmonstage/io/docmet"
 	"persimmonstage/io/feed"
 	"persimmonstage/io/loop"
 	"persimmonstage/io/uptime"
@@ -73,6 +74,7 @@
 		metrics: newMetrics(reg),
 	}
 	rng := rand.New(rand.NewPCG(binary.BigEndian.Uint64(inc[:8]), binary.BigEndian.Uint64(inc[8:])))
+	docmet.Register(reg, doc)
 	d.sched = sched.New(effects{d}, rng)
 	d.control = ctrl.New(feed.New(d.loop, d.opened, d.received, d.closed), log)
 	return d
--- a/io/schedd/links.go
+++ b/io/schedd/links.go
@@ -64,7 +64,7 @@
 	case *wire.Frame_TargetCrash:
 		d.targetCrashed(now, l, b.TargetCrash)
 	case *wire.Frame_Document:
-		d.UpdateDocument(b.Document.Version, b.Document.Data)
+		d.UpdateDocument(b.Document.Version, b.Document.Data, l.name)
 	case *wire.Frame_DocumentWant:
 		d.sendDocument(l)
 	case *wire.Frame_EntryHello:
@@ -196,11 +196,12 @@
 	}
 }
 
-// UpdateDocument takes a version of the operators' document from any source and reports whether it is newer than the current one.
-func (d *Daemon) UpdateDocument(version int64, data []byte) bool {
-	if !d.doc.Update(version, data) {
+// UpdateDocument takes a version of the operators' document from the named source and reports whether it is newer than the current
+// one.
+func (d *Daemon) UpdateDocument(version int64, data []byte, source string) bool {
+	if !d.doc.Update(version, data, source) {
 		return false
 	}
-	d.log.Info("configuration in force", zap.Int64("version", version), zap.Int("bytes", len(data)))
+	d.log.Info("configuration in force", zap.Int64("version", version), zap.String("source", source), zap.Int("bytes", len(data)))
 	return true
 }
