--- a/core/newest/newest.go
+++ b/core/newest/newest.go
@@ -13,6 +13,7 @@
 	data      []byte
 	source    string
 	confirmed time.Time
+	position  int64
 }
 
 // Update replaces the document if the given version is higher than the current one, and reports whether it did; source names the
@@ -27,10 +28,11 @@
 	return true
 }
 
-// Confirm records that the store had no version higher than the current one at the given time.
-func (n *Newest) Confirm(at time.Time) {
+// Confirm records that the store had no version higher than the current one at the given time, up to a position in its log.
+func (n *Newest) Confirm(at time.Time, position int64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.position = max(n.position, position)
 	if at.After(n.confirmed) {
 		n.confirmed = at
 	}
@@ -43,6 +45,13 @@
 	return n.confirmed
 }
 
+// Position returns the highest position of a confirmation.
+func (n *Newest) Position() int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.position
+}
+
 // Get returns the current version and its document.
 func (n *Newest) Get() (int64, []byte) {
 	n.mu.Lock()
