Have agents read the configuration for entries that the store turns away

What callers saw: 404 for a queue that the store had confirmed, for as long as it turned all entries away, though it served the agents.

Cause: only entries read the configuration, and agents pass on what entries know, so no host that the store served read it for those that it didn't.

Change: an entry whose version hasn't been confirmed for 1.1 s asks agents to read it. core/relay chooses whom and when, core/flight merges the requests at an agent. The answer brings back the time of the request as the time of the confirmation, and none if the agent's list is older than what the entry knows.

Ruled out: agents that follow the topic too (reads all the time that grow with the fleet); ages of confirmations spread by heartbeats (a round takes as long as the agents could wait at random, so most would read).

--- a/io/runsd/daemon.go
+++ b/io/runsd/daemon.go
@@ -12,6 +12,7 @@
 
 	"persimmonstage/core/crash"
 	"persimmonstage/core/fetch"
+	"persimmonstage/core/flight"
 	"persimmonstage/core/ident"
 	"persimmonstage/core/newest"
 	"persimmonstage/core/offer"
@@ -69,18 +70,19 @@
 
 // Daemon runs the tasks of one target.
 type Daemon struct {
-	cfg     Config
-	log     *zap.Logger
-	self    ident.Ident
-	loop    *loop.Loop
-	control *ctrl.Engine
-	runs    *runs.Runs
-	target  target
-	doc     *newest.Newest
-	spread  *fetch.Spread
-	subset  *subset.Subset
-	offer   *offer.Offer
-	metrics *metrics
+	cfg       Config
+	log       *zap.Logger
+	self      ident.Ident
+	loop      *loop.Loop
+	control   *ctrl.Engine
+	runs      *runs.Runs
+	target    target
+	doc       *newest.Newest
+	documents documents
+	spread    *fetch.Spread
+	subset    *subset.Subset
+	offer     *offer.Offer
+	metrics   *metrics
 
 	calls      rtt.Estimator // of the calls to the target
 	pollLosses int           // consecutive
@@ -98,14 +100,17 @@
 	nextStateLog  time.Time
 	wake          chan struct{}
 	ctx           context.Context
+
+	documentRequests flight.Flight[*documentRequest]
 }
 
-// New returns a daemon for the target t; doc is the operators' document, which it distributes between entries.
-func New(cfg Config, t target, doc *newest.Newest, log *zap.Logger, reg prometheus.Registerer) *Daemon {
+// New returns a daemon for the target t; doc is the operators' document, which it distributes between entries and reads from docs for
+// those that can't.
+func New(cfg Config, t target, docs documents, doc *newest.Newest, log *zap.Logger, reg prometheus.Registerer) *Daemon {
 	inc := uuid.New()
 	rng := rand.New(rand.NewPCG(binary.BigEndian.Uint64(inc[:8]), binary.BigEndian.Uint64(inc[8:])))
 	d := &Daemon{
-		cfg: cfg, log: log, target: t, doc: doc,
+		cfg: cfg, log: log, target: t, documents: docs, doc: doc,
 		self:    ident.Ident{Name: cfg.Name, Incarnation: inc.String()},
 		spread:  fetch.New(rng),
 		subset:  subset.New(cfg.Name),
@@ -190,6 +195,7 @@
 		d.maintain(now, l)
 	}
 	d.fetch(now)
+	d.readDocument(now)
 	d.logState(now)
 }
 
--- a/io/runsd/links.go
+++ b/io/runsd/links.go
@@ -204,9 +204,10 @@
 	case *wire.Frame_RunOrders:
 		d.orders(now, l, b.RunOrders)
 	case *wire.Frame_Document:
-		if d.doc.Update(b.Document.Version, b.Document.Data, l.entry) {
-			d.log.Info("configuration taken", zap.Int64("version", b.Document.Version), zap.String("entry", l.entry))
-		}
+		d.updateDocument(b.Document.Version, b.Document.Data, l.entry)
+	case *wire.Frame_DocumentWant:
+		d.documentRequests.Add(&documentRequest{conn: conn, want: b.DocumentWant})
+		d.readDocument(now)
 	default:
 		d.log.Warn("frame not expected", zap.String("entry", l.entry))
 	}
@@ -253,14 +254,6 @@
 	}
 }
 
-// fetch requests a newer document when a request is due.
-func (d *Daemon) fetch(now time.Time) {
-	l := d.links[d.spread.Next(now, d.doc.Version())]
-	if l != nil && l.conn != 0 {
-		d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_DocumentWant{DocumentWant: &wire.DocumentWant{}}})
-	}
-}
-
 func (d *Daemon) orders(now time.Time, l *link, o *wire.RunOrders) {
 	if len(o.Starts) > 0 {
 		d.offer.RecordOrder(now, l.owner)
--- a/io/runsd/metrics.go
+++ b/io/runsd/metrics.go
@@ -9,6 +9,8 @@
 	polls   *prometheus.CounterVec
 	stops   prometheus.Counter
 	crashes prometheus.Counter
+	// documentReads counts reads of the operators' document for entries, by outcome.
+	documentReads *prometheus.CounterVec
 }
 
 func vec(name, help, label string) *prometheus.CounterVec {
@@ -17,9 +19,10 @@
 
 func newMetrics(reg prometheus.Registerer) *metrics {
 	m := &metrics{
-		ends:   vec("persimmonstage_runs_ended_total", "Attempts ended, by how.", "how"),
-		starts: vec("persimmonstage_runs_starts_total", "Starts called at the target, by its answer.", "answer"),
-		polls:  vec("persimmonstage_runs_looks_total", "Looks at the target, by outcome.", "outcome"),
+		ends:          vec("persimmonstage_runs_ended_total", "Attempts ended, by how.", "how"),
+		starts:        vec("persimmonstage_runs_starts_total", "Starts called at the target, by its answer.", "answer"),
+		polls:         vec("persimmonstage_runs_looks_total", "Looks at the target, by outcome.", "outcome"),
+		documentReads: vec("persimmonstage_configuration_reads_total", "Reads of the configuration for entries, by outcome.", "outcome"),
 		stops: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "persimmonstage_runs_stops_total", Help: "Stops called at the target.",
 		}),
@@ -27,6 +30,6 @@
 			Name: "persimmonstage_target_crashes_total", Help: "Crashes of the target while tasks ran there.",
 		}),
 	}
-	reg.MustRegister(m.ends, m.starts, m.polls, m.stops, m.crashes)
+	reg.MustRegister(m.ends, m.starts, m.polls, m.stops, m.crashes, m.documentReads)
 	return m
 }
--- a/io/runsd/target_test.go
+++ b/io/runsd/target_test.go
@@ -35,7 +35,7 @@
 }
 
 func newTestDaemon(t target) *Daemon {
-	return New(Config{Name: "a"}, t, &newest.Newest{}, zap.NewNop(), prometheus.NewRegistry())
+	return New(Config{Name: "a"}, t, nil, &newest.Newest{}, zap.NewNop(), prometheus.NewRegistry())
 }
 
 // A refused connection fails at once. If the next call followed at once as well, a start at a target that has just ended would be
--- a/io/schedd/daemon.go
+++ b/io/schedd/daemon.go
@@ -13,6 +13,7 @@
 
 	"persimmonstage/core/ident"
 	"persimmonstage/core/newest"
+	"persimmonstage/core/relay"
 	"persimmonstage/core/runs"
 	"persimmonstage/core/sched"
 	"persimmonstage/io/ctrl"
@@ -51,6 +52,7 @@
 	control *ctrl.Engine
 	sched   *sched.Sched
 	doc     *newest.Newest
+	relay   *relay.Relay
 	metrics *metrics
 
 	links       map[uint64]*link
@@ -59,6 +61,7 @@
 	flushPosted bool
 	entries     map[string]time.Time // until when each entry's address is sent to agents
 	targets     atomic.Int64
+	unconfirmed bool // the document has to be read by agents
 }
 
 // New returns a daemon; doc is the operators' document, which the daemon exchanges with agents.
@@ -76,6 +79,7 @@
 	rng := rand.New(rand.NewPCG(binary.BigEndian.Uint64(inc[:8]), binary.BigEndian.Uint64(inc[8:])))
 	docmet.Register(reg, doc)
 	d.sched = sched.New(effects{d}, rng)
+	d.relay = relay.New(rng)
 	d.control = ctrl.New(feed.New(d.loop, d.opened, d.received, d.closed), log)
 	return d
 }
@@ -116,6 +120,7 @@
 func (d *Daemon) tick(time.Time) {
 	now := uptime.Now()
 	d.sched.Tick(now)
+	d.requestDocument(now)
 	for _, l := range d.links {
 		if now.Sub(l.lastFrame) > agentTimeout {
 			d.log.Warn("agent silent", zap.String("agent", l.name), zap.Int64("silent-ms", now.Sub(l.lastFrame).Milliseconds()))
--- a/io/schedd/links.go
+++ b/io/schedd/links.go
@@ -64,7 +64,7 @@
 	case *wire.Frame_TargetCrash:
 		d.targetCrashed(now, l, b.TargetCrash)
 	case *wire.Frame_Document:
-		d.UpdateDocument(b.Document.Version, b.Document.Data, l.name)
+		d.takeDocument(now, l, b.Document)
 	case *wire.Frame_DocumentWant:
 		d.sendDocument(l)
 	case *wire.Frame_EntryHello:
@@ -118,14 +118,6 @@
 	d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_TargetBeatAnswer{TargetBeatAnswer: answer}})
 }
 
-// sendDocument sends an agent the document on request.
-func (d *Daemon) sendDocument(l *link) {
-	version, data := d.doc.Get()
-	if version > 0 {
-		d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_Document{Document: &wire.Document{Version: version, Data: data}}})
-	}
-}
-
 // entryAddresses returns the addresses of this entry and of those that have announced themselves within entryTTL.
 func (d *Daemon) entryAddresses() []string {
 	now := uptime.Now()
@@ -195,13 +187,3 @@
 		Usable: s.Usable, Held: s.Held, Pace: float64(max(1, s.PacePermille)) / permille, Seen: s.Seen,
 	}
 }
-
-// UpdateDocument takes a version of the operators' document from the named source and reports whether it is newer than the current
-// one.
-func (d *Daemon) UpdateDocument(version int64, data []byte, source string) bool {
-	if !d.doc.Update(version, data, source) {
-		return false
-	}
-	d.log.Info("configuration in force", zap.Int64("version", version), zap.String("source", source), zap.Int("bytes", len(data)))
-	return true
-}
--- a/io/schedd/metrics.go
+++ b/io/schedd/metrics.go
@@ -13,6 +13,9 @@
 	confinements prometheus.Counter
 	waited       prometheus.Histogram
 	response     *prometheus.HistogramVec
+	// documentRequests counts requests to agents to read the operators' document, and documentAnswers those that were answered.
+	documentRequests prometheus.Counter
+	documentAnswers  prometheus.Counter
 }
 
 const (
@@ -48,7 +51,14 @@
 		response: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "persimmonstage_repeatable_response_seconds", Help: "Time from a job's arrival to its end, by fate.", Buckets: bounds,
 		}, []string{"fate"}),
+		documentRequests: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "persimmonstage_configuration_requests_total", Help: "Requests to agents to read the configuration from the store.",
+		}),
+		documentAnswers: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "persimmonstage_configuration_answers_total", Help: "Answers of agents that confirm a configuration as the newest.",
+		}),
 	}
-	reg.MustRegister(m.jobs, m.ends, m.starts, m.stops, m.moves, m.confinements, m.waited, m.response)
+	reg.MustRegister(m.jobs, m.ends, m.starts, m.stops, m.moves, m.confinements, m.waited, m.response,
+		m.documentRequests, m.documentAnswers)
 	return m
 }
