--- a/core/proof/repeat_test.go
+++ b/core/proof/repeat_test.go
@@ -1,7 +1,6 @@
 package proof
 
 import (
-	"cmp"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -11,7 +10,6 @@
 	"github.com/stretchr/testify/require"
 
 	"persimmonstage/core/batch"
-	"persimmonstage/core/heap"
 	"persimmonstage/core/jobend"
 	"persimmonstage/core/route"
 	"persimmonstage/core/runs"
@@ -31,43 +29,17 @@
 	repeatWait        = 4 * time.Second
 )
 
-// repeatEvent is something that happens at a time; of those at the same time, the one that was scheduled first comes first.
-type repeatEvent struct {
-	at     time.Time
-	number int
-	do     func()
-}
-
-func (e repeatEvent) before(other repeatEvent) bool {
-	return cmp.Or(e.at.Compare(other.at), cmp.Compare(e.number, other.number)) < 0
-}
-
 // repeatWorld holds the simulated clock, the targets and the processes.
 type repeatWorld struct {
-	t      *testing.T
-	seed   uint64
-	rng    *rand.Rand
-	now    time.Time
-	events *heap.Heap[repeatEvent]
-	// scheduled is the number of events so far.
-	scheduled int
-	entries   []*repeatEntry
-	agents    []*repeatAgent
-	running   map[string]int
-	starts    int
-	done      int
-}
-
-func (w *repeatWorld) after(d time.Duration, do func()) {
-	w.scheduled++
-	w.events.Push(repeatEvent{w.now.Add(d), w.scheduled, do})
-}
-
-func (w *repeatWorld) every(d time.Duration, do func()) {
-	w.after(d, func() {
-		do()
-		w.every(d, do)
-	})
+	timeline
+	t       *testing.T
+	seed    uint64
+	rng     *rand.Rand
+	entries []*repeatEntry
+	agents  []*repeatAgent
+	running map[string]int
+	starts  int
+	done    int
 }
 
 var repeatRoute = &route.Route{Name: "q", Service: "s", MaxAttempts: 3, BaseObjective: 3 * time.Second, Stretch: 2}
@@ -149,8 +121,7 @@
 
 func newRepeatWorld(t *testing.T, seed uint64) *repeatWorld {
 	w := &repeatWorld{
-		t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 3)), now: time.Unix(1000, 0), running: map[string]int{},
-		events: heap.New(repeatEvent.before, func(repeatEvent, int) {}),
+		timeline: newTimeline(), t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 3)), running: map[string]int{},
 	}
 	for i := range 2 {
 		e := &repeatEntry{
@@ -188,12 +159,7 @@
 		w.submit(fmt.Sprintf("%016x", jobs), 1+w.rng.IntN(3), time.Duration(30+w.rng.IntN(1800))*time.Millisecond)
 	})
 	w.every(350*time.Millisecond, w.injectFault)
-	end := w.now.Add(repeatSpan)
-	for w.now.Before(end) {
-		e := w.events.Remove(0)
-		w.now = e.at
-		e.do()
-	}
+	w.runFor(repeatSpan)
 }
 
 func TestNoTaskOfARepeatableJobRunsTwiceAtATime(t *testing.T) {
