--- a/core/follow/follow_test.go
+++ b/core/follow/follow_test.go
@@ -53,6 +53,9 @@
 	f = after(t, 4)
 	require.False(t, f.Read(1, 9, 8), "records were dropped")
 	require.True(t, lists(f))
+	require.False(t, f.Listed(start, 9, 3), "it lacks those as well")
+	require.False(t, f.Read(0, 9, 8), "the dropped records are still unknown")
+	require.True(t, f.Listed(start, 9, 8))
 	f = after(t, 4)
 	require.False(t, f.Read(1, 7, 0), "a full answer")
 	from, list := f.Next()
@@ -93,9 +96,27 @@
 func TestPausesGrowUntilACallSucceeds(t *testing.T) {
 	f := after(t, 4)
 	for _, want := range []time.Duration{minPause, 2 * minPause, 4 * minPause, maxPause, maxPause} {
-		require.Equal(t, want, f.Failed())
+		f.Failed()
+		require.Equal(t, want, f.Pause())
 		require.True(t, lists(f))
 	}
 	require.True(t, f.Listed(start, 4, 3))
-	require.Equal(t, minPause, f.Failed())
+	require.Zero(t, f.Pause())
+	f.Failed()
+	require.Equal(t, minPause, f.Pause())
+}
+
+// TestOutdatedAnswersAreNotRequestedWithoutAPause guards against hundreds of calls a second while lists are outdated.
+func TestOutdatedAnswersAreNotRequestedWithoutAPause(t *testing.T) {
+	f, calls := after(t, 4), 0
+	f.Failed()
+	for now := start; now.Sub(start) < 5*time.Second; now = now.Add(max(time.Millisecond, f.Pause())) {
+		calls++
+		if lists(f) {
+			f.Listed(now, 9, 3)
+		} else {
+			f.Read(1, 9, 8)
+		}
+	}
+	require.Less(t, calls, 20)
 }
--- a/io/runsd/document.go
+++ b/io/runsd/document.go
@@ -14,8 +14,7 @@
 
 // documents reads the operators' document from the store.
 type documents interface {
-	// Latest returns the newest version of the document and the position in the store up to which it is known to be that, -1 if
-	// there may be a newer one before.
+	// Latest returns the version that was the newest when it was called, and the position in the store up to which it is that.
 	Latest() (version int64, data []byte, position int64, err error)
 }
 
@@ -48,30 +47,34 @@
 	}
 	go func() {
 		version, data, position, err := d.documents.Latest()
-		d.loop.Post(func(time.Time) {
-			d.documentRequests.Done(uptime.Now())
-			if err != nil {
-				d.metrics.documentReads.WithLabelValues("failed").Inc()
-				return
-			}
-			d.metrics.documentReads.WithLabelValues("answered").Inc()
-			d.updateDocument(version, data, storeSource)
-			d.answerRequests(list, position)
-		})
+		d.loop.Post(func(time.Time) { d.documentRead(list, version, data, position, err) })
 	}()
 }
 
-// answerRequests sends the entries that requested it the newest document, as confirmed by a read up to a position of the store.
-func (d *Daemon) answerRequests(list []*documentRequest, position int64) {
-	version, data := d.doc.Get()
+// documentRead processes the result of a read and answers the requests for it.
+func (d *Daemon) documentRead(list []*documentRequest, version int64, data []byte, position int64, err error) {
+	d.documentRequests.Done(uptime.Now())
+	if err != nil {
+		d.metrics.documentReads.WithLabelValues("failed").Inc()
+		return
+	}
+	d.metrics.documentReads.WithLabelValues("answered").Inc()
+	d.updateDocument(version, data, storeSource)
 	for _, r := range list {
-		m := &wire.Document{Version: version, Position: position}
-		if version > r.want.Version {
-			m.Data = data
-		}
-		if position >= r.want.Position {
-			m.Stamp = r.want.Stamp
-		}
-		d.control.Send(r.conn, &wire.Frame{Body: &wire.Frame_Document{Document: m}})
+		d.control.Send(r.conn, &wire.Frame{Body: &wire.Frame_Document{Document: d.documentFor(r.want, position)}})
+	}
+}
+
+// documentFor returns the answer to an entry's request after a read up to a position of the store: the document if the entry lacks
+// it, and the request's stamp as a confirmation unless the entry had read further itself.
+func (d *Daemon) documentFor(want *wire.DocumentWant, position int64) *wire.Document {
+	version, data := d.doc.Get()
+	m := &wire.Document{Version: version, Position: position}
+	if version > want.Version {
+		m.Data = data
+	}
+	if position >= want.Position {
+		m.Stamp = want.Stamp
 	}
+	return m
 }
