--- a/core/trace/trace.go
+++ b/core/trace/trace.go
@@ -115,7 +115,11 @@
 
 // explainUnknown explains the refusal of a request for a host and path that no queue has.
 func explainUnknown(l *record.Record) string {
-	text := fmt.Sprintf("refused: configuration %d, which came from %s, has no queue for %s%s", l.Int("configuration"), l.Text("source"),
+	retry := ""
+	if confirmed, _ := l.Fields["confirmed"].(bool); !confirmed {
+		retry = ", to be tried again"
+	}
+	text := fmt.Sprintf("refused%s: configuration %d, which came from %s, has no queue for %s%s", retry, l.Int("configuration"), l.Text("source"),
 		l.Text("host"), l.Text("path"))
 	if _, ok := l.Fields["confirmed-ms"]; !ok {
 		return text + "; the store had never confirmed it as the newest"
--- a/core/trace/trace_test.go
+++ b/core/trace/trace_test.go
@@ -58,9 +58,11 @@
 	fields := id + `,"host":"a.example","path":"/l/5c0e7a21d94b36f8","configuration":7,"source":"agent-1"`
 	tr.Add(at(3, "e-1", "queue not found", fields))
 	require.Contains(t, tr.Cause(), "configuration 7, which came from agent-1, has no queue for a.example/l/5c0e7a21d94b36f8")
+	require.Contains(t, tr.Cause(), "to be tried again")
 	require.Contains(t, tr.Cause(), "never confirmed")
-	tr.Add(at(4, "e-1", "queue not found", fields+`,"confirmed-ms":12900`))
-	require.Contains(t, tr.Cause(), "confirmed it as the newest 12900 ms before")
+	tr.Add(at(4, "e-1", "queue not found", fields+`,"confirmed":true,"confirmed-ms":900`))
+	require.Contains(t, tr.Cause(), "confirmed it as the newest 900 ms before")
+	require.NotContains(t, tr.Cause(), "tried again")
 }
 
 func TestTasksBelongToTheirJobAndOtherLinesAreIgnored(t *testing.T) {
