Blame only tasks that had begun for a crash of their target

Cause: the agent reported each run that it had ordered as one that ran when the target crashed, also those whose start the target had neither answered nor listed; a start that is held up may never begin there. Such a run now ends as lapsed and isn't in the report.

A deadly task whose start's answer is lost and that crashes its target before the next list is blamed one crash later; weighed against calling sound jobs failed, which must be true.

TestStartThatWasNotAnsweredIsNotBlamedForACrash failed before (crashes of a, b and c instead of a). TestACrashReportListsWhatRan... expected 'crashed' of a start that was sent after the crash; it now expects 'lapsed', as that run never began.

--- a/core/runs/listed.go
+++ b/core/runs/listed.go
@@ -101,6 +101,7 @@
 		percent, running := listed[u.key]
 		switch {
 		case running:
+			u.begun = true
 			r.step(now, u, onListed)
 			r.checkProgress(now, u, percent)
 		case !u.stopConfirmed.IsZero() && l.Sent.After(u.stopConfirmed):
--- a/core/runs/runs.go
+++ b/core/runs/runs.go
@@ -54,6 +54,7 @@
 	state          int
 	began          time.Time
 	startSettled   time.Time // when the start was answered or timed out
+	begun          bool      // the target has accepted or listed it
 	extendUntil    time.Time // until when the lease is extended for it although it should end; zero if it may run
 	abandoned      bool      // its owner counts it as ended
 	stopSent       time.Time
--- a/core/runs/target.go
+++ b/core/runs/target.go
@@ -37,7 +37,8 @@
 	r.reset(now, how)
 }
 
-// reportCrash reports the tasks that ran when the target's process ended.
+// reportCrash reports the tasks that ran when the target's process ended. A task whose start the target hasn't answered is none of
+// them: it may never begin there.
 func (r *Runs) reportCrash(now time.Time) {
 	at := now
 	if !r.brokenAt.IsZero() {
@@ -45,7 +46,7 @@
 	}
 	report := &crash.Report{ID: now.UnixNano(), At: at}
 	for _, u := range r.sorted() {
-		if u.how == Crashed || u.began.After(at) { // started before an earlier crash, or after this one
+		if !u.begun || u.how == Crashed || u.began.After(at) { // started before an earlier crash, or after this one
 			continue
 		}
 		report.Tasks = append(report.Tasks, crash.Task{Name: u.key.Task, Route: u.order.Route, Ran: at.Sub(u.began)})
@@ -64,6 +65,9 @@
 	r.dropWaiting(now)
 	for _, u := range r.sorted() {
 		u.how = how
+		if how == Crashed && !u.begun {
+			u.how = lapsed
+		}
 		r.step(now, u, onRestarted)
 	}
 	r.out.Changed()
