Blame no task for a crash that targets which ran nothing share

Cause: targets that ran nothing didn't report their crash, so the task that ran alone in the rack carried all blame. They are reported now, once and only if no start is open there, and crashes that coincide with one of them have a cause in common that is no task: they count for the limit of three crashes, but not as blame.

Ruled out: no blame for any crashes that coincide (a fleet under many deadly tasks needs a third crash for each); racks known by labels (not needed for this case).

--- a/core/blame/blame.go
+++ b/core/blame/blame.go
@@ -17,7 +17,8 @@
 	// maxReports is the number of crashes that are kept when there are twice as many.
 	maxReports = 256
 	// coincidence is the span of crashes of several targets that have a cause in common, such as the power of a rack, or none. A task
-	// can't crash two targets in it: the first crash has to be noticed and the task started again.
+	// can't crash two targets in it: the first crash has to be noticed and the task started again. If one of them ran nothing, the
+	// cause in common is no task.
 	coincidence = 10 * time.Millisecond
 	// maxCrashes is the number of crashes under a task after which it is given up in any case.
 	maxCrashes = 3
@@ -46,14 +47,15 @@
 // suspect is a task that ran at a target when it crashed.
 type suspect struct {
 	crashes int
-	blame   float64       // sum over the crashes, at most 1 of each
-	ran     time.Duration // up to the last crash
-	recurs  bool          // whether it ran as long up to the crash before the last
+	blamed  int           // crashes that may have been caused by a task
+	blame   float64       // sum over these, at most 1 of each
+	ran     time.Duration // up to the last of these
+	recurs  bool          // whether it ran as long up to the one before the last
 }
 
 // recursAt reports whether a task ran as long up to a further crash as up to its last one; s is nil at its first one.
 func (s *suspect) recursAt(ran time.Duration) bool {
-	if s == nil {
+	if s == nil || s.blamed == 0 {
 		return false
 	}
 	ratio := float64(ran+youngestRun) / float64(s.ran+youngestRun)
@@ -66,7 +68,7 @@
 	if !s.recursAt(ran) {
 		return w
 	}
-	return w * math.Pow(recurrenceFactor, float64(s.crashes))
+	return w * math.Pow(recurrenceFactor, float64(s.blamed))
 }
 
 // routeBlame is the decaying blame of a route.
@@ -166,7 +168,32 @@
 			b.first[r.target] = r.At
 		}
 	}
-	b.blameRoutes(coincident[0].At, b.blameTasks(tasksOf(coincident)))
+	tasks := tasksOf(coincident)
+	if slices.ContainsFunc(coincident, targetReport.idle) {
+		b.countCrashes(tasks)
+		return
+	}
+	b.blameRoutes(coincident[0].At, b.blameTasks(tasks))
+}
+
+// idle reports whether the target ran nothing when it crashed, so that no task is the cause.
+func (r targetReport) idle() bool { return len(r.Tasks) == 0 }
+
+// countCrashes adds a crash without blame to the tasks that ran then.
+func (b *Blame) countCrashes(tasks []crash.Task) {
+	for _, t := range tasks {
+		b.suspect(t.Name).crashes++
+	}
+}
+
+// suspect returns what is known of a task.
+func (b *Blame) suspect(task string) *suspect {
+	s := b.tasks[task]
+	if s == nil {
+		s = &suspect{}
+		b.tasks[task] = s
+	}
+	return s
 }
 
 // tasksOf returns the tasks that ran at crashes which coincide. A task that was moved from one target to another of them, before
@@ -211,16 +238,13 @@
 	for i, t := range tasks {
 		share := weights[i] / total
 		out.shares[t.Route] += share
-		s := b.tasks[t.Name]
-		if s == nil {
-			s = &suspect{}
-			b.tasks[t.Name] = s
-		}
-		s.recurs = s.crashes > 0 && s.recursAt(t.Ran)
+		s := b.suspect(t.Name)
+		s.recurs = s.recursAt(t.Ran)
 		if s.recurs {
 			recurring += share
 		}
 		s.crashes++
+		s.blamed++
 		s.blame += share
 		s.ran = t.Ran
 	}
@@ -290,7 +314,7 @@
 	if s == nil {
 		return false
 	}
-	return s.crashes >= maxCrashes || s.recurs && s.crashes >= provenCrashes && s.blame >= provenBlame*float64(s.crashes)
+	return s.crashes >= maxCrashes || s.recurs && s.blamed >= provenCrashes && s.blame >= provenBlame*float64(s.blamed)
 }
 
 // Confined returns the names of the confined routes in alphabetical order.
--- a/core/blame/blame_test.go
+++ b/core/blame/blame_test.go
@@ -154,3 +154,25 @@
 	require.Equal(t, 2, b.Crashes("a1"))
 	require.False(t, b.Proven("a1"))
 }
+
+// TestATaskIsNotBlamedForACrashThatIdleTargetsShare guards against a sound job that is given up after two crashes of racks of which it
+// was the only task.
+func TestATaskIsNotBlamedForACrashThatIdleTargetsShare(t *testing.T) {
+	b := New()
+	idle := func(ms int) *crash.Report {
+		return &crash.Report{ID: int64(ms), At: start.Add(time.Duration(ms) * time.Millisecond)}
+	}
+	b.Add("t1", report(0, "a1"))
+	b.Add("t2", idle(4))
+	b.Add("t3", report(100, "a1"))
+	require.False(t, b.Proven("a1"), "one crash of its own")
+	require.Equal(t, 2, b.Crashes("a1"))
+	b.Add("t4", idle(150))
+	b.Add("t5", report(200, "a1"))
+	require.True(t, b.Proven("a1"), "three crashes, whatever their cause")
+	b = New()
+	b.Add("t1", report(0, "a1"))
+	b.Add("t2", idle(50))
+	b.Add("t3", report(100, "a1"))
+	require.True(t, b.Proven("a1"), "two crashes of its own")
+}
--- a/core/proof/config_store_test.go
+++ b/core/proof/config_store_test.go
@@ -1,6 +1,7 @@
 package proof
 
 import (
+	"sort"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -174,8 +175,8 @@
 func (s *configStore) list() configAnswer {
 	n := len(s.records)
 	if s.w.now.Before(s.staleUntil) {
-		for n = 0; n < len(s.records) && !s.records[n].at.After(s.w.now.Add(-s.staleBy)); n++ {
-		}
+		asOf := s.w.now.Add(-s.staleBy)
+		n = sort.Search(len(s.records), func(i int) bool { return s.records[i].at.After(asOf) })
 	}
 	a := configAnswer{end: int64(len(s.records)), last: int64(n) - 1}
 	if s.oldEnds {
--- a/core/runs/runs_test.go
+++ b/core/runs/runs_test.go
@@ -36,6 +36,9 @@
 }
 
 func (g *harness) Crashed(c *crash.Report) {
+	if len(c.Tasks) == 0 {
+		g.log = append(g.log, "crashed idle")
+	}
 	for _, task := range c.Tasks {
 		g.log = append(g.log, fmt.Sprintf("crashed %s %d", task.Name, task.Ran.Milliseconds()))
 	}
@@ -421,6 +424,22 @@
 	require.Equal(t, []string{"crashed a 10", "ended e 1 crashed", "stop b/1", "ended e 3 lapsed"}, g.takeLog())
 }
 
+// TestCrashOfAnIdleTargetIsReportedOnce guards against a task that is blamed for a crash of its rack, as nobody tells that targets which
+// ran nothing crashed as well; nor is it told for each refused connection, or while a start may have begun.
+func TestCrashOfAnIdleTargetIsReportedOnce(t *testing.T) {
+	g := newHarness(t)
+	g.runs.TargetDown(g.now)
+	require.Equal(t, []string{"crashed idle"}, g.takeLog())
+	g.runs.TargetDown(g.now)
+	require.Empty(t, g.takeLog())
+	g = newHarness(t)
+	g.order(1, "a")
+	g.runs.StartAnswered(g.now, Key{"a", 1}, Lost, "")
+	g.takeLog()
+	g.runs.TargetDown(g.now)
+	require.Equal(t, []string{"ended e 1 lapsed"}, g.takeLog())
+}
+
 // A start without an answer that a list shows has begun.
 func TestStartThatWasListedIsBlamedForACrash(t *testing.T) {
 	g := newHarness(t)
--- a/core/runs/target.go
+++ b/core/runs/target.go
@@ -37,7 +37,7 @@
 	r.reset(now, how)
 }
 
-// reportCrash reports the tasks that ran when the target's process ended. A task whose start the target hasn't answered is none of
+// reportCrash reports the tasks, if any, that ran when the target's process ended. A task whose start the target hasn't answered is none of
 // them: it may never begin there.
 func (r *Runs) reportCrash(now time.Time) {
 	at := now
@@ -51,7 +51,8 @@
 		}
 		report.Tasks = append(report.Tasks, crash.Task{Name: u.key.Task, Route: u.order.Route, Ran: at.Sub(u.began)})
 	}
-	if len(report.Tasks) > 0 {
+	// A target that ran nothing is reported once, as its crash tells that those of others at the same moment have another cause.
+	if len(report.Tasks) > 0 || len(r.runs) == 0 && !r.lastAnswer.IsZero() {
 		r.out.Crashed(report)
 	}
 }
--- a/io/runsd/effects.go
+++ b/io/runsd/effects.go
@@ -53,7 +53,9 @@
 
 // Crashed logs a crash of the target with the tasks that ran then, and reports it to all entries.
 func (e effects) Crashed(c *crash.Report) {
-	e.d.metrics.crashes.Inc()
+	if len(c.Tasks) > 0 {
+		e.d.metrics.crashes.Inc()
+	}
 	e.d.crashes = append(e.d.crashes, c)
 	if n := len(e.d.crashes); n > maxCrashReports {
 		e.d.crashes = slices.Delete(e.d.crashes, 0, n-maxCrashReports)
