Choose the entries of an agent's subset once its target is known

Its target had announced itself 1.5 s after the addresses were known; the twelve entries chosen until then had counted as unreachable after 400 ms, and so had all others in turn, though the agent may not connect before. The choice now begins when it may.

TestAnAgentConnectsToItsSubsetOnceItsTargetIsKnown failed before (55 connections instead of 12). Ruled out: a longer grace (it would delay the replacement of entries that don't answer).

--- a/io/runsd/daemon.go
+++ b/io/runsd/daemon.go
@@ -187,10 +187,14 @@
 	}
 }
 
-func (d *Daemon) tick(time.Time) {
-	now := uptime.Now()
+func (d *Daemon) tick(time.Time) { d.step(uptime.Now()) }
+
+// step handles timeouts and sends what is due.
+func (d *Daemon) step(now time.Time) {
 	d.runs.Tick(now)
-	d.subset.Choose(now)
+	if d.runs.Established() {
+		d.subset.Choose(now) // entries that can't be connected to yet must not count as unreachable
+	}
 	for _, l := range d.links {
 		d.maintain(now, l)
 	}
--- a/io/runsd/links_test.go
+++ b/io/runsd/links_test.go
@@ -1,6 +1,8 @@
 package runsd
 
 import (
+	"context"
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -54,3 +56,33 @@
 		require.Zero(t, d.runs.Len(), "the entry has returned no heartbeat")
 	}
 }
+
+// TestAnAgentConnectsToItsSubsetOnceItsTargetIsKnown guards against connections of each agent to all entries at the start of a fleet:
+// the entries that it had chosen counted as unreachable by the time that its target had announced itself, as all others in turn.
+func TestAnAgentConnectsToItsSubsetOnceItsTargetIsKnown(t *testing.T) {
+	const entries, subsetSize = 55, 12
+	d := newTestDaemon(&refusingTarget{})
+	ctx, stop := context.WithCancel(t.Context())
+	stop()
+	d.ctx = ctx
+	var addrs []string
+	for i := range entries {
+		addrs = append(addrs, fmt.Sprintf("10.0.0.%d:80", i+1))
+	}
+	d.addLinks(addrs)
+	now := uptime.Now()
+	end := now.Add(2 * time.Second)
+	for ; now.Before(end); now = now.Add(tickPeriod) {
+		d.step(now)
+	}
+	d.runs.Announced(now, &runs.Instance{ID: "i", Addr: "10.0.0.1:80", Millicores: 1000, MemoryMB: 1})
+	d.runs.Listed(now, &runs.Listing{Sent: now})
+	d.step(now)
+	dialing := 0
+	for _, l := range d.links {
+		if l.dialing {
+			dialing++
+		}
+	}
+	require.Equal(t, subsetSize, dialing)
+}
