Send an agent's heartbeats to all entries together

An agent of a large fleet spends .016 cores without any job, most of it on waking up: it sends 60 heartbeats a second at moments of their own, and reads as many answers one by one. A profile of twelve agents and two entries with stand-ins has over half of the time in the scheduler, in system calls and in polls of the target.

Heartbeats are now due at multiples of their period, with a phase of the agent's own, so that one wake-up sends all and few read the answers; the periods are the same, and no heartbeat is later than before.

Ruled out: longer periods (the tenure of 500 ms and the silence of 450 ms need them); fewer polls (a target that hasn't answered for 200 ms counts as unusable).

--- a/io/runsd/daemon.go
+++ b/io/runsd/daemon.go
@@ -100,6 +100,7 @@
 	nextStateLog  time.Time
 	wake          chan struct{}
 	ctx           context.Context
+	phase         time.Duration // of the heartbeats
 
 	documentRequests flight.Flight[*documentRequest]
 }
@@ -120,6 +121,7 @@
 		conns:   make(map[uint64]*link),
 		owners:  make(map[string]*link),
 		wake:    make(chan struct{}, 1),
+		phase:   time.Duration(rng.Int64N(int64(idleHeartbeatPeriod))),
 		metrics: newMetrics(reg),
 	}
 	docmet.Register(reg, doc)
--- a/io/runsd/links.go
+++ b/io/runsd/links.go
@@ -87,10 +87,11 @@
 
 // sendHeartbeat sends a heartbeat, with the state if it differs from the one last sent.
 func (d *Daemon) sendHeartbeat(now time.Time, l *link) {
-	l.nextHeartbeat = now.Add(idleHeartbeatPeriod)
+	period := idleHeartbeatPeriod
 	if d.runs.HasAttempts(l.owner) {
-		l.nextHeartbeat = now.Add(heartbeatPeriod)
+		period = heartbeatPeriod
 	}
+	l.nextHeartbeat = d.nextSlot(now, period)
 	b := &wire.TargetBeat{Stamp: now.UnixNano(), DocumentVersion: d.doc.Version()}
 	if s := d.state(l); !sameState(l.sentState, s) {
 		b.State = l.shorten(s)
@@ -98,6 +99,12 @@
 	d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_TargetBeat{TargetBeat: b}})
 }
 
+// nextSlot returns the next multiple of a period, so that heartbeats to all entries are sent together and their answers are read
+// together, which saves wake-ups. The phase differs between agents, whose heartbeats an entry would receive together otherwise.
+func (d *Daemon) nextSlot(now time.Time, period time.Duration) time.Time {
+	return now.Add(-d.phase).Truncate(period).Add(d.phase + period)
+}
+
 func (d *Daemon) dial(l *link) {
 	l.dialing = true
 	go func() {
--- a/io/runsd/links_test.go
+++ b/io/runsd/links_test.go
@@ -86,3 +86,29 @@
 	}
 	require.Equal(t, subsetSize, dialing)
 }
+
+// TestHeartbeatsToAllEntriesAreSentTogether guards against a wake-up for each of them and for each answer.
+func TestHeartbeatsToAllEntriesAreSentTogether(t *testing.T) {
+	d := newTestDaemon(&refusingTarget{})
+	start := uptime.Now()
+	links := []*link{{owner: "e"}, {owner: "f"}, {owner: "g"}}
+	for i, l := range links {
+		d.sendHeartbeat(start.Add(time.Duration(i)*idleHeartbeatPeriod/4), l)
+	}
+	last := start
+	for _, l := range links {
+		d.sendHeartbeat(l.nextHeartbeat, l)
+		require.LessOrEqual(t, l.nextHeartbeat.Sub(start), 3*idleHeartbeatPeriod)
+		if l.nextHeartbeat.After(last) {
+			last = l.nextHeartbeat
+		}
+	}
+	for _, l := range links {
+		for l.nextHeartbeat.Before(last) {
+			before := l.nextHeartbeat
+			d.sendHeartbeat(before, l)
+			require.Equal(t, idleHeartbeatPeriod, l.nextHeartbeat.Sub(before))
+		}
+		require.Equal(t, last, l.nextHeartbeat)
+	}
+}
