Ask agents only while the store doesn't answer an entry itself

Whether the store answers is now judged by when its latest confirmation was heard, and what is confirmed by the earlier time, as before. A store that falls silent is noticed as soon as before.

--- a/core/newest/newest.go
+++ b/core/newest/newest.go
@@ -13,6 +13,7 @@
 	data      []byte
 	source    string
 	confirmed time.Time
+	heard     time.Time
 	position  int64
 }
 
@@ -28,10 +29,14 @@
 	return true
 }
 
-// Confirm records that the store had no version higher than the current one at the given time, up to a position in its log.
-func (n *Newest) Confirm(at time.Time, position int64) {
+// Confirm records that the store had no version higher than the current one at the given time, up to a position in its log, and when
+// its answer was heard.
+func (n *Newest) Confirm(at, heard time.Time, position int64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if heard.After(n.heard) {
+		n.heard = heard
+	}
 	n.position = max(n.position, position)
 	if at.After(n.confirmed) {
 		n.confirmed = at
@@ -45,6 +50,13 @@
 	return n.confirmed
 }
 
+// Heard returns when the latest confirmation was heard, zero if there is none.
+func (n *Newest) Heard() time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.heard
+}
+
 // Position returns the highest position of a confirmation.
 func (n *Newest) Position() int64 {
 	n.mu.Lock()
--- a/core/newest/newest_test.go
+++ b/core/newest/newest_test.go
@@ -26,8 +26,9 @@
 func TestTheLatestConfirmationIsKept(t *testing.T) {
 	var n newest.Newest
 	require.True(t, n.Confirmed().IsZero())
-	n.Confirm(time.Unix(20, 0), 4)
-	n.Confirm(time.Unix(10, 0), 3)
+	n.Confirm(time.Unix(20, 0), time.Unix(21, 0), 4)
+	n.Confirm(time.Unix(10, 0), time.Unix(20, 0), 3)
 	require.Equal(t, time.Unix(20, 0), n.Confirmed())
+	require.Equal(t, time.Unix(21, 0), n.Heard())
 	require.Equal(t, int64(4), n.Position())
 }
--- a/core/proof/config_host_test.go
+++ b/core/proof/config_host_test.go
@@ -149,7 +149,7 @@
 		e.w.note("%s: list %t, all %t: %+v", e.name, list, all, a)
 	}
 	if all {
-		e.doc.Confirm(sent, e.follower.End())
+		e.doc.Confirm(sent, e.w.now, e.follower.End())
 	}
 }
 
@@ -166,7 +166,7 @@
 		}
 		return names
 	}
-	for _, name := range e.relay.Ask(e.w.now, e.doc.Confirmed(), connected) {
+	for _, name := range e.relay.Ask(e.w.now, e.doc.Heard(), connected) {
 		a := e.w.agentNamed(name)
 		e.w.note("%s asks %s", e.name, name)
 		want := &configWant{entry: e, stamp: e.w.now, position: e.doc.Position()}
@@ -180,7 +180,7 @@
 		e.w.note("%s: version %d from an agent, requested at %s", e.name, version, stamp.Format("05.000"))
 	}
 	if !stamp.IsZero() {
-		e.doc.Confirm(stamp, position)
+		e.doc.Confirm(stamp, e.w.now, position)
 	}
 }
 
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// staleAfter is the time without a confirmation after which agents are asked; an entry's own reads confirm every 0.9 s.
+	// staleAfter is the time without a confirmation after which agents are asked; an entry's own reads are answered within 0.9 s.
 	staleAfter = 1100 * time.Millisecond
 	// roundPeriod is the time between two rounds of requests. Each round asks twice as many agents as the one before, from firstRound
 	// to maxRound, so that a change is in force within 2 s also where the store serves few of them.
@@ -42,17 +42,18 @@
 	clear(r.asked)
 }
 
-// Stale reports whether the document has to be read by agents, as it was last confirmed at the given time, or never if that is zero.
-func (r *Relay) Stale(now, confirmed time.Time) bool {
+// Stale reports whether the document has to be read by agents, as its last confirmation was heard at the given time, or none has been
+// if that is zero.
+func (r *Relay) Stale(now, heard time.Time) bool {
 	if r.began.IsZero() {
 		r.began = now
 	}
-	return now.Sub(times.Later(confirmed, r.began)) > staleAfter
+	return now.Sub(times.Later(heard, r.began)) > staleAfter
 }
 
 // Ask returns the agents to ask now; agents returns the names of those that are connected.
-func (r *Relay) Ask(now, confirmed time.Time, agents func() []string) []string {
-	if !r.Stale(now, confirmed) {
+func (r *Relay) Ask(now, heard time.Time, agents func() []string) []string {
+	if !r.Stale(now, heard) {
 		r.reset()
 		return nil
 	}
--- a/io/docmet/docmet_test.go
+++ b/io/docmet/docmet_test.go
@@ -28,7 +28,7 @@
 	docmet.Register(reg, doc)
 	require.True(t, math.IsNaN(gauges(t, reg)["persimmonstage_configuration_confirmed_seconds"]))
 	doc.Update(9, nil, "store")
-	doc.Confirm(uptime.Now(), 1)
+	doc.Confirm(uptime.Now(), uptime.Now(), 1)
 	values := gauges(t, reg)
 	require.InDelta(t, 9, values["persimmonstage_configuration_version"], 0)
 	require.GreaterOrEqual(t, values["persimmonstage_configuration_confirmed_seconds"], 0.0)
--- a/io/schedd/document.go
+++ b/io/schedd/document.go
@@ -38,17 +38,17 @@
 		return
 	}
 	d.metrics.documentAnswers.Inc()
-	d.doc.Confirm(at, m.Position)
+	d.doc.Confirm(at, now, m.Position)
 }
 
 // requestDocument has agents read the document from the store if this entry doesn't get it from there.
 func (d *Daemon) requestDocument(now time.Time) {
-	confirmed := d.doc.Confirmed()
-	if stale := d.relay.Stale(now, confirmed); stale != d.unconfirmed {
+	heard := d.doc.Heard()
+	if stale := d.relay.Stale(now, heard); stale != d.unconfirmed {
 		d.unconfirmed = stale
-		d.logConfirmation(now, confirmed)
+		d.logConfirmation(now, d.doc.Confirmed())
 	}
-	for _, name := range d.relay.Ask(now, confirmed, func() []string { return slices.Collect(maps.Keys(d.byName)) }) {
+	for _, name := range d.relay.Ask(now, heard, func() []string { return slices.Collect(maps.Keys(d.byName)) }) {
 		d.metrics.documentRequests.Inc()
 		d.control.Send(d.byName[name].conn, &wire.Frame{Body: &wire.Frame_DocumentWant{DocumentWant: &wire.DocumentWant{
 			Stamp: now.UnixNano(), Version: d.doc.Version(), Position: d.doc.Position(),
