Say received instead of heard for the time of a confirmation

Reading the change as a newcomer: the newest document has the time of a confirmation and the time at which it was received. Behaviour is unchanged.

--- a/core/newest/newest.go
+++ b/core/newest/newest.go
@@ -13,7 +13,7 @@
 	data      []byte
 	source    string
 	confirmed time.Time
-	heard     time.Time
+	received  time.Time
 	position  int64
 }
 
@@ -30,12 +30,12 @@
 }
 
 // Confirm records that the store had no version higher than the current one at the given time, up to a position in its log, and when
-// its answer was heard.
-func (n *Newest) Confirm(at, heard time.Time, position int64) {
+// that was received.
+func (n *Newest) Confirm(at, received time.Time, position int64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if heard.After(n.heard) {
-		n.heard = heard
+	if received.After(n.received) {
+		n.received = received
 	}
 	n.position = max(n.position, position)
 	if at.After(n.confirmed) {
@@ -50,11 +50,11 @@
 	return n.confirmed
 }
 
-// Heard returns when the latest confirmation was heard, zero if there is none.
-func (n *Newest) Heard() time.Time {
+// Received returns when the latest confirmation was received, zero if there is none.
+func (n *Newest) Received() time.Time {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.heard
+	return n.received
 }
 
 // Position returns the highest position of a confirmation.
--- a/core/newest/newest_test.go
+++ b/core/newest/newest_test.go
@@ -29,6 +29,6 @@
 	n.Confirm(time.Unix(20, 0), time.Unix(21, 0), 4)
 	n.Confirm(time.Unix(10, 0), time.Unix(20, 0), 3)
 	require.Equal(t, time.Unix(20, 0), n.Confirmed())
-	require.Equal(t, time.Unix(21, 0), n.Heard())
+	require.Equal(t, time.Unix(21, 0), n.Received())
 	require.Equal(t, int64(4), n.Position())
 }
--- a/core/proof/config_host_test.go
+++ b/core/proof/config_host_test.go
@@ -166,7 +166,7 @@
 		}
 		return names
 	}
-	for _, name := range e.relay.Ask(e.w.now, e.doc.Heard(), connected) {
+	for _, name := range e.relay.Ask(e.w.now, e.doc.Received(), connected) {
 		a := e.w.agentNamed(name)
 		e.w.note("%s asks %s", e.name, name)
 		want := &configWant{entry: e, stamp: e.w.now, position: e.doc.Position()}
@@ -174,7 +174,7 @@
 	}
 }
 
-// confirmed takes an agent's answer to a request.
+// answered takes a version that an agent has sent, and its time of request if the agent has read it on request.
 func (e *configEntry) answered(version int64, stamp time.Time, position int64) {
 	if e.doc.Update(version, nil, "agent") || !stamp.IsZero() {
 		e.w.note("%s: version %d from an agent, requested at %s", e.name, version, stamp.Format("05.000"))
@@ -299,12 +299,12 @@
 func (a *configAgent) read() {
 	if list := a.flight.Start(a.w.now); len(list) > 0 {
 		a.reading = true
-		a.catchUp(list, a.w.now, configCatchUpCalls)
+		a.catchUp(list, configCatchUpCalls)
 	}
 }
 
 // catchUp makes the next of a few calls, and answers the requests once all records have been read that there were at the beginning.
-func (a *configAgent) catchUp(list []*configWant, began time.Time, calls int) {
+func (a *configAgent) catchUp(list []*configWant, calls int) {
 	from, isList := a.follower.Next()
 	a.w.store.call(&a.configHost, from, isList, 0, func(answer configAnswer, err error) {
 		if err != nil {
@@ -317,7 +317,7 @@
 			a.w.note("%s: read failed: %v", a.name, err)
 			a.done(nil)
 		default:
-			a.catchUp(list, began, calls-1)
+			a.catchUp(list, calls-1)
 		}
 	})
 }
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -42,18 +42,18 @@
 	clear(r.asked)
 }
 
-// Stale reports whether the document has to be read by agents, as its last confirmation was heard at the given time, or none has been
+// Stale reports whether the document has to be read by agents, as its last confirmation was received at the given time, or none has been
 // if that is zero.
-func (r *Relay) Stale(now, heard time.Time) bool {
+func (r *Relay) Stale(now, received time.Time) bool {
 	if r.began.IsZero() {
 		r.began = now
 	}
-	return now.Sub(times.Later(heard, r.began)) > staleAfter
+	return now.Sub(times.Later(received, r.began)) > staleAfter
 }
 
 // Ask returns the agents to ask now; agents returns the names of those that are connected.
-func (r *Relay) Ask(now, heard time.Time, agents func() []string) []string {
-	if !r.Stale(now, heard) {
+func (r *Relay) Ask(now, received time.Time, agents func() []string) []string {
+	if !r.Stale(now, received) {
 		r.reset()
 		return nil
 	}
--- a/io/schedd/document.go
+++ b/io/schedd/document.go
@@ -43,12 +43,12 @@
 
 // requestDocument has agents read the document from the store if this entry doesn't get it from there.
 func (d *Daemon) requestDocument(now time.Time) {
-	heard := d.doc.Heard()
-	if stale := d.relay.Stale(now, heard); stale != d.unconfirmed {
+	received := d.doc.Received()
+	if stale := d.relay.Stale(now, received); stale != d.unconfirmed {
 		d.unconfirmed = stale
 		d.logConfirmation(now, d.doc.Confirmed())
 	}
-	for _, name := range d.relay.Ask(now, heard, func() []string { return slices.Collect(maps.Keys(d.byName)) }) {
+	for _, name := range d.relay.Ask(now, received, func() []string { return slices.Collect(maps.Keys(d.byName)) }) {
 		d.metrics.documentRequests.Inc()
 		d.control.Send(d.byName[name].conn, &wire.Frame{Body: &wire.Frame_DocumentWant{DocumentWant: &wire.DocumentWant{
 			Stamp: now.UnixNano(), Version: d.doc.Version(), Position: d.doc.Position(),
