--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -169,34 +169,30 @@
 }
 
 func (w *world) post(entry int, id string, j *job) int {
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
-	defer cancel()
-	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.entryIP(entry)+":8161/sheets/"+id, strings.NewReader(j.body()))
-	if err != nil {
-		return 0
-	}
-	q.Header.Set("Content-Type", "application/json")
-	return do(q)
+	return w.send(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, http.MethodPost, w.entryIP(entry), id, j)
 }
 
-func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
-
 // delete cancels a job at an entry.
 func (w *world) delete(entry int, id string) int {
+	return w.send(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, http.MethodDelete, w.entryIP(entry), id, nil)
+}
+
+// send sends a client's request and returns the status of the answer, 0 if there is none; then the client closes its channel.
+func (w *world) send(c *http.Client, method, ip, id string, j *job) int {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	q, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+w.entryIP(entry)+":8161/sheets/"+id, nil)
+	var body io.Reader
+	if j != nil {
+		body = strings.NewReader(j.body())
+	}
+	q, err := http.NewRequestWithContext(ctx, method, "http://"+ip+":8161/sheets/"+id, body)
 	if err != nil {
 		return 0
 	}
-	return do(q)
-}
-
-// do sends a request and returns the status of the answer, 0 if there is none.
-func do(q *http.Request) int {
 	q.Host = "kits.example"
+	q.Header.Set("Content-Type", "application/json")
 	q.Header.Set("X-Persimmonstage-Deadline-Ms", fmt.Sprint(patience.Milliseconds()))
-	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(q)
+	resp, err := c.Do(q)
 	if err != nil {
 		return 0
 	}
@@ -205,6 +201,8 @@
 	return resp.StatusCode
 }
 
+func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
+
 // traffic hands in jobs at a steady rate until ctx ends, and waits for their answers.
 func (w *world) traffic(ctx context.Context, perSecond float64, next func() *job) *sync.WaitGroup {
 	var all sync.WaitGroup
--- a/review/driver/scenarios.go
+++ b/review/driver/scenarios.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
@@ -24,7 +25,8 @@
 var scenarios = map[string]*scenario{
 	"foreign-heartbeat": {guards: true, served: 50, kind: allAlike, play: foreignHeartbeat},
 	"foreign-sequence":  {guards: true, served: 50, kind: allAlike, play: foreignSequence},
-	"cancelled":         {guards: true, served: 30, kind: allAlike, play: cancelled},
+	"held-up":           {guards: true, served: 15, kind: allAlike, play: heldUp},
+	"cancelled":         {guards: true, served: 20, kind: allAlike, play: cancelled},
 	"other-kind":        {guards: true, served: 50, kind: twoKinds, play: otherKind},
 }
 
@@ -172,3 +174,58 @@
 	stop()
 	traffic.Wait()
 }
+
+const (
+	cutClients = 80
+	cutTime    = 3150 * time.Millisecond
+	sendPause  = 8 * time.Millisecond
+)
+
+// heldUp: the path between an entry and clients with open channels to it is cut for a time. The clients get no answer, leave, and send
+// their jobs again to other entries; then the path is whole again and what was sent arrives.
+func heldUp(w *world) {
+	l, err := newLink(w.net+".20:8161", w.entryIP(0)+":8161")
+	if err != nil {
+		w.log("link: %s", err)
+		return
+	}
+	defer l.close()
+	clients := make([]*http.Client, cutClients)
+	for i := range clients {
+		clients[i] = &http.Client{Transport: &http.Transport{}}
+		w.send(clients[i], http.MethodGet, w.net+".20", "", nil) // opens the channel
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	traffic := w.traffic(ctx, 8, sheets)
+	time.Sleep(time.Second)
+	if w.trouble {
+		w.log("the path between entry 0 and its clients is cut")
+		l.cut()
+		time.AfterFunc(cutTime, func() {
+			w.log("the path is whole again")
+			l.heal()
+		})
+	}
+	var all sync.WaitGroup
+	for _, c := range clients {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			id, j := newID(), &job{tasks: 4, ms: 900, cpu: 1000}
+			status := w.send(c, http.MethodPost, w.net+".20", id, j)
+			w.log("job %s at entry 0: status %d", id, status)
+			if status != 0 {
+				return
+			}
+			c.CloseIdleConnections()
+			time.Sleep(resend)
+			entry := 1 + rand.IntN(entries-1)
+			w.log("job %s is sent again, to entry %d: status %d", id, entry, w.post(entry, id, j))
+		}()
+		time.Sleep(sendPause)
+	}
+	all.Wait()
+	time.Sleep(time.Second)
+	stop()
+	traffic.Wait()
+}
