Replace a target only by a process that is shown to have its place

Cause: core/runs took each well-formed announcement of another process with a later start time for the target's new process, and reported all runs of the present one as ended. The entries started them elsewhere while they went on under a lease of 600 ms. Another writer's heartbeat, a late one and one for another process at the port were all believed, with start time, memory and labels missing and whatever service it named.

Now an announced process is a successor: the agent asks at its address, and the process' own list has to show the announced start time. It replaces the present process if it has its port, or once the lease of the present one has ended without an answer.

Ruled out: a check of the service alone, since a heartbeat may name a known service, and the later start time alone, since anyone can write one.

--- a/core/runs/runs.go
+++ b/core/runs/runs.go
@@ -27,9 +27,6 @@
 	extendWithin = 200 * time.Millisecond
 	// stopRetryPeriod is the time after which an unanswered call to stop a run is repeated.
 	stopRetryPeriod = 70 * time.Millisecond
-	// staleAfter is how long a target must not have answered before an announcement with an earlier start time replaces it: it is
-	// usually a late message, but the wall clock may also have been set back.
-	staleAfter = 1500 * time.Millisecond
 	// endRetention is how long ends are kept for owners that reconnect.
 	endRetention = 5 * time.Second
 )
@@ -87,6 +84,7 @@
 type Runs struct {
 	out          effects
 	instance     *Instance
+	successor    successor
 	clean        bool // nothing that earlier processes of the agent started runs at the target
 	established  bool // clean since the agent started
 	leaving      bool
@@ -148,6 +146,8 @@
 			r.callStop(now, u)
 		}
 	}
+	r.succeed(now)
+	r.expireSuccessor(now)
 	r.startWaiting(now)
 	for k, e := range r.ends {
 		if now.After(e.expires) {
--- a/core/runs/target.go
+++ b/core/runs/target.go
@@ -6,25 +6,46 @@
 	"persimmonstage/core/crash"
 )
 
-// Announced processes a target's announcement and reports whether it comes from a new process of the target.
+// Announced processes a target's announcement. The first one, or one of the present process, is applied at once; another process
+// becomes the successor, which isn't used before Identified. It reports whether the target has changed.
 func (r *Runs) Announced(now time.Time, l *Instance) bool {
-	if r.instance != nil && r.instance.same(l) {
-		if l.Sequence < r.instance.Sequence {
-			return false
-		}
-		changed := r.instance.Draining != l.Draining || !r.instance.SameCapacity(l)
-		r.instance = l
-		if changed {
-			r.out.Changed()
-		}
-		return false
+	switch {
+	case r.instance == nil:
+		r.attach(l)
+		return true
+	case r.instance.same(l):
+		r.update(l)
+	default:
+		r.successor = successor{instance: l, until: now.Add(successorTimeout)}
 	}
-	if r.instance != nil && l.Born < r.instance.Born && now.Sub(r.lastAnswer) <= staleAfter {
-		return false
+	return false
+}
+
+// update applies an announcement of the present process.
+func (r *Runs) update(l *Instance) {
+	if l.Sequence < r.instance.Sequence {
+		return
 	}
-	r.crash(now)
+	changed := r.instance.Draining != l.Draining || !r.instance.SameCapacity(l)
+	r.instance = l
+	if changed {
+		r.out.Changed()
+	}
+}
+
+// attach makes a process the target; nothing is started there before its first list.
+func (r *Runs) attach(l *Instance) {
 	r.instance = l
-	return true
+	r.successor = successor{}
+	r.out.Changed()
+}
+
+// Restarted handles a list of the target which shows that another process answers at its address.
+func (r *Runs) Restarted(now time.Time, born int64) {
+	next := *r.instance
+	next.Born, next.Sequence = born, 0
+	r.crash(now)
+	r.attach(&next)
 }
 
 // crash ends all runs of a process of the target that has ended, and reports them unless the process was leaving.
--- a/io/runsd/daemon.go
+++ b/io/runsd/daemon.go
@@ -60,6 +60,8 @@
 	Stop(ctx context.Context, l *runs.Instance, k runs.Key) runs.Answer
 	// Poll lists what runs and what has ended since ack, waits up to wait for an end, and extends the lease unless until is zero.
 	Poll(ctx context.Context, l *runs.Instance, ack int64, until time.Time, wait time.Duration) (*runs.Listing, error)
+	// Identify returns when the process was born that answers at an announced address.
+	Identify(ctx context.Context, l *runs.Instance) (int64, error)
 }
 
 // Config configures a Daemon; it is plain data.
@@ -86,7 +88,11 @@
 
 	calls      rtt.Estimator // of the calls to the target
 	pollLosses int           // consecutive
-	crashes    []*crash.Report
+	// The latest target that was logged, and the question to an announced process.
+	noted        *runs.Instance
+	identifying  bool
+	nextIdentify time.Time
+	crashes      []*crash.Report
 
 	links  map[string]*link // by address
 	conns  map[uint64]*link
@@ -163,11 +169,10 @@
 // Announced processes an announcement of the target.
 func (d *Daemon) Announced(l *runs.Instance) {
 	d.loop.Post(func(time.Time) {
-		if d.runs.Announced(uptime.Now(), l) {
-			d.log.Info("target announced", zap.String("target", l.ID), zap.String("service", l.Service), zap.Int64("born", l.Born),
-				zap.Uint64("millicores", l.Millicores), zap.Bool("draining", l.Draining))
-			d.wakeUp()
-		}
+		now := uptime.Now()
+		d.runs.Announced(now, l)
+		d.noteTarget()
+		d.identify(now)
 	})
 }
 
@@ -194,6 +199,8 @@
 // step handles timeouts and sends what is due.
 func (d *Daemon) step(now time.Time) {
 	d.runs.Tick(now)
+	d.noteTarget()
+	d.identify(now)
 	if d.runs.Established() {
 		d.subset.Choose(now) // entries that can't be connected to yet must not count as unreachable
 	}
--- a/io/runsd/target.go
+++ b/io/runsd/target.go
@@ -25,6 +25,8 @@
 	maxPollLosses = 3
 	// reasonLate is the reason of a start whose lease has ended, as targets give it.
 	reasonLate = "late"
+	// identifyPeriod is the time between two questions to an announced process, and how long each waits for its answer.
+	identifyPeriod = 100 * time.Millisecond
 	// idlePause is the time between two checks whether there is a target to poll.
 	idlePause = time.Second
 )
@@ -151,14 +153,52 @@
 	}
 	if l.Born != 0 && l.Born != instance.Born {
 		d.log.Info("target restarted", zap.String("target", instance.ID), zap.Int64("born", l.Born))
-		next := *instance
-		next.Born, next.Sequence = l.Born, 0
-		d.runs.Announced(uptime.Now(), &next)
+		d.runs.Restarted(uptime.Now(), l.Born)
 		return
 	}
 	d.runs.Listed(uptime.Now(), l)
 }
 
+// identify asks an announced process that isn't the target yet for its list, which tells whether it is the announced one.
+func (d *Daemon) identify(now time.Time) {
+	l := d.runs.Successor()
+	if l == nil || d.identifying || now.Before(d.nextIdentify) {
+		return
+	}
+	d.identifying, d.nextIdentify = true, now.Add(identifyPeriod)
+	go func() {
+		ctx, cancel := context.WithTimeout(d.ctx, identifyPeriod)
+		born, err := d.target.Identify(ctx, l)
+		cancel()
+		d.loop.Post(func(time.Time) { d.identified(l, born, err) })
+	}()
+}
+
+func (d *Daemon) identified(l *runs.Instance, born int64, err error) {
+	d.identifying = false
+	if err != nil {
+		d.log.Info("announced target doesn't answer", zap.String("target", l.ID), zap.String("address", l.Addr), zap.String("error", err.Error()))
+		return
+	}
+	if born != l.Born {
+		d.log.Warn("announced target isn't at its address", zap.String("target", l.ID), zap.String("address", l.Addr),
+			zap.Int64("born", l.Born), zap.Int64("listed-born", born))
+	}
+	d.runs.Identified(uptime.Now(), l, born)
+}
+
+// noteTarget logs the target when it has changed, and wakes the polling goroutine.
+func (d *Daemon) noteTarget() {
+	l := d.runs.Instance()
+	if l == nil || d.noted != nil && d.noted.ID == l.ID && d.noted.Addr == l.Addr && d.noted.Born == l.Born {
+		return
+	}
+	d.noted = l
+	d.log.Info("target announced", zap.String("target", l.ID), zap.String("address", l.Addr), zap.String("service", l.Service),
+		zap.Int64("born", l.Born), zap.Uint64("millicores", l.Millicores), zap.Bool("draining", l.Draining))
+	d.wakeUp()
+}
+
 // start starts a run on a separate goroutine.
 func (d *Daemon) start(k runs.Key, o *runs.Order, until time.Time) {
 	instance, timeout := d.runs.Instance(), d.calls.Timeout(uptime.Now())
--- a/io/runsd/target_test.go
+++ b/io/runsd/target_test.go
@@ -34,6 +34,10 @@
 	return nil, errors.New("refused")
 }
 
+func (t *refusingTarget) Identify(context.Context, *runs.Instance) (int64, error) {
+	return 0, errors.New("refused")
+}
+
 func newTestDaemon(t target) *Daemon {
 	return New(Config{Name: "a"}, t, nil, &newest.Newest{}, zap.NewNop(), prometheus.NewRegistry())
 }
