Offer no target before its process has announced itself

Cause: when a list of runs showed another start time than the announcement, io/runsd made up the announcement of the new process from the former one, with its labels, service and capacity. After a loss of power the agent recalls the former announcement from the store, so this lasted until the next heartbeat.

Now the list only shows that the former process has ended. Nothing is offered until the new one has announced itself, and an announcement that was recalled from the store counts only if the target's list shows the same start time. Announcements are saved once such a list has confirmed them, so another writer's is never recalled. What is known of a target that didn't restart is used as soon as its first list, as before.

With the guess put back, TestAProcessIsNotUsedBeforeItHasAnnouncedItself and TestARecalledAnnouncementOfAnEarlierProcessIsNotUsed fail.

--- a/core/runs/effects.go
+++ b/core/runs/effects.go
@@ -68,7 +68,7 @@
 
 // Listing is the target's answer to a poll; it is plain data.
 type Listing struct {
-	Born     int64
+	Born     int64     // of the process that answered, in Unix milliseconds; 0 if it isn't listed
 	Sent     time.Time // when the poll was sent
 	Clock    int64     // the target's monotonic clock when it answered, in ms
 	Partial  bool      // rows are missing, so a run that isn't listed may still be running
--- a/core/runs/listed.go
+++ b/core/runs/listed.go
@@ -38,6 +38,10 @@
 	if r.instance == nil {
 		return
 	}
+	if l.Born != r.instance.Born && l.Born != 0 {
+		r.restarted(now, l.Born)
+		return
+	}
 	wasUsable := r.usable(now)
 	r.lastAnswer = now
 	r.brokenAt = time.Time{}
--- /dev/null
+++ b/core/runs/restart_test.go
@@ -0,0 +1,60 @@
+package runs
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func newLabelled(born int64, label string) *Instance {
+	l := newInstance("i-1", born, 1)
+	l.Labels = []string{label}
+	return l
+}
+
+// TestAProcessIsNotUsedBeforeItHasAnnouncedItself guards against tasks on a target of the wrong kind: a process that was back under the
+// same id and address was offered with the labels and the capacity of the one before.
+func TestAProcessIsNotUsedBeforeItHasAnnouncedItself(t *testing.T) {
+	g := newBusyHarness(t)
+	restarted := &Listing{Born: 9, Sent: g.now}
+	g.runs.Listed(g.now, restarted)
+	require.Equal(t, []string{"crashed a 0", "ended e 1 crashed"}, g.takeLog())
+	g.runs.Listed(g.now, restarted)
+	require.Equal(t, State{Pace: 1}, g.runs.State(g.now, "e"))
+	g.order(2, "b")
+	require.Equal(t, []string{"ended e 2 refused"}, g.takeLog())
+	g.runs.Announced(g.now, newLabelled(9, "b"))
+	g.runs.Listed(g.now, restarted)
+	g.order(3, "b")
+	require.Equal(t, []string{"start b/1"}, g.takeLog())
+	require.Equal(t, []string{"b"}, g.runs.State(g.now, "e").Labels)
+}
+
+// TestARecalledAnnouncementOfAnEarlierProcessIsNotUsed guards against the same after a loss of power, when the agent starts with what it
+// knew before.
+func TestARecalledAnnouncementOfAnEarlierProcessIsNotUsed(t *testing.T) {
+	g := &harness{t: t, now: time.Unix(1000, 0)}
+	g.runs = New(g)
+	g.runs.Announced(g.now, newLabelled(5, "a"))
+	require.Nil(t, g.runs.Confirmed(), "not to be saved again either")
+	g.runs.Listed(g.now, &Listing{Born: 9, Sent: g.now})
+	require.Empty(t, g.takeLog(), "no crash was seen")
+	require.Nil(t, g.runs.Instance())
+	next := newLabelled(9, "b")
+	g.runs.Announced(g.now, next)
+	g.runs.Listed(g.now, &Listing{Born: 9, Sent: g.now})
+	require.True(t, g.runs.Clean())
+	require.Same(t, next, g.runs.Confirmed())
+}
+
+// A target that is back at once announces itself before the agent has seen its list.
+func TestAnAnnouncedProcessIsUsedOnceItIsListed(t *testing.T) {
+	g := newBusyHarness(t)
+	g.runs.Announced(g.now, newLabelled(9, "b"))
+	g.runs.Listed(g.now, &Listing{Born: 9, Sent: g.now})
+	require.Equal(t, []string{"crashed a 0", "ended e 1 crashed"}, g.takeLog())
+	g.runs.Listed(g.now, &Listing{Born: 9, Sent: g.now})
+	require.Equal(t, []string{"b"}, g.runs.State(g.now, "e").Labels)
+	require.True(t, g.runs.State(g.now, "e").Usable)
+}
--- a/core/runs/target.go
+++ b/core/runs/target.go
@@ -40,12 +40,24 @@
 	r.out.Changed()
 }
 
-// Restarted handles a list of the target which shows that another process answers at its address.
-func (r *Runs) Restarted(now time.Time, born int64) {
-	next := *r.instance
-	next.Born, next.Sequence = born, 0
+// restarted handles a list which shows that another process answers at the target's address. Nothing is known of that process but its
+// start, so it isn't used until it has announced itself: it may be of another kind and size.
+func (r *Runs) restarted(now time.Time, born int64) {
+	next := r.successor.instance
+	known := next != nil && next.ID == r.instance.ID && next.Addr == r.instance.Addr && next.Born == born
 	r.crash(now)
-	r.attach(&next)
+	r.instance = nil
+	if known {
+		r.attach(next)
+	}
+}
+
+// Confirmed returns the target's latest announcement once its own list has shown that it comes from the process there, else nil.
+func (r *Runs) Confirmed() *Instance {
+	if r.lastAnswer.IsZero() {
+		return nil
+	}
+	return r.instance
 }
 
 // crash ends all runs of a process of the target that has ended, and reports them unless the process was leaving.
--- a/io/runsd/daemon.go
+++ b/io/runsd/daemon.go
@@ -88,9 +88,11 @@
 
 	calls      rtt.Estimator // of the calls to the target
 	pollLosses int           // consecutive
-	// The latest target that was logged, and the question to an announced process.
+	// The latest target that was logged, the latest that was kept, and the question to an announced process.
 	noted        *runs.Instance
 	identifying  bool
+	keep         func(l *runs.Instance)
+	kept         *runs.Instance
 	nextIdentify time.Time
 	crashes      []*crash.Report
 
@@ -136,6 +138,10 @@
 	return d
 }
 
+// KeepTarget has keep called, on the daemon's goroutine, for each announcement of the target that its own list has confirmed; it is
+// called before Run.
+func (d *Daemon) KeepTarget(keep func(l *runs.Instance)) { d.keep = keep }
+
 // Run serves until ctx ends, then refuses new orders, waits up to drainTime for running tasks to end, and returns.
 func (d *Daemon) Run(ctx context.Context) error {
 	inner, stop := context.WithCancel(context.Background())
--- a/io/runsd/target.go
+++ b/io/runsd/target.go
@@ -152,9 +152,7 @@
 		return
 	}
 	if l.Born != 0 && l.Born != instance.Born {
-		d.log.Info("target restarted", zap.String("target", instance.ID), zap.Int64("born", l.Born))
-		d.runs.Restarted(uptime.Now(), l.Born)
-		return
+		d.log.Info("target restarted", zap.String("target", instance.ID), zap.Int64("announced-born", instance.Born), zap.Int64("born", l.Born))
 	}
 	d.runs.Listed(uptime.Now(), l)
 }
@@ -187,8 +185,12 @@
 	d.runs.Identified(uptime.Now(), l, born)
 }
 
-// noteTarget logs the target when it has changed, and wakes the polling goroutine.
+// noteTarget logs the target when it has changed, wakes the polling goroutine, and has confirmed changes kept.
 func (d *Daemon) noteTarget() {
+	if l := d.runs.Confirmed(); l != nil && l != d.kept && d.keep != nil {
+		d.kept = l
+		d.keep(l)
+	}
 	l := d.runs.Instance()
 	if l == nil || d.noted != nil && d.noted.ID == l.ID && d.noted.Addr == l.Addr && d.noted.Born == l.Born {
 		return
