Keep a start that is still called open through every restart of its target

Cause: an agent repeats a start whose connection breaks. If the target's process ends meanwhile, the run is barred until the next process confirms that it doesn't run. A second end of a process, or the same one noticed again, ended the barred run at once, also while the start was still being repeated; a target that is back within milliseconds under its id then carried it out. A run that a list had shown before the answer to its start was ended at the first restart.

Now such a run is barred again by each restart, and a stop that an earlier process confirmed doesn't count. All other runs end with their process, as before.

--- a/core/runs/chart.go
+++ b/core/runs/chart.go
@@ -28,6 +28,7 @@
 	onStopConfirmed = runChart.MustEvent("stop-confirmed")
 	onLeaseExpired  = runChart.MustEvent("lease-expired")
 	onRestarted     = runChart.MustEvent("restarted")
+	onGone          = runChart.MustEvent("gone")
 
 	stateRunning  = runChart.MustState("running")
 	stateBarring  = runChart.MustState("barring")
--- a/core/runs/restart_test.go
+++ b/core/runs/restart_test.go
@@ -58,3 +58,34 @@
 	require.Equal(t, []string{"b"}, g.runs.State(g.now, "e").Labels)
 	require.True(t, g.runs.State(g.now, "e").Usable)
 }
+
+// TestAStartThatIsStillCalledOutlivesEachRestart guards against two runs of a task: a target crashed twice, or its crash was noticed
+// twice, while its agent still repeated a start that the first crash had broken off. The start then reached the last process.
+func TestAStartThatIsStillCalledOutlivesEachRestart(t *testing.T) {
+	g := newHarness(t)
+	g.order(1, "a")
+	g.takeLog()
+	for born := int64(9); born < 12; born++ {
+		g.runs.Announced(g.now, newInstance("i-1", born, 1))
+		g.runs.Listed(g.now, &Listing{Born: born, Sent: g.now})
+		require.Equal(t, []string{"stop a/1"}, g.takeLog())
+		g.advance(time.Millisecond)
+		g.runs.StopAnswered(g.now, Key{"a", 1}, Accepted)
+	}
+	g.runs.StartAnswered(g.now, Key{"a", 1}, Lost, "")
+	g.advance(time.Millisecond)
+	g.runs.Listed(g.now, &Listing{Born: 11, Sent: g.now})
+	require.Equal(t, []string{"ended e 1 stopped"}, g.takeLog())
+}
+
+// The start reached the first process and is listed there before its answer.
+func TestAListedStartThatIsStillCalledOutlivesARestart(t *testing.T) {
+	g := newHarness(t)
+	g.order(1, "a")
+	g.poll(listedOne("a", 10), nil)
+	g.takeLog()
+	g.runs.Announced(g.now, newInstance("i-1", 9, 1))
+	g.runs.Listed(g.now, &Listing{Born: 9, Sent: g.now})
+	require.Equal(t, []string{"crashed a 0", "stop a/1"}, g.takeLog())
+	require.Equal(t, 1, g.runs.Len())
+}
--- a/core/runs/target.go
+++ b/core/runs/target.go
@@ -90,9 +90,10 @@
 	}
 }
 
-// reset ends all runs of the target's earlier process and discards what was learned about it.
+// reset ends all runs of the target's earlier process and discards what was learned about it. A start that is still being called may
+// reach the next process, so its run ends only when that one confirms that it doesn't run.
 func (r *Runs) reset(now time.Time, how string) {
-	r.clean, r.ack, r.lastAnswer, r.lastExtended, r.listedClock = false, 0, time.Time{}, time.Time{}, 0
+	r.clean, r.ack, r.lastAnswer, r.listedClock = false, 0, time.Time{}, 0
 	r.brokenAt = time.Time{}
 	r.pace = pace{}
 	clear(r.unknownStops)
@@ -102,7 +103,12 @@
 		if how == Crashed && !u.begun {
 			u.how = lapsed
 		}
-		r.step(now, u, onRestarted)
+		if u.startSettled.IsZero() {
+			u.stopConfirmed = time.Time{}
+			r.step(now, u, onRestarted)
+			continue
+		}
+		r.step(now, u, onGone)
 	}
 	r.out.Changed()
 }
