Let the runs of a target that refuses connections end with its lease

The numbers 1 and 2 of a task come from one entry, which took the first run for ended some 90 ms after it began, while that ran to its own end, which its agent saw 0.68 s later and after the lease.

Cause: core/runs took one refused connection (TargetDown) for the end of the target's process and reported all of its runs as crashed, so entries started them elsewhere within milliseconds. The path to a target may refuse connections while the target goes on.

Now a refusal only makes the target unusable and keeps its lease from being extended. The runs end when the lease has ended, or as the target's list says if it answers before. After the lease the agent raises the fencing token, so that a call that is carried out later has no effect. A start whose connection is refused at once was never sent and is placed elsewhere at once.

--- a/core/proof/repeat_agent_test.go
+++ b/core/proof/repeat_agent_test.go
@@ -13,6 +13,7 @@
 	repeatHost
 	name   string
 	life   int
+	fences int
 	runs   *runs.Runs
 	target *repeatTarget
 	// ordersLateUntil is until when the target leaves all starts and stops unanswered and executes them late.
@@ -112,6 +113,8 @@
 	})
 }
 
+func (a *repeatAgent) Fence() { a.fences++ }
+
 func (a *repeatAgent) Stop(k runs.Key) {
 	token := a.life
 	if a.isOrderLate() {
--- a/core/runs/effects.go
+++ b/core/runs/effects.go
@@ -12,6 +12,8 @@
 	Start(k Key, o *Order, until time.Time)
 	// Stop asks the target to stop a run, and to refuse its start if that arrives later.
 	Stop(k Key)
+	// Fence makes the target ignore all earlier calls from the next call on that it answers.
+	Fence()
 	// Ended reports the end of an attempt to its owner.
 	Ended(owner string, attempt uint64, how string, ranMS uint32)
 	// Closed logs the end of a run.
--- a/core/runs/listed.go
+++ b/core/runs/listed.go
@@ -4,7 +4,7 @@
 
 // ExtendLease returns the new end of the lease for the next poll of the target, or false if that poll is not to extend it.
 func (r *Runs) ExtendLease(now time.Time) (time.Time, bool) {
-	if !r.clean || len(r.runs) == 0 || r.Silent(now) || !r.mayExtend(now) {
+	if !r.clean || len(r.runs) == 0 || r.refused || r.Silent(now) || !r.mayExtend(now) {
 		return time.Time{}, false
 	}
 	return r.extend(now), true
@@ -44,7 +44,7 @@
 	}
 	wasUsable := r.usable(now)
 	r.lastAnswer = now
-	r.brokenAt = time.Time{}
+	r.brokenAt, r.refused = time.Time{}, false
 	outdated := l.Partial || l.Clock < r.listedClock
 	r.listedClock = max(r.listedClock, l.Clock)
 	if !outdated && r.stopUnknown(now, l) {
--- a/core/runs/order.go
+++ b/core/runs/order.go
@@ -163,7 +163,7 @@
 	u.startSettled = now
 	switch a {
 	case Accepted:
-		r.lastAnswer, u.begun = now, true
+		r.lastAnswer, r.refused, u.begun = now, false, true
 		r.step(now, u, onAccepted)
 	case Rejected:
 		u.how = reason
--- a/core/runs/runs.go
+++ b/core/runs/runs.go
@@ -37,10 +37,12 @@
 	Refused = "refused"
 	Unknown = "unknown"
 	Crashed = "crashed" // the target's process ended while the attempt ran
-	lapsed  = "lapsed"
-	stopped = "stopped"
-	done    = "done"
-	failed  = "failed"
+	// Unreachable ends an attempt whose start couldn't be called, as the connection to the target was refused.
+	Unreachable = "unreachable"
+	lapsed      = "lapsed"
+	stopped     = "stopped"
+	done        = "done"
+	failed      = "failed"
 )
 
 // run is an order that was sent to the target and hasn't ended.
@@ -97,6 +99,7 @@
 	unknownStops map[Key]time.Time
 	lastAnswer   time.Time // when the target last answered a poll or accepted a start
 	brokenAt     time.Time // when the first connection broke since the last answer
+	refused      bool      // a connection was refused since the last answer
 	listedClock  int64     // the target's clock in the newest list that was processed
 	lastExtended time.Time // when the last call that extends the lease was sent
 	ack          int64
@@ -133,6 +136,9 @@
 // Tick handles timeouts: it ends runs whose lease has expired, stops runs of silent owners, and repeats unanswered stops.
 func (r *Runs) Tick(now time.Time) {
 	leaseExpired := !r.lastExtended.IsZero() && now.Sub(r.lastExtended) > Lease+time.Duration(clockError*float64(Lease))
+	if leaseExpired && len(r.runs) > 0 && r.unreachable(now) {
+		r.giveUp(now)
+	}
 	for _, u := range r.sorted() {
 		if leaseExpired {
 			u.how = lapsed
--- a/core/runs/successor.go
+++ b/core/runs/successor.go
@@ -49,7 +49,7 @@
 	case len(r.runs) > 0 || !r.Silent(now):
 		return false
 	default:
-		r.reset(now, lapsed)
+		r.reset(now, lapsed, false)
 	}
 	r.attach(next)
 	return true
--- a/core/runs/target.go
+++ b/core/runs/target.go
@@ -62,12 +62,39 @@
 
 // crash ends all runs of a process of the target that has ended, and reports them unless the process was leaving.
 func (r *Runs) crash(now time.Time) {
+	how := r.endOfProcess()
+	if how == Crashed {
+		r.reportCrash(now)
+	}
+	r.reset(now, how, false)
+}
+
+// giveUp ends all runs of a target that can't be reached, after its lease has ended or if there are none. Calls that it still carries out
+// have no effect, as they are fenced by the next call that reaches it.
+func (r *Runs) giveUp(now time.Time) {
 	how := lapsed
-	if r.instance != nil && !r.instance.Draining {
-		how = Crashed
+	if r.instance != nil && r.refused {
+		how = r.endOfProcess()
+	}
+	if how == Crashed {
 		r.reportCrash(now)
 	}
-	r.reset(now, how)
+	r.out.Fence()
+	r.reset(now, how, true)
+}
+
+// endOfProcess returns how runs end with the target's process.
+func (r *Runs) endOfProcess() string {
+	if r.instance == nil || r.instance.Draining {
+		return lapsed
+	}
+	return Crashed
+}
+
+// unreachable reports whether the target's lease isn't going to be extended again: there is no process to call, it refuses connections,
+// or it doesn't answer while its successor does.
+func (r *Runs) unreachable(now time.Time) bool {
+	return r.instance == nil || r.refused || r.successor.identified && r.Silent(now)
 }
 
 // reportCrash reports the tasks, if any, that ran when the target's process ended. A task whose start the target hasn't answered is none of
@@ -90,11 +117,11 @@
 	}
 }
 
-// reset ends all runs of the target's earlier process and discards what was learned about it. A start that is still being called may
-// reach the next process, so its run ends only when that one confirms that it doesn't run.
-func (r *Runs) reset(now time.Time, how string) {
+// reset ends all runs of the target's earlier process and discards what was learned about it. Unless the lease has ended, a start that is
+// still being called may reach the next process, so its run ends only when that one confirms that it doesn't run.
+func (r *Runs) reset(now time.Time, how string, leaseEnded bool) {
 	r.clean, r.ack, r.lastAnswer, r.listedClock = false, 0, time.Time{}, 0
-	r.brokenAt = time.Time{}
+	r.brokenAt, r.refused = time.Time{}, false
 	r.pace = pace{}
 	clear(r.unknownStops)
 	r.dropWaiting(now)
@@ -103,7 +130,7 @@
 		if how == Crashed && !u.begun {
 			u.how = lapsed
 		}
-		if u.startSettled.IsZero() {
+		if u.startSettled.IsZero() && !leaseEnded {
 			u.stopConfirmed = time.Time{}
 			r.step(now, u, onRestarted)
 			continue
@@ -120,10 +147,20 @@
 	}
 }
 
-// TargetDown ends all runs: nothing listens at the target's address any more, so its runs have ended with its process.
+// TargetDown records that a connection to the target was refused. That doesn't show that its process has ended: the path between may
+// have refused it. So nothing is started there, and the runs end with their lease unless the target answers before.
 func (r *Runs) TargetDown(now time.Time) {
-	if r.instance != nil {
-		r.crash(now)
+	if r.instance == nil {
+		return
+	}
+	r.ConnectionBroken(now)
+	if !r.refused {
+		r.refused = true
+		r.dropWaiting(now)
+		r.out.Changed()
+	}
+	if r.clean && len(r.runs) == 0 {
+		r.giveUp(now)
 	}
 }
 
@@ -133,7 +170,7 @@
 		return
 	}
 	r.instance = nil
-	r.reset(now, lapsed)
+	r.reset(now, lapsed, false)
 }
 
 // Instance returns the target's latest announcement, or nil if there is no target.
@@ -158,7 +195,7 @@
 
 // usable reports whether runs may be started at the target.
 func (r *Runs) usable(now time.Time) bool {
-	return r.instance != nil && r.clean && !r.leaving && !r.instance.Draining && !r.Silent(now) && r.mayExtend(now)
+	return r.instance != nil && r.clean && !r.leaving && !r.refused && !r.instance.Draining && !r.Silent(now) && r.mayExtend(now)
 }
 
 // scarceSlots is the number of free slots below which the target's room is scarce.
--- a/io/runsd/daemon.go
+++ b/io/runsd/daemon.go
@@ -54,6 +54,8 @@
 
 // target is the target on the agent's host.
 type target interface {
+	// Fence makes the target ignore all earlier calls from the next call on that it answers.
+	Fence()
 	// Start starts a run under the lease that ends at until, and returns the reason if it was rejected.
 	Start(ctx context.Context, l *runs.Instance, o *runs.Order, k runs.Key, until time.Time) (runs.Answer, string)
 	// Stop stops a run.
--- a/io/runsd/effects.go
+++ b/io/runsd/effects.go
@@ -26,6 +26,9 @@
 	e.d.stop(k)
 }
 
+// Fence fences all earlier calls to the target.
+func (e effects) Fence() { e.d.target.Fence() }
+
 // Ended adds an end to its owner's report; an owner that isn't connected asks for it after it has reconnected.
 func (e effects) Ended(owner string, attempt uint64, how string, ranMS uint32) {
 	e.d.metrics.ends.WithLabelValues(endLabel(how)).Inc()
@@ -232,7 +235,7 @@
 
 func endLabel(how string) string {
 	switch how {
-	case "done", "failed", "stopped", "lapsed", runs.Crashed, runs.NoRoom, runs.Refused, runs.Unknown:
+	case "done", "failed", "stopped", "lapsed", runs.Crashed, runs.Unreachable, runs.NoRoom, runs.Refused, runs.Unknown:
 		return how
 	}
 	return "other"
--- a/io/runsd/target.go
+++ b/io/runsd/target.go
@@ -96,7 +96,7 @@
 	d.listed(p.instance, listing)
 }
 
-// pollFailed handles a poll without an answer. A refused connection shows that the target's process has ended.
+// pollFailed handles a poll without an answer.
 func (d *Daemon) pollFailed(p *poll, err error) {
 	d.metrics.polls.WithLabelValues("failed").Inc()
 	now := uptime.Now()
@@ -211,10 +211,18 @@
 			d.log.Info("start not accepted", zap.String("task", k.Task), zap.Int("number", k.Number),
 				zap.String("answer", answerLabel(answer)), zap.String("reason", reason))
 		}
-		d.loop.Post(func(time.Time) { d.runs.StartAnswered(uptime.Now(), k, answer, reason) })
+		d.loop.Post(func(time.Time) { d.startAnswered(instance, k, answer, reason) })
 	}()
 }
 
+func (d *Daemon) startAnswered(instance *runs.Instance, k runs.Key, answer runs.Answer, reason string) {
+	now := uptime.Now()
+	if reason == runs.Unreachable && d.isCurrent(instance) {
+		d.runs.TargetDown(now)
+	}
+	d.runs.StartAnswered(now, k, answer, reason)
+}
+
 // callStart repeats a start until it is answered; the target executes a repeated start only once. A rejection after a lost answer
 // may be caused by the first call having succeeded, so the result is then Lost. No call is made after the lease that was granted
 // for the start, as this process may have stalled meanwhile.
--- a/io/runsd/target_test.go
+++ b/io/runsd/target_test.go
@@ -34,6 +34,8 @@
 	return nil, errors.New("refused")
 }
 
+func (t *refusingTarget) Fence() {}
+
 func (t *refusingTarget) Identify(context.Context, *runs.Instance) (int64, error) {
 	return 0, errors.New("refused")
 }
