Set aside an announcement that the target itself contradicts

Cause: announcements of one process were ordered by their sequence alone. One with a number far ahead made all later ones count as late, also the one that said "draining". The same heartbeat could change labels, service and capacity.

Now an announcement that is older than the latest, contradicts what doesn't change while a process runs, or takes back that it drains is set aside, and applied if the next one agrees with it. "Draining" counts in any order, since no process drains only for a while.

What remains: a complete foreign heartbeat in the name of the live process is believed until that has spoken twice.

--- a/core/runs/effects.go
+++ b/core/runs/effects.go
@@ -1,6 +1,7 @@
 package runs
 
 import (
+	"slices"
 	"time"
 
 	"persimmonstage/core/crash"
@@ -63,6 +64,11 @@
 	return l.ID == m.ID && l.Born == m.Born && l.Addr == m.Addr
 }
 
+// sameKind reports whether two announcements agree in what doesn't change while a process runs.
+func (l *Instance) sameKind(m *Instance) bool {
+	return l.Service == m.Service && l.DataCentre == m.DataCentre && slices.Equal(l.Labels, m.Labels)
+}
+
 // SameCapacity reports whether two announcements state the same capacity, which may change while a target runs.
 func (l *Instance) SameCapacity(m *Instance) bool {
 	return l.Millicores == m.Millicores && l.MemoryMB == m.MemoryMB
--- a/core/runs/runs.go
+++ b/core/runs/runs.go
@@ -86,6 +86,7 @@
 type Runs struct {
 	out          effects
 	instance     *Instance
+	setAside     *Instance // the latest announcement of the target that wasn't applied
 	successor    successor
 	clean        bool // nothing that earlier processes of the agent started runs at the target
 	established  bool // clean since the agent started
--- a/core/runs/target.go
+++ b/core/runs/target.go
@@ -21,13 +21,28 @@
 	return false
 }
 
-// update applies an announcement of the present process.
+// update applies an announcement of the present process. One that is older than the latest, contradicts what doesn't change while a
+// process runs, or takes back that it drains may be late or come from another writer: it is set aside, and applied if the next one agrees.
 func (r *Runs) update(l *Instance) {
-	if l.Sequence < r.instance.Sequence {
+	sameKind := r.instance.sameKind(l)
+	older := l.Sequence < r.instance.Sequence
+	plausible := sameKind && !older && (l.Draining || !r.instance.Draining)
+	repeated := r.setAside != nil && r.setAside.sameKind(l) && l.Sequence > r.setAside.Sequence
+	next := *l
+	switch {
+	case plausible || repeated:
+		next.Draining = l.Draining || older && r.instance.Draining
+		r.setAside = nil
+	case sameKind && l.Draining: // in no order of the announcements does a target drain only for a while
+		next = *r.instance
+		next.Draining = true
+		r.setAside = l
+	default:
+		r.setAside = l
 		return
 	}
-	changed := r.instance.Draining != l.Draining || !r.instance.SameCapacity(l)
-	r.instance = l
+	changed := r.instance.Draining != next.Draining || !r.instance.SameCapacity(&next) || !sameKind
+	r.instance = &next
 	if changed {
 		r.out.Changed()
 	}
@@ -35,7 +50,7 @@
 
 // attach makes a process the target; nothing is started there before its first list.
 func (r *Runs) attach(l *Instance) {
-	r.instance = l
+	r.instance, r.setAside = l, nil
 	r.successor = successor{}
 	r.out.Changed()
 }
