End no run because its target has announced its end

Fault: a "leave" ended all runs of the target at once.

Now nothing is started at a target that leaves. Its runs end as its lists say, or with their lease once it refuses connections; it is removed when it has no runs and doesn't answer. If it still answers 500 ms later, it hasn't left.

Evidence: TestALeaveEndsNoRun failed before, as the runs ended with the call.

--- a/core/runs/announce_test.go
+++ b/core/runs/announce_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -63,3 +64,39 @@
 	g.runs.Announced(g.now, newInstance("i-1", 5, 4))
 	require.True(t, g.runs.State(g.now, "e").Usable)
 }
+
+// TestALeaveEndsNoRun guards against tasks that run twice after a leave that came late, from a former process under the same id, or from
+// another writer.
+func TestALeaveEndsNoRun(t *testing.T) {
+	g := newBusyHarness(t)
+	g.runs.TargetLeft(g.now)
+	g.runs.Tick(g.now)
+	g.order(2, "b")
+	require.Equal(t, []string{"ended e 2 refused"}, g.takeLog())
+	g.poll(listedOne("a", 50), nil)
+	require.False(t, g.runs.State(g.now, "e").Usable, "it may have answered just before its end")
+	g.advance(leaveTime + 2*time.Millisecond)
+	g.runs.RecordEcho("e", g.now)
+	g.runs.ExtendLease(g.now)
+	g.poll(listedOne("a", 90), nil)
+	g.order(3, "b")
+	require.Contains(t, g.takeLog(), "start b/1", "it hasn't ended")
+}
+
+func TestATargetThatLeftIsRemovedOnceItRefuses(t *testing.T) {
+	g := newBusyHarness(t)
+	g.runs.TargetLeft(g.now)
+	g.refuseUntilLeaseEnds()
+	require.Equal(t, []string{"ended e 1 lapsed"}, g.takeLog(), "it didn't crash")
+	require.Nil(t, g.runs.Instance())
+	g = newHarness(t)
+	g.runs.TargetLeft(g.now)
+	g.runs.TargetDown(g.now)
+	require.Nil(t, g.runs.Instance())
+	require.Empty(t, g.takeLog())
+	g = newHarness(t)
+	g.runs.TargetLeft(g.now)
+	g.advance(extendWithin + time.Millisecond)
+	g.runs.Tick(g.now)
+	require.Nil(t, g.runs.Instance(), "it is silent")
+}
--- a/core/runs/listed.go
+++ b/core/runs/listed.go
@@ -45,6 +45,9 @@
 	wasUsable := r.usable(now)
 	r.lastAnswer = now
 	r.brokenAt, r.refused = time.Time{}, false
+	if l.Sent.Sub(r.leftAt) > leaveTime {
+		r.leftAt = time.Time{}
+	}
 	outdated := l.Partial || l.Clock < r.listedClock
 	r.listedClock = max(r.listedClock, l.Clock)
 	if !outdated && r.stopUnknown(now, l) {
--- a/core/runs/runs.go
+++ b/core/runs/runs.go
@@ -27,6 +27,8 @@
 	extendWithin = 200 * time.Millisecond
 	// stopRetryPeriod is the time after which an unanswered call to stop a run is repeated.
 	stopRetryPeriod = 70 * time.Millisecond
+	// leaveTime is how long a target may take to end after it has announced that.
+	leaveTime = 500 * time.Millisecond
 	// endRetention is how long ends are kept for owners that reconnect.
 	endRetention = 5 * time.Second
 )
@@ -100,6 +102,7 @@
 	unknownStops map[Key]time.Time
 	lastAnswer   time.Time // when the target last answered a poll or accepted a start
 	brokenAt     time.Time // when the first connection broke since the last answer
+	leftAt       time.Time // when the target announced its end; zero if it didn't
 	refused      bool      // a connection was refused since the last answer
 	listedClock  int64     // the target's clock in the newest list that was processed
 	lastExtended time.Time // when the last call that extends the lease was sent
@@ -153,6 +156,7 @@
 			r.callStop(now, u)
 		}
 	}
+	r.removeLeft(now)
 	r.succeed(now)
 	r.expireSuccessor(now)
 	r.startWaiting(now)
--- a/core/runs/target.go
+++ b/core/runs/target.go
@@ -95,12 +95,16 @@
 		r.reportCrash(now)
 	}
 	r.out.Fence()
+	left := !r.leftAt.IsZero()
 	r.reset(now, how, true)
+	if left {
+		r.instance = nil
+	}
 }
 
 // endOfProcess returns how runs end with the target's process.
 func (r *Runs) endOfProcess() string {
-	if r.instance == nil || r.instance.Draining {
+	if r.instance == nil || r.instance.Draining || !r.leftAt.IsZero() {
 		return lapsed
 	}
 	return Crashed
@@ -136,7 +140,7 @@
 // still being called may reach the next process, so its run ends only when that one confirms that it doesn't run.
 func (r *Runs) reset(now time.Time, how string, leaseEnded bool) {
 	r.clean, r.ack, r.lastAnswer, r.listedClock = false, 0, time.Time{}, 0
-	r.brokenAt, r.refused = time.Time{}, false
+	r.brokenAt, r.leftAt, r.refused = time.Time{}, time.Time{}, false
 	r.pace = pace{}
 	clear(r.unknownStops)
 	r.dropWaiting(now)
@@ -179,13 +183,23 @@
 	}
 }
 
-// TargetLeft removes the target after it has announced its shutdown.
+// TargetLeft records that the target has announced its end. Nothing is started there any more; its runs end as it lists them or with
+// their lease. If it still answers after leaveTime, the announcement was late or not the target's.
 func (r *Runs) TargetLeft(now time.Time) {
 	if r.instance == nil {
 		return
 	}
-	r.instance = nil
-	r.reset(now, lapsed, false)
+	r.leftAt = now
+	r.dropWaiting(now)
+	r.out.Changed()
+}
+
+// removeLeft removes a target that has announced its end and has ended.
+func (r *Runs) removeLeft(now time.Time) {
+	if !r.leftAt.IsZero() && len(r.runs) == 0 && (r.refused || r.Silent(now)) {
+		r.reset(now, lapsed, false)
+		r.instance = nil
+	}
 }
 
 // Instance returns the target's latest announcement, or nil if there is no target.
@@ -210,7 +224,7 @@
 
 // usable reports whether runs may be started at the target.
 func (r *Runs) usable(now time.Time) bool {
-	return r.instance != nil && r.clean && !r.leaving && !r.refused && !r.instance.Draining && !r.Silent(now) && r.mayExtend(now)
+	return r.instance != nil && r.clean && !r.leaving && !r.refused && r.leftAt.IsZero() && !r.instance.Draining && !r.Silent(now) && r.mayExtend(now)
 }
 
 // scarceSlots is the number of free slots below which the target's room is scarce.
