Refuse an order that was placed on an earlier process of the target

A target's state now names the process, and so does each order; the agent refuses an order for another one, and the entry places the task again. Orders of older builds name none and are taken as before.

Evidence: TestAnOrderForAnEarlierProcessIsRefused failed before, as the order was started.

--- a/core/proof/repeat_agent_test.go
+++ b/core/proof/repeat_agent_test.go
@@ -143,7 +143,7 @@
 	s := a.runs.State(a.w.now, e.id())
 	return sched.TargetState{
 		Service: s.Service, Millicores: s.Millicores, MemoryMB: s.MemoryMB, UsedMillicores: s.UsedMillicores,
-		UsedMemoryMB: s.UsedMemoryMB, Usable: s.Usable, Pace: 1, Seen: s.Seen,
+		UsedMemoryMB: s.UsedMemoryMB, Usable: s.Usable, Pace: 1, Process: s.Process, Seen: s.Seen,
 	}
 }
 
--- a/core/proof/repeat_entry_test.go
+++ b/core/proof/repeat_entry_test.go
@@ -125,7 +125,7 @@
 	o := e.ordersFor(target)
 	o.starts = append(o.starts, &runs.Order{
 		Attempt: s.Attempt, Task: s.Task, Number: s.Number, Millicores: s.Millicores, MemoryMB: s.MemoryMB,
-		Expected: time.Duration(s.ExpectedMS) * time.Millisecond,
+		Expected: time.Duration(s.ExpectedMS) * time.Millisecond, Process: s.Process,
 	})
 }
 
--- a/core/runs/effects.go
+++ b/core/runs/effects.go
@@ -43,6 +43,7 @@
 	MemoryMB   uint64
 	Expected   time.Duration // run time at a target of pace 1
 	Payload    []byte
+	Process    uint64 // the target's process that the owner chose, as in State; 0 is any
 }
 
 // Instance is a target's announcement of itself; it is plain data.
--- a/core/runs/order.go
+++ b/core/runs/order.go
@@ -112,7 +112,7 @@
 
 // refusal returns the reason why an order can't be started now, or an empty string.
 func (r *Runs) refusal(now time.Time, w *owner, o *Order) string {
-	if !r.usable(now) || now.Sub(w.lastEcho) > Tenure {
+	if !r.usable(now) || now.Sub(w.lastEcho) > Tenure || o.Process != 0 && o.Process != r.process {
 		return Refused
 	}
 	for _, u := range r.runs {
--- a/core/runs/restart_test.go
+++ b/core/runs/restart_test.go
@@ -89,3 +89,24 @@
 	require.Equal(t, []string{"crashed a 0", "stop a/1"}, g.takeLog())
 	require.Equal(t, 1, g.runs.Len())
 }
+
+// TestAnOrderForAnEarlierProcessIsRefused guards against a task on a target of the wrong kind: its entry, which was frozen, had chosen the
+// process before.
+func TestAnOrderForAnEarlierProcessIsRefused(t *testing.T) {
+	g := newHarness(t)
+	chosen := g.runs.State(g.now, "e").Process
+	require.NotZero(t, chosen)
+	order := func(attempt uint64) {
+		g.runs.Order(g.now, "e", &Order{Attempt: attempt, Task: "a", Number: 1, Millicores: need, MemoryMB: 1, Process: chosen})
+	}
+	g.runs.Announced(g.now, newLabelled(9, "b"))
+	g.runs.Listed(g.now, &Listing{Born: 9, Sent: g.now})
+	g.runs.Listed(g.now, &Listing{Born: 9, Sent: g.now})
+	require.True(t, g.runs.State(g.now, "e").Usable)
+	g.takeLog()
+	order(1)
+	require.Equal(t, []string{"ended e 1 refused"}, g.takeLog())
+	chosen = g.runs.State(g.now, "e").Process
+	order(2)
+	require.Equal(t, []string{"start a/1"}, g.takeLog())
+}
--- a/core/runs/runs.go
+++ b/core/runs/runs.go
@@ -88,6 +88,7 @@
 type Runs struct {
 	out          effects
 	instance     *Instance
+	process      uint64    // number of the instance among those that the target had here
 	setAside     *Instance // the latest announcement of the target that wasn't applied
 	successor    successor
 	clean        bool // nothing that earlier processes of the agent started runs at the target
--- a/core/runs/state.go
+++ b/core/runs/state.go
@@ -14,6 +14,7 @@
 	Labels         []string
 	Slots          int    // how many more tasks of mean size fit, with waiting orders counted as running
 	Scarce         bool   // so few slots are free that each start and end has to be reported to entries
+	Process        uint64 // identifies the target's process
 	Seen           uint64 // the owner's highest attempt that is included in this state
 }
 
@@ -23,6 +24,7 @@
 	if r.instance == nil {
 		return s
 	}
+	s.Process = r.process
 	s.Service, s.Labels = r.instance.Service, r.instance.Labels
 	s.Millicores, s.MemoryMB = r.instance.Millicores, r.instance.MemoryMB
 	s.UsedMillicores, s.UsedMemoryMB = r.committed()
--- a/core/runs/target.go
+++ b/core/runs/target.go
@@ -41,6 +41,9 @@
 		r.setAside = l
 		return
 	}
+	if !sameKind {
+		r.process++
+	}
 	changed := r.instance.Draining != next.Draining || !r.instance.SameCapacity(&next) || !sameKind
 	r.instance = &next
 	if changed {
@@ -51,6 +54,7 @@
 // attach makes a process the target; nothing is started there before its first list.
 func (r *Runs) attach(l *Instance) {
 	r.instance, r.setAside = l, nil
+	r.process++
 	r.successor = successor{}
 	r.out.Changed()
 }
--- a/core/sched/effects.go
+++ b/core/sched/effects.go
@@ -16,6 +16,7 @@
 	MemoryMB   uint64
 	ExpectedMS uint32
 	Payload    []byte
+	Process    uint64 // the target's process that the task was placed on
 }
 
 // effects carries out the scheduler's decisions.
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -18,6 +18,7 @@
 	Held           bool    // its free capacity is offered to other entries first
 	Pace           float64 // run times relative to the expected ones
 	Labels         []string
+	Process        uint64 // identifies the target's process
 	Seen           uint64 // the highest attempt of this entry that the used amounts include
 }
 
--- a/io/runsd/links.go
+++ b/io/runsd/links.go
@@ -270,7 +270,7 @@
 	for _, s := range o.Starts {
 		starts = append(starts, &runs.Order{
 			Attempt: s.Attempt, Task: s.Task, Route: s.Route, Number: int(s.Number), Millicores: s.Millicores, MemoryMB: s.MemoryMb,
-			Expected: time.Duration(s.ExpectedMs) * time.Millisecond, Payload: s.Payload,
+			Expected: time.Duration(s.ExpectedMs) * time.Millisecond, Payload: s.Payload, Process: s.Process,
 		})
 	}
 	d.runs.Orders(now, l.owner, starts, o.Stops)
--- a/io/schedd/effects.go
+++ b/io/schedd/effects.go
@@ -21,7 +21,7 @@
 	e.d.metrics.starts.Inc()
 	l.orders.Starts = append(l.orders.Starts, &wire.RunStart{
 		Attempt: s.Attempt, Task: s.Task, Number: uint32(s.Number), Millicores: s.Millicores, MemoryMb: s.MemoryMB,
-		ExpectedMs: s.ExpectedMS, Payload: s.Payload, Route: s.Route,
+		ExpectedMs: s.ExpectedMS, Payload: s.Payload, Route: s.Route, Process: s.Process,
 	})
 }
 
--- a/io/schedd/links.go
+++ b/io/schedd/links.go
@@ -181,7 +181,7 @@
 	}
 	full := l.lastFullState
 	return sched.TargetState{
-		Service: full.GetService(), Labels: full.GetLabels(),
+		Service: full.GetService(), Labels: full.GetLabels(), Process: full.GetProcess(),
 		Millicores: min(full.GetMillicores(), maxCapacity), MemoryMB: min(full.GetMemoryMb(), maxCapacity),
 		UsedMillicores: min(s.UsedMillicores, maxCapacity), UsedMemoryMB: min(s.UsedMemoryMb, maxCapacity),
 		Usable: s.Usable, Held: s.Held, Pace: float64(max(1, s.PacePermille)) / permille, Seen: s.Seen,
