Notice a stall of an entry before the first turn of its loop

Fault: an entry that is frozen right after its start, before its scheduler has ticked, didn't know that it had stalled. It started the job of a caller who had left meanwhile and was served elsewhere (rule TWICE).

The scheduler now ticks once when it is made.

--- a/io/schedd/daemon.go
+++ b/io/schedd/daemon.go
@@ -79,6 +79,7 @@
 	rng := rand.New(rand.NewPCG(binary.BigEndian.Uint64(inc[:8]), binary.BigEndian.Uint64(inc[8:])))
 	docmet.Register(reg, doc)
 	d.sched = sched.New(effects{d}, rng)
+	d.sched.Tick(uptime.Now()) // so that a stall before the first turn of the loop is noticed
 	d.relay = relay.New(rng)
 	d.control = ctrl.New(feed.New(d.loop, d.opened, d.received, d.closed), log)
 	return d
