Keep a cancelled job cancelled at all entries

Cause: an entry kept the outcome of a cancelled job, but gave it to repeated requests only if the job was done or failed; other entries knew nothing of it.

Its id is passed on in the heartbeats between entries and agents, their answers and hellos, once a connection (core/gossip), so that all entries learn of it within two heartbeats, also one that starts later. A job whose caller only left runs anew, as before.

Weighed: a fence by job at the agents that ran it (the repeated job is placed on others as well); a message of its own (a frame an agent and entry for each cancelled job). What an entry and all its agents forget together, when they are killed within a heartbeat of the cancelling, isn't known to others.

--- a/core/proof/repeat_agent_test.go
+++ b/core/proof/repeat_agent_test.go
@@ -1,9 +1,11 @@
 package proof
 
 import (
+	"slices"
 	"time"
 
 	"persimmonstage/core/crash"
+	"persimmonstage/core/gossip"
 	"persimmonstage/core/runs"
 	"persimmonstage/core/sched"
 )
@@ -11,13 +13,14 @@
 // repeatAgent is an agent's process together with the present process of its target and the calls between them.
 type repeatAgent struct {
 	repeatHost
-	name   string
-	life   int
-	fences int
-	runs   *runs.Runs
-	target *repeatTarget
-	other  *repeatTarget  // a process that isn't the agent's target, but announces itself there; nil if there is none
-	kept   *runs.Instance // what the agent's next process knows of the target
+	name      string
+	life      int
+	fences    int
+	runs      *runs.Runs
+	target    *repeatTarget
+	other     *repeatTarget // a process that isn't the agent's target, but announces itself there; nil if there is none
+	cancelled gossip.Gossip
+	kept      *runs.Instance // what the agent's next process knows of the target
 	// refusedUntil is until when connections to the target are refused while it goes on, and silentUntil until when calls get no answer.
 	refusedUntil time.Time
 	silentUntil  time.Time
@@ -162,6 +165,12 @@
 	})
 }
 
+// knowsCancelled reports whether the agent's process has been told that a job was cancelled.
+func (a *repeatAgent) knowsCancelled(id string) bool {
+	ids, _ := a.cancelled.After(a.w.now, 0)
+	return slices.Contains(ids, id)
+}
+
 // isCurrent reports whether an announcement is of the process that the agent takes for the target.
 func (a *repeatAgent) isCurrent(l *runs.Instance) bool {
 	now := a.runs.Instance()
--- a/core/proof/repeat_announce_test.go
+++ b/core/proof/repeat_announce_test.go
@@ -72,7 +72,7 @@
 		if a.other != nil {
 			a.other.crash()
 		}
-		a.other = newRepeatTarget(a.w, l)
+		a.other = newRepeatTarget(a, l)
 		a.other.foreign = true
 		a.deliverAnnouncement(&l, func() {})
 		return
@@ -102,7 +102,7 @@
 			a.other.crash()
 		}
 		next.Born, next.Sequence, next.Draining = a.w.now.UnixMilli(), 0, false
-		a.target = newRepeatTarget(a.w, next)
+		a.target = newRepeatTarget(a, next)
 		a.announce()
 	})
 }
--- a/core/proof/repeat_entry_test.go
+++ b/core/proof/repeat_entry_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"persimmonstage/core/gossip"
 	"persimmonstage/core/runs"
 	"persimmonstage/core/sched"
 )
@@ -22,6 +23,7 @@
 	onDeath         []func()              // callbacks of the callers for when the process dies
 	steps           []func()              // posted and not processed yet
 	dirty           []*repeatLink         // those with orders to send
+	cancelled       gossip.Gossip
 }
 
 // repeatOrders is what an entry gathers for an agent while it processes the steps that are already posted, and sends in one frame.
@@ -84,6 +86,15 @@
 	e.dirty = nil
 }
 
+// withdraw cancels jobs that callers have cancelled at other entries.
+func (e *repeatEntry) withdraw(ids []string) {
+	for _, id := range ids {
+		if e.cancelled.Add(e.w.now, id) {
+			e.sched.Withdraw(e.w.now, id)
+		}
+	}
+}
+
 // ordersFor returns what is gathered for the present connection of a target's agent.
 func (e *repeatEntry) ordersFor(target string) *repeatOrders {
 	l := e.links[target]
--- a/core/proof/repeat_link_test.go
+++ b/core/proof/repeat_link_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"persimmonstage/core/gossip"
 	"persimmonstage/core/runs"
 	"persimmonstage/core/sched"
 )
@@ -17,6 +18,9 @@
 	agentReceived time.Time
 	entryReceived time.Time
 	orders        *repeatOrders
+	// Up to which cancelled jobs each side has been told.
+	agentToldPos uint64
+	entryToldPos uint64
 }
 
 // maintainLink connects an agent and an entry, exchanges heartbeats, and closes a link after repeatLinkTimeout without any.
@@ -42,6 +46,9 @@
 		}
 		l = &repeatLink{entry: e, agent: a, up: true, agentReceived: w.now, entryReceived: w.now}
 		e.links[a.name] = l
+		var ids []string
+		ids, l.entryToldPos = a.cancelled.After(w.now, 0)
+		e.withdraw(ids)
 		open := e.sched.Join(w.now, a.name, fmt.Sprint(a.life), "z", a.state(e))
 		a.runs.RecordEcho(e.id(), w.now)
 		a.runs.Reconnected(w.now, e.id(), open)
@@ -49,11 +56,28 @@
 		!e.frozen() && w.now.Sub(l.entryReceived) > repeatLinkTimeout:
 		w.drop(l)
 	case !a.frozen():
-		stamp, owner := w.now, e.id()
-		a.report(owner, func(e *repeatEntry) { e.send(a, func() { a.runs.RecordEcho(owner, stamp) }) })
+		w.heartbeat(l)
 	}
 }
 
+// heartbeat exchanges an agent's heartbeat and its answer; both tell of cancelled jobs.
+func (w *repeatWorld) heartbeat(l *repeatLink) {
+	a, stamp, owner := l.agent, w.now, l.entry.id()
+	var ids []string
+	ids, l.entryToldPos = a.cancelled.After(w.now, l.entryToldPos)
+	a.report(owner, func(e *repeatEntry) {
+		e.withdraw(ids)
+		var answer []string
+		answer, l.agentToldPos = e.cancelled.After(w.now, l.agentToldPos)
+		e.send(a, func() {
+			a.runs.RecordEcho(owner, stamp)
+			for _, id := range answer {
+				a.cancelled.Add(w.now, id)
+			}
+		})
+	})
+}
+
 func (w *repeatWorld) drop(l *repeatLink) {
 	l.up = false
 	l.entry.whenRunning(func() {
@@ -66,7 +90,7 @@
 func (w *repeatWorld) bootAgent(a *repeatAgent) {
 	a.life++
 	a.thaw()
-	a.runs, a.fences = runs.New(a), 0
+	a.runs, a.fences, a.cancelled = runs.New(a), 0, gossip.Gossip{}
 	if a.kept != nil {
 		recalled := *a.kept
 		a.runs.Announced(w.now, &recalled)
@@ -83,6 +107,7 @@
 	e.thaw()
 	e.sched = sched.New(e, rand.New(rand.NewPCG(w.seed, uint64(e.life))))
 	e.sched.Tick(w.now)
+	e.cancelled = gossip.Gossip{}
 	for _, l := range e.links {
 		l.up = false
 	}
--- a/core/proof/repeat_target_test.go
+++ b/core/proof/repeat_target_test.go
@@ -16,6 +16,7 @@
 // run only where they may.
 type repeatTarget struct {
 	w         *repeatWorld
+	agent     *repeatAgent
 	self      runs.Instance          // as it announces itself
 	ended     bool                   // the process has ended, its port is closed
 	foreign   bool                   // it is the target of another host, and starts nothing for this one
@@ -28,8 +29,8 @@
 	drainedAt time.Time // when its agent acknowledged that it drains
 }
 
-func newRepeatTarget(w *repeatWorld, self runs.Instance) *repeatTarget {
-	return &repeatTarget{w: w, self: self, running: map[runs.Key]time.Time{}, lastEnded: map[string]int{}}
+func newRepeatTarget(a *repeatAgent, self runs.Instance) *repeatTarget {
+	return &repeatTarget{w: a.w, agent: a, self: self, running: map[runs.Key]time.Time{}, lastEnded: map[string]int{}}
 }
 
 // fenced reports whether a call comes before the latest one that the target has seen.
@@ -77,6 +78,9 @@
 	if label := t.w.labels[id]; label != "" {
 		require.Contains(t.w.t, t.self.Labels, label, "seed %d: ROUTE: %s runs at a target of another kind at %s", t.w.seed, k.Task, at)
 	}
+	if since, ok := t.w.cancelled[id]; ok && !late && t.agent.knowsCancelled(id) {
+		require.LessOrEqual(t.w.t, t.w.now.Sub(since), cancelTime, "seed %d: UNASKED: %s starts at %s", t.w.seed, k.Task, at)
+	}
 	if !late && !t.drainedAt.IsZero() {
 		require.LessOrEqual(t.w.t, t.w.now.Sub(t.drainedAt), drainGrace, "seed %d: DRAIN: %s starts at %s", t.w.seed, k.Task, at)
 	}
--- a/core/proof/repeat_test.go
+++ b/core/proof/repeat_test.go
@@ -45,8 +45,10 @@
 	agents  []*repeatAgent
 	running map[string]int
 	labels  map[string]string // that jobs need
-	starts  int
-	done    int
+	// cancelled holds when the cancelling of a job was acknowledged.
+	cancelled map[string]time.Time
+	starts    int
+	done      int
 }
 
 var repeatRoute = &route.Route{Name: "q", Service: "s", MaxAttempts: 3, BaseObjective: 3 * time.Second, Stretch: 2}
@@ -83,6 +85,9 @@
 			}
 		})
 	})
+	if w.rng.IntN(12) == 0 {
+		w.cancel(e, id, func() { over = true }, func() { w.submit(id, tasks, work) })
+	}
 	w.after(w.callerPatience(), func() {
 		if !over {
 			e.whenRunning(func() { e.sched.Leave(w.now, id, caller) })
@@ -91,6 +96,28 @@
 	})
 }
 
+const (
+	// cancelTime is how long after the acknowledgement of its cancelling a job may still be started.
+	cancelTime = 3 * time.Second
+	// repeatAfter is the least time after which the request of a cancelled job arrives once more.
+	repeatAfter = 3500 * time.Millisecond
+)
+
+// cancel has a caller cancel its job at the entry that has it; in half of the cases the job's request arrives once more seconds later.
+func (w *repeatWorld) cancel(e *repeatEntry, id string, acked, repeat func()) {
+	w.after(time.Duration(w.rng.Int64N(int64(time.Second))), func() {
+		e.whenRunning(func() {
+			acked()
+			e.cancelled.Add(w.now, id)
+			e.sched.Withdraw(w.now, id)
+			w.cancelled[id] = w.now
+			if w.rng.IntN(2) == 0 {
+				w.after(repeatAfter, repeat)
+			}
+		})
+	})
+}
+
 // kinds are the labels of targets.
 var kinds = []string{"a", "b"}
 
@@ -152,6 +179,7 @@
 func newRepeatWorld(t *testing.T, seed uint64) *repeatWorld {
 	w := &repeatWorld{
 		timeline: newTimeline(), t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 3)), running: map[string]int{}, labels: map[string]string{},
+		cancelled: map[string]time.Time{},
 	}
 	for i := range 2 {
 		e := &repeatEntry{
@@ -163,7 +191,7 @@
 	}
 	for i := range 3 {
 		a := &repeatAgent{repeatHost: repeatHost{w: w}, name: fmt.Sprint("a", i)}
-		a.target = newRepeatTarget(w, runs.Instance{
+		a.target = newRepeatTarget(a, runs.Instance{
 			ID: "i", Addr: a.name, Born: 1, Service: "s", Millicores: 20_000, MemoryMB: 1000, Labels: []string{kinds[i%len(kinds)]},
 		})
 		w.agents = append(w.agents, a)
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -99,7 +99,7 @@
 }
 
 // Submit adds a job and returns the caller's number for Leave; w is called once with the outcome unless the caller leaves before.
-// A repeated submission waits for the same job, or gets the same outcome if the job is done or failed.
+// A repeated submission waits for the same job, or gets the same outcome if the job is done, failed or withdrawn.
 func (s *Sched) Submit(now time.Time, b *batch.Batch, w func(jobend.Outcome)) uint64 {
 	s.lastCaller++
 	if j := s.jobs[b.ID]; j != nil {
@@ -108,7 +108,7 @@
 	}
 	number := 0
 	if m, ok := s.endedJobs[b.ID]; ok {
-		if m.outcome.Kind == jobend.Done || m.outcome.Kind == jobend.Failed {
+		if m.isFinal() {
 			w(m.outcome)
 			return s.lastCaller
 		}
@@ -261,6 +261,21 @@
 	return true
 }
 
+// Withdraw cancels a job at its caller's request, here or at another entry, and reports whether it was found. A request that hands the job
+// in later, or once more, finds it cancelled.
+func (s *Sched) Withdraw(now time.Time, id string) bool {
+	if s.Cancel(now, id, Withdrawn) {
+		return true
+	}
+	m, known := s.endedJobs[id]
+	if known && m.isFinal() {
+		return false
+	}
+	outcome := jobend.Outcome{Kind: jobend.Cancelled, Reason: Withdrawn}
+	s.endedJobs[id] = endedJob{outcome: outcome, number: m.number, expires: now.Add(outcomeRetention)}
+	return false
+}
+
 // Running reports whether a job exists and hasn't ended.
 func (s *Sched) Running(id string) bool { return s.jobs[id] != nil }
 
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -499,3 +499,22 @@
 	h.endAttempt(h.startTargets[0], EndStopped, 0)
 	require.Len(t, h.starts, 1, "the caller may have left during the stall and have come again elsewhere")
 }
+
+// TestAWithdrawnJobIsNotStartedAgain guards against a job that its caller cancelled and that runs as a whole when its request arrives once
+// more; the entry that gets that request may have learnt of the cancelling from another one.
+func TestAWithdrawnJobIsNotStartedAgain(t *testing.T) {
+	for _, here := range []bool{true, false} {
+		h := newHarness()
+		h.join("t", 1)
+		if here {
+			h.submit(h.batch("a", 1, time.Second))
+			require.Len(t, h.starts, 1)
+		}
+		require.Equal(t, here, h.sched.Withdraw(h.now, "a"))
+		delete(h.outcomes, "a")
+		h.run(4 * time.Second)
+		h.submit(h.batch("a", 1, time.Second))
+		require.Len(t, h.starts, map[bool]int{true: 1, false: 0}[here])
+		require.Equal(t, jobend.Cancelled, h.outcomes["a"].Kind)
+	}
+}
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -94,3 +94,14 @@
 	number  int
 	expires time.Time
 }
+
+// isFinal reports whether a repeated submission gets the outcome; else the job runs anew.
+func (m *endedJob) isFinal() bool {
+	switch m.outcome.Kind {
+	case jobend.Done, jobend.Failed:
+		return true
+	case jobend.Cancelled:
+		return m.outcome.Reason == Withdrawn
+	}
+	return false
+}
--- a/io/runsd/daemon.go
+++ b/io/runsd/daemon.go
@@ -13,6 +13,7 @@
 	"persimmonstage/core/crash"
 	"persimmonstage/core/fetch"
 	"persimmonstage/core/flight"
+	"persimmonstage/core/gossip"
 	"persimmonstage/core/ident"
 	"persimmonstage/core/newest"
 	"persimmonstage/core/offer"
@@ -112,6 +113,8 @@
 	ctx           context.Context
 	phase         time.Duration // of the heartbeats
 
+	cancelled gossip.Gossip // jobs that callers have cancelled lately, for the other entries
+
 	documentRequests flight.Flight[*documentRequest]
 }
 
--- a/io/runsd/links.go
+++ b/io/runsd/links.go
@@ -41,6 +41,7 @@
 	flushing      bool
 	sentState     *wire.TargetState
 	sentDoc       int64
+	cancelledPos  uint64    // up to which the entry has been told of cancelled jobs
 	surplusSince  time.Time // when the entry was sent that it can't use the target any more; zero if it can
 }
 
@@ -93,6 +94,7 @@
 	}
 	l.nextHeartbeat = d.nextSlot(now, period)
 	b := &wire.TargetBeat{Stamp: now.UnixNano(), DocumentVersion: d.doc.Version()}
+	b.Cancelled, l.cancelledPos = d.cancelled.After(now, l.cancelledPos)
 	if s := d.state(l); !sameState(l.sentState, s) {
 		b.State = l.shorten(s)
 	}
@@ -123,17 +125,20 @@
 		return
 	}
 	l.conn, l.lastReceived = conn, now
-	l.owner, l.sentState, l.report, l.sentDoc, l.helloSent = "", nil, nil, 0, false
+	l.owner, l.sentState, l.report, l.sentDoc, l.cancelledPos, l.helloSent = "", nil, nil, 0, 0, false
 	d.conns[conn] = l
 	d.hello(now, l)
 }
 
 // hello sends the first message of a connection; it is repeated until the connection accepts it.
 func (d *Daemon) hello(now time.Time, l *link) {
+	cancelled, pos := d.cancelled.After(now, 0)
+	l.cancelledPos = pos
 	l.helloSent = d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_TargetHello{TargetHello: &wire.TargetHello{
 		Version: wire.Version, Agent: &wire.Ident{Name: d.self.Name, Incarnation: []byte(d.self.Incarnation)},
 		DataCentre: d.cfg.DataCentre, State: d.state(l), DocumentVersion: d.doc.Version(),
 		TenureMs: uint32(runs.Tenure.Milliseconds()), Stamp: now.UnixNano(),
+		Cancelled: cancelled,
 	}}})
 }
 
@@ -253,6 +258,9 @@
 func (d *Daemon) heartbeatAnswered(l *link, a *wire.TargetBeatAnswer) {
 	d.recordEcho(l.owner, a.Stamp)
 	d.addLinks(a.Entries)
+	for _, id := range a.Cancelled {
+		d.cancelled.Add(uptime.Now(), id)
+	}
 	version, data := d.doc.Get()
 	d.spread.SetVersion(uptime.Now(), l.addr, a.DocumentVersion, version)
 	if a.DocumentVersion < version && l.sentDoc < version {
--- a/io/schedd/daemon.go
+++ b/io/schedd/daemon.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"persimmonstage/core/gossip"
 	"persimmonstage/core/ident"
 	"persimmonstage/core/newest"
 	"persimmonstage/core/relay"
@@ -61,7 +62,8 @@
 	flushPosted bool
 	entries     map[string]time.Time // until when each entry's address is sent to agents
 	targets     atomic.Int64
-	unconfirmed bool // the document has to be read by agents
+	unconfirmed bool          // the document has to be read by agents
+	cancelled   gossip.Gossip // jobs that callers have cancelled lately
 }
 
 // New returns a daemon; doc is the operators' document, which the daemon exchanges with agents.
--- a/io/schedd/links.go
+++ b/io/schedd/links.go
@@ -21,6 +21,7 @@
 	lastFrame     time.Time
 	orders        *wire.RunOrders // to be sent by flush
 	heartbeats    int
+	cancelledPos  uint64            // up to which the agent has been told of cancelled jobs
 	helloStamp    int64             // the agent's time of its hello
 	lastFullState *wire.TargetState // the last one that wasn't brief
 }
@@ -95,6 +96,7 @@
 	l.name, l.helloStamp = name, h.Stamp
 	d.byName[name] = l
 	d.targets.Store(int64(len(d.byName)))
+	d.withdraw(now, h.Cancelled)
 	inc := string(h.Agent.GetIncarnation())
 	open := d.sched.Join(now, name, inc, h.DataCentre, l.targetState(h.State))
 	d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_TargetHelloAnswer{TargetHelloAnswer: &wire.TargetHelloAnswer{
@@ -105,16 +107,30 @@
 		zap.Bool("usable", h.State.Usable), zap.Int("agents", len(d.byName)))
 }
 
+// withdraw cancels jobs that callers have cancelled at other entries.
+func (d *Daemon) withdraw(now time.Time, ids []string) {
+	for _, id := range ids {
+		if len(id) <= maxIDBytes && d.cancelled.Add(now, id) {
+			d.sched.Withdraw(now, id)
+		}
+	}
+}
+
+// maxIDBytes bounds the id of a cancelled job.
+const maxIDBytes = 64
+
 // heartbeat answers an agent's heartbeat with its stamp.
 func (d *Daemon) heartbeat(now time.Time, l *link, b *wire.TargetBeat) {
 	if b.State != nil && l.name != "" {
 		d.sched.UpdateTarget(now, l.name, l.targetState(b.State))
 	}
+	d.withdraw(now, b.Cancelled)
 	answer := &wire.TargetBeatAnswer{Stamp: b.Stamp, DocumentVersion: d.doc.Version()}
 	if l.heartbeats%entryListEvery == 0 {
 		answer.Entries = d.entryAddresses()
 	}
 	l.heartbeats++
+	answer.Cancelled, l.cancelledPos = d.cancelled.After(now, l.cancelledPos)
 	d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_TargetBeatAnswer{TargetBeatAnswer: answer}})
 }
 
--- a/io/schedd/submit.go
+++ b/io/schedd/submit.go
@@ -29,9 +29,13 @@
 	}
 }
 
-// Cancel withdraws a job and reports whether it was found.
+// Cancel withdraws a job and reports whether it was found here; the other entries learn of it through the agents.
 func (d *Daemon) Cancel(ctx context.Context, id string) bool {
-	return call(ctx, d, func() bool { return d.sched.Cancel(uptime.Now(), id, sched.Withdrawn) })
+	return call(ctx, d, func() bool {
+		now := uptime.Now()
+		d.cancelled.Add(now, id)
+		return d.sched.Withdraw(now, id)
+	})
 }
 
 // Running reports whether this entry has a job that hasn't ended.
