Hold back a job whose request may have been held up on its way

Cause: an entry counts a request's age from its reading, and starts a job before it reads that the connection has ended, which comes some ms after the request. It held jobs back for 25 ms for this reason only after a stall of its own.

Ruled out: holding back every request (25 ms on a median of 60 ms), and a look at the connection at the moment of reading alone (the end may follow some ms later).

What remains: an end of the connection that comes more than 25 ms after the request.

--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -518,3 +518,24 @@
 		require.Equal(t, jobend.Cancelled, h.outcomes["a"].Kind)
 	}
 }
+
+// TestAJobWhoseRequestWasHeldUpIsNotStartedBeforeItsCallerIsKnownToBeThere guards against two runs of a task: requests that a cut had held
+// up were started beside their repetitions at other entries, some milliseconds before the end of their connections was read.
+func TestAJobWhoseRequestWasHeldUpIsNotStartedBeforeItsCallerIsKnownToBeThere(t *testing.T) {
+	h := newHarness()
+	h.join("t", 1)
+	h.run(time.Second)
+	heldUp := h.batch("a", 1, 100*time.Millisecond)
+	heldUp.HeldUp = true
+	caller := h.sched.Submit(h.now, heldUp, func(jobend.Outcome) {})
+	h.run(stallDelay - tickPeriod)
+	require.Empty(t, h.starts)
+	h.sched.Leave(h.now, "a", caller)
+	h.run(time.Second)
+	require.Empty(t, h.starts)
+	again := *heldUp
+	again.ID = "b"
+	h.submit(&again)
+	h.run(2 * stallDelay)
+	require.Len(t, h.starts, 1, "its caller is there")
+}
--- a/core/sched/stall.go
+++ b/core/sched/stall.go
@@ -18,10 +18,10 @@
 	}
 }
 
-// holdBack defers the first start of a new job if its request may have arrived during a stall.
+// holdBack defers the first start of a new job if its request may have arrived during a stall, or was held up on its way.
 func (s *Sched) holdBack(now time.Time, j *job) {
 	s.noticeStall(now)
-	if now.Sub(s.stallEnd) < backlogTime {
+	if j.batch.HeldUp || now.Sub(s.stallEnd) < backlogTime {
 		j.ready = now.Add(stallDelay)
 		j.startDeadline = j.startDeadline.Add(stallDelay)
 	}
