Compress large configurations, and split large orders, to fit into control frames

Cause: entries and agents put the whole configuration into one frame. The receiver closes the connection of a frame above the limit; the sender connected again and sent the same document anew, some hundred times a second. Orders of a job of 160 tasks with 4,000 bytes each did the same.

Now a configuration above 128 KB is compressed (DEFLATE, once a version and process): the 1,400 routes of the case to 6,000 routes fit. One that doesn't fit compressed isn't sent, with a log line that names version, size and limit. Orders are split at 64 KB of task data.

Not done: documents in parts, resumed; a measurement of heartbeats' p99 with 1 MB; so a configuration that exceeds 255 KB compressed is still not passed on.

--- a/io/runsd/daemon.go
+++ b/io/runsd/daemon.go
@@ -24,6 +24,7 @@
 	"persimmonstage/io/docmet"
 	"persimmonstage/io/feed"
 	"persimmonstage/io/loop"
+	"persimmonstage/io/pack"
 	"persimmonstage/io/uptime"
 )
 
@@ -113,6 +114,7 @@
 	ctx           context.Context
 	phase         time.Duration // of the heartbeats
 
+	packer    pack.Packer
 	cancelled gossip.Gossip // jobs that callers have cancelled lately, for the other entries
 
 	documentRequests flight.Flight[*documentRequest]
--- a/io/runsd/document.go
+++ b/io/runsd/document.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"persimmonstage/io/pack"
 	"persimmonstage/io/uptime"
 	"persimmonstage/io/wire"
 )
@@ -61,10 +62,34 @@
 	d.metrics.documentReads.WithLabelValues("answered").Inc()
 	d.updateDocument(version, data, storeSource)
 	for _, r := range list {
-		d.control.Send(r.conn, &wire.Frame{Body: &wire.Frame_Document{Document: d.documentFor(r.want, position)}})
+		d.sendDocument(r.conn, d.documentFor(r.want, position))
 	}
 }
 
+// sendDocument sends a document to an entry, unless it is too large.
+func (d *Daemon) sendDocument(conn uint64, m *wire.Document) {
+	data := m.Data
+	m.Data = nil
+	if err := d.packer.Fill(m, data); err != nil {
+		d.log.Warn("configuration not sent", zap.String("error", err.Error()))
+		return
+	}
+	d.control.Send(conn, &wire.Frame{Body: &wire.Frame_Document{Document: m}})
+}
+
+// takeDocument takes a document that an entry has sent.
+func (d *Daemon) takeDocument(m *wire.Document, entry string) {
+	if m.Version <= d.doc.Version() {
+		return
+	}
+	data, err := pack.Data(m)
+	if err != nil {
+		d.log.Warn("configuration not readable", zap.String("entry", entry), zap.String("error", err.Error()))
+		return
+	}
+	d.updateDocument(m.Version, data, entry)
+}
+
 // documentFor returns the answer to an entry's request after a read up to a position of the store: the document if the entry lacks
 // it, and the request's stamp as a confirmation unless the entry had read further itself.
 func (d *Daemon) documentFor(want *wire.DocumentWant, position int64) *wire.Document {
--- a/io/runsd/links.go
+++ b/io/runsd/links.go
@@ -216,7 +216,7 @@
 	case *wire.Frame_RunOrders:
 		d.orders(now, l, b.RunOrders)
 	case *wire.Frame_Document:
-		d.updateDocument(b.Document.Version, b.Document.Data, l.entry)
+		d.takeDocument(b.Document, l.entry)
 	case *wire.Frame_DocumentWant:
 		d.documentRequests.Add(&documentRequest{conn: conn, want: b.DocumentWant})
 		d.readDocument(now)
@@ -265,7 +265,7 @@
 	d.spread.SetVersion(uptime.Now(), l.addr, a.DocumentVersion, version)
 	if a.DocumentVersion < version && l.sentDoc < version {
 		l.sentDoc = version
-		d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_Document{Document: &wire.Document{Version: version, Data: data}}})
+		d.sendDocument(l.conn, &wire.Document{Version: version, Data: data})
 	}
 }
 
--- a/io/schedd/daemon.go
+++ b/io/schedd/daemon.go
@@ -21,6 +21,7 @@
 	"persimmonstage/io/docmet"
 	"persimmonstage/io/feed"
 	"persimmonstage/io/loop"
+	"persimmonstage/io/pack"
 	"persimmonstage/io/uptime"
 	"persimmonstage/io/wire"
 )
@@ -62,7 +63,8 @@
 	flushPosted bool
 	entries     map[string]time.Time // until when each entry's address is sent to agents
 	targets     atomic.Int64
-	unconfirmed bool          // the document has to be read by agents
+	unconfirmed bool // the document has to be read by agents
+	packer      pack.Packer
 	cancelled   gossip.Gossip // jobs that callers have cancelled lately
 }
 
--- a/io/schedd/document.go
+++ b/io/schedd/document.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"persimmonstage/io/pack"
 	"persimmonstage/io/wire"
 )
 
@@ -23,15 +24,27 @@
 // sendDocument sends an agent the document on request.
 func (d *Daemon) sendDocument(l *link) {
 	version, data := d.doc.Get()
-	if version > 0 {
-		d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_Document{Document: &wire.Document{Version: version, Data: data}}})
+	if version == 0 {
+		return
+	}
+	m := &wire.Document{Version: version}
+	if err := d.packer.Fill(m, data); err != nil {
+		d.log.Warn("configuration not sent", zap.String("agent", l.name), zap.String("error", err.Error()))
+		return
 	}
+	d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_Document{Document: m}})
 }
 
 // takeDocument takes the document that an agent has, or has read from the store on request.
 func (d *Daemon) takeDocument(now time.Time, l *link, m *wire.Document) {
-	if len(m.Data) > 0 {
-		d.UpdateDocument(m.Version, m.Data, l.name)
+	if m.Version > d.doc.Version() {
+		data, err := pack.Data(m)
+		switch {
+		case err != nil:
+			d.log.Warn("configuration not readable", zap.String("agent", l.name), zap.String("error", err.Error()))
+		case len(data) > 0:
+			d.UpdateDocument(m.Version, data, l.name)
+		}
 	}
 	at := time.Unix(0, m.Stamp)
 	if m.Stamp == 0 || at.After(now) || m.Version > d.doc.Version() {
--- a/io/schedd/effects.go
+++ b/io/schedd/effects.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"persimmonstage/core/sched"
+	"persimmonstage/io/frame"
 	"persimmonstage/io/wire"
 )
 
@@ -95,8 +96,29 @@
 func (d *Daemon) flush() {
 	d.flushPosted = false
 	for _, l := range d.dirty {
-		d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_RunOrders{RunOrders: l.orders}})
+		for _, part := range splitOrders(l.orders) {
+			d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_RunOrders{RunOrders: part}})
+		}
 		l.orders = nil
 	}
 	d.dirty = d.dirty[:0]
 }
+
+// ordersLimit is the size of the tasks' data from which on further orders go into another frame; frame.ControlLimit bounds the frame.
+const ordersLimit = frame.ControlLimit / 4
+
+// splitOrders splits orders so that each part fits into a control frame. The stops come first, as an agent processes them.
+func splitOrders(o *wire.RunOrders) []*wire.RunOrders {
+	parts := []*wire.RunOrders{{Stops: o.Stops}}
+	size := 0
+	for _, s := range o.Starts {
+		last := parts[len(parts)-1]
+		if size > 0 && size+len(s.Payload) > ordersLimit {
+			last, size = &wire.RunOrders{}, 0
+			parts = append(parts, last)
+		}
+		last.Starts = append(last.Starts, s)
+		size += len(s.Payload)
+	}
+	return parts
+}
