Keep what a target that seemed to leave had said of itself

Fault: a target that drains was used again (rule DRAIN) after a leave of another writer and a refused connection had removed it and a late heartbeat of the same process, from before it drained, named it anew.

--- a/core/runs/announce_test.go
+++ b/core/runs/announce_test.go
@@ -109,3 +109,16 @@
 	g.runs.Tick(g.now)
 	require.Nil(t, g.runs.Instance(), "it is silent")
 }
+
+// TestATargetThatDidNotLeaveStillDrains guards against starts on a draining target: after another writer's leave and a refused connection a
+// late heartbeat was taken for that of a new target.
+func TestATargetThatDidNotLeaveStillDrains(t *testing.T) {
+	g := newHarness(t)
+	g.runs.Announced(g.now, newDraining(5))
+	g.runs.TargetLeft(g.now)
+	g.runs.TargetDown(g.now)
+	require.Nil(t, g.runs.Instance())
+	g.runs.Announced(g.now, newInstance("i-1", 5, 3))
+	g.poll(nil, nil)
+	require.False(t, g.runs.State(g.now, "e").Usable)
+}
--- a/core/runs/runs.go
+++ b/core/runs/runs.go
@@ -92,6 +92,7 @@
 type Runs struct {
 	out          effects
 	instance     *Instance
+	departed     *Instance // the last instance that left
 	process      uint64    // number of the instance among those that the target had here
 	confirmed    bool      // its own list has shown that the instance is the process there
 	setAside     *Instance // the latest announcement of the target that wasn't applied
--- a/core/runs/target.go
+++ b/core/runs/target.go
@@ -11,6 +11,10 @@
 // becomes the successor, which isn't used before Identified. It reports whether the target has changed.
 func (r *Runs) Announced(now time.Time, l *Instance) bool {
 	switch {
+	case r.instance == nil && r.departed != nil && r.departed.same(l):
+		r.attach(r.departed) // its leave was late or not its own; what it said before still counts
+		r.update(l)
+		return true
 	case r.instance == nil:
 		r.attach(l)
 		return true
@@ -109,10 +113,13 @@
 	left := !r.leftAt.IsZero()
 	r.reset(now, how, nil)
 	if left {
-		r.instance = nil
+		r.depart()
 	}
 }
 
+// depart removes a target that has left.
+func (r *Runs) depart() { r.departed, r.instance = r.instance, nil }
+
 // endOfProcess returns how runs end with the target's process.
 func (r *Runs) endOfProcess() string {
 	if r.instance == nil || r.instance.Draining || !r.leftAt.IsZero() {
@@ -219,7 +226,7 @@
 func (r *Runs) removeLeft(now time.Time) {
 	if !r.leftAt.IsZero() && len(r.runs) == 0 && (r.refused || r.Silent(now)) {
 		r.reset(now, lapsed, nil)
-		r.instance = nil
+		r.depart()
 	}
 }
 
