Don't take a job that was held back for a backlog

Cause: a job that was held back counted as one that had waited since its arrival. Between the end of its 25 ms and the next turn it made the entry estimate the wait of new jobs from the rate of starts.

Now its wait counts from when it was ready.

--- a/core/sched/order.go
+++ b/core/sched/order.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"persimmonstage/core/times"
 )
 
 const (
@@ -100,7 +102,7 @@
 			continue
 		}
 		ahead += o.waiting
-		backlog = backlog || now.Sub(o.arrived) > backlogAge
+		backlog = backlog || now.Sub(times.Later(o.arrived, o.ready)) > backlogAge
 	}
 	// Jobs of other routes will come and precede one that is above its share, so it gets only what its like got.
 	rate := &s.startRate
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -539,3 +539,18 @@
 	h.run(2 * stallDelay)
 	require.Len(t, h.starts, 1, "its caller is there")
 }
+
+// TestAJobThatWasHeldBackIsNoBacklog guards against callers that are refused as if there were an overload: a job that had just been held
+// back, and that is started at the next turn, counted as one that waits for room.
+func TestAJobThatWasHeldBackIsNoBacklog(t *testing.T) {
+	h := newHarness()
+	h.join("t", 1)
+	h.run(time.Second)
+	heldUp := h.batch("a", 1, 100*time.Millisecond)
+	heldUp.HeldUp = true
+	h.submit(heldUp)
+	h.run(stallDelay - tickPeriod/2)
+	h.now = h.now.Add(tickPeriod - time.Millisecond)
+	h.submit(h.batch("b", 1, 100*time.Millisecond))
+	require.NotEqual(t, jobend.Refused, h.outcomes["b"].Kind)
+}
