Compare announcements and pack documents in one place each

- both daemons took the data out of a message for the packer, which put it back in; the packer now packs a message in place
- the position in the cancelled jobs was reset before the hello that sets it
- core/proof handled a refused connection twice, and the tests of held-up jobs built the same harness twice

Ruled out: one comparison for isCurrent of io/runsd too, which leaves out the address; that would change what it accepts.

--- a/core/proof/repeat_agent_test.go
+++ b/core/proof/repeat_agent_test.go
@@ -106,9 +106,7 @@
 		switch {
 		case refused:
 			a.reply(life, func() {
-				if a.isCurrent(to) {
-					a.runs.TargetDown(a.w.now)
-				}
+				a.connectionRefused(to)
 				a.startFailed(k, call, runs.Unreachable)
 			})
 			return
@@ -171,6 +169,13 @@
 	return slices.Contains(ids, id)
 }
 
+// connectionRefused handles a refused connection to a process, unless that isn't the target any more.
+func (a *repeatAgent) connectionRefused(to *runs.Instance) {
+	if a.isCurrent(to) {
+		a.runs.TargetDown(a.w.now)
+	}
+}
+
 // isCurrent reports whether an announcement is of the process that the agent takes for the target.
 func (a *repeatAgent) isCurrent(l *runs.Instance) bool {
 	now := a.runs.Instance()
@@ -227,11 +232,7 @@
 		t, refused := a.dial(to)
 		switch {
 		case refused:
-			a.reply(life, func() {
-				if a.isCurrent(to) {
-					a.runs.TargetDown(a.w.now)
-				}
-			})
+			a.reply(life, func() { a.connectionRefused(to) })
 		case t.self.ID != to.ID:
 		case a.isCallLate():
 			a.w.late(func() { t.poll(token, ack, until, sent) })
--- a/core/runs/announce.go
+++ b/core/runs/announce.go
@@ -6,14 +6,14 @@
 // becomes the successor, which isn't used before Identified. It reports whether the target has changed.
 func (r *Runs) Announced(now time.Time, l *Instance) bool {
 	switch {
-	case r.instance == nil && r.departed != nil && r.departed.same(l):
+	case r.instance == nil && r.departed != nil && r.departed.Same(l):
 		r.attach(r.departed) // its leave was late or not its own; what it said before still counts
 		r.update(l)
 		return true
 	case r.instance == nil:
 		r.attach(l)
 		return true
-	case r.instance.same(l):
+	case r.instance.Same(l):
 		r.update(l)
 	default:
 		r.successor = successor{instance: l, until: now.Add(successorTimeout)}
--- a/core/runs/effects.go
+++ b/core/runs/effects.go
@@ -60,8 +60,8 @@
 	Sequence   int64
 }
 
-// same reports whether two announcements come from the same process of the target.
-func (l *Instance) same(m *Instance) bool {
+// Same reports whether two announcements come from the same process of the target.
+func (l *Instance) Same(m *Instance) bool {
 	return l.ID == m.ID && l.Born == m.Born && l.Addr == m.Addr
 }
 
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -519,14 +519,20 @@
 	}
 }
 
-// TestAJobWhoseRequestWasHeldUpIsNotStartedBeforeItsCallerIsKnownToBeThere guards against two runs of a task: requests that a cut had held
-// up were started beside their repetitions at other entries, some milliseconds before the end of their connections was read.
-func TestAJobWhoseRequestWasHeldUpIsNotStartedBeforeItsCallerIsKnownToBeThere(t *testing.T) {
+// newHeldUpHarness returns the harness of an idle entry, and a job whose request may have been held up.
+func newHeldUpHarness() (*harness, *batch.Batch) {
 	h := newHarness()
 	h.join("t", 1)
 	h.run(time.Second)
-	heldUp := h.batch("a", 1, 100*time.Millisecond)
-	heldUp.HeldUp = true
+	b := h.batch("a", 1, 100*time.Millisecond)
+	b.HeldUp = true
+	return h, b
+}
+
+// TestAJobWhoseRequestWasHeldUpIsNotStartedBeforeItsCallerIsKnownToBeThere guards against two runs of a task: requests that a cut had held
+// up were started beside their repetitions at other entries, some milliseconds before the end of their connections was read.
+func TestAJobWhoseRequestWasHeldUpIsNotStartedBeforeItsCallerIsKnownToBeThere(t *testing.T) {
+	h, heldUp := newHeldUpHarness()
 	caller := h.sched.Submit(h.now, heldUp, func(jobend.Outcome) {})
 	h.run(stallDelay - tickPeriod)
 	require.Empty(t, h.starts)
@@ -543,11 +549,7 @@
 // TestAJobThatWasHeldBackIsNoBacklog guards against callers that are refused as if there were an overload: a job that had just been held
 // back, and that is started at the next turn, counted as one that waits for room.
 func TestAJobThatWasHeldBackIsNoBacklog(t *testing.T) {
-	h := newHarness()
-	h.join("t", 1)
-	h.run(time.Second)
-	heldUp := h.batch("a", 1, 100*time.Millisecond)
-	heldUp.HeldUp = true
+	h, heldUp := newHeldUpHarness()
 	h.submit(heldUp)
 	h.run(stallDelay - tickPeriod/2)
 	h.now = h.now.Add(tickPeriod - time.Millisecond)
--- a/io/pack/pack.go
+++ b/io/pack/pack.go
@@ -33,24 +33,23 @@
 	return fmt.Sprintf("configuration: version %d: %d bytes compressed, limit %d", e.Version, e.Bytes, e.Limit)
 }
 
-// Packer fills documents into messages; it compresses each version once. The zero value is ready to use.
+// Packer compresses the documents in messages, each version once. The zero value is ready to use.
 type Packer struct {
 	version int64
 	packed  []byte
 	err     error
 }
 
-// Fill sets the data of m to that of its version, or returns a *TooLargeError.
-func (p *Packer) Fill(m *wire.Document, data []byte) error {
-	if len(data) <= plainLimit {
-		m.Data = data
+// Pack replaces the data of m by its compressed form if it is large; after a *TooLargeError m must not be sent.
+func (p *Packer) Pack(m *wire.Document) error {
+	if len(m.Data) <= plainLimit {
 		return nil
 	}
 	if p.version != m.Version {
 		p.version = m.Version
-		p.packed, p.err = compress(m.Version, data)
+		p.packed, p.err = compress(m.Version, m.Data)
 	}
-	m.Packed = p.packed
+	m.Data, m.Packed = nil, p.packed
 	return p.err
 }
 
--- a/io/pack/pack_test.go
+++ b/io/pack/pack_test.go
@@ -28,9 +28,9 @@
 func TestALargeDocumentFitsIntoAFrame(t *testing.T) {
 	for _, routes := range []int{1, 500, 1400, 6000} {
 		data := newDocument(routes)
-		m := &wire.Document{Version: 7, Stamp: 1, Position: 2}
+		m := &wire.Document{Version: 7, Data: data, Stamp: 1, Position: 2}
 		var p Packer
-		require.NoError(t, p.Fill(m, data))
+		require.NoError(t, p.Pack(m))
 		sent, err := frame.Append(nil, &wire.Frame{Body: &wire.Frame_Document{Document: m}})
 		require.NoError(t, err)
 		var f wire.Frame
@@ -48,13 +48,12 @@
 	rng := rand.NewChaCha8([32]byte{1})
 	_, _ = rng.Read(noise)
 	var p Packer
-	m := &wire.Document{Version: 7}
 	for range 2 {
 		var tooLarge *TooLargeError
-		require.True(t, errors.As(p.Fill(m, noise), &tooLarge))
+		require.True(t, errors.As(p.Pack(&wire.Document{Version: 7, Data: noise}), &tooLarge))
 		require.Equal(t, int64(7), tooLarge.Version)
 	}
-	require.NoError(t, p.Fill(&wire.Document{Version: 8}, newDocument(1400)))
+	require.NoError(t, p.Pack(&wire.Document{Version: 8, Data: newDocument(1400)}))
 }
 
 func TestGarbledDataIsAnError(t *testing.T) {
--- a/io/runsd/document.go
+++ b/io/runsd/document.go
@@ -68,9 +68,7 @@
 
 // sendDocument sends a document to an entry, unless it is too large.
 func (d *Daemon) sendDocument(conn uint64, m *wire.Document) {
-	data := m.Data
-	m.Data = nil
-	if err := d.packer.Fill(m, data); err != nil {
+	if err := d.packer.Pack(m); err != nil {
 		d.log.Warn("configuration not sent", zap.String("error", err.Error()))
 		return
 	}
--- a/io/runsd/links.go
+++ b/io/runsd/links.go
@@ -125,7 +125,7 @@
 		return
 	}
 	l.conn, l.lastReceived = conn, now
-	l.owner, l.sentState, l.report, l.sentDoc, l.cancelledPos, l.helloSent = "", nil, nil, 0, 0, false
+	l.owner, l.sentState, l.report, l.sentDoc, l.helloSent = "", nil, nil, 0, false
 	d.conns[conn] = l
 	d.hello(now, l)
 }
--- a/io/runsd/target.go
+++ b/io/runsd/target.go
@@ -193,7 +193,7 @@
 		d.keep(l)
 	}
 	l := d.runs.Instance()
-	if l == nil || d.noted != nil && d.noted.ID == l.ID && d.noted.Addr == l.Addr && d.noted.Born == l.Born {
+	if l == nil || d.noted != nil && d.noted.Same(l) {
 		return
 	}
 	d.noted = l
--- a/io/schedd/document.go
+++ b/io/schedd/document.go
@@ -27,8 +27,8 @@
 	if version == 0 {
 		return
 	}
-	m := &wire.Document{Version: version}
-	if err := d.packer.Fill(m, data); err != nil {
+	m := &wire.Document{Version: version, Data: data}
+	if err := d.packer.Pack(m); err != nil {
 		d.log.Warn("configuration not sent", zap.String("agent", l.name), zap.String("error", err.Error()))
 		return
 	}
