Report attempts during which another entry may have been handed their job

In the users' record of double runs no line tells whether the first entry still served the caller when the second entry was handed the job. A line for one of the two runs tells an entry that serves a caller who has left from a run that was wrongly counted as ended, which has the same entry and a higher number.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -19,7 +19,9 @@
 	MaxPerTarget int           // most tasks of the job that may run on one target at a time; 0 is unlimited
 	Payload      []byte        // the same for all tasks
 	Deadline     time.Time
-	HeldUp       bool // its request may have been held up on the way until after its caller left
+	// ResubmitAt is when another entry may be handed the job if its caller left, unseen, as soon as the request was read; zero if unknown.
+	ResubmitAt time.Time
+	HeldUp     bool // its request may have been held up on the way until after its caller left
 }
 
 // TaskName returns the name under which a task is sent to its target: job, occurrence, step and index.
--- a/core/proof/repeat_entry_test.go
+++ b/core/proof/repeat_entry_test.go
@@ -151,6 +151,8 @@
 
 func (e *repeatEntry) AttemptEnded(string, int, string, string, time.Duration) {}
 
+func (e *repeatEntry) AttemptOutlasted(string, int, string, string, time.Duration) {}
+
 func (e *repeatEntry) TaskMoved(string, string, int64) {}
 
 func (e *repeatEntry) RouteConfined(string, bool, []string) {}
--- a/core/sched/contention_test.go
+++ b/core/sched/contention_test.go
@@ -77,8 +77,10 @@
 func (e *contendingEntry) JobStarted(time.Duration)                                {}
 func (e *contendingEntry) JobAccepted(*JobArrival)                                 {}
 func (e *contendingEntry) AttemptEnded(string, int, string, string, time.Duration) {}
-func (e *contendingEntry) TaskMoved(_, _ string, _ int64)                          {}
-func (e *contendingEntry) RouteConfined(string, bool, []string)                    {}
+
+func (e *contendingEntry) AttemptOutlasted(string, int, string, string, time.Duration) {}
+func (e *contendingEntry) TaskMoved(_, _ string, _ int64)                              {}
+func (e *contendingEntry) RouteConfined(string, bool, []string)                        {}
 
 func (e *contendingEntry) JobEnded(*JobSummary) {}
 func (e *contendingEntry) Stop(string, uint64)  {}
--- a/core/sched/effects.go
+++ b/core/sched/effects.go
@@ -31,6 +31,8 @@
 	JobStarted(waited time.Duration)
 	// AttemptEnded is called for every attempt that ended other than done.
 	AttemptEnded(task string, number int, target, how string, ran time.Duration)
+	// AttemptOutlasted is called for every attempt that ends so late that another entry may have been handed its job meanwhile.
+	AttemptOutlasted(task string, number int, target, how string, by time.Duration)
 	// TaskMoved is called when an attempt is stopped in favour of another target, with its remaining run time.
 	TaskMoved(id, target string, leftMS int64)
 	// RouteConfined is called when a route is confined to some targets because it crashes them, or is released again.
--- a/core/sched/overload_test.go
+++ b/core/sched/overload_test.go
@@ -118,6 +118,8 @@
 
 func (sim *overloadSim) AttemptEnded(string, int, string, string, time.Duration) {}
 
+func (sim *overloadSim) AttemptOutlasted(string, int, string, string, time.Duration) {}
+
 func (sim *overloadSim) TaskMoved(_, _ string, _ int64) {}
 
 func (sim *overloadSim) RouteConfined(string, bool, []string) {}
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -23,6 +23,7 @@
 	outcomes     map[string]jobend.Outcome
 	moves        int
 	summaries    []*JobSummary
+	outlasted    []string // attempts that outlasted the resubmission of their job
 }
 
 func (h *harness) Start(target string, s *Start) {
@@ -34,7 +35,11 @@
 func (h *harness) JobStarted(time.Duration)                                {}
 func (h *harness) JobAccepted(*JobArrival)                                 {}
 func (h *harness) AttemptEnded(string, int, string, string, time.Duration) {}
-func (h *harness) TaskMoved(_, _ string, _ int64)                          { h.moves++ }
+func (h *harness) AttemptOutlasted(task string, _ int, _, _ string, by time.Duration) {
+	h.outlasted = append(h.outlasted, fmt.Sprint(task, " ", by))
+}
+
+func (h *harness) TaskMoved(_, _ string, _ int64) { h.moves++ }
 
 func (h *harness) RouteConfined(string, bool, []string) {}
 
--- a/io/schedd/effects.go
+++ b/io/schedd/effects.go
@@ -51,6 +51,13 @@
 		zap.String("how", how), zap.Int64("ran-ms", ran.Milliseconds()))
 }
 
+// AttemptOutlasted counts and logs an attempt during which another entry may have been handed its job.
+func (e effects) AttemptOutlasted(task string, number int, target, how string, by time.Duration) {
+	e.d.metrics.outlasted.Inc()
+	e.d.log.Warn("attempt outlasted resubmission", zap.String("task", task), zap.Int("number", number), zap.String("agent", target),
+		zap.String("how", how), zap.Int64("by-ms", by.Milliseconds()))
+}
+
 // TaskMoved counts and logs that a task is moved from a slow target.
 func (e effects) TaskMoved(id, target string, leftMS int64) {
 	e.d.metrics.moves.Inc()
--- a/io/schedd/metrics.go
+++ b/io/schedd/metrics.go
@@ -9,6 +9,8 @@
 	starts prometheus.Counter
 	stops  prometheus.Counter
 	moves  prometheus.Counter
+	// outlasted counts attempts that ended when another entry could have been handed their job already.
+	outlasted prometheus.Counter
 	// confinements counts both confinements and releases of routes.
 	confinements prometheus.Counter
 	waited       prometheus.Histogram
@@ -42,6 +44,10 @@
 		moves: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "persimmonstage_tasks_moved_total", Help: "Attempts stopped in favour of another target.",
 		}),
+		outlasted: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "persimmonstage_attempts_outlasted_total",
+			Help: "Attempts that ended after the time at which another entry may have been handed their job.",
+		}),
 		confinements: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "persimmonstage_route_confinements_total", Help: "Routes confined to isolated targets because they crash targets, or released.",
 		}),
@@ -58,7 +64,7 @@
 			Name: "persimmonstage_configuration_answers_total", Help: "Answers of agents that confirm a configuration as the newest.",
 		}),
 	}
-	reg.MustRegister(m.jobs, m.ends, m.starts, m.stops, m.moves, m.confinements, m.waited, m.response,
+	reg.MustRegister(m.jobs, m.ends, m.starts, m.stops, m.moves, m.outlasted, m.confinements, m.waited, m.response,
 		m.documentRequests, m.documentAnswers)
 	return m
 }
