--- a/io/runsd/target_test.go
+++ b/io/runsd/target_test.go
@@ -77,3 +77,52 @@
 		require.Zero(t, target.starts)
 	})
 }
+
+// scriptedTarget gives the answers of a list to starts, one each.
+type scriptedTarget struct {
+	refusingTarget
+	answers []startAnswer
+}
+
+type startAnswer struct {
+	answer  runs.Answer
+	reason  string
+	timeout bool // the answer comes at the end of the call's time
+}
+
+func (t *scriptedTarget) Start(ctx context.Context, _ *runs.Instance, _ *runs.Order, _ runs.Key, _ time.Time) (runs.Answer, string) {
+	a := t.answers[t.starts]
+	t.starts++
+	if a.timeout {
+		<-ctx.Done()
+	}
+	return a.answer, a.reason
+}
+
+// TestARejectionAfterALostAnswerIsNotOne guards against a run that is counted as not started: the call before may have started it.
+func TestARejectionAfterALostAnswerIsNotOne(t *testing.T) {
+	lost := startAnswer{runs.Lost, "timeout", true}
+	for name, c := range map[string]struct {
+		answers []startAnswer
+		want    runs.Answer
+	}{
+		"rejected at once":          {[]startAnswer{{runs.Rejected, "old", false}}, runs.Rejected},
+		"refused at once":           {[]startAnswer{{runs.Rejected, runs.Unreachable, false}}, runs.Rejected},
+		"ended there":               {[]startAnswer{lost, {runs.Rejected, "old", false}}, runs.Lost},
+		"refused later":             {[]startAnswer{lost, {runs.Rejected, runs.Unreachable, false}}, runs.Lost},
+		"not sent again":            {[]startAnswer{lost, {runs.Rejected, runs.Refused, false}}, runs.Lost},
+		"another status":            {[]startAnswer{{runs.Lost, "status-500", false}}, runs.Lost},
+		"another status, once more": {[]startAnswer{lost, {runs.Lost, "status-500", false}}, runs.Lost},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			target := &scriptedTarget{answers: c.answers}
+			d := newTestDaemon(target)
+			ctx, stop := context.WithCancel(t.Context())
+			defer stop()
+			d.ctx = ctx
+			answer, _ := d.callStart(&runs.Instance{}, &runs.Order{}, runs.Key{}, uptime.Now().Add(time.Hour), 20*time.Millisecond)
+			require.Equal(t, c.want, answer, name)
+			require.Equal(t, len(c.answers), target.starts, name)
+		})
+	}
+}
