Take a stop as confirmed only by the process that is the target

A run could be reported as stopped while the target's next process could still carry out its start.

The answer to a stop was applied to the run whichever process it came from. If the target restarted and its list was processed between the answer and the step that applies it, the earlier process' confirmation counted for the next one, to which the start may still be under way, and its next list without the run ended it.

An answer of an earlier process is now dropped.

The test fails without the check. The order that it gives needs a goroutine that is held up between its read and its post for as long as a target takes to restart; it was constructed, not seen.

--- a/io/runsd/target.go
+++ b/io/runsd/target.go
@@ -292,10 +292,17 @@
 	}
 	go func() {
 		answer := d.repeat(timeout, stopBudget, true, func(ctx context.Context) runs.Answer { return d.target.Stop(ctx, instance, k) })
-		d.loop.Post(func(time.Time) { d.runs.StopAnswered(uptime.Now(), k, answer) })
+		d.loop.Post(func(time.Time) { d.stopAnswered(instance, k, answer) })
 	}()
 }
 
+// stopAnswered processes the answer to a stop. One of an earlier process doesn't show that the present one rejects the start.
+func (d *Daemon) stopAnswered(instance *runs.Instance, k runs.Key, answer runs.Answer) {
+	if d.isCurrent(instance) {
+		d.runs.StopAnswered(uptime.Now(), k, answer)
+	}
+}
+
 func answerLabel(a runs.Answer) string {
 	switch a {
 	case runs.Accepted:
--- a/io/runsd/target_test.go
+++ b/io/runsd/target_test.go
@@ -126,3 +126,41 @@
 		})
 	}
 }
+
+// silentTarget answers no call.
+type silentTarget struct{ refusingTarget }
+
+func (t *silentTarget) Start(ctx context.Context, _ *runs.Instance, _ *runs.Order, _ runs.Key, _ time.Time) (runs.Answer, string) {
+	<-ctx.Done()
+	return runs.Lost, "timeout"
+}
+
+func (t *silentTarget) Stop(ctx context.Context, _ *runs.Instance, _ runs.Key) runs.Answer {
+	<-ctx.Done()
+	return runs.Lost
+}
+
+// TestAStopThatAnEarlierProcessConfirmedEndsNoRun guards against tasks that run twice: a target confirmed a stop and restarted, and the answer
+// was processed after the first list of its next process, which may still carry out the start.
+func TestAStopThatAnEarlierProcessConfirmedEndsNoRun(t *testing.T) {
+	d := newTestDaemon(&silentTarget{})
+	d.ctx = t.Context()
+	earlier := &runs.Instance{ID: "i", Addr: "10.0.0.1:80", Born: 1, Millicores: 1000, MemoryMB: 1}
+	next := *earlier
+	next.Born = 2
+	now := uptime.Now()
+	d.runs.Announced(now, earlier)
+	d.runs.Listed(now, &runs.Listing{Born: 1, Sent: now})
+	d.runs.RecordEcho("e", now)
+	d.runs.Order(now, "e", &runs.Order{Attempt: 1, Task: "t", Number: 1})
+	d.runs.Stop(now, "e", 1)
+	d.runs.Announced(now, &next)
+	d.runs.Listed(now, &runs.Listing{Born: 2, Sent: now})
+	later := now.Add(time.Hour)
+	for _, instance := range []*runs.Instance{earlier, &next} {
+		require.Equal(t, 1, d.runs.Len())
+		d.stopAnswered(instance, runs.Key{Task: "t", Number: 1}, runs.Accepted)
+		d.runs.Listed(later, &runs.Listing{Born: 2, Sent: later})
+	}
+	require.Zero(t, d.runs.Len())
+}
