Ask whether a caller has left before its job starts after a stall

Cause: after a stall, and for a request that may have been held up on its way, a job is held back for 25 ms so that the end of its caller's connection is read first. With a backlog, or without processor time, the end is read later.

A batch now has Left, which reports whether its caller's connection has ended, read or not. The scheduler asks it right before it starts tasks of a job that was read as backlog, that was submitted once more by a request from a backlog, or that arrived before a stall, also for retries. A caller that has left is treated as if its leave had been read; the job goes on for the others. That the end has been read doesn't matter any more, only that it has arrived. The front doesn't set Left yet, so that nothing changes there.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -22,6 +22,8 @@
 	// ResubmitAt is when another entry may be handed the job if its caller left, unseen, as soon as the request was read; zero if unknown.
 	ResubmitAt time.Time
 	HeldUp     bool // its request may have been held up on the way until after its caller left
+	// Left reports whether the caller's connection has ended, even if the process hasn't read that yet; nil if it can't be told.
+	Left func() bool
 }
 
 // TaskName returns the name under which a task is sent to its target: job, occurrence, step and index.
--- a/core/proof/repeat_test.go
+++ b/core/proof/repeat_test.go
@@ -69,11 +69,11 @@
 		return
 	}
 	e.onDeath = append(e.onDeath, resubmit)
-	caller := uint64(0)
+	caller, left := uint64(0), false
 	e.whenRunning(func() {
 		caller = e.sched.Submit(w.now, &batch.Batch{
 			ID: id, Route: repeatRoute, Tasks: tasks, Millicores: 5000, MemoryMB: 1, Declared: work, Label: w.labels[id],
-			Deadline: w.now.Add(repeatWait),
+			Deadline: w.now.Add(repeatWait), Left: func() bool { return left },
 		}, func(f jobend.Outcome) {
 			switch {
 			case over:
@@ -90,6 +90,7 @@
 	}
 	w.after(w.callerPatience(), func() {
 		if !over {
+			left = true
 			e.whenRunning(func() { e.sched.Leave(w.now, id, caller) })
 			resubmit()
 		}
--- a/core/sched/order.go
+++ b/core/sched/order.go
@@ -155,6 +155,7 @@
 	if j.ended || now.Before(j.ready) {
 		return
 	}
+	asked := false
 	for i := range j.tasks {
 		t := &j.tasks[i]
 		if t.done || t.attempt != nil || s.openByTask[j.batch.TaskName(i)] != nil {
@@ -167,6 +168,12 @@
 		if to == nil {
 			return
 		}
+		if !asked {
+			asked = true
+			if s.dropLeft(now, j); j.ended {
+				return
+			}
+		}
 		s.send(now, j, i, to)
 	}
 }
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -103,7 +103,8 @@
 func (s *Sched) Submit(now time.Time, b *batch.Batch, w func(jobend.Outcome)) uint64 {
 	s.lastCaller++
 	if j := s.jobs[b.ID]; j != nil {
-		j.waiters = append(j.waiters, waiter{s.lastCaller, w})
+		j.waiters = append(j.waiters, waiter{s.lastCaller, w, b.Left})
+		j.inBacklog = j.inBacklog || s.mayBeBacklog(now, b)
 		return s.lastCaller
 	}
 	number := 0
@@ -115,7 +116,7 @@
 		number = m.number
 	}
 	j := s.addJob(now, b, number)
-	j.waiters = append(j.waiters, waiter{s.lastCaller, w})
+	j.waiters = append(j.waiters, waiter{s.lastCaller, w, b.Left})
 	if s.provenTask(j) {
 		s.endJob(now, j, jobend.Outcome{Kind: jobend.Failed, Reason: Crashing})
 		return s.lastCaller
--- a/core/sched/stall.go
+++ b/core/sched/stall.go
@@ -1,6 +1,12 @@
 package sched
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"persimmonstage/core/batch"
+	"persimmonstage/core/jobend"
+)
 
 const (
 	// stallThreshold is the time since the last tick after which the process is considered to have stalled.
@@ -18,10 +24,15 @@
 	}
 }
 
-// holdBack defers the first start of a new job if its request may have arrived during a stall, or was held up on its way.
-func (s *Sched) holdBack(now time.Time, j *job) {
+// mayBeBacklog reports whether a request that is being read may have arrived during a stall, or was held up on its way.
+func (s *Sched) mayBeBacklog(now time.Time, b *batch.Batch) bool {
 	s.noticeStall(now)
-	if j.batch.HeldUp || now.Sub(s.stallEnd) < backlogTime {
+	return b.HeldUp || now.Sub(s.stallEnd) < backlogTime
+}
+
+// holdBack defers the first start of a new job whose request may be backlog.
+func (s *Sched) holdBack(now time.Time, j *job) {
+	if j.inBacklog = s.mayBeBacklog(now, j.batch); j.inBacklog {
 		j.ready = now.Add(stallDelay)
 		j.startDeadline = j.startDeadline.Add(stallDelay)
 	}
@@ -32,3 +43,16 @@
 	s.noticeStall(now)
 	return now.Sub(s.stallEnd) < stallDelay
 }
+
+// dropLeft removes the callers of a job that have left without the process having read it, and ends the job if none remains. Only
+// callers whose requests are older than their reading suggests, or that could leave during a stall, are asked: the end of any other
+// connection is read long before the caller submits the job elsewhere.
+func (s *Sched) dropLeft(now time.Time, j *job) {
+	if !j.inBacklog && !s.stallEnd.After(j.arrived) {
+		return
+	}
+	j.waiters = slices.DeleteFunc(j.waiters, func(w waiter) bool { return w.left != nil && w.left() })
+	if len(j.waiters) == 0 {
+		s.endJob(now, j, jobend.Outcome{Kind: jobend.Cancelled, Reason: CallerLeft})
+	}
+}
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -67,6 +67,7 @@
 	batch         *batch.Batch
 	arrived       time.Time
 	ready         time.Time // no task is started before
+	inBacklog     bool      // a request for it may have been read after its caller left
 	startDeadline time.Time // the job is refused if no task was started by then
 	objective     time.Time
 	expected      time.Duration
@@ -86,6 +87,7 @@
 type waiter struct {
 	caller uint64
 	end    func(jobend.Outcome)
+	left   func() bool // see batch.Batch.Left; may be nil
 }
 
 // endedJob is the outcome of an ended job, kept for repeated requests.
