--- a/test/relay/relay.go
+++ b/test/relay/relay.go
@@ -39,6 +39,7 @@
 	changed  *sync.Cond
 	closed   bool
 	modes    map[cut]Mode
+	passed   map[cut]int // bytes
 	links    map[*link]bool
 }
 
@@ -61,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{listener: l, target: target, identify: identify, modes: make(map[cut]Mode), links: make(map[*link]bool)}
+	r := &Relay{listener: l, target: target, identify: identify, modes: make(map[cut]Mode), passed: make(map[cut]int), links: make(map[*link]bool)}
 	r.changed = sync.NewCond(&r.mu)
 	go r.accept()
 	return r, nil
@@ -82,6 +83,13 @@
 	r.changed.Broadcast()
 }
 
+// Passed returns the number of bytes of a direction that were forwarded for a process.
+func (r *Relay) Passed(name string, way Direction) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.passed[cut{name, way}]
+}
+
 // Close ends the listener and every connection.
 func (r *Relay) Close() {
 	_ = r.listener.Close()
@@ -137,6 +145,7 @@
 		}
 		if err == nil {
 			if _, err = to.Write(buf[:n]); err == nil {
+				r.count(l, way, n)
 				continue
 			}
 			r.waitToForward(l, 1-way, true) // a close by the receiver travels in the other direction
@@ -148,6 +157,12 @@
 	}
 }
 
+func (r *Relay) count(l *link, way Direction, n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.passed[cut{l.name, way}] += n
+}
+
 // waitToForward waits while the direction is held, and reports whether the bytes read are forwarded rather than dropped.
 func (r *Relay) waitToForward(l *link, way Direction, ended bool) bool {
 	r.mu.Lock()
