Tell other entries of a job that its caller may hand them while it runs

Callers saw tasks run twice at the same time (users' record of separate processes, 11 entries and 66 agents; both runs ended done and none was told to stop). An entry works on a job until 1,490 ms after it read the request.

The cause is a term that each side counts from another event: the entry from its reading, the caller from its leave. The earliest possible repetition is resend-ms after the arrival of the request. 400 ms before, an entry claims a job that may still run then. Claims are passed on in the heartbeats of agents and their answers, as cancelled jobs are; an entry that is handed a claimed job starts it when the claim has ended, 100 ms after the first entry's deadline, or refuses it if it can't be done then. An entry that has stalled when a claim was due, or reads a request that may have waited that long, ends the job instead. So that the deadline holds if a stop doesn't arrive, orders carry it, and the agent stops the run itself.

A sound caller isn't affected: its job isn't handed to another entry.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -19,9 +19,13 @@
 	MaxPerTarget int           // most tasks of the job that may run on one target at a time; 0 is unlimited
 	Payload      []byte        // the same for all tasks
 	Deadline     time.Time
-	// ResubmitAt is when another entry may be handed the job if its caller left, unseen, as soon as the request was read; zero if unknown.
+	// ResubmitAt is when another entry may be handed the job if its caller left, unseen, as soon as the request arrived; zero if unknown.
 	ResubmitAt time.Time
-	HeldUp     bool // its request may have been held up on the way until after its caller left
+	// ArrivalKnown is set if ResubmitAt counts from the arrival of the request at the host, else it counts from its reading.
+	ArrivalKnown bool
+	// ClaimedUntil is until when another entry may have runs of the job; nothing is started before.
+	ClaimedUntil time.Time
+	HeldUp       bool // its request may have been held up on the way until after its caller left
 	// Left reports whether the caller's connection has ended, even if the process hasn't read that yet; nil if it can't be told.
 	Left func() bool
 }
--- /dev/null
+++ b/core/claims/claims.go
@@ -0,0 +1,81 @@
+package claims
+
+import (
+	"fmt"
+	"maps"
+	"time"
+
+	"persimmonstage/core/gossip"
+	"persimmonstage/core/times"
+)
+
+// Claim is the word of an entry's process that runs of a job may go on until a time.
+type Claim struct {
+	Job    string
+	Holder uint64    // identifies the entry's process
+	Serial uint64    // number of the claim among those of its holder
+	Until  time.Time // by the clock of this host
+}
+
+func (c *Claim) key() string { return fmt.Sprintf("%x-%x", c.Holder, c.Serial) }
+
+// Claims are the claims that a process has made or heard of; the zero value is empty.
+type Claims struct {
+	notices gossip.Gossip
+	byKey   map[string]Claim
+	byJob   map[string]time.Time // the latest end of the claims that were heard of
+	sweepAt time.Time
+}
+
+// sweepPeriod is the time between two removals of the claims that have ended.
+const sweepPeriod = 500 * time.Millisecond
+
+// Make adds a claim of this process, which doesn't bar the process itself.
+func (c *Claims) Make(now time.Time, claim Claim) { c.add(now, claim) }
+
+// Hear adds a claim that another process made, and reports whether it is new and still holds.
+func (c *Claims) Hear(now time.Time, claim Claim) bool {
+	if !now.Before(claim.Until) || !c.add(now, claim) {
+		return false
+	}
+	c.byJob[claim.Job] = times.Later(c.byJob[claim.Job], claim.Until)
+	return true
+}
+
+// Until returns until when other processes may have runs of a job; the zero time if none does.
+func (c *Claims) Until(job string) time.Time { return c.byJob[job] }
+
+// After returns the claims from a position on that still hold, a limited number at a time, and the position after them. A new connection
+// begins at position 0.
+func (c *Claims) After(now time.Time, pos uint64) ([]Claim, uint64) {
+	keys, next := c.notices.After(now, pos)
+	var list []Claim
+	for _, k := range keys {
+		if claim := c.byKey[k]; now.Before(claim.Until) {
+			list = append(list, claim)
+		}
+	}
+	return list, next
+}
+
+func (c *Claims) add(now time.Time, claim Claim) bool {
+	if c.byKey == nil {
+		c.byKey, c.byJob = make(map[string]Claim), make(map[string]time.Time)
+	}
+	key := claim.key()
+	if !c.notices.Add(now, key) {
+		return false
+	}
+	c.byKey[key] = claim
+	return true
+}
+
+// Expire removes, from time to time, the claims that don't hold any more.
+func (c *Claims) Expire(now time.Time) {
+	if now.Before(c.sweepAt) {
+		return
+	}
+	c.sweepAt = now.Add(sweepPeriod)
+	maps.DeleteFunc(c.byKey, func(_ string, claim Claim) bool { return !now.Before(claim.Until) })
+	maps.DeleteFunc(c.byJob, func(_ string, until time.Time) bool { return !now.Before(until) })
+}
--- a/core/proof/repeat_agent_test.go
+++ b/core/proof/repeat_agent_test.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"persimmonstage/core/claims"
 	"persimmonstage/core/crash"
 	"persimmonstage/core/gossip"
 	"persimmonstage/core/runs"
@@ -21,6 +22,7 @@
 	target    *repeatTarget
 	other     *repeatTarget // a process that isn't the agent's target, but announces itself there; nil if there is none
 	cancelled gossip.Gossip
+	claims    claims.Claims
 	kept      *runs.Instance // what the agent's next process knows of the target
 	// refusedUntil is until when connections to the target are refused while it goes on, and silentUntil until when calls get no answer.
 	refusedUntil time.Time
--- a/core/proof/repeat_caller_test.go
+++ b/core/proof/repeat_caller_test.go
@@ -19,13 +19,14 @@
 
 // repeatCaller is a caller with one submission of a job, at an entry's process.
 type repeatCaller struct {
-	w     *repeatWorld
-	entry *repeatEntry
-	life  int // the entry's process that has the connection
-	id    string
-	over  bool   // it has an outcome, or has left
-	left  bool   // the end of its connection has arrived at the entry's host
-	again func() // submits the job once more
+	w       *repeatWorld
+	entry   *repeatEntry
+	life    int // the entry's process that has the connection
+	id      string
+	over    bool      // it has an outcome, or has left
+	arrived time.Time // when the request arrived at the entry's host
+	left    bool      // the end of its connection has arrived at the entry's host
+	again   func()    // submits the job once more
 	// The path to the entry is silent from silentFrom to silentUntil, in both directions: what is sent then arrives afterwards.
 	silentFrom, silentUntil time.Time
 }
@@ -106,10 +107,14 @@
 	if e.frozen() {
 		accepted = e.frozenUntil
 	}
-	c.whenRead(func() {}, func() {
+	c.whenRead(func() { c.arrived = w.now }, func() {
+		if c.left { // the entry looks for the end of the connection once it has read the request (platform/front)
+			return
+		}
 		number = e.sched.Submit(w.now, &batch.Batch{
 			ID: id, Route: repeatRoute, Tasks: tasks, Millicores: 5000, MemoryMB: 1, Declared: work, Label: w.labels[id],
 			Deadline: jobDeadline(w.now), HeldUp: c.mayBeHeldUp(accepted), Payload: []byte(e.id()), Left: func() bool { return c.left },
+			ResubmitAt: c.arrived.Add(repeatResend), ArrivalKnown: true, ClaimedUntil: e.claims.Until(id),
 		}, func(f jobend.Outcome) { c.deliver(func() { c.answered(f) }) })
 	})
 	if w.rng.IntN(12) == 0 {
--- a/core/proof/repeat_entry_test.go
+++ b/core/proof/repeat_entry_test.go
@@ -4,6 +4,9 @@
 	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"persimmonstage/core/claims"
 	"persimmonstage/core/gossip"
 	"persimmonstage/core/runs"
 	"persimmonstage/core/sched"
@@ -23,6 +26,8 @@
 	steps           []func()      // posted and not processed yet
 	dirty           []*repeatLink // those with orders to send
 	cancelled       gossip.Gossip
+	claims          claims.Claims
+	claimSerial     uint64
 }
 
 // repeatOrders is what an entry gathers for an agent while it processes the steps that are already posted, and sends in one frame.
@@ -129,7 +134,7 @@
 	o := e.ordersFor(target)
 	o.starts = append(o.starts, &runs.Order{
 		Attempt: s.Attempt, Task: s.Task, Number: s.Number, Millicores: s.Millicores, MemoryMB: s.MemoryMB,
-		Expected: time.Duration(s.ExpectedMS) * time.Millisecond, Process: s.Process, Payload: s.Payload,
+		Expected: time.Duration(s.ExpectedMS) * time.Millisecond, Process: s.Process, Payload: s.Payload, StopBy: s.StopBy,
 	})
 }
 
@@ -140,6 +145,21 @@
 
 func (e *repeatEntry) JobAccepted(*sched.JobArrival) {}
 
+func (e *repeatEntry) JobClaimed(id string, until time.Time) {
+	e.claimSerial++
+	holder := xxhash.Sum64String(e.id())
+	e.claims.Make(e.w.now, claims.Claim{Job: id, Holder: holder, Serial: e.claimSerial, Until: until})
+}
+
+// hear takes the claims of other entries.
+func (e *repeatEntry) hear(list []claims.Claim) {
+	for _, c := range list {
+		if e.claims.Hear(e.w.now, c) {
+			e.sched.Claimed(e.w.now, c.Job, c.Until)
+		}
+	}
+}
+
 func (e *repeatEntry) JobStarted(time.Duration) {}
 
 func (e *repeatEntry) AttemptEnded(string, int, string, string, time.Duration) {}
--- a/core/proof/repeat_link_test.go
+++ b/core/proof/repeat_link_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"persimmonstage/core/claims"
 	"persimmonstage/core/gossip"
 	"persimmonstage/core/runs"
 	"persimmonstage/core/sched"
@@ -23,6 +24,9 @@
 	// Up to which cancelled jobs each side has been told.
 	agentToldPos uint64
 	entryToldPos uint64
+	// The same of claims.
+	agentClaimsPos uint64
+	entryClaimsPos uint64
 }
 
 // maintainLink connects an agent and an entry, exchanges heartbeats, and closes a link after repeatLinkTimeout without any.
@@ -48,10 +52,13 @@
 	a.links[e] = l
 	var ids []string
 	ids, l.entryToldPos = a.cancelled.After(w.now, 0)
+	list, pos := a.claims.After(w.now, 0)
+	l.entryClaimsPos = pos
 	life, state, stamp := a.life, a.state(e), w.now
 	a.sendOver(l, func() {
 		e.links[a.name] = l
 		e.withdraw(ids)
+		e.hear(list)
 		open := e.sched.Join(w.now, a.name, fmt.Sprint(life), "z", state)
 		e.sendOver(l, func() {
 			l.answered = true
@@ -67,16 +74,24 @@
 	a, stamp := l.agent, w.now
 	var ids []string
 	ids, l.entryToldPos = a.cancelled.After(w.now, l.entryToldPos)
+	list, pos := a.claims.After(w.now, l.entryClaimsPos)
+	l.entryClaimsPos = pos
 	a.sendOver(l, func() {
 		e := l.entry
 		e.withdraw(ids)
+		e.hear(list)
 		var answer []string
 		answer, l.agentToldPos = e.cancelled.After(w.now, l.agentToldPos)
+		claimed, told := e.claims.After(w.now, l.agentClaimsPos)
+		l.agentClaimsPos = told
 		e.sendOver(l, func() {
 			a.runs.RecordEcho(l.owner, stamp)
 			for _, id := range answer {
 				a.cancelled.Add(w.now, id)
 			}
+			for _, c := range claimed {
+				a.claims.Hear(w.now, c)
+			}
 		})
 	})
 }
@@ -110,7 +125,7 @@
 func (w *repeatWorld) bootAgent(a *repeatAgent) {
 	a.life++
 	a.thaw()
-	a.runs, a.fences, a.cancelled = runs.New(a), 0, gossip.Gossip{}
+	a.runs, a.fences, a.cancelled, a.claims = runs.New(a), 0, gossip.Gossip{}, claims.Claims{}
 	if a.kept != nil {
 		recalled := *a.kept
 		a.runs.Announced(w.now, &recalled)
@@ -128,7 +143,7 @@
 	e.thaw()
 	e.sched = sched.New(e, rand.New(rand.NewPCG(w.seed, uint64(e.life))))
 	e.sched.Tick(w.now)
-	e.cancelled = gossip.Gossip{}
+	e.cancelled, e.claims = gossip.Gossip{}, claims.Claims{}
 	for _, a := range w.agents {
 		if l := a.links[e]; l != nil {
 			l.up = false
--- a/core/runs/effects.go
+++ b/core/runs/effects.go
@@ -43,7 +43,8 @@
 	MemoryMB   uint64
 	Expected   time.Duration // run time at a target of pace 1
 	Payload    []byte
-	Process    uint64 // the target's process that the owner chose, as in State; 0 is any
+	Process    uint64    // the target's process that the owner chose, as in State; 0 is any
+	StopBy     time.Time // when the run is stopped although its owner hasn't said so; zero if never
 }
 
 // Instance is a target's announcement of itself; it is plain data.
--- a/core/runs/order.go
+++ b/core/runs/order.go
@@ -112,7 +112,7 @@
 
 // refusal returns the reason why an order can't be started now, or an empty string.
 func (r *Runs) refusal(now time.Time, w *owner, o *Order) string {
-	if !r.usable(now) || now.Sub(w.lastEcho) > Tenure || o.Process != 0 && o.Process != r.process {
+	if !r.usable(now) || now.Sub(w.lastEcho) > Tenure || o.isOver(now) || o.Process != 0 && o.Process != r.process {
 		return Refused
 	}
 	for _, u := range r.runs {
@@ -127,6 +127,9 @@
 	return ""
 }
 
+// isOver reports whether the order's run should have ended.
+func (o *Order) isOver(now time.Time) bool { return !o.StopBy.IsZero() && !now.Before(o.StopBy) }
+
 // exceeds reports whether used and more together are above a capacity; their sum may overflow.
 func exceeds(used, more, capacity uint64) bool { return used > capacity || more > capacity-used }
 
--- a/core/runs/runs.go
+++ b/core/runs/runs.go
@@ -159,6 +159,10 @@
 			u.limitLease(echo.Add(Tenure + stopTime))
 			r.step(now, u, onStopRequested)
 		}
+		if u.order.isOver(now) {
+			u.limitLease(u.order.StopBy.Add(stopTime))
+			r.step(now, u, onStopRequested)
+		}
 		if (u.state == stateBarring || u.state == stateStopping) && u.stopConfirmed.IsZero() && now.Sub(u.stopSent) >= stopRetryPeriod {
 			r.callStop(now, u)
 		}
--- a/core/sched/contention_test.go
+++ b/core/sched/contention_test.go
@@ -74,6 +74,8 @@
 	largeTaskMillicores = 15_000 // a target has room for 4
 )
 
+func (e *contendingEntry) JobClaimed(string, time.Time) {}
+
 func (e *contendingEntry) JobStarted(time.Duration)                                {}
 func (e *contendingEntry) JobAccepted(*JobArrival)                                 {}
 func (e *contendingEntry) AttemptEnded(string, int, string, string, time.Duration) {}
--- a/core/sched/effects.go
+++ b/core/sched/effects.go
@@ -16,7 +16,8 @@
 	MemoryMB   uint64
 	ExpectedMS uint32
 	Payload    []byte
-	Process    uint64 // the target's process that the task was placed on
+	Process    uint64    // the target's process that the task was placed on
+	StopBy     time.Time // when the run is stopped at the latest
 }
 
 // effects carries out the scheduler's decisions.
@@ -27,6 +28,8 @@
 	Stop(target string, attempt uint64)
 	// JobAccepted is called for every new job, before it may be refused.
 	JobAccepted(a *JobArrival)
+	// JobClaimed is called for a job that this entry may have runs of until a time at which another entry may have been handed it.
+	JobClaimed(id string, until time.Time)
 	// JobStarted is called when the first task of a job is sent, with the time that the job waited.
 	JobStarted(waited time.Duration)
 	// AttemptEnded is called for every attempt that ended other than done.
@@ -50,6 +53,7 @@
 	Expected   time.Duration // run time of a task on a target of pace 1
 	Objective  time.Duration // until then the answer is due
 	Deadline   time.Duration // until then the caller waits
+	Claimed    time.Duration // until then another entry may have runs of it, 0 if none
 }
 
 // JobSummary is the outcome of a job and how it came about, for logs and metrics.
--- a/core/sched/order.go
+++ b/core/sched/order.go
@@ -205,6 +205,6 @@
 	}
 	s.out.Start(to.name, &Start{
 		Attempt: a.id, Task: a.name, Route: j.batch.Route.Name, Number: t.number, Millicores: j.batch.Millicores, MemoryMB: j.batch.MemoryMB,
-		ExpectedMS: uint32(max(1, j.expected.Milliseconds())), Payload: j.batch.Payload, Process: to.state.Process,
+		ExpectedMS: uint32(max(1, j.expected.Milliseconds())), Payload: j.batch.Payload, Process: to.state.Process, StopBy: j.batch.Deadline,
 	})
 }
--- a/core/sched/overload_test.go
+++ b/core/sched/overload_test.go
@@ -112,6 +112,8 @@
 	sim.pendingStops = append(sim.pendingStops, pendingStop{target, id})
 }
 
+func (sim *overloadSim) JobClaimed(string, time.Time) {}
+
 func (sim *overloadSim) JobStarted(time.Duration) {}
 
 func (sim *overloadSim) JobAccepted(*JobArrival) {}
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -45,6 +45,8 @@
 	Withdrawn  = "withdrawn"
 	CallerLeft = "caller-left"
 	Crashing   = "crashes-targets" // a task of the job crashes the targets that start it
+	Stalled    = "stalled"         // the process stalled, and another entry may have been handed the job meanwhile
+	Claimed    = "claimed"         // another entry may have runs of the job for too long
 	Confined   = "confined"        // the route crashes targets, and those that it is confined to are down
 )
 
@@ -64,6 +66,7 @@
 	endedJobs    map[string]endedJob
 	meanLogs     map[string]float64 // mean logarithm of the declared run times, by route
 	lastTick     time.Time
+	stallBegin   time.Time // the last tick before the last stall
 	stallEnd     time.Time // when the last stall was noticed
 	hadTargetAt  time.Time // last tick with a target, or the first tick
 	load         float64
@@ -121,6 +124,9 @@
 		s.endJob(now, j, jobend.Outcome{Kind: jobend.Failed, Reason: Crashing})
 		return s.lastCaller
 	}
+	if s.claim(now, j); j.ended {
+		return s.lastCaller
+	}
 	if reason := s.refusalReason(now, j); reason != "" {
 		s.refuse(now, j, reason)
 		return s.lastCaller
@@ -160,11 +166,12 @@
 	j.overShare = s.shares.over[b.Route.Name]
 	j.startDeadline = now.Add(time.Duration(startFraction(j.overShare) * float64(objective)))
 	s.holdBack(now, j)
+	j.awaitClaim(now)
 	s.jobs[b.ID] = j
 	s.live = append(s.live, j)
 	s.out.JobAccepted(&JobArrival{
 		ID: b.ID, Route: b.Route.Name, Tasks: b.Tasks, Millicores: b.Millicores, Expected: j.expected, Objective: objective,
-		Deadline: b.Deadline.Sub(now),
+		Deadline: b.Deadline.Sub(now), Claimed: max(0, b.ClaimedUntil.Sub(now)),
 	})
 	return j
 }
@@ -189,6 +196,9 @@
 
 // refusalReason returns the reason for refusing a new job, empty if it can be queued.
 func (s *Sched) refusalReason(now time.Time, j *job) string {
+	if j.isClaimedTooLong() {
+		return Claimed
+	}
 	known := false
 	for _, t := range s.targets {
 		if t.state.Service != j.batch.Route.Service {
@@ -348,6 +358,7 @@
 	s.expireTargets(now)
 	s.isolateTargets(now)
 	for _, j := range s.live {
+		s.claim(now, j)
 		s.expireJob(now, j)
 	}
 	s.live = slices.DeleteFunc(s.live, func(j *job) bool { return j.ended })
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -23,6 +23,7 @@
 	outcomes     map[string]jobend.Outcome
 	moves        int
 	summaries    []*JobSummary
+	claims       []string
 	outlasted    []string // attempts that outlasted the resubmission of their job
 }
 
@@ -31,7 +32,9 @@
 	h.startTargets = append(h.startTargets, target)
 }
 
-func (h *harness) Stop(_ string, id uint64)                                { h.stops = append(h.stops, id) }
+func (h *harness) Stop(_ string, id uint64)          { h.stops = append(h.stops, id) }
+func (h *harness) JobClaimed(id string, _ time.Time) { h.claims = append(h.claims, id) }
+
 func (h *harness) JobStarted(time.Duration)                                {}
 func (h *harness) JobAccepted(*JobArrival)                                 {}
 func (h *harness) AttemptEnded(string, int, string, string, time.Duration) {}
--- a/core/sched/stall.go
+++ b/core/sched/stall.go
@@ -20,7 +20,7 @@
 // noticeStall records the end of a stall of the process, if there was one since the last tick.
 func (s *Sched) noticeStall(now time.Time) {
 	if !s.lastTick.IsZero() && now.Sub(s.lastTick) > stallThreshold {
-		s.stallEnd = now
+		s.stallBegin, s.stallEnd = s.lastTick, now
 	}
 }
 
@@ -30,8 +30,18 @@
 	return b.HeldUp || now.Sub(s.stallEnd) < backlogTime
 }
 
+// maxWait returns how long a request that is read now may have waited since it arrived.
+func (s *Sched) maxWait(now time.Time) time.Duration {
+	s.noticeStall(now)
+	if now.Sub(s.stallEnd) < backlogTime {
+		return now.Sub(s.stallBegin)
+	}
+	return 0
+}
+
 // holdBack defers the first start of a new job whose request may be backlog.
 func (s *Sched) holdBack(now time.Time, j *job) {
+	j.setResubmission(s.maxWait(now))
 	if j.inBacklog = s.mayBeBacklog(now, j.batch); j.inBacklog {
 		j.ready = now.Add(stallDelay)
 		j.startDeadline = j.startDeadline.Add(stallDelay)
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -80,6 +80,8 @@
 	waited        time.Duration // until the first start
 	starts        int
 	ended         bool
+	claimed       bool
+	resubmitAt    time.Time // when another entry may be handed the job; zero if unknown
 	waiters       []waiter
 }
 
--- a/io/runsd/daemon.go
+++ b/io/runsd/daemon.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"persimmonstage/core/claims"
 	"persimmonstage/core/crash"
 	"persimmonstage/core/fetch"
 	"persimmonstage/core/flight"
@@ -116,6 +117,7 @@
 
 	packer    pack.Packer
 	cancelled gossip.Gossip // jobs that callers have cancelled lately, for the other entries
+	claims    claims.Claims // of entries on jobs, for the other entries
 
 	documentRequests flight.Flight[*documentRequest]
 }
@@ -212,6 +214,7 @@
 // step handles timeouts and sends what is due.
 func (d *Daemon) step(now time.Time) {
 	d.runs.Tick(now)
+	d.claims.Expire(now)
 	d.noteTarget()
 	d.identify(now)
 	if d.runs.Established() {
--- a/io/runsd/links.go
+++ b/io/runsd/links.go
@@ -42,6 +42,7 @@
 	sentState     *wire.TargetState
 	sentDoc       int64
 	cancelledPos  uint64    // up to which the entry has been told of cancelled jobs
+	claimsPos     uint64    // the same of claims
 	surplusSince  time.Time // when the entry was sent that it can't use the target any more; zero if it can
 }
 
@@ -95,6 +96,8 @@
 	l.nextHeartbeat = d.nextSlot(now, period)
 	b := &wire.TargetBeat{Stamp: now.UnixNano(), DocumentVersion: d.doc.Version()}
 	b.Cancelled, l.cancelledPos = d.cancelled.After(now, l.cancelledPos)
+	list, pos := d.claims.After(now, l.claimsPos)
+	b.Claims, l.claimsPos = wire.NewClaims(now, list), pos
 	if s := d.state(l); !sameState(l.sentState, s) {
 		b.State = l.shorten(s)
 	}
@@ -134,11 +137,13 @@
 func (d *Daemon) hello(now time.Time, l *link) {
 	cancelled, pos := d.cancelled.After(now, 0)
 	l.cancelledPos = pos
+	list, claimsPos := d.claims.After(now, 0)
+	l.claimsPos = claimsPos
 	l.helloSent = d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_TargetHello{TargetHello: &wire.TargetHello{
 		Version: wire.Version, Agent: &wire.Ident{Name: d.self.Name, Incarnation: []byte(d.self.Incarnation)},
 		DataCentre: d.cfg.DataCentre, State: d.state(l), DocumentVersion: d.doc.Version(),
 		TenureMs: uint32(runs.Tenure.Milliseconds()), Stamp: now.UnixNano(),
-		Cancelled: cancelled,
+		Cancelled: cancelled, Claims: wire.NewClaims(now, list),
 	}}})
 }
 
@@ -258,8 +263,12 @@
 func (d *Daemon) heartbeatAnswered(l *link, a *wire.TargetBeatAnswer) {
 	d.recordEcho(l.owner, a.Stamp)
 	d.addLinks(a.Entries)
+	now := uptime.Now()
 	for _, id := range a.Cancelled {
-		d.cancelled.Add(uptime.Now(), id)
+		d.cancelled.Add(now, id)
+	}
+	for _, m := range a.Claims {
+		d.claims.Hear(now, m.Claim(now))
 	}
 	version, data := d.doc.Get()
 	d.spread.SetVersion(uptime.Now(), l.addr, a.DocumentVersion, version)
@@ -279,6 +288,7 @@
 		starts = append(starts, &runs.Order{
 			Attempt: s.Attempt, Task: s.Task, Route: s.Route, Number: int(s.Number), Millicores: s.Millicores, MemoryMB: s.MemoryMb,
 			Expected: time.Duration(s.ExpectedMs) * time.Millisecond, Payload: s.Payload, Process: s.Process,
+			StopBy: wire.EndOf(now, s.LeftMs),
 		})
 	}
 	d.runs.Orders(now, l.owner, starts, o.Stops)
--- a/io/schedd/daemon.go
+++ b/io/schedd/daemon.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"persimmonstage/core/claims"
 	"persimmonstage/core/gossip"
 	"persimmonstage/core/ident"
 	"persimmonstage/core/newest"
@@ -66,6 +67,9 @@
 	unconfirmed bool // the document has to be read by agents
 	packer      pack.Packer
 	cancelled   gossip.Gossip // jobs that callers have cancelled lately
+	claims      claims.Claims // on jobs that entries still work on when another may be handed them
+	holder      uint64        // of this process's claims
+	claimSerial uint64
 }
 
 // New returns a daemon; doc is the operators' document, which the daemon exchanges with agents.
@@ -79,6 +83,7 @@
 		byName:  make(map[string]*link),
 		entries: make(map[string]time.Time),
 		metrics: newMetrics(reg),
+		holder:  binary.BigEndian.Uint64(inc[:8]),
 	}
 	rng := rand.New(rand.NewPCG(binary.BigEndian.Uint64(inc[:8]), binary.BigEndian.Uint64(inc[8:])))
 	docmet.Register(reg, doc)
@@ -125,6 +130,7 @@
 func (d *Daemon) tick(time.Time) {
 	now := uptime.Now()
 	d.sched.Tick(now)
+	d.claims.Expire(now)
 	d.requestDocument(now)
 	for _, l := range d.links {
 		if now.Sub(l.lastFrame) > agentTimeout {
--- a/io/schedd/effects.go
+++ b/io/schedd/effects.go
@@ -5,8 +5,10 @@
 
 	"go.uber.org/zap"
 
+	"persimmonstage/core/claims"
 	"persimmonstage/core/sched"
 	"persimmonstage/io/frame"
+	"persimmonstage/io/uptime"
 	"persimmonstage/io/wire"
 )
 
@@ -22,7 +24,7 @@
 	e.d.metrics.starts.Inc()
 	l.orders.Starts = append(l.orders.Starts, &wire.RunStart{
 		Attempt: s.Attempt, Task: s.Task, Number: uint32(s.Number), Millicores: s.Millicores, MemoryMb: s.MemoryMB,
-		ExpectedMs: s.ExpectedMS, Payload: s.Payload, Route: s.Route, Process: s.Process,
+		ExpectedMs: s.ExpectedMS, Payload: s.Payload, Route: s.Route, Process: s.Process, LeftMs: wire.LeftMS(uptime.Now(), s.StopBy),
 	})
 }
 
@@ -34,14 +36,25 @@
 	}
 }
 
+// JobClaimed tells the other entries, through the agents, that this one may have runs of a job until a time.
+func (e effects) JobClaimed(id string, until time.Time) {
+	e.d.metrics.claims.Inc()
+	e.d.claimSerial++
+	e.d.claims.Make(uptime.Now(), claims.Claim{Job: id, Holder: e.d.holder, Serial: e.d.claimSerial, Until: until})
+}
+
 // JobStarted observes how long a job waited for its first start.
 func (e effects) JobStarted(waited time.Duration) { e.d.metrics.waited.Observe(waited.Seconds()) }
 
 // JobAccepted logs a new job, so that there is a record of it if the entry crashes.
 func (e effects) JobAccepted(a *sched.JobArrival) {
+	if a.Claimed > 0 {
+		e.d.metrics.claimed.Inc()
+	}
 	e.d.log.Info("job taken", zap.String("id", a.ID), zap.String("route", a.Route), zap.Int("tasks", a.Tasks),
 		zap.Uint64("millicores", a.Millicores), zap.Int64("expected-ms", a.Expected.Milliseconds()),
 		zap.Int64("objective-ms", a.Objective.Milliseconds()), zap.Int64("deadline-ms", a.Deadline.Milliseconds()),
+		zap.Int64("claimed-ms", a.Claimed.Milliseconds()),
 		zap.Int64("configuration", e.d.doc.Version()))
 }
 
--- a/io/schedd/links.go
+++ b/io/schedd/links.go
@@ -22,6 +22,7 @@
 	orders        *wire.RunOrders // to be sent by flush
 	heartbeats    int
 	cancelledPos  uint64            // up to which the agent has been told of cancelled jobs
+	claimsPos     uint64            // the same of claims
 	helloStamp    int64             // the agent's time of its hello
 	lastFullState *wire.TargetState // the last one that wasn't brief
 }
@@ -97,6 +98,7 @@
 	d.byName[name] = l
 	d.targets.Store(int64(len(d.byName)))
 	d.withdraw(now, h.Cancelled)
+	d.hear(now, h.Claims)
 	inc := string(h.Agent.GetIncarnation())
 	open := d.sched.Join(now, name, inc, h.DataCentre, l.targetState(h.State))
 	d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_TargetHelloAnswer{TargetHelloAnswer: &wire.TargetHelloAnswer{
@@ -116,7 +118,18 @@
 	}
 }
 
-// maxIDBytes bounds the id of a cancelled job.
+// hear takes the claims that other entries make on jobs.
+func (d *Daemon) hear(now time.Time, list []*wire.JobClaim) {
+	for _, m := range list {
+		c := m.Claim(now)
+		if len(c.Job) > maxIDBytes || !d.claims.Hear(now, c) {
+			continue
+		}
+		d.sched.Claimed(now, c.Job, c.Until)
+	}
+}
+
+// maxIDBytes bounds the id of a job that another process tells of.
 const maxIDBytes = 64
 
 // heartbeat answers an agent's heartbeat with its stamp.
@@ -125,12 +138,15 @@
 		d.sched.UpdateTarget(now, l.name, l.targetState(b.State))
 	}
 	d.withdraw(now, b.Cancelled)
+	d.hear(now, b.Claims)
 	answer := &wire.TargetBeatAnswer{Stamp: b.Stamp, DocumentVersion: d.doc.Version()}
 	if l.heartbeats%entryListEvery == 0 {
 		answer.Entries = d.entryAddresses()
 	}
 	l.heartbeats++
 	answer.Cancelled, l.cancelledPos = d.cancelled.After(now, l.cancelledPos)
+	list, pos := d.claims.After(now, l.claimsPos)
+	answer.Claims, l.claimsPos = wire.NewClaims(now, list), pos
 	d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_TargetBeatAnswer{TargetBeatAnswer: answer}})
 }
 
--- a/io/schedd/metrics.go
+++ b/io/schedd/metrics.go
@@ -11,6 +11,9 @@
 	moves  prometheus.Counter
 	// outlasted counts attempts that ended when another entry could have been handed their job already.
 	outlasted prometheus.Counter
+	// claims counts the jobs that this entry has claimed, and claimed those that another one had claimed when they were submitted.
+	claims  prometheus.Counter
+	claimed prometheus.Counter
 	// confinements counts both confinements and releases of routes.
 	confinements prometheus.Counter
 	waited       prometheus.Histogram
@@ -48,6 +51,12 @@
 			Name: "persimmonstage_attempts_outlasted_total",
 			Help: "Attempts that ended after the time at which another entry may have been handed their job.",
 		}),
+		claims: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "persimmonstage_job_claims_total", Help: "Jobs claimed, as another entry may be handed them while they run here.",
+		}),
+		claimed: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "persimmonstage_claimed_jobs_total", Help: "Jobs submitted while another entry claims them.",
+		}),
 		confinements: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "persimmonstage_route_confinements_total", Help: "Routes confined to isolated targets because they crash targets, or released.",
 		}),
@@ -64,7 +73,7 @@
 			Name: "persimmonstage_configuration_answers_total", Help: "Answers of agents that confirm a configuration as the newest.",
 		}),
 	}
-	reg.MustRegister(m.jobs, m.ends, m.starts, m.stops, m.moves, m.outlasted, m.confinements, m.waited, m.response,
+	reg.MustRegister(m.jobs, m.ends, m.starts, m.stops, m.moves, m.outlasted, m.claims, m.claimed, m.confinements, m.waited, m.response,
 		m.documentRequests, m.documentAnswers)
 	return m
 }
