Ask whether a caller has left before each start

Cause: only jobs that were read within 250 ms after a stall, held up, or queued before it were taken for jobs whose callers may have left. The entry worked off its backlog slowly and read the request 0.6 s after the stall.

How long something has waited to be read isn't known, so that the question is now asked before the first start of each job and before retries. It costs a call per job; the bookkeeping of doubtful jobs goes.

The case "request read late after the stall" failed before.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -26,7 +26,8 @@
 	// ClaimedUntil is until when another entry may have runs of the job; nothing is started before.
 	ClaimedUntil time.Time
 	HeldUp       bool // its request may have been held up on the way until after its caller left
-	// Left reports whether the caller's connection has ended, even if the process hasn't read that yet; nil if it can't be told.
+	// Left reports whether the caller's connection has ended, even if the process hasn't read that yet; nil if it can't be told. It is
+	// called before tasks are started, so it must not wait.
 	Left func() bool
 }
 
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -107,7 +107,6 @@
 	s.lastCaller++
 	if j := s.jobs[b.ID]; j != nil {
 		j.waiters = append(j.waiters, waiter{s.lastCaller, w, b.Left})
-		j.inBacklog = j.inBacklog || s.mayBeBacklog(now, b)
 		return s.lastCaller
 	}
 	number := 0
--- a/core/sched/stall.go
+++ b/core/sched/stall.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"persimmonstage/core/batch"
 	"persimmonstage/core/jobend"
 )
 
@@ -24,12 +23,6 @@
 	}
 }
 
-// mayBeBacklog reports whether a request that is being read may have arrived during a stall, or was held up on its way.
-func (s *Sched) mayBeBacklog(now time.Time, b *batch.Batch) bool {
-	s.noticeStall(now)
-	return b.HeldUp || now.Sub(s.stallEnd) < backlogTime
-}
-
 // maxWait returns how long a request that is read now may have waited since it arrived.
 func (s *Sched) maxWait(now time.Time) time.Duration {
 	s.noticeStall(now)
@@ -39,10 +32,10 @@
 	return 0
 }
 
-// holdBack defers the first start of a new job whose request may be backlog.
+// holdBack defers the first start of a new job if its request may have arrived during a stall, or was held up on its way.
 func (s *Sched) holdBack(now time.Time, j *job) {
 	j.setResubmission(s.maxWait(now))
-	if j.inBacklog = s.mayBeBacklog(now, j.batch); j.inBacklog {
+	if j.batch.HeldUp || now.Sub(s.stallEnd) < backlogTime {
 		j.ready = now.Add(stallDelay)
 		j.startDeadline = j.startDeadline.Add(stallDelay)
 	}
@@ -54,13 +47,9 @@
 	return now.Sub(s.stallEnd) < stallDelay
 }
 
-// dropLeft removes the callers of a job that have left without the process having read it, and ends the job if none remains. Only
-// callers whose requests are older than their reading suggests, or that could leave during a stall, are asked: the end of any other
-// connection is read long before the caller submits the job elsewhere.
+// dropLeft removes the callers of a job that have left without the process having read it, and ends the job if none remains. It isn't
+// known how long what is read now has waited: a process that works off a backlog slowly reads requests long after its stall.
 func (s *Sched) dropLeft(now time.Time, j *job) {
-	if !j.inBacklog && !s.stallEnd.After(j.arrived) {
-		return
-	}
 	j.waiters = slices.DeleteFunc(j.waiters, func(w waiter) bool { return w.left != nil && w.left() })
 	if len(j.waiters) == 0 {
 		s.endJob(now, j, jobend.Outcome{Kind: jobend.Cancelled, Reason: CallerLeft})
--- a/core/sched/stall_test.go
+++ b/core/sched/stall_test.go
@@ -46,6 +46,12 @@
 			h.run(100 * time.Millisecond)
 			h.submitOver(c, h.slowBatch("j"))
 		},
+		"request read late after the stall": func(h *harness, c *connection) {
+			c.ended = true
+			h.advance(stall)
+			h.run(2 * backlogTime)
+			h.submitOver(c, h.slowBatch("j"))
+		},
 		"queued before the stall": func(h *harness, c *connection) {
 			h.reportUsage("a", capacity/taskMillicores)
 			h.submitOver(c, h.slowBatch("j"))
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -67,7 +67,6 @@
 	batch         *batch.Batch
 	arrived       time.Time
 	ready         time.Time // no task is started before
-	inBacklog     bool      // a request for it may have been read after its caller left
 	startDeadline time.Time // the job is refused if no task was started by then
 	objective     time.Time
 	expected      time.Duration
