End no run by a list that may be older than one that shows it

A target that has stalled carries out what has arrived at once: a start and several polls, within one tick of its clock. The lists may be read in another order than they were given. A list from before the start that was read after one that shows the run counted as the newer one, as both had the same time: the run was taken for ended (agent-2: start lost, 26 ms; run ended, lapsed, 159 ms; its target ran it from then on), without a stop, and the entry started the task elsewhere at once. A short run ends before the next poll returns, so that nobody stopped it, and its end was noted.

Of two lists with the same time only one that was requested after the other had come is certainly newer.

--- a/core/proof/repeat_agent_test.go
+++ b/core/proof/repeat_agent_test.go
@@ -27,6 +27,8 @@
 	// refusedUntil is until when connections to the target are refused while it goes on, and silentUntil until when calls get no answer.
 	refusedUntil time.Time
 	silentUntil  time.Time
+	// stalledUntil is until when the target's process stands still; it then carries out what has arrived at once, in any order.
+	stalledUntil time.Time
 	// ordersLateUntil is until when the target leaves all starts and stops unanswered and executes them late.
 	ordersLateUntil time.Time
 }
@@ -80,6 +82,15 @@
 // isCallLate is isLate for all calls to the target.
 func (a *repeatAgent) isCallLate() bool { return a.w.now.Before(a.silentUntil) || a.w.isLate() }
 
+func (a *repeatAgent) targetStalled() bool { return a.w.now.Before(a.stalledUntil) }
+
+// wakeTime is how long a target takes to carry out what arrived while it stood still: within one tick of its clock.
+const wakeTime = time.Millisecond
+
+func (a *repeatAgent) whenTargetWakes(do func()) {
+	a.w.after(a.stalledUntil.Sub(a.w.now)+time.Duration(a.w.rng.Int64N(int64(wakeTime))), do)
+}
+
 func (w *repeatWorld) late(do func()) {
 	w.after(time.Duration(w.rng.Int64N(int64(lateSpan))), do)
 }
@@ -116,6 +127,8 @@
 		case t.self.ID != to.ID: // it refuses calls for another process
 			a.reply(life, func() { a.startFailed(k, call, "status-421") })
 			return
+		case a.targetStalled():
+			a.whenTargetWakes(func() { t.start(token, k, o, until, true) })
 		case a.isOrderLate():
 			a.w.late(func() { t.start(token, k, o, until, true) })
 		default:
@@ -157,6 +170,8 @@
 		t, refused := a.dial(to)
 		switch {
 		case refused || t.self.ID != to.ID:
+		case a.targetStalled():
+			a.whenTargetWakes(func() { t.stop(token, k) })
 		case a.isOrderLate():
 			a.w.late(func() { t.stop(token, k) })
 		default:
@@ -247,6 +262,8 @@
 		case refused:
 			a.reply(life, func() { a.connectionRefused(to) })
 		case t.self.ID != to.ID:
+		case a.targetStalled():
+			a.whenTargetWakes(func() { a.listed(life, to, t.poll(token, ack, until, sent)) })
 		case a.isCallLate():
 			a.w.late(func() { t.poll(token, ack, until, sent) })
 		default:
--- a/core/proof/repeat_test.go
+++ b/core/proof/repeat_test.go
@@ -19,7 +19,7 @@
 // in one frame; an agent's hello and its answer are messages of a connection that may be reset between them, and many connections are
 // reset at once. Callers leave early, and resubmit a job 1.3 s after a failure; if silentPaths is set, the paths to some of them are
 // silent for a while or for good, so that their entries read the request or the end of the connection late or never. Targets crash and are back at once or later, under their id or another one, as another kind;
-// they drain and leave; the path to them refuses connections or is silent while they go on; announcements come late or from another
+// they drain and leave; the path to them refuses connections or is silent while they go on; their processes stand still; announcements come late or from another
 // writer, and an agent that starts again recalls the last one that was confirmed. No task may run twice at the same time, or where its
 // label is missing, or start on a target long after its draining was acknowledged.
 var (
@@ -99,7 +99,7 @@
 func (w *repeatWorld) injectFault() {
 	e, a := w.entries[w.rng.IntN(len(w.entries))], w.agents[w.rng.IntN(len(w.agents))]
 	until := w.now.Add(time.Duration(100+w.rng.IntN(2500)) * time.Millisecond)
-	switch w.rng.IntN(18) {
+	switch w.rng.IntN(19) {
 	case 0:
 		e.freeze(until)
 	case 1:
@@ -141,6 +141,8 @@
 	case 17: // what arrived meanwhile is read slowly
 		e.freeze(until)
 		e.slowUntil = until.Add(time.Second)
+	case 18:
+		a.stalledUntil = w.now.Add(until.Sub(w.now) / 5)
 	}
 }
 
--- a/core/runs/listed.go
+++ b/core/runs/listed.go
@@ -56,8 +56,10 @@
 	if l.Sent.Sub(r.leftAt) > leaveTime {
 		r.leftAt = time.Time{}
 	}
-	outdated := l.Partial || l.Clock < r.listedClock
-	r.listedClock = max(r.listedClock, l.Clock)
+	outdated := l.Partial || r.mayBeOutdated(l)
+	if l.Clock >= r.listedClock {
+		r.listedClock, r.listedAt = l.Clock, now
+	}
 	for _, f := range l.Finished {
 		if f.Index <= r.ack {
 			continue
@@ -75,6 +77,12 @@
 	}
 }
 
+// mayBeOutdated reports whether the target may have given the list before the newest one that was processed. Within one tick of its clock
+// only a list that was requested after the other one had come is certainly newer.
+func (r *Runs) mayBeOutdated(l *Listing) bool {
+	return l.Clock < r.listedClock || l.Clock != 0 && l.Clock == r.listedClock && l.Sent.Before(r.listedAt)
+}
+
 // answered records an answer of the target, which was given by latest. One that this process read later, as it was frozen, doesn't show
 // that the target still answers.
 func (r *Runs) answered(now, latest time.Time) {
--- a/core/runs/runs.go
+++ b/core/runs/runs.go
@@ -112,6 +112,7 @@
 	leftAt       time.Time // when the target announced its end; zero if it didn't
 	refused      bool      // a connection was refused since the last answer
 	listedClock  int64     // the target's clock in the newest list that was processed
+	listedAt     time.Time // when that list was processed
 	lastExtended time.Time // when the last call that extends the lease was sent
 	ack          int64
 	pace         pace
