Let a claim last until the last lease, and end a job whose claim reaches no agent

Two ways were left by which a task could run twice for a caller whose leave isn't seen. An agent that is killed shortly before the job's deadline and stays down leaves its runs until the end of the target's lease, up to 600 ms after its last extension, but a claim ended 100 ms after the deadline.

A claim lasts 770 ms beyond the deadline: 100 ms in which the lease is still extended for a run that doesn't confirm its stop, the lease by a clock that is 3 % slow, and 50 ms. Only repeated requests wait for that. A job whose claim wasn't sent to any agent 200 ms after it was due is ended; the agent needs up to another 200 ms to pass it on.

--- a/core/proof/repeat_entry_test.go
+++ b/core/proof/repeat_entry_test.go
@@ -145,10 +145,12 @@
 
 func (e *repeatEntry) JobAccepted(*sched.JobArrival) {}
 
+// holder identifies the process in its claims.
+func (e *repeatEntry) holder() uint64 { return xxhash.Sum64String(e.id()) }
+
 func (e *repeatEntry) JobClaimed(id string, until time.Time) {
 	e.claimSerial++
-	holder := xxhash.Sum64String(e.id())
-	e.claims.Make(e.w.now, claims.Claim{Job: id, Holder: holder, Serial: e.claimSerial, Until: until})
+	e.claims.Make(e.w.now, claims.Claim{Job: id, Holder: e.holder(), Serial: e.claimSerial, Until: until})
 }
 
 // hear takes the claims of other entries.
--- a/core/proof/repeat_link_test.go
+++ b/core/proof/repeat_link_test.go
@@ -84,6 +84,11 @@
 		answer, l.agentToldPos = e.cancelled.After(w.now, l.agentToldPos)
 		claimed, told := e.claims.After(w.now, l.agentClaimsPos)
 		l.agentClaimsPos = told
+		for _, c := range claimed {
+			if c.Holder == e.holder() {
+				e.sched.ClaimSent(c.Job)
+			}
+		}
 		e.sendOver(l, func() {
 			a.runs.RecordEcho(l.owner, stamp)
 			for _, id := range answer {
--- a/core/sched/claim.go
+++ b/core/sched/claim.go
@@ -10,10 +10,11 @@
 	// claimLead is how long before another entry may be handed a job the job is claimed: the claim takes two heartbeats of agents, the
 	// first to an agent and the second to the other entries.
 	claimLead = 400 * time.Millisecond
-	// lateClaim is how long after it was due a claim still comes in time.
-	lateClaim = 100 * time.Millisecond
-	// lastRunTime is how long after a job's deadline its last run may go on, until the stop has arrived and been carried out.
-	lastRunTime = 100 * time.Millisecond
+	// lateClaim is how long after it was due a claim may be sent to the first agent, so that it still comes in time.
+	lateClaim = 200 * time.Millisecond
+	// lastRunTime is how long after a job's deadline its last run may go on if the agent was killed, or the target doesn't confirm the stop:
+	// until the lease has ended that was extended 100 ms after the deadline.
+	lastRunTime = 770 * time.Millisecond
 )
 
 // lastRun returns when the last run of the job has ended.
@@ -22,26 +23,33 @@
 // claim claims a job that may still have runs when another entry is handed it: its caller may have left unseen right after the request
 // was read.
 func (s *Sched) claim(now time.Time, j *job) {
-	if j.ended || j.claimed || j.resubmitAt.IsZero() || !j.lastRun().After(j.resubmitAt) {
+	if j.ended || j.claimSent || j.resubmitAt.IsZero() || !j.lastRun().After(j.resubmitAt) {
 		return
 	}
 	late := now.Sub(j.resubmitAt.Add(-claimLead))
 	switch {
-	case late > lateClaim: // the process has stalled, so that another entry may start the job before it hears of the claim
+	case late > lateClaim: // another entry may start the job before it hears of the claim
 		s.endUnclaimed(now, j)
-	case late >= 0:
+	case late >= 0 && !j.claimed:
 		j.claimed = true
 		s.out.JobClaimed(j.batch.ID, j.lastRun())
 	}
 }
 
+// ClaimSent records that an agent was sent the claim of a job, which it passes on.
+func (s *Sched) ClaimSent(id string) {
+	if j := s.jobs[id]; j != nil {
+		j.claimSent = true
+	}
+}
+
 // endUnclaimed ends a job that another entry may have been handed.
 func (s *Sched) endUnclaimed(now time.Time, j *job) {
 	if j.started {
-		s.endJob(now, j, jobend.Outcome{Kind: jobend.Unfinished, Reason: Stalled})
+		s.endJob(now, j, jobend.Outcome{Kind: jobend.Unfinished, Reason: Unclaimed})
 		return
 	}
-	s.refuse(now, j, Stalled)
+	s.refuse(now, j, Unclaimed)
 }
 
 // Claimed handles the claim of another entry on a job, which starts nothing before the claim ends.
--- a/core/sched/claim_test.go
+++ b/core/sched/claim_test.go
@@ -29,11 +29,12 @@
 	h.submit(h.resubmittable("runs", time.Second))
 	h.submit(h.resubmittable("ends", 100*time.Millisecond))
 	short := h.resubmittable("short", time.Second)
-	short.Deadline = h.now.Add(resubmission - lastRunTime)
+	short.Deadline = h.now.Add(resubmission - claimLead)
 	h.submit(short)
 	h.endAttempt("a", EndDone, 1)
 	h.run(resubmission - heartbeatsOfAClaim)
 	require.Equal(t, []string{"runs"}, h.claims)
+	h.sched.ClaimSent("runs")
 	h.run(heartbeatsOfAClaim)
 	require.Len(t, h.claims, 1, "a job is claimed once")
 }
@@ -92,11 +93,21 @@
 	h.run(resubmission - claimLead - tickPeriod)
 	h.advance(lateClaim + 2*tickPeriod)
 	require.Equal(t, jobend.Unfinished, h.outcomes["j"].Kind)
-	require.Equal(t, Stalled, h.outcomes["j"].Reason)
+	require.Equal(t, Unclaimed, h.outcomes["j"].Reason)
 	require.Empty(t, h.claims)
 	require.Len(t, h.stops, 1)
 }
 
+// TestAJobWhoseClaimReachesNoAgentIsEnded guards against double runs: an entry without agents can't tell the others of a job.
+func TestAJobWhoseClaimReachesNoAgentIsEnded(t *testing.T) {
+	h := newHarness()
+	h.join("a", 1)
+	h.submit(h.resubmittable("j", 1400*time.Millisecond))
+	h.run(resubmission - claimLead + lateClaim + 2*tickPeriod)
+	require.Equal(t, []string{"j"}, h.claims)
+	require.Equal(t, Unclaimed, h.outcomes["j"].Reason)
+}
+
 // TestARequestThatMayHaveWaitedTooLongIsRefused guards against double runs: an entry that was frozen reads a request after its caller has
 // submitted the job to another entry.
 func TestARequestThatMayHaveWaitedTooLongIsRefused(t *testing.T) {
@@ -105,9 +116,9 @@
 		known         bool
 		reason        string
 	}{
-		{stall: 2 * time.Second, reason: Stalled},
+		{stall: 2 * time.Second, reason: Unclaimed},
 		{stall: 2 * time.Second, known: true},
-		{stall: 2 * time.Second, known: true, waited: resubmission, reason: Stalled},
+		{stall: 2 * time.Second, known: true, waited: resubmission, reason: Unclaimed},
 		{stall: 500 * time.Millisecond},
 	} {
 		h := newHarness()
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -45,7 +45,7 @@
 	Withdrawn  = "withdrawn"
 	CallerLeft = "caller-left"
 	Crashing   = "crashes-targets" // a task of the job crashes the targets that start it
-	Stalled    = "stalled"         // the process stalled, and another entry may have been handed the job meanwhile
+	Unclaimed  = "unclaimed"       // another entry may have been handed the job, as it could not be claimed in time
 	Claimed    = "claimed"         // another entry may have runs of the job for too long
 	Confined   = "confined"        // the route crashes targets, and those that it is confined to are down
 )
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -80,6 +80,7 @@
 	starts        int
 	ended         bool
 	claimed       bool
+	claimSent     bool      // to an agent
 	resubmitAt    time.Time // when another entry may be handed the job; zero if unknown
 	waiters       []waiter
 }
--- a/io/schedd/links.go
+++ b/io/schedd/links.go
@@ -147,6 +147,11 @@
 	answer.Cancelled, l.cancelledPos = d.cancelled.After(now, l.cancelledPos)
 	list, pos := d.claims.After(now, l.claimsPos)
 	answer.Claims, l.claimsPos = wire.NewClaims(now, list), pos
+	for _, c := range list {
+		if c.Holder == d.holder {
+			d.sched.ClaimSent(c.Job)
+		}
+	}
 	d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_TargetBeatAnswer{TargetBeatAnswer: answer}})
 }
 
