Claim a long job again and again instead of until its deadline

A claim that covers the time until a deadline of some seconds barred the other entries long after the job had ended: a caller that left the first entry after 1.5 s of 4 s was kept waiting or refused by each other entry for up to 2 s more, and each of these claimed the waiting job in turn (TestARunWhoseAgentIsKilledEndsBeforeItsUnseenCallerComesAgain, "no job was run again"). With deadlines of 1.5 s nobody was affected.

A claim covers 600 ms now and is made again 400 ms before its end as long as the job goes on. A job that waits for another entry's claim isn't claimed but refused when a claim is due.

--- a/core/sched/claim.go
+++ b/core/sched/claim.go
@@ -4,42 +4,42 @@
 	"time"
 
 	"persimmonstage/core/jobend"
+	"persimmonstage/core/times"
 )
 
 const (
-	// claimLead is how long before another entry may be handed a job the job is claimed: the claim takes two heartbeats of agents, the
-	// first to an agent and the second to the other entries.
+	// claimLead is how long before another entry may be handed a job, or before the last claim ends, the job is claimed: a claim takes two
+	// heartbeats of agents, the first to an agent and the second to the other entries.
 	claimLead = 400 * time.Millisecond
 	// lateClaim is how long after it was due a claim may be sent to the first agent, so that it still comes in time.
 	lateClaim = 200 * time.Millisecond
-	// lastRunTime is how long after a job's deadline its last run may go on if the agent was killed, or the target doesn't confirm the stop:
-	// until the lease has ended that was extended 100 ms after the deadline.
+	// claimPeriod is how much longer than claimLead a claim covers a job, which is then claimed again. A claim that covered the whole time
+	// until a late deadline would bar other entries long after the job has ended.
+	claimPeriod = 200 * time.Millisecond
+	// lastRunTime is how long after a job's end its last run may go on if the agent was killed, or the target doesn't confirm the stop: until
+	// the lease has ended that was extended 100 ms after the job's end.
 	lastRunTime = 770 * time.Millisecond
 )
 
-// lastRun returns when the last run of the job has ended.
-func (j *job) lastRun() time.Time { return j.batch.Deadline.Add(lastRunTime) }
-
 // claim claims a job that may still have runs when another entry is handed it: its caller may have left unseen right after the request
-// was read.
+// arrived.
 func (s *Sched) claim(now time.Time, j *job) {
-	if j.ended || j.claimSent || j.resubmitAt.IsZero() || !j.lastRun().After(j.resubmitAt) {
+	due := j.resubmitAt.Add(-claimLead)
+	if j.ended || j.resubmitAt.IsZero() || now.Before(due) || !j.batch.Deadline.After(due) {
 		return
 	}
-	late := now.Sub(j.resubmitAt.Add(-claimLead))
 	switch {
-	case late > lateClaim: // another entry may start the job before it hears of the claim
+	case j.claimSent && j.covered.Before(j.batch.Deadline): // to be claimed again
+		j.claimMade, j.claimSent, j.resubmitAt = false, false, j.covered
+	case j.claimSent:
+	case now.Sub(due) > lateClaim: // another entry may start the job before it hears of the claim
 		s.endUnclaimed(now, j)
-	case late >= 0 && !j.claimed:
-		j.claimed = true
-		s.out.JobClaimed(j.batch.ID, j.lastRun())
-	}
-}
-
-// ClaimSent records that an agent was sent the claim of a job, which it passes on.
-func (s *Sched) ClaimSent(id string) {
-	if j := s.jobs[id]; j != nil {
-		j.claimSent = true
+	case now.Before(j.ready): // it waits for another entry's claim; its caller had better come again than wait on
+		s.endUnclaimed(now, j)
+	case !j.claimMade:
+		j.claimMade = true
+		j.covered = times.Earlier(j.batch.Deadline, due.Add(claimLead+claimPeriod))
+		s.out.JobClaimed(j.batch.ID, j.covered.Add(lastRunTime))
 	}
 }
 
@@ -52,6 +52,13 @@
 	s.refuse(now, j, Unclaimed)
 }
 
+// ClaimSent records that an agent was sent the claim of a job, which it passes on.
+func (s *Sched) ClaimSent(id string) {
+	if j := s.jobs[id]; j != nil && j.claimMade {
+		j.claimSent = true
+	}
+}
+
 // Claimed handles the claim of another entry on a job, which starts nothing before the claim ends.
 func (s *Sched) Claimed(now time.Time, id string, until time.Time) {
 	if j := s.jobs[id]; j != nil && !j.started && now.Before(until) {
@@ -68,7 +75,7 @@
 
 func (j *job) waitUntil(until time.Time) {
 	if until.After(j.ready) {
-		j.startDeadline = j.startDeadline.Add(until.Sub(j.ready))
+		j.startDeadline = j.startDeadline.Add(until.Sub(times.Later(j.ready, j.arrived)))
 		j.ready = until
 	}
 }
--- a/core/sched/claim_test.go
+++ b/core/sched/claim_test.go
@@ -108,6 +108,26 @@
 	require.Equal(t, Unclaimed, h.outcomes["j"].Reason)
 }
 
+// TestALongJobIsClaimedAgainUntilItEnds guards against double runs beside jobs whose deadline is long after their callers may come again, and
+// against claims that bar the other entries long after such a job has ended.
+func TestALongJobIsClaimedAgainUntilItEnds(t *testing.T) {
+	h := newHarness()
+	h.join("a", 1)
+	b := h.resubmittable("j", 4*time.Second)
+	b.Deadline = h.now.Add(10 * time.Second)
+	h.submit(b)
+	for range 300 {
+		h.run(tickPeriod)
+		h.sched.ClaimSent("j")
+		if h.now.Sub(b.ResubmitAt) > -claimLead {
+			require.GreaterOrEqual(t, h.claimedUntil.Sub(h.now), claimLead+lastRunTime-2*tickPeriod)
+			require.LessOrEqual(t, h.claimedUntil.Sub(h.now), claimLead+claimPeriod+lastRunTime)
+		}
+	}
+	require.Empty(t, h.outcomes)
+	require.Greater(t, len(h.claims), 5)
+}
+
 // TestARequestThatMayHaveWaitedTooLongIsRefused guards against double runs: an entry that was frozen reads a request after its caller has
 // submitted the job to another entry.
 func TestARequestThatMayHaveWaitedTooLongIsRefused(t *testing.T) {
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -24,7 +24,8 @@
 	moves        int
 	summaries    []*JobSummary
 	claims       []string
-	outlasted    []string // attempts that outlasted the resubmission of their job
+	claimedUntil time.Time // of the last claim
+	outlasted    []string  // attempts that outlasted the resubmission of their job
 }
 
 func (h *harness) Start(target string, s *Start) {
@@ -32,8 +33,11 @@
 	h.startTargets = append(h.startTargets, target)
 }
 
-func (h *harness) Stop(_ string, id uint64)          { h.stops = append(h.stops, id) }
-func (h *harness) JobClaimed(id string, _ time.Time) { h.claims = append(h.claims, id) }
+func (h *harness) Stop(_ string, id uint64) { h.stops = append(h.stops, id) }
+func (h *harness) JobClaimed(id string, until time.Time) {
+	h.claims = append(h.claims, id)
+	h.claimedUntil = until
+}
 
 func (h *harness) JobStarted(time.Duration)                                {}
 func (h *harness) JobAccepted(*JobArrival)                                 {}
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -79,9 +79,10 @@
 	waited        time.Duration // until the first start
 	starts        int
 	ended         bool
-	claimed       bool
+	claimMade     bool
 	claimSent     bool      // to an agent
-	resubmitAt    time.Time // when another entry may be handed the job; zero if unknown
+	covered       time.Time // by the claim
+	resubmitAt    time.Time // when another entry may be handed the job, or start it as the last claim has ended; zero if unknown
 	waiters       []waiter
 }
 
--- a/core/sched/targets.go
+++ b/core/sched/targets.go
@@ -109,7 +109,7 @@
 		s.out.AttemptEnded(a.name, a.number, a.target.name, how, now.Sub(a.sent))
 	}
 	j := a.job
-	if by := now.Sub(j.resubmitAt); by > 0 && !j.resubmitAt.IsZero() {
+	if by := now.Sub(j.batch.ResubmitAt); by > 0 && !j.batch.ResubmitAt.IsZero() {
 		s.out.AttemptOutlasted(a.name, a.number, a.target.name, how, by)
 	}
 	if j.ended {
