Bound the claims that an agent or entry takes over

A claim with an absurd time would have barred its job for weeks, and an agent took ids of any length; found by reading in the review. A claim that was heard of holds 10 s at most. TestAnAbsurdClaimBarsNothingForLong failed before.

--- a/core/claims/claims.go
+++ b/core/claims/claims.go
@@ -33,9 +33,16 @@
 // Make adds a claim of this process, which doesn't bar the process itself.
 func (c *Claims) Make(now time.Time, claim Claim) { c.add(now, claim) }
 
+const (
+	// maxClaim bounds for how long a claim that was heard of holds, and maxJobBytes the length of its job's id.
+	maxClaim    = 10 * time.Second
+	maxJobBytes = 64
+)
+
 // Hear adds a claim that another process made, and reports whether it is new and still holds.
 func (c *Claims) Hear(now time.Time, claim Claim) bool {
-	if !now.Before(claim.Until) || !c.add(now, claim) {
+	claim.Until = times.Earlier(claim.Until, now.Add(maxClaim))
+	if !now.Before(claim.Until) || len(claim.Job) > maxJobBytes || !c.add(now, claim) {
 		return false
 	}
 	c.byJob[claim.Job] = times.Later(c.byJob[claim.Job], claim.Until)
--- a/core/claims/claims_test.go
+++ b/core/claims/claims_test.go
@@ -1,6 +1,7 @@
 package claims_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -43,3 +44,11 @@
 	require.Equal(t, start.Add(3*time.Second), c.Until("j"))
 	require.False(t, c.Hear(start.Add(4*time.Second), claim("j", 3, 1, 2*time.Second)), "it has ended")
 }
+
+// TestAnAbsurdClaimBarsNothingForLong guards against a job that no entry starts any more, and against memory that grows.
+func TestAnAbsurdClaimBarsNothingForLong(t *testing.T) {
+	var c claims.Claims
+	require.True(t, c.Hear(start, claim("j", 1, 1, 49*24*time.Hour)))
+	require.LessOrEqual(t, c.Until("j").Sub(start), 10*time.Second)
+	require.False(t, c.Hear(start, claim(strings.Repeat("j", 65), 1, 2, time.Second)))
+}
--- a/io/schedd/links.go
+++ b/io/schedd/links.go
@@ -122,14 +122,13 @@
 func (d *Daemon) hear(now time.Time, list []*wire.JobClaim) {
 	for _, m := range list {
 		c := m.Claim(now)
-		if len(c.Job) > maxIDBytes || !d.claims.Hear(now, c) {
-			continue
+		if d.claims.Hear(now, c) {
+			d.sched.Claimed(now, c.Job, d.claims.Until(c.Job))
 		}
-		d.sched.Claimed(now, c.Job, c.Until)
 	}
 }
 
-// maxIDBytes bounds the id of a job that another process tells of.
+// maxIDBytes bounds the id of a cancelled job.
 const maxIDBytes = 64
 
 // heartbeat answers an agent's heartbeat with its stamp.
