--- a/core/claims/claims.go
+++ b/core/claims/claims.go
@@ -9,7 +9,15 @@
 	"persimmonstage/core/times"
 )
 
-// Claim is the word of an entry's process that runs of a job may go on until a time.
+const (
+	// maxClaim bounds for how long a claim that was received holds, and maxJobBytes the length of its job's id.
+	maxClaim    = 10 * time.Second
+	maxJobBytes = 64
+	// sweepPeriod is the time between two removals of the claims that have ended.
+	sweepPeriod = 500 * time.Millisecond
+)
+
+// Claim states that an entry's process may have runs of a job until a time.
 type Claim struct {
 	Job    string
 	Holder uint64    // identifies the entry's process
@@ -19,28 +27,19 @@
 
 func (c *Claim) key() string { return fmt.Sprintf("%x-%x", c.Holder, c.Serial) }
 
-// Claims are the claims that a process has made or heard of; the zero value is empty.
+// Claims are the claims that a process has made or received; the zero value is empty.
 type Claims struct {
 	notices gossip.Gossip
 	byKey   map[string]Claim
-	byJob   map[string]time.Time // the latest end of the claims that were heard of
+	byJob   map[string]time.Time // the latest end of the claims that were received
 	sweepAt time.Time
 }
 
-// sweepPeriod is the time between two removals of the claims that have ended.
-const sweepPeriod = 500 * time.Millisecond
-
 // Make adds a claim of this process, which doesn't bar the process itself.
 func (c *Claims) Make(now time.Time, claim Claim) { c.add(now, claim) }
 
-const (
-	// maxClaim bounds for how long a claim that was heard of holds, and maxJobBytes the length of its job's id.
-	maxClaim    = 10 * time.Second
-	maxJobBytes = 64
-)
-
-// Hear adds a claim that another process made, and reports whether it is new and still holds.
-func (c *Claims) Hear(now time.Time, claim Claim) bool {
+// Receive adds a claim that another process made, and reports whether it is new and still holds.
+func (c *Claims) Receive(now time.Time, claim Claim) bool {
 	claim.Until = times.Earlier(claim.Until, now.Add(maxClaim))
 	if !now.Before(claim.Until) || len(claim.Job) > maxJobBytes || !c.add(now, claim) {
 		return false
--- a/core/claims/claims_test.go
+++ b/core/claims/claims_test.go
@@ -22,10 +22,10 @@
 	require.True(t, own.Until("j").IsZero(), "a process isn't barred by itself")
 	list, _ := own.After(start, 0)
 	require.Len(t, list, 1)
-	require.True(t, other.Hear(start, list[0]))
-	require.False(t, other.Hear(start, list[0]), "each is new once")
+	require.True(t, other.Receive(start, list[0]))
+	require.False(t, other.Receive(start, list[0]), "each is new once")
 	require.Equal(t, start.Add(time.Second), other.Until("j"))
-	require.False(t, own.Hear(start, list[0]), "it comes back from the agents")
+	require.False(t, own.Receive(start, list[0]), "it comes back from the agents")
 	require.True(t, own.Until("j").IsZero())
 	other.Expire(start.Add(time.Second))
 	require.True(t, other.Until("j").IsZero())
@@ -35,20 +35,20 @@
 
 func TestAJobThatIsClaimedAgainIsPassedOnAgain(t *testing.T) {
 	var c claims.Claims
-	require.True(t, c.Hear(start, claim("j", 1, 1, time.Second)))
+	require.True(t, c.Receive(start, claim("j", 1, 1, time.Second)))
 	_, pos := c.After(start, 0)
-	require.True(t, c.Hear(start, claim("j", 2, 1, 2*time.Second)))
-	require.True(t, c.Hear(start, claim("j", 1, 2, 3*time.Second)))
+	require.True(t, c.Receive(start, claim("j", 2, 1, 2*time.Second)))
+	require.True(t, c.Receive(start, claim("j", 1, 2, 3*time.Second)))
 	list, _ := c.After(start, pos)
 	require.Len(t, list, 2)
 	require.Equal(t, start.Add(3*time.Second), c.Until("j"))
-	require.False(t, c.Hear(start.Add(4*time.Second), claim("j", 3, 1, 2*time.Second)), "it has ended")
+	require.False(t, c.Receive(start.Add(4*time.Second), claim("j", 3, 1, 2*time.Second)), "it has ended")
 }
 
 // TestAnAbsurdClaimBarsNothingForLong guards against a job that no entry starts any more, and against memory that grows.
 func TestAnAbsurdClaimBarsNothingForLong(t *testing.T) {
 	var c claims.Claims
-	require.True(t, c.Hear(start, claim("j", 1, 1, 49*24*time.Hour)))
+	require.True(t, c.Receive(start, claim("j", 1, 1, 49*24*time.Hour)))
 	require.LessOrEqual(t, c.Until("j").Sub(start), 10*time.Second)
-	require.False(t, c.Hear(start, claim(strings.Repeat("j", 65), 1, 2, time.Second)))
+	require.False(t, c.Receive(start, claim(strings.Repeat("j", 65), 1, 2, time.Second)))
 }
--- a/core/claims/reconnect_test.go
+++ b/core/claims/reconnect_test.go
@@ -16,13 +16,13 @@
 	var c claims.Claims
 	now := start
 	for i := range ended {
-		require.True(t, c.Hear(now, claims.Claim{Job: "old", Holder: 1, Serial: uint64(i + 1), Until: now.Add(700 * time.Millisecond)}))
+		require.True(t, c.Receive(now, claims.Claim{Job: "old", Holder: 1, Serial: uint64(i + 1), Until: now.Add(700 * time.Millisecond)}))
 		now = now.Add(9 * time.Millisecond)
 		c.Expire(now)
 	}
 	now = now.Add(700 * time.Millisecond)
 	c.Expire(now)
-	require.True(t, c.Hear(now, claims.Claim{Job: "new", Holder: 2, Serial: 1, Until: now.Add(690 * time.Millisecond)}))
+	require.True(t, c.Receive(now, claims.Claim{Job: "new", Holder: 2, Serial: 1, Until: now.Add(690 * time.Millisecond)}))
 	list, _ := c.After(now, 0)
 	require.Len(t, list, 1)
 	require.Equal(t, "new", list[0].Job)
--- a/core/proof/repeat_entry_test.go
+++ b/core/proof/repeat_entry_test.go
@@ -153,10 +153,10 @@
 	e.claims.Make(e.w.now, claims.Claim{Job: id, Holder: e.holder(), Serial: e.claimSerial, Until: until})
 }
 
-// hear takes the claims of other entries.
-func (e *repeatEntry) hear(list []claims.Claim) {
+// receiveClaims takes the claims of other entries.
+func (e *repeatEntry) receiveClaims(list []claims.Claim) {
 	for _, c := range list {
-		if e.claims.Hear(e.w.now, c) {
+		if e.claims.Receive(e.w.now, c) {
 			e.sched.Claimed(e.w.now, c.Job, c.Until)
 		}
 	}
--- a/core/proof/repeat_link_test.go
+++ b/core/proof/repeat_link_test.go
@@ -58,7 +58,7 @@
 	a.sendOver(l, func() {
 		e.links[a.name] = l
 		e.withdraw(ids)
-		e.hear(list)
+		e.receiveClaims(list)
 		open := e.sched.Join(w.now, a.name, fmt.Sprint(life), "z", state)
 		e.sendOver(l, func() {
 			l.answered = true
@@ -79,7 +79,7 @@
 	a.sendOver(l, func() {
 		e := l.entry
 		e.withdraw(ids)
-		e.hear(list)
+		e.receiveClaims(list)
 		var answer []string
 		answer, l.agentToldPos = e.cancelled.After(w.now, l.agentToldPos)
 		claimed, told := e.claims.After(w.now, l.agentClaimsPos)
@@ -95,7 +95,7 @@
 				a.cancelled.Add(w.now, id)
 			}
 			for _, c := range claimed {
-				a.claims.Hear(w.now, c)
+				a.claims.Receive(w.now, c)
 			}
 		})
 	})
--- a/core/sched/claim.go
+++ b/core/sched/claim.go
@@ -33,9 +33,9 @@
 	case j.claimSent && j.covered.Before(j.batch.Deadline): // to be claimed again
 		j.claimMade, j.claimSent, j.resubmitAt = false, false, j.covered
 	case j.claimSent:
-	case now.Sub(due) > lateClaim: // another entry may start the job before it hears of the claim
+	case now.Sub(due) > lateClaim: // another entry may start the job before the claim reaches it
 		s.endUnclaimed(now, j)
-	case now.Before(j.ready): // it waits for another entry's claim; its caller had better come again than wait on
+	case now.Before(j.ready): // its caller is told to retry rather than kept waiting for the end of another claim
 		s.endUnclaimed(now, j)
 	case !j.claimMade:
 		j.claimMade = true
--- a/io/runsd/links.go
+++ b/io/runsd/links.go
@@ -268,7 +268,7 @@
 		d.cancelled.Add(now, id)
 	}
 	for _, m := range a.Claims {
-		d.claims.Hear(now, m.Claim(now))
+		d.claims.Receive(now, m.Claim(now))
 	}
 	version, data := d.doc.Get()
 	d.spread.SetVersion(uptime.Now(), l.addr, a.DocumentVersion, version)
--- a/io/schedd/links.go
+++ b/io/schedd/links.go
@@ -98,7 +98,7 @@
 	d.byName[name] = l
 	d.targets.Store(int64(len(d.byName)))
 	d.withdraw(now, h.Cancelled)
-	d.hear(now, h.Claims)
+	d.receiveClaims(now, h.Claims)
 	inc := string(h.Agent.GetIncarnation())
 	open := d.sched.Join(now, name, inc, h.DataCentre, l.targetState(h.State))
 	d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_TargetHelloAnswer{TargetHelloAnswer: &wire.TargetHelloAnswer{
@@ -118,11 +118,11 @@
 	}
 }
 
-// hear takes the claims that other entries make on jobs.
-func (d *Daemon) hear(now time.Time, list []*wire.JobClaim) {
+// receiveClaims takes the claims that other entries make on jobs.
+func (d *Daemon) receiveClaims(now time.Time, list []*wire.JobClaim) {
 	for _, m := range list {
 		c := m.Claim(now)
-		if d.claims.Hear(now, c) {
+		if d.claims.Receive(now, c) {
 			d.sched.Claimed(now, c.Job, d.claims.Until(c.Job))
 		}
 	}
@@ -137,7 +137,7 @@
 		d.sched.UpdateTarget(now, l.name, l.targetState(b.State))
 	}
 	d.withdraw(now, b.Cancelled)
-	d.hear(now, b.Claims)
+	d.receiveClaims(now, b.Claims)
 	answer := &wire.TargetBeatAnswer{Stamp: b.Stamp, DocumentVersion: d.doc.Version()}
 	if l.heartbeats%entryListEvery == 0 {
 		answer.Entries = d.entryAddresses()
