Drop callers, stop runs and defer jobs by one piece of code each

The change had written again what stood beside it: to remove the callers of a job that have left (Leave and the question before a start), and to request the end of a run with the limit of its lease (three places). A job that waits for a claim had two checks that hold anyway, as a job is never ready before it arrives. The comments on terms still told of an earlier form that ended jobs.

--- a/core/runs/order.go
+++ b/core/runs/order.go
@@ -145,8 +145,7 @@
 func (r *Runs) Stop(now time.Time, name string, id uint64) {
 	k := attemptKey{name, id}
 	if u := r.attempts[k]; u != nil {
-		u.limitLease(now.Add(withdrawTime))
-		r.step(now, u, onStopRequested)
+		r.requestStop(now, u, now.Add(withdrawTime))
 		return
 	}
 	if i := r.waitingIndex(k); i >= 0 {
@@ -157,6 +156,12 @@
 	r.resendEnd(now, k)
 }
 
+// requestStop stops a run; the lease is extended for it until a time.
+func (r *Runs) requestStop(now time.Time, u *run, extendUntil time.Time) {
+	u.limitLease(extendUntil)
+	r.step(now, u, onStopRequested)
+}
+
 // StartAnswered processes the target's answer to the call that starts a run.
 func (r *Runs) StartAnswered(now time.Time, k Key, a Answer, reason string) {
 	u := r.runs[k]
--- a/core/runs/runs.go
+++ b/core/runs/runs.go
@@ -157,12 +157,10 @@
 			r.step(now, u, onLeaseExpired)
 		}
 		if echo := r.owner(u.owner).lastEcho; now.Sub(echo) > Tenure {
-			u.limitLease(echo.Add(Tenure + stopTime))
-			r.step(now, u, onStopRequested)
+			r.requestStop(now, u, echo.Add(Tenure+stopTime))
 		}
 		if u.order.isOver(now) {
-			u.limitLease(u.order.StopBy.Add(stopTime))
-			r.step(now, u, onStopRequested)
+			r.requestStop(now, u, u.order.StopBy.Add(stopTime))
 		}
 		if (u.state == stateBarring || u.state == stateStopping) && u.stopConfirmed.IsZero() && now.Sub(u.stopSent) >= stopRetryPeriod {
 			r.callStop(now, u)
--- a/core/sched/claim.go
+++ b/core/sched/claim.go
@@ -67,16 +67,10 @@
 	}
 }
 
-// awaitClaim defers the first start of a job of which another entry may have runs.
-func (j *job) awaitClaim(now time.Time) {
-	if now.Before(j.batch.ClaimedUntil) {
-		j.waitUntil(j.batch.ClaimedUntil)
-	}
-}
-
+// waitUntil defers the next start of a job of which another entry may have runs.
 func (j *job) waitUntil(until time.Time) {
 	if until.After(j.ready) {
-		j.startDeadline = j.startDeadline.Add(until.Sub(times.Later(j.ready, j.arrived)))
+		j.startDeadline = j.startDeadline.Add(until.Sub(j.ready))
 		j.ready = until
 	}
 }
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -141,9 +141,16 @@
 	if j == nil {
 		return
 	}
-	j.waiters = slices.DeleteFunc(j.waiters, func(w waiter) bool { return w.caller == caller })
+	if s.dropWaiters(now, j, func(w waiter) bool { return w.caller == caller }); j.ended {
+		s.place(now)
+	}
+}
+
+// dropWaiters removes the callers of a job that have left, and ends the job if none remains.
+func (s *Sched) dropWaiters(now time.Time, j *job, hasLeft func(w waiter) bool) {
+	j.waiters = slices.DeleteFunc(j.waiters, hasLeft)
 	if len(j.waiters) == 0 {
-		s.Cancel(now, id, CallerLeft)
+		s.endJob(now, j, jobend.Outcome{Kind: jobend.Cancelled, Reason: CallerLeft})
 	}
 }
 
@@ -165,7 +172,7 @@
 	j.overShare = s.shares.over[b.Route.Name]
 	j.startDeadline = now.Add(time.Duration(startFraction(j.overShare) * float64(objective)))
 	s.holdBack(now, j)
-	j.awaitClaim(now)
+	j.waitUntil(b.ClaimedUntil)
 	s.jobs[b.ID] = j
 	s.live = append(s.live, j)
 	s.out.JobAccepted(&JobArrival{
--- a/core/sched/stall.go
+++ b/core/sched/stall.go
@@ -1,11 +1,6 @@
 package sched
 
-import (
-	"slices"
-	"time"
-
-	"persimmonstage/core/jobend"
-)
+import "time"
 
 const (
 	// stallThreshold is the time since the last tick after which the process is considered to have stalled.
@@ -50,8 +45,5 @@
 // dropLeft removes the callers of a job that have left without the process having read it, and ends the job if none remains. It isn't
 // known how long what is read now has waited: a process that works off a backlog slowly reads requests long after its stall.
 func (s *Sched) dropLeft(now time.Time, j *job) {
-	j.waiters = slices.DeleteFunc(j.waiters, func(w waiter) bool { return w.left != nil && w.left() })
-	if len(j.waiters) == 0 {
-		s.endJob(now, j, jobend.Outcome{Kind: jobend.Cancelled, Reason: CallerLeft})
-	}
+	s.dropWaiters(now, j, func(w waiter) bool { return w.left != nil && w.left() })
 }
--- a/core/terms/doc.go
+++ b/core/terms/doc.go
@@ -1,3 +1,3 @@
-// Package terms derives when the work of an entry for a request has to end: a caller that has left, seen by the entry or not, hands the same
-// job in again after a known time, and nothing of the first submission may run then.
+// Package terms checks that the leases of runs fit into the platform's times, and derives from them when another entry may be handed a job: a
+// caller that has left, seen by the entry or not, hands the job in again after a known time.
 package terms
--- a/core/terms/terms.go
+++ b/core/terms/terms.go
@@ -7,7 +7,7 @@
 	"persimmonstage/core/runs"
 )
 
-// Terms are the platform's times that bound the runs of a lost submission; the zero value bounds nothing.
+// Terms are the platform's times that the runs of a lost submission have to keep; the zero value knows none.
 type Terms struct {
 	resubmission time.Duration // from a caller's leave until it hands its job in again
 }
@@ -46,11 +46,11 @@
 	return Terms{resubmission: resubmission}, nil
 }
 
-// ResubmitAt returns the earliest time at which another entry may be handed a job whose request was read at read; the zero time if that
+// ResubmitAt returns the earliest time at which another entry may be handed a job whose request arrived at arrived; the zero time if that
 // isn't known.
-func (t Terms) ResubmitAt(read time.Time) time.Time {
+func (t Terms) ResubmitAt(arrived time.Time) time.Time {
 	if t.resubmission == 0 {
 		return time.Time{}
 	}
-	return read.Add(t.resubmission)
+	return arrived.Add(t.resubmission)
 }
--- a/io/runsd/links.go
+++ b/io/runsd/links.go
@@ -271,7 +271,7 @@
 		d.claims.Receive(now, m.Claim(now))
 	}
 	version, data := d.doc.Get()
-	d.spread.SetVersion(uptime.Now(), l.addr, a.DocumentVersion, version)
+	d.spread.SetVersion(now, l.addr, a.DocumentVersion, version)
 	if a.DocumentVersion < version && l.sentDoc < version {
 		l.sentDoc = version
 		d.sendDocument(l.conn, &wire.Document{Version: version, Data: data})
