--- /dev/null
+++ b/review/rig/cases.go
@@ -0,0 +1,133 @@
+//go:build review
+
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// trouble reports whether the disruption of the case is played.
+func trouble() bool { return os.Getenv("TROUBLE") != "0" }
+
+// sameKinds gives all runners one kind.
+func sameKinds(k kind) func(int) kind { return func(int) kind { return k } }
+
+// cancelMS and stopMS are the bounds cancel_ms and stop-ms.
+const (
+	cancelMS = 3000 * time.Millisecond
+	stopMS   = 50 * time.Millisecond
+)
+
+// cancelCase: a job runs at front-1; its client cancels it through front-2, which loses power right after its acknowledgement.
+func cancelCase(binary, dir string) *world {
+	w := newWorld(binary, dir, 3, 4, sameKinds(kind{service: "s1", labels: []string{"a", "r1"}, cpu: 16000, memMB: 32768, guards: true}))
+	w.store.put("keyed.op", "config", configuration(3, queue("p", "s1", 20*time.Second)))
+	if !w.awaitReady(15 * time.Second) {
+		return w.failed("the entries weren't ready in 15 s")
+	}
+	time.Sleep(4 * time.Second) // all machines are in touch
+	for round := range 3 {
+		if !w.cancelOnce(fmt.Sprintf("00000000000000a%d", round), w.entries[1+round%2]) {
+			return w.failed("a cancel wasn't acknowledged")
+		}
+		if len(w.rec.broken) > 0 {
+			break
+		}
+	}
+	return w
+}
+
+// failed notes that the case couldn't be played.
+func (w *world) failed(reason string) *world {
+	w.rec.logf("not played: %s", reason)
+	w.unplayed = reason
+	return w
+}
+
+// cancelOnce has a job run at front-1, cancels it through another entry, which then loses power, and checks what is started after that.
+func (w *world) cancelOnce(id string, other *process) bool {
+	j := &job{id: id, queue: "p", spec: "build the class sets", tasks: 160, cpu: 4000, work: 900 * time.Millisecond}
+	w.rec.add(j)
+	done := make(chan int, 1)
+	go func() { done <- w.post(context.Background(), w.entries[0], j, 14*time.Second) }()
+	time.Sleep(time.Second)
+	other.mu.Lock()
+	other.down = 2 * time.Second
+	other.mu.Unlock()
+	status := w.del(other, j)
+	if trouble() {
+		other.signal(syscall.SIGKILL)
+		w.rec.logf("TROUBLE %s loses power", other.name)
+	}
+	if status != 200 && status != 410 {
+		return false
+	}
+	<-done
+	time.Sleep(4 * time.Second) // all machines are in touch again
+	w.rec.mu.Lock()
+	defer w.rec.mu.Unlock()
+	for _, u := range w.rec.runs {
+		if jobOf(u.task) != id {
+			continue
+		}
+		if by := u.from.Sub(j.cancelAckedAt); by > cancelMS {
+			w.rec.breakf("UNASKED", "started %.3f s after the cancel was acknowledged: %s", by.Seconds(), u)
+		} else if by := u.to.Sub(j.cancelAckedAt); by > cancelMS+stopMS {
+			w.rec.breakf("UNASKED", "ran until %.3f s after the cancel was acknowledged: %s", by.Seconds(), u)
+		}
+	}
+	return true
+}
+
+// foreignCase: besides the runner w1, which belongs to s1, another writer sends heartbeats for it. They lack the field slots, so they name no
+// runner to use, and say s2.
+func foreignCase(binary, dir string) *world {
+	w := newWorld(binary, dir, 3, 2, func(i int) kind {
+		return kind{service: []string{"s1", "s2"}[i], labels: []string{"a", "r1"}, cpu: 16000, memMB: 32768, guards: true}
+	})
+	services := map[string][]string{"p": {"s1"}, "q": {"s2"}}
+	w.rec.services = func(queue string) []string { return services[queue] }
+	w.store.put("keyed.op", "config", configuration(3, queue("p", "s1", 5*time.Second), queue("q", "s2", 5*time.Second)))
+	if !w.awaitReady(15 * time.Second) {
+		return w.failed("the entries weren't ready in 15 s")
+	}
+	time.Sleep(4 * time.Second) // all machines are in touch
+	ctx, stop := context.WithTimeout(context.Background(), 8*time.Second)
+	defer stop()
+	if trouble() {
+		go w.runners[0].foreignBeats(ctx, "s2")
+	}
+	for n := 0; ctx.Err() == nil; n++ {
+		name := []string{"p", "q"}[n%2]
+		j := &job{id: fmt.Sprintf("%016x", n+1), queue: name, spec: "print the label", tasks: 3, cpu: 6000, work: 300 * time.Millisecond}
+		w.rec.add(j)
+		w.post(context.Background(), w.entries[n%3], j, 1500*time.Millisecond)
+	}
+	return w
+}
+
+// foreignBeats sends heartbeats that lack slots and name another service, as another writer.
+func (r *runner) foreignBeats(ctx context.Context, service string) {
+	for n := 1; ctx.Err() == nil; n++ {
+		r.mu.Lock()
+		body, _ := json.Marshal(map[string]any{
+			"service": service, "addr": r.addr, "zone": "z", "version": "v1", "state": "ready", "cold-remaining-ms": 0,
+			"capacity": map[string]int{"cpu": r.kind.cpu, "mem-mb": r.kind.memMB, "gpu": 0}, "labels": r.kind.labels,
+			"server-time-ms": r.clock(), "sequence": r.sequence + int64(n), "born": r.bornMS,
+		})
+		r.mu.Unlock()
+		resp, err := http.Post("http://"+r.heartbeat+"/api/instances/"+r.id+"/heartbeat", "application/json", strings.NewReader(string(body)))
+		if err == nil {
+			resp.Body.Close()
+			r.rec.logf("TROUBLE heartbeat of another writer for %s, without slots: %s", r.name, resp.Status)
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+}
