--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -131,3 +131,42 @@
 		time.Sleep(500 * time.Millisecond)
 	}
 }
+
+// termCase: front-1 is told to stop while a request waits there for room at a runner.
+func termCase(binary, dir string) *world {
+	w := newWorld(binary, dir, 3, 2, sameKinds(kind{service: "s1", labels: []string{"a", "r1"}, cpu: 16000, memMB: 32768, guards: true}))
+	w.store.put("keyed.op", "config", configuration(3, queue("p", "s1", 20*time.Second), queue("q", "s1", 20*time.Second)))
+	if !w.awaitReady(15 * time.Second) {
+		return w.failed("the entries weren't ready in 15 s")
+	}
+	time.Sleep(4 * time.Second) // all machines are in touch
+	long := 7 * time.Second
+	full := &job{id: "00000000000000b1", queue: "p", spec: "cut the sheets", tasks: 8, cpu: 4000, work: long}
+	waits := &job{id: "00000000000000b2", queue: "q", spec: "print the label", tasks: 1, cpu: 4000, work: long}
+	w.rec.add(full)
+	w.rec.add(waits)
+	term := time.Now()
+	if trouble() {
+		w.rec.logf("TROUBLE %s gets SIGTERM", w.entries[0].name)
+		w.entries[0].term(time.Second)
+	}
+	time.Sleep(time.Second)
+	done := make(chan int, 1)
+	go func() { done <- w.post(context.Background(), w.entries[0], full, 15*time.Second) }()
+	time.Sleep(400 * time.Millisecond)
+	sent := time.Now()
+	status := w.post(context.Background(), w.entries[0], waits, 15*time.Second)
+	ended := time.Now()
+	w.rec.logf("the channel of %s ended %.3f s after the SIGTERM", waits.id, ended.Sub(term).Seconds())
+	<-done
+	if status == 0 && ended.Sub(sent) < 200*time.Millisecond {
+		return w.failed("the request wasn't taken")
+	}
+	w.rec.mu.Lock()
+	defer w.rec.mu.Unlock()
+	if status == 0 {
+		w.rec.breakf("LOST", "the channel of %s ended without an answer, %.3f s after the request was sent and %.3f s after the SIGTERM; starts of its task: %d",
+			waits.id, ended.Sub(sent).Seconds(), ended.Sub(term).Seconds(), len(w.rec.byTask[waits.id+".0.0.0"]))
+	}
+	return w
+}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -40,7 +40,11 @@
 	case "soak":
 		seed, _ := strconv.ParseUint(os.Args[3], 10, 64)
 		seconds, _ := strconv.Atoi(os.Args[4])
-		w = newWorld(binary, dir, 3, 6, func(i int) kind {
+		entries := 3
+		if len(os.Args) > 5 {
+			entries, _ = strconv.Atoi(os.Args[5])
+		}
+		w = newWorld(binary, dir, entries, 6, func(i int) kind {
 			k := kind{service: "s1", labels: []string{"a", "k1"}, cpu: 40000, memMB: 32768, guards: false}
 			if i%2 == 1 {
 				k.service, k.labels = "s2", []string{"b", "k2"}
@@ -57,6 +61,8 @@
 		soak2(w, seed, time.Duration(seconds)*time.Second)
 	case "foreign":
 		w = foreignCase(binary, dir)
+	case "term":
+		w = termCase(binary, dir)
 	case "many":
 		w = tryMany(binary, dir)
 	case "cancel":
