--- a/review/rig/runner.go
+++ b/review/rig/runner.go
@@ -70,6 +70,7 @@
 	drainedAt time.Time // when its drain was acknowledged
 	lateX     float64   // share of the orders that are left unanswered and carried out 2 to 12 s later
 	loseX     float64   // share of the answers that are lost
+	slowX     float64   // share of the calls that are carried out, or answered, up to 300 ms late
 	rng       *rand.Rand
 }
 
@@ -230,6 +231,16 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	slow := func() {
+		r.mu.Lock()
+		d := time.Duration(0)
+		if r.rng.Float64() < r.slowX {
+			d = time.Duration(r.rng.Float64() * r.rng.Float64() * float64(300*time.Millisecond))
+		}
+		r.mu.Unlock()
+		time.Sleep(d)
+	}
+	slow()
 	r.mu.Lock()
 	if r.boot != boot || !r.up {
 		r.mu.Unlock()
@@ -293,6 +304,7 @@
 		body["finished"] = append([][]any{}, r.finished[:min(500, len(r.finished))]...)
 	}
 	r.mu.Unlock()
+	slow()
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(body)
--- a/review/rig/soak.go
+++ b/review/rig/soak.go
@@ -54,7 +54,7 @@
 		p := procs[rng.IntN(len(procs))]
 		r := w.runners[rng.IntN(len(w.runners))]
 		d := time.Duration(200+rng.IntN(3300)) * time.Millisecond
-		switch rng.IntN(14) {
+		switch rng.IntN(16) {
 		case 0, 1:
 			w.rec.logf("TROUBLE kill %s", p.name)
 			p.kill(time.Duration(100+rng.IntN(1500)) * time.Millisecond)
@@ -102,6 +102,16 @@
 				r.loseX = 0
 				r.mu.Unlock()
 			})
+		case 13, 14, 15:
+			w.rec.logf("TROUBLE slow calls at %s", r.name)
+			r.mu.Lock()
+			r.slowX = 0.5
+			r.mu.Unlock()
+			time.AfterFunc(8*time.Second, func() {
+				r.mu.Lock()
+				r.slowX = 0
+				r.mu.Unlock()
+			})
 		case 9:
 			w.rec.logf("TROUBLE store down %s", d)
 			w.store.setDown(true)
