--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -170,3 +170,42 @@
 	}
 	return w
 }
+
+// againCase: a client cancels its job, and cancels it once more 7 s later; its request arrives once more 3.7 s after the second acknowledgement.
+func againCase(binary, dir string) *world {
+	w := newWorld(binary, dir, 3, 4, sameKinds(kind{service: "s1", labels: []string{"a", "r1"}, cpu: 16000, memMB: 32768, guards: true}))
+	w.store.put("keyed.op", "config", configuration(3, queue("p", "s1", 1500*time.Millisecond)))
+	if !w.awaitReady(15 * time.Second) {
+		return w.failed("the entries weren't ready in 15 s")
+	}
+	time.Sleep(4 * time.Second) // all machines are in touch
+	j := &job{id: "00000000000000c1", queue: "p", spec: "cut the sheet", tasks: 4, cpu: 4000, work: 900 * time.Millisecond}
+	w.rec.add(j)
+	done := make(chan int, 1)
+	go func() { done <- w.post(context.Background(), w.entries[0], j, 1500*time.Millisecond) }()
+	time.Sleep(300 * time.Millisecond)
+	if status := w.del(w.entries[0], j); status != 200 {
+		return w.failed("the cancel wasn't acknowledged")
+	}
+	<-done
+	time.Sleep(7 * time.Second)
+	if status := w.del(w.entries[1], j); status != 200 && status != 410 {
+		return w.failed("the second cancel wasn't acknowledged")
+	}
+	second := time.Now()
+	time.Sleep(3700 * time.Millisecond)
+	if trouble() {
+		w.rec.logf("TROUBLE the request arrives once more")
+		w.post(context.Background(), w.entries[2], j, 1500*time.Millisecond)
+	}
+	time.Sleep(time.Second)
+	w.rec.mu.Lock()
+	defer w.rec.mu.Unlock()
+	for _, u := range w.rec.runs {
+		if u.from.Sub(second) > cancelMS {
+			w.rec.breakf("UNASKED", "started %.3f s after the first and %.3f s after the second acknowledgement of its cancel: %s",
+				u.from.Sub(j.cancelAckedAt).Seconds(), u.from.Sub(second).Seconds(), u)
+		}
+	}
+	return w
+}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -63,6 +63,8 @@
 		w = foreignCase(binary, dir)
 	case "term":
 		w = termCase(binary, dir)
+	case "again":
+		w = againCase(binary, dir)
 	case "many":
 		w = tryMany(binary, dir)
 	case "cancel":
