--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -209,3 +209,68 @@
 	}
 	return w
 }
+
+// drainCase: a runner crashes and starts again under its id, and leaves calls unanswered for a while. Meanwhile it says that it drains, which is
+// acknowledged, and its first heartbeat, which was held up, arrives after that.
+func drainCase(binary, dir string) *world {
+	w := newWorld(binary, dir, 3, 2, sameKinds(kind{service: "s1", labels: []string{"a", "r1"}, cpu: 32000, memMB: 32768, guards: true}))
+	w.store.put("keyed.op", "config", configuration(3, queue("p", "s1", 1500*time.Millisecond)))
+	if !w.awaitReady(15 * time.Second) {
+		return w.failed("the entries weren't ready in 15 s")
+	}
+	time.Sleep(4 * time.Second) // all machines are in touch
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	for c := range 4 {
+		go func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				j := &job{id: fmt.Sprintf("%08x%08x", c+1, n), queue: "p", spec: "check the price", tasks: 2, cpu: 6000, work: 100 * time.Millisecond}
+				w.rec.add(j)
+				w.post(context.Background(), w.entries[(c+n)%3], j, 1500*time.Millisecond)
+			}
+		}()
+	}
+	r := w.runners[0]
+	r.mu.Lock()
+	r.manual, r.hang = true, trouble()
+	r.mu.Unlock()
+	w.rec.logf("TROUBLE %s crashes", r.name)
+	r.crash()
+	time.Sleep(time.Second)
+	r.start()
+	r.mu.Lock()
+	r.hang = trouble()
+	r.mu.Unlock()
+	first := r.newBeat()
+	w.rec.logf("TROUBLE %s is back, and leaves calls unanswered", r.name)
+	if !trouble() {
+		r.sendBeat(first)
+	}
+	time.Sleep(300 * time.Millisecond)
+	r.mu.Lock()
+	r.state = "draining"
+	r.mu.Unlock()
+	at := r.beat()
+	if at.IsZero() {
+		return w.failed("the draining wasn't acknowledged")
+	}
+	w.rec.logf("TROUBLE %s drains, acknowledged", r.name)
+	r.mu.Lock()
+	r.drainedAt = at
+	r.mu.Unlock()
+	time.Sleep(1500 * time.Millisecond)
+	r.beat()
+	time.Sleep(300 * time.Millisecond)
+	if trouble() {
+		w.rec.logf("TROUBLE the first heartbeat of %s arrives, acknowledged: %v", r.name, !r.sendBeat(first).IsZero())
+	}
+	time.Sleep(300 * time.Millisecond)
+	r.mu.Lock()
+	r.hang = false
+	r.mu.Unlock()
+	w.rec.logf("TROUBLE %s answers again", r.name)
+	time.Sleep(900 * time.Millisecond)
+	r.beat()
+	time.Sleep(1500 * time.Millisecond)
+	return w
+}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -65,6 +65,8 @@
 		w = termCase(binary, dir)
 	case "again":
 		w = againCase(binary, dir)
+	case "drain":
+		w = drainCase(binary, dir)
 	case "many":
 		w = tryMany(binary, dir)
 	case "cancel":
--- a/review/rig/runner.go
+++ b/review/rig/runner.go
@@ -3,12 +3,12 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 )
@@ -68,6 +68,8 @@
 	sequence  int64
 	state     string
 	drainedAt time.Time // when its drain was acknowledged
+	manual    bool      // it sends no heartbeats by itself
+	hang      bool      // it leaves all calls unanswered
 	lateX     float64   // share of the orders that are left unanswered and carried out 2 to 12 s later
 	loseX     float64   // share of the answers that are lost
 	slowX     float64   // share of the calls that are carried out, or answered, up to 300 ms late
@@ -117,7 +119,9 @@
 		},
 	}
 	go func() { _ = server.Serve(ln) }()
-	go r.beat()
+	if !r.manual {
+		go r.beat()
+	}
 }
 
 // crash ends the runner without a word; its channels are reset.
@@ -152,7 +156,12 @@
 func (r *runner) beats() {
 	for {
 		time.Sleep(1500 * time.Millisecond)
-		r.beat()
+		r.mu.Lock()
+		manual := r.manual
+		r.mu.Unlock()
+		if !manual {
+			r.beat()
+		}
 	}
 }
 
@@ -188,10 +197,18 @@
 
 // beat sends a heartbeat and returns when it was acknowledged, the zero time if it wasn't.
 func (r *runner) beat() time.Time {
+	if body := r.newBeat(); body != nil {
+		return r.sendBeat(body)
+	}
+	return time.Time{}
+}
+
+// newBeat returns the next heartbeat, nil if the runner is down.
+func (r *runner) newBeat() []byte {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	if !r.up {
-		r.mu.Unlock()
-		return time.Time{}
+		return nil
 	}
 	r.sequence++
 	body, _ := json.Marshal(map[string]any{
@@ -199,10 +216,13 @@
 		"capacity": map[string]int{"cpu": r.kind.cpu, "mem-mb": r.kind.memMB, "gpu": 0}, "labels": r.kind.labels,
 		"server-time-ms": r.clock(), "sequence": r.sequence, "born": r.bornMS,
 	})
-	id := r.id
-	r.mu.Unlock()
+	return body
+}
+
+// sendBeat sends a heartbeat and returns when it was acknowledged, the zero time if it wasn't.
+func (r *runner) sendBeat(body []byte) time.Time {
 	c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := c.Post("http://"+r.heartbeat+"/api/instances/"+id+"/heartbeat", "application/json", strings.NewReader(string(body)))
+	resp, err := c.Post("http://"+r.heartbeat+"/api/instances/"+r.id+"/heartbeat", "application/json", bytes.NewReader(body))
 	if err != nil {
 		return time.Time{}
 	}
@@ -251,6 +271,11 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if r.hang {
+		r.mu.Unlock()
+		<-q.Context().Done()
+		return
+	}
 	order := q.URL.Path == "/api/run-start" || q.URL.Path == "/api/run-stop"
 	if order && r.rng.Float64() < r.lateX {
 		delay := 2*time.Second + time.Duration(r.rng.Float64()*float64(10*time.Second))
