--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -41,6 +41,7 @@
 		seed, _ := strconv.ParseUint(os.Args[3], 10, 64)
 		seconds, _ := strconv.Atoi(os.Args[4])
 		entries := 3
+		calm = os.Getenv("CALM") != ""
 		if len(os.Args) > 5 {
 			entries, _ = strconv.Atoi(os.Args[5])
 		}
--- a/review/rig/record.go
+++ b/review/rig/record.go
@@ -125,5 +125,5 @@
 func (r *record) write(file string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	must(os.WriteFile(file, []byte(strings.Join(r.lines, "\n")+"\n"), 0o600))
+	must(os.WriteFile(file, []byte(strings.Join(r.lines, "\n")+"\n"), 0o644))
 }
--- a/review/rig/soak.go
+++ b/review/rig/soak.go
@@ -11,6 +11,9 @@
 	"time"
 )
 
+// calm has soak play one trouble at a time, with clients that leave without a sign, since the path to them is silent.
+var calm bool
+
 // soak plays a random installation with random troubles.
 func soak(w *world, seed uint64, length time.Duration) {
 	rng := rand.New(rand.NewPCG(seed, 5))
@@ -49,12 +52,16 @@
 	}
 	end := time.Now().Add(length)
 	for time.Now().Before(end) {
-		time.Sleep(time.Duration(100+rng.IntN(1400)) * time.Millisecond)
+		pause := 100 + rng.IntN(1400)
+		if calm {
+			pause += 2500
+		}
+		time.Sleep(time.Duration(pause) * time.Millisecond)
 		procs := append(append([]*process{}, w.entries...), w.agents...)
 		p := procs[rng.IntN(len(procs))]
 		r := w.runners[rng.IntN(len(w.runners))]
 		d := time.Duration(200+rng.IntN(3300)) * time.Millisecond
-		switch rng.IntN(16) {
+		switch rng.IntN(18) {
 		case 0, 1:
 			w.rec.logf("TROUBLE kill %s", p.name)
 			p.kill(time.Duration(100+rng.IntN(1500)) * time.Millisecond)
@@ -102,6 +109,16 @@
 				r.loseX = 0
 				r.mu.Unlock()
 			})
+		case 16, 17:
+			w.rec.logf("TROUBLE %s leaves calls unanswered %s", r.name, d)
+			r.mu.Lock()
+			r.hang = true
+			r.mu.Unlock()
+			time.AfterFunc(d, func() {
+				r.mu.Lock()
+				r.hang = false
+				r.mu.Unlock()
+			})
 		case 13, 14, 15:
 			w.rec.logf("TROUBLE slow calls at %s", r.name)
 			r.mu.Lock()
@@ -179,6 +196,9 @@
 		case 1:
 			j.work, j.tasks = time.Duration(500+rng.IntN(2500))*time.Millisecond, 1
 		}
+		if calm {
+			j.work, j.tasks = time.Duration(500+rng.IntN(900))*time.Millisecond, 1+rng.IntN(3)
+		}
 		if rng.IntN(3) == 0 {
 			j.antiAffinity, j.tasks = 1+rng.IntN(2), 1+rng.IntN(5)
 		}
@@ -190,7 +210,7 @@
 		}
 		w.rec.add(j)
 		deadline := 1500 * time.Millisecond
-		if rng.IntN(2) == 0 {
+		if !calm && rng.IntN(2) == 0 {
 			deadline = time.Duration(2000+rng.IntN(8000)) * time.Millisecond
 		}
 		attempt, leave := context.WithCancel(ctx)
@@ -207,7 +227,15 @@
 			}()
 		}
 		for tries := 0; tries < 6; tries++ {
-			status := w.post(attempt, w.entries[rng.IntN(len(w.entries))], j, deadline)
+			p, status := w.entries[rng.IntN(len(w.entries))], 0
+			if calm && rng.IntN(2) == 0 {
+				patience := time.Duration(rng.IntN(600)) * time.Millisecond
+				go w.post(context.Background(), p, j, deadline)
+				time.Sleep(patience)
+				w.rec.logf("the client of %s leaves %s unseen", j.id, p.name)
+			} else {
+				status = w.post(attempt, p, j, deadline)
+			}
 			leave()
 			attempt = context.Background()
 			w.rec.mu.Lock()
