Rank targets by an ordered list of terms

Cause: evacuation, demand, uneven targets and tasks that slow each other down all add a criterion to the choice of a target, which was one function of fixed comparisons. Change: a ranking is a list of named terms, each with the ratio up to which values count as equal; the two orders that exist are two lists. No decision changes.

--- a/core/sched/choose.go
+++ b/core/sched/choose.go
@@ -17,25 +17,12 @@
 	safeWaitFraction = 0.4
 	// maxLateLoad is the load up to which jobs are started that will miss their objective.
 	maxLateLoad = 0.8
-	// similarPaceRatio is the ratio of paces up to which targets count as equally fast: a measured pace is off by about 10 %.
-	similarPaceRatio = 1.3
-	// sampleSize is the number of random targets of which the best is taken. If every entry took the best of all targets, they
-	// would all choose the same one, which would refuse most of the attempts.
-	sampleSize = 3
 	// probeFailures is the number of consecutive failures from which on a target gets only one attempt at a time.
 	probeFailures = 3
 	// probePause is the time from a failure on such a target to its next attempt.
 	probePause = 500 * time.Millisecond
 )
 
-// candidate is a target with free capacity for a task, and the expected run time there.
-type candidate struct {
-	target       *target
-	run          time.Duration
-	freeFraction float64 // of its cores
-	lastSlot     bool    // no second task would fit
-}
-
 // choose returns the target for a task, nil if the task has to wait. An answer long before the objective has no advantage, so the
 // task gets a slow target that meets its objective and safeMargin, and the fast ones stay free for long tasks. If the task waits,
 // targets that are fast enough for it are reserved, so that the jobs behind it don't take them.
@@ -68,12 +55,12 @@
 	}
 	switch {
 	case len(s.safe) > 0:
-		return s.pick(s.safe, slower)
+		return s.pick(s.safe, economical)
 	case safeSomewhere && s.mayWaitForSafe(now, j):
 		s.reservePace(j, safe)
 		return nil
 	case len(s.tight) > 0:
-		return s.pick(s.tight, faster)
+		return s.pick(s.tight, urgent)
 	case tightSomewhere:
 		s.reservePace(j, tight)
 		return nil
@@ -101,42 +88,6 @@
 	}
 }
 
-// pick returns the best of a random sample of list: targets with room for more than one task come first, then those that better
-// prefers if their speeds differ, then those with a larger free fraction. It reorders list.
-func (s *Sched) pick(list []candidate, better func(a, b *candidate) bool) *target {
-	best := s.sample(list, 0)
-	for i := 1; i < min(sampleSize, len(list)); i++ {
-		c := s.sample(list, i)
-		if c.betterThan(best, better) {
-			best = c
-		}
-	}
-	return best.target
-}
-
-// sample swaps a random candidate of list[i:] to position i and returns it.
-func (s *Sched) sample(list []candidate, i int) *candidate {
-	k := i + s.rng.IntN(len(list)-i)
-	list[i], list[k] = list[k], list[i]
-	return &list[i]
-}
-
-func (c *candidate) betterThan(other *candidate, better func(a, b *candidate) bool) bool {
-	switch {
-	case c.lastSlot != other.lastSlot:
-		return other.lastSlot
-	case better(c, other):
-		return true
-	case better(other, c):
-		return false
-	}
-	return c.freeFraction > other.freeFraction
-}
-
-func slower(a, b *candidate) bool { return float64(a.run) > similarPaceRatio*float64(b.run) }
-
-func faster(a, b *candidate) bool { return slower(b, a) }
-
 // chooseLate returns a fast target that would end a task before the deadline but after the objective; an unstarted job gets one
 // only while the load is at most maxLateLoad.
 func (s *Sched) chooseLate(now time.Time, j *job) *target {
@@ -147,7 +98,7 @@
 	if len(s.rest) == 0 {
 		return nil
 	}
-	return s.pick(s.rest, faster)
+	return s.pick(s.rest, urgent)
 }
 
 // serves reports whether a target currently accepts tasks of the job, regardless of its free capacity.
--- /dev/null
+++ b/core/sched/rank_test.go
@@ -0,0 +1,32 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestATermDecidesOnlyBetweenTargetsThatEarlierTermsRateAsEqual guards the order in which the criteria of a placement count.
+func TestATermDecidesOnlyBetweenTargetsThatEarlierTermsRateAsEqual(t *testing.T) {
+	ms := time.Millisecond
+	base := candidate{run: 100 * ms, freeFraction: 0.5}
+	cases := []struct {
+		name    string
+		ranking ranking
+		a       candidate
+		better  bool
+		term    string
+	}{
+		{"room for more than one task goes first", economical, candidate{run: 200 * ms, freeFraction: 0.9, lastSlot: true}, false, "room"},
+		{"a slow target is taken if it is in time", economical, candidate{run: 200 * ms, freeFraction: 0.1}, true, "slow"},
+		{"a fast target is taken if time is short", urgent, candidate{run: 70 * ms, freeFraction: 0.1}, true, "fast"},
+		{"similar paces leave the choice to the free room", urgent, candidate{run: 110 * ms, freeFraction: 0.6}, true, "free"},
+		{"equal targets", urgent, base, false, ""},
+	}
+	for _, c := range cases {
+		better, name := c.ranking.prefers(&c.a, &base)
+		require.Equal(t, c.better, better, c.name)
+		require.Equal(t, c.term, name, c.name)
+	}
+}
