Spare targets that fail a part of what they run

Change: the agent, which sees all runs, reports the recent fraction of failures in eighths; it is the first term of the rankings, and a task whose next failure would fail its job waits for a target that fails nothing, if there is one.

--- a/core/runs/runs.go
+++ b/core/runs/runs.go
@@ -116,6 +116,7 @@
 	lastExtended time.Time // when the last call that extends the lease was sent
 	ack          int64
 	pace         pace
+	failing      failing
 	meanNeed     float64 // mean millicores that an order needs
 }
 
--- a/core/runs/state.go
+++ b/core/runs/state.go
@@ -11,6 +11,7 @@
 	UsedMemoryMB   uint64
 	Usable         bool
 	Pace           float64
+	Failing        int // recent fraction of failed runs, in eighths
 	Labels         []string
 	Slots          int    // how many more tasks of mean size fit, with waiting orders counted as running
 	Scarce         bool   // so few slots are free that each start and end has to be reported to entries
@@ -20,7 +21,7 @@
 
 // State returns the target's state for an owner.
 func (r *Runs) State(now time.Time, name string) State {
-	s := State{Usable: r.usable(now), Pace: r.pace.value()}
+	s := State{Usable: r.usable(now), Pace: r.pace.value(), Failing: r.failing.eighths()}
 	if r.instance == nil {
 		return s
 	}
--- a/core/runs/target.go
+++ b/core/runs/target.go
@@ -91,7 +91,7 @@
 func (r *Runs) reset(now time.Time, how string, next *Listing) {
 	r.clean, r.ack, r.lastAnswer, r.listedClock = false, 0, time.Time{}, 0
 	r.brokenAt, r.leftAt, r.refused = time.Time{}, time.Time{}, false
-	r.pace = pace{}
+	r.pace, r.failing = pace{}, failing{}
 	clear(r.unknownStops)
 	r.dropWaiting(now)
 	for _, u := range r.sorted() {
--- a/core/sched/choose.go
+++ b/core/sched/choose.go
@@ -123,6 +123,9 @@
 	if to.state.Held || to.state.Pace <= s.reservedPace && to.isolatedFor == "" || t.avoid == to && len(s.targets) > 1 {
 		return false
 	}
+	if to.state.Failing > 0 && s.isLastAttempt(j, t) && s.hasSound(j) {
+		return false
+	}
 	if to.failures >= probeFailures && (len(to.attempts) > 0 || now.Before(to.pausedUntil)) {
 		return false
 	}
@@ -133,6 +136,16 @@
 	return cpu+j.batch.Millicores <= to.state.Millicores && mem+j.batch.MemoryMB <= to.state.MemoryMB
 }
 
+// isLastAttempt reports whether one more failure of a task fails its job.
+func (s *Sched) isLastAttempt(j *job, t *task) bool {
+	return t.failures > 0 && t.failures+1 >= j.batch.Route.MaxAttempts
+}
+
+// hasSound reports whether a target that fails nothing serves the job, full or not.
+func (s *Sched) hasSound(j *job) bool {
+	return slices.ContainsFunc(s.targets, func(to *target) bool { return to.state.Failing == 0 && s.serves(j, to) })
+}
+
 // tasksAt returns the number of the job's tasks with an attempt on a target.
 func (j *job) tasksAt(to *target) int {
 	n := 0
--- a/core/sched/rank.go
+++ b/core/sched/rank.go
@@ -32,6 +32,8 @@
 
 // Terms of the rankings.
 var (
+	// soundTerm spares targets that fail a part of what they run, while others have room.
+	soundTerm = term{"sound", func(c *candidate) float64 { return c.target.state.Failing }, 1}
 	// roomTerm spares targets with room for a single task, which another entry may take first.
 	roomTerm = term{"room", func(c *candidate) float64 {
 		if c.lastSlot {
@@ -46,9 +48,9 @@
 
 var (
 	// economical ranks targets that end a task well before its deadline: fast ones stay free for long tasks.
-	economical = ranking{roomTerm, slowTerm, freeTerm}
+	economical = ranking{soundTerm, roomTerm, slowTerm, freeTerm}
 	// urgent ranks targets that end a task shortly before its deadline.
-	urgent = ranking{roomTerm, fastTerm, freeTerm}
+	urgent = ranking{soundTerm, roomTerm, fastTerm, freeTerm}
 )
 
 // prefers reports whether a is preferred to b, and the name of the term that decides.
--- a/core/sched/rank_test.go
+++ b/core/sched/rank_test.go
@@ -10,7 +10,7 @@
 // TestATermDecidesOnlyBetweenTargetsThatEarlierTermsRateAsEqual guards the order in which the criteria of a placement count.
 func TestATermDecidesOnlyBetweenTargetsThatEarlierTermsRateAsEqual(t *testing.T) {
 	ms := time.Millisecond
-	base := candidate{run: 100 * ms, freeFraction: 0.5}
+	base := candidate{target: &target{}, run: 100 * ms, freeFraction: 0.5}
 	cases := []struct {
 		name    string
 		ranking ranking
@@ -18,10 +18,11 @@
 		better  bool
 		term    string
 	}{
-		{"room for more than one task goes first", economical, candidate{run: 200 * ms, freeFraction: 0.9, lastSlot: true}, false, "room"},
-		{"a slow target is taken if it is in time", economical, candidate{run: 200 * ms, freeFraction: 0.1}, true, "slow"},
-		{"a fast target is taken if time is short", urgent, candidate{run: 70 * ms, freeFraction: 0.1}, true, "fast"},
-		{"similar paces leave the choice to the free room", urgent, candidate{run: 110 * ms, freeFraction: 0.6}, true, "free"},
+		{"room for more than one task goes first", economical, candidate{target: &target{}, run: 200 * ms, freeFraction: 0.9, lastSlot: true}, false, "room"},
+		{"a slow target is taken if it is in time", economical, candidate{target: &target{}, run: 200 * ms, freeFraction: 0.1}, true, "slow"},
+		{"a fast target is taken if time is short", urgent, candidate{target: &target{}, run: 70 * ms, freeFraction: 0.1}, true, "fast"},
+		{"similar paces leave the choice to the free room", urgent, candidate{target: &target{}, run: 110 * ms, freeFraction: 0.6}, true, "free"},
+		{"a target that fails a part of what it runs goes last", urgent, candidate{target: &target{state: TargetState{Failing: 0.125}}, run: 50 * ms, freeFraction: 0.9}, false, "sound"},
 		{"equal targets", urgent, base, false, ""},
 	}
 	for _, c := range cases {
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -16,6 +16,7 @@
 	UsedMemoryMB   uint64
 	Usable         bool
 	Held           bool    // its free capacity is offered to other entries first
+	Failing        float64 // recent fraction of the runs that failed there
 	Pace           float64 // run times relative to the expected ones
 	Labels         []string
 	Process        uint64 // identifies the target's process
--- a/io/schedd/links.go
+++ b/io/schedd/links.go
@@ -211,7 +211,7 @@
 
 // targetState converts a reported state; the fields that a brief state omits are taken from the last full one.
 func (l *link) targetState(s *wire.TargetState) sched.TargetState {
-	const permille = 1000
+	const permille, eighths = 1000, 8
 	if !s.Brief {
 		l.lastFullState = s
 	}
@@ -221,5 +221,6 @@
 		Millicores: min(full.GetMillicores(), maxCapacity), MemoryMB: min(full.GetMemoryMb(), maxCapacity),
 		UsedMillicores: min(s.UsedMillicores, maxCapacity), UsedMemoryMB: min(s.UsedMemoryMb, maxCapacity),
 		Usable: s.Usable, Held: s.Held, Pace: float64(max(1, s.PacePermille)) / permille, Seen: s.Seen,
+		Failing: float64(min(s.FailingEighths, eighths)) / eighths,
 	}
 }
