Look for a target with room before going through the waiting jobs

Change: the targets with room for the smallest waiting task are found first; without any, nothing else is done.

--- a/core/sched/choose.go
+++ b/core/sched/choose.go
@@ -29,17 +29,11 @@
 func (s *Sched) choose(now time.Time, j *job, t *task) *target {
 	safe, tight := j.maxPaces(now)
 	s.safe, s.tight, s.rest = s.safe[:0], s.tight[:0], s.rest[:0]
-	safeSomewhere, tightSomewhere := false, false
-	for _, to := range s.targets {
-		if !s.serves(j, to) {
+	for _, to := range s.open {
+		if !s.serves(j, to) || !s.hasRoom(now, j, t, to) {
 			continue
 		}
 		pace := to.state.Pace
-		safeSomewhere = safeSomewhere || pace <= safe
-		tightSomewhere = tightSomewhere || pace <= tight
-		if !s.hasRoom(now, j, t, to) {
-			continue
-		}
 		c := candidate{
 			target: to, run: time.Duration(float64(j.expected) * pace), freeFraction: to.freeFraction(),
 			lastSlot: to.freeMillicores() < 2*j.batch.Millicores,
@@ -56,18 +50,23 @@
 	switch {
 	case len(s.safe) > 0:
 		return s.pick(s.safe, economical)
-	case safeSomewhere && s.mayWaitForSafe(now, j):
+	case s.mayWaitForSafe(now, j) && s.servesAt(j, safe):
 		s.reservePace(j, safe)
 		return nil
 	case len(s.tight) > 0:
 		return s.pick(s.tight, urgent)
-	case tightSomewhere:
+	case s.servesAt(j, tight):
 		s.reservePace(j, tight)
 		return nil
 	}
 	return s.chooseLate(now, j)
 }
 
+// servesAt reports whether a target of at most the given pace, full or not, serves the job.
+func (s *Sched) servesAt(j *job, pace float64) bool {
+	return slices.ContainsFunc(s.targets, func(to *target) bool { return to.state.Pace <= pace && s.serves(j, to) })
+}
+
 // maxPaces returns the highest paces at which a target meets the objective and satisfies safeMargin or tightMargin.
 func (j *job) maxPaces(now time.Time) (safe, tight float64) {
 	objective := float64(j.objective.Sub(now)) / (objectiveMargin * float64(j.expected))
--- a/core/sched/order.go
+++ b/core/sched/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -138,19 +139,43 @@
 	}
 	s.reservedPace = 0
 	s.moveRisky(now)
+	s.queue = slices.DeleteFunc(s.queue, func(j *job) bool { return j.ended || j.waiting == 0 })
 	if len(s.queue) == 0 {
 		return
 	}
 	s.shares.update(now)
 	s.markLate(now)
-	slices.SortStableFunc(s.queue, compareUrgency)
 	s.load = s.utilisation()
+	if s.findOpen(now); len(s.open) == 0 {
+		return
+	}
+	slices.SortStableFunc(s.queue, compareUrgency)
 	for _, j := range s.queue {
 		s.placeJob(now, j)
 	}
 	s.queue = slices.DeleteFunc(s.queue, func(j *job) bool { return j.ended || j.waiting == 0 })
 }
 
+// findOpen finds the targets with room for the smallest waiting task. In an overload most states that come are of full targets, thousands a
+// second, and going through all waiting jobs for each would take more processor time than an entry has.
+func (s *Sched) findOpen(now time.Time) {
+	s.open = s.open[:0]
+	least, waiting := uint64(math.MaxUint64), false
+	for _, j := range s.queue {
+		if !j.ended && j.waiting > 0 && !now.Before(j.ready) {
+			least, waiting = min(least, j.batch.Millicores), true
+		}
+	}
+	if !waiting {
+		return
+	}
+	for _, t := range s.targets {
+		if used, _ := t.used(); t.available() && !t.state.Held && t.state.Millicores >= used && t.state.Millicores-used >= least {
+			s.open = append(s.open, t)
+		}
+	}
+}
+
 func (s *Sched) placeJob(now time.Time, j *job) {
 	if j.ended || now.Before(j.ready) {
 		return
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -77,6 +77,7 @@
 	confined     map[string]bool   // the routes that are confined to isolated targets
 	services     map[string]string // by route
 	reservedPace float64           // targets up to this pace are reserved for a waiting job
+	open         []*target         // those that may have room for a waiting task, for choose
 	safe         []candidate       // reused by choose
 	tight        []candidate
 	rest         []candidate
