Refuse at once and move callers while an entry has too little processor time

Cause: one small entry (0.192 cores) alone serves a data centre. Change: core/strain judges the least queueing delay of each 100 ms (from a request's arrival at the host to its turn). Above 30 ms jobs that aren't known here are refused at once; after 300 ms the entry isn't ready, and 2.2 s later, when the balancer has noticed, it closes one in four connections after their answers for 0.6 s. Weighed: forwarding to another entry (costs the overloaded process a parse and two messages a job); closing at once (the balancer sends the callers back until it has noticed).

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -19,6 +19,8 @@
 	MaxPerTarget int           // most tasks of the job that may run on one target at a time; 0 is unlimited
 	Payload      []byte        // the same for all tasks
 	Deadline     time.Time
+	// Arrived is when the request had arrived at the host; zero if unknown.
+	Arrived time.Time
 	// ResubmitAt is when another entry may be handed the job if its caller left, unseen, as soon as the request arrived; zero if unknown.
 	ResubmitAt time.Time
 	// ArrivalKnown is set if ResubmitAt counts from the arrival of the request at the host, else it counts from its reading.
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -297,6 +297,12 @@
 // Running reports whether a job exists and hasn't ended.
 func (s *Sched) Running(id string) bool { return s.jobs[id] != nil }
 
+// Knows reports whether a job was handed in before and hasn't ended, or has an outcome that is kept.
+func (s *Sched) Knows(id string) bool {
+	_, ended := s.endedJobs[id]
+	return ended || s.Running(id)
+}
+
 // Waiting returns the number of jobs of a route of which no task was started yet.
 func (s *Sched) Waiting(route string) int {
 	n := 0
--- /dev/null
+++ b/core/strain/strain.go
@@ -0,0 +1,79 @@
+package strain
+
+import "time"
+
+const (
+	// highDelay is the queueing delay above which an entry is overloaded: half of the fixed part of a usual response-time objective.
+	highDelay = 30 * time.Millisecond
+	// lowDelay is the delay below which an overload has ended.
+	lowDelay = 10 * time.Millisecond
+	// window is the time over which the least delay counts: a queue that is empty once within it is a burst, not an overload.
+	window = 100 * time.Millisecond
+	// reliefAfter is the number of consecutive windows of overload before callers are moved.
+	reliefAfter = 3
+	// noticeTime is how long an entry isn't ready until the balancer has noticed; connections that are closed before come back.
+	noticeTime = 2200 * time.Millisecond
+	// moveTime is how long connections are then closed, and restTime the least time until callers are moved again.
+	moveTime = 600 * time.Millisecond
+	restTime = 12 * time.Second
+	// closeEvery is the number of answers of which one closes its connection while callers are moved.
+	closeEvery = 4
+)
+
+// Strain judges the queueing delay of an entry's process; the zero value is an idle entry.
+type Strain struct {
+	windowEnd  time.Time
+	least      time.Duration // in the present window
+	sampled    bool          // the present window has a sample
+	overloaded bool
+	streak     int       // consecutive windows of overload
+	reliefFrom time.Time // since when the entry hasn't been ready, or was last
+	answers    int
+}
+
+// Observe records the time that an event waited in the process before it was handled at now.
+func (s *Strain) Observe(now time.Time, delay time.Duration) {
+	if now.After(s.windowEnd) {
+		s.closeWindow(now)
+	}
+	if !s.sampled || delay < s.least {
+		s.least, s.sampled = delay, true
+	}
+}
+
+// closeWindow judges the window that has ended. One without a sample says nothing.
+func (s *Strain) closeWindow(now time.Time) {
+	if s.sampled {
+		switch {
+		case s.least > highDelay:
+			s.overloaded = true
+		case s.least < lowDelay:
+			s.overloaded = false
+		}
+		s.streak++
+		if !s.overloaded {
+			s.streak = 0
+		}
+	}
+	if s.streak >= reliefAfter && (s.reliefFrom.IsZero() || now.Sub(s.reliefFrom) > noticeTime+moveTime+restTime) {
+		s.reliefFrom = now
+	}
+	s.windowEnd, s.sampled = now.Add(window), false
+}
+
+// Overloaded reports whether a new job should be refused at once.
+func (s *Strain) Overloaded() bool { return s.overloaded }
+
+// Relieving reports whether the balancer should use other entries for new connections.
+func (s *Strain) Relieving(now time.Time) bool {
+	return !s.reliefFrom.IsZero() && now.Sub(s.reliefFrom) < noticeTime+moveTime
+}
+
+// Moves reports whether the connection of the answer that is being sent should be closed, so that its caller connects to another entry.
+func (s *Strain) Moves(now time.Time) bool {
+	if !s.Relieving(now) || now.Sub(s.reliefFrom) < noticeTime {
+		return false
+	}
+	s.answers++
+	return s.answers%closeEvery == 0
+}
--- a/io/schedd/daemon.go
+++ b/io/schedd/daemon.go
@@ -67,6 +67,7 @@
 	unconfirmed bool // the document has to be read by agents
 	packer      pack.Packer
 	cancelled   gossip.Gossip[string] // jobs that callers have cancelled lately
+	delays      delays                // of this process
 	claims      claims.Claims         // on jobs that entries still work on when another may be handed them
 	holder      uint64                // of this process's claims
 	claimSerial uint64
@@ -130,6 +131,7 @@
 func (d *Daemon) tick(time.Time) {
 	now := uptime.Now()
 	d.sched.Tick(now)
+	d.probe(now)
 	d.claims.Expire(now)
 	d.requestDocument(now)
 	for _, l := range d.links {
--- a/io/schedd/metrics.go
+++ b/io/schedd/metrics.go
@@ -20,7 +20,10 @@
 	response     *prometheus.HistogramVec
 	// documentRequests counts requests to agents to read the operators' document, and documentAnswers those that were answered.
 	documentRequests prometheus.Counter
-	documentAnswers  prometheus.Counter
+	// strained counts jobs refused as this process was late, and callersMoved connections closed for it.
+	strained        prometheus.Counter
+	callersMoved    prometheus.Counter
+	documentAnswers prometheus.Counter
 }
 
 const (
@@ -57,6 +60,12 @@
 		claimed: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "persimmonstage_claimed_jobs_total", Help: "Jobs submitted while another entry claims them.",
 		}),
+		strained: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "persimmonstage_strained_refusals_total", Help: "Jobs refused as this process has too little processor time.",
+		}),
+		callersMoved: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "persimmonstage_callers_moved_total", Help: "Connections closed so that their callers use another entry.",
+		}),
 		confinements: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "persimmonstage_route_confinements_total", Help: "Routes confined to isolated targets because they crash targets, or released.",
 		}),
@@ -73,7 +82,7 @@
 			Name: "persimmonstage_configuration_answers_total", Help: "Answers of agents that confirm a configuration as the newest.",
 		}),
 	}
-	reg.MustRegister(m.jobs, m.ends, m.starts, m.stops, m.moves, m.outlasted, m.claims, m.claimed, m.confinements, m.waited, m.response,
+	reg.MustRegister(m.jobs, m.ends, m.starts, m.stops, m.moves, m.outlasted, m.claims, m.claimed, m.confinements, m.strained, m.callersMoved, m.waited, m.response,
 		m.documentRequests, m.documentAnswers)
 	return m
 }
--- a/io/schedd/submit.go
+++ b/io/schedd/submit.go
@@ -15,10 +15,13 @@
 func (d *Daemon) Submit(ctx context.Context, b *batch.Batch) jobend.Outcome {
 	got := make(chan jobend.Outcome, 1)
 	began := uptime.Now()
+	came := began
+	if !b.Arrived.IsZero() {
+		came = b.Arrived
+	}
 	caller := uint64(0) // used only on the loop
 	if !d.loop.Post(func(time.Time) {
-		b.ClaimedUntil = d.claims.Until(b.ID)
-		caller = d.sched.Submit(uptime.Now(), b, func(f jobend.Outcome) { got <- f })
+		caller = d.submit(uptime.Now(), came, b, func(f jobend.Outcome) { got <- f })
 	}) {
 		return jobend.Outcome{Kind: jobend.Refused, Reason: "stopping", RetryAfter: time.Second}
 	}
