Evacuate a data centre at the operators' request

Cause: no line read the operators' evacuations, so work went on being started there. Change: entries read the records evacuate/ZONE with the configuration; a mark of data centre, offset and state, of which the highest offset wins, passes between entries and agents in hellos, heartbeats and their answers (core/evac). Entries leave the targets out, agents refuse orders, also those that wait for room; what runs may end. Callers are refused at once, as evacuated, when no target outside is left. A full list that lacks a key takes that evacuation back.

--- a/core/runs/runs.go
+++ b/core/runs/runs.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"persimmonstage/core/evac"
 )
 
 const (
@@ -117,6 +119,9 @@
 	ack          int64
 	pace         pace
 	meanNeed     float64 // mean millicores that an order needs
+	// Which data centres are evacuated, and the agent's own one.
+	evacuations   *evac.Table
+	ownDataCentre string
 }
 
 // New returns an empty table whose decisions are executed by out.
--- a/core/runs/state.go
+++ b/core/runs/state.go
@@ -5,6 +5,7 @@
 // State is the target's state as reported to an entry; it is plain data.
 type State struct {
 	Service        string
+	DataCentre     string
 	Millicores     uint64
 	MemoryMB       uint64
 	UsedMillicores uint64
@@ -20,7 +21,7 @@
 
 // State returns the target's state for an owner.
 func (r *Runs) State(now time.Time, name string) State {
-	s := State{Usable: r.usable(now), Pace: r.pace.value()}
+	s := State{Usable: r.usable(now), Pace: r.pace.value(), DataCentre: r.dataCentre()}
 	if r.instance == nil {
 		return s
 	}
--- a/core/runs/target.go
+++ b/core/runs/target.go
@@ -184,7 +184,8 @@
 
 // usable reports whether runs may be started at the target.
 func (r *Runs) usable(now time.Time) bool {
-	return r.instance != nil && r.clean && !r.leaving && !r.refused && r.leftAt.IsZero() && !r.instance.Draining && !r.Silent(now) && r.mayExtend(now)
+	return r.instance != nil && r.clean && !r.leaving && !r.refused && r.leftAt.IsZero() && !r.instance.Draining && !r.evacuated() &&
+		!r.Silent(now) && r.mayExtend(now)
 }
 
 // scarceSlots is the number of free slots below which the target's room is scarce.
--- a/core/sched/choose.go
+++ b/core/sched/choose.go
@@ -106,8 +106,8 @@
 	return to.available() && s.admits(j, to) && s.fits(j, to)
 }
 
-// available reports whether a target is connected and usable.
-func (t *target) available() bool { return t.connected && t.state.Usable }
+// available reports whether a target is connected and usable, and its data centre isn't evacuated.
+func (t *target) available() bool { return t.connected && t.state.Usable && !t.evacuated }
 
 // fits reports whether a target has the service, total capacity and label that a job's tasks need.
 func (s *Sched) fits(j *job, to *target) bool {
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -9,6 +9,7 @@
 
 	"persimmonstage/core/batch"
 	"persimmonstage/core/blame"
+	"persimmonstage/core/evac"
 	"persimmonstage/core/jobend"
 	"persimmonstage/core/times"
 )
@@ -48,6 +49,7 @@
 	Unclaimed  = "unclaimed"       // another entry may have been handed the job, as it could not be claimed in time
 	Claimed    = "claimed"         // another entry may have runs of the job for too long
 	Confined   = "confined"        // the route crashes targets, and those that it is confined to are down
+	Evacuated  = "evacuated"       // the data centres of all targets that could run the job are evacuated
 )
 
 // Sched schedules an entry's repeatable jobs on the targets that are connected to the entry; create it with New.
@@ -76,8 +78,9 @@
 	blame        *blame.Blame
 	confined     map[string]bool   // the routes that are confined to isolated targets
 	services     map[string]string // by route
-	reservedPace float64           // targets up to this pace are reserved for a waiting job
-	safe         []candidate       // reused by choose
+	evacuations  *evac.Table
+	reservedPace float64     // targets up to this pace are reserved for a waiting job
+	safe         []candidate // reused by choose
 	tight        []candidate
 	rest         []candidate
 	paces        []float64          // reused by medianPace
@@ -228,6 +231,9 @@
 func (s *Sched) refusalReasonNow(now time.Time, j *job) string {
 	switch s.checkTargets(now, j) {
 	case targetsNone:
+		if s.onlyEvacuated(j) {
+			return Evacuated
+		}
 		if s.confined[j.batch.Route.Name] {
 			return Confined
 		}
@@ -386,6 +392,8 @@
 	case len(s.targets) == 0 && j.waiting == j.left:
 		// Nothing of the job runs any more, and its caller can send it to another entry.
 		s.endJob(now, j, jobend.Outcome{Kind: jobend.Unfinished, Reason: NoTarget})
+	case j.waiting > 0 && s.onlyEvacuated(j):
+		s.endJob(now, j, jobend.Outcome{Kind: jobend.Unfinished, Reason: Evacuated})
 	case s.isBlocked(now, j):
 		s.endJob(now, j, jobend.Outcome{Kind: jobend.Unfinished, Reason: Confined})
 	case j.waiting > 0 && s.outOfTime(now, j):
@@ -398,6 +406,8 @@
 func (s *Sched) expireUnstarted(now time.Time, j *job) {
 	targets := s.checkTargets(now, j)
 	switch {
+	case targets == targetsNone && s.onlyEvacuated(j):
+		s.refuse(now, j, Evacuated)
 	case targets == targetsNone && s.confined[j.batch.Route.Name]:
 		s.refuse(now, j, Confined)
 	case targets == targetsNone && now.Add(j.expected).Before(j.objective):
@@ -421,7 +431,7 @@
 	least := minRunFraction * float64(j.expected)
 	known := false
 	for _, t := range s.targets {
-		if !t.connected || !s.fits(j, t) {
+		if !t.connected || t.evacuated || !s.fits(j, t) {
 			continue
 		}
 		known = true
--- a/core/sched/snapshot.go
+++ b/core/sched/snapshot.go
@@ -29,6 +29,7 @@
 	Service     string  `json:"service"`
 	Connected   bool    `json:"connected"`
 	Usable      bool    `json:"usable"`
+	Evacuated   bool    `json:"evacuated"`
 	Pace        float64 `json:"pace"`
 	Millicores  uint64  `json:"millicores"`
 	Used        uint64  `json:"used-millicores"`
@@ -51,8 +52,8 @@
 	for _, t := range s.targets {
 		used, _ := t.used()
 		out.Targets = append(out.Targets, targetState{
-			Agent: t.name, Incarnation: t.incarnation, DataCentre: t.dataCentre, Service: t.state.Service, Connected: t.connected,
-			Usable: t.state.Usable, Pace: t.state.Pace, Millicores: t.state.Millicores, Used: used, Attempts: len(t.attempts),
+			Agent: t.name, Incarnation: t.incarnation, DataCentre: t.location(), Service: t.state.Service, Connected: t.connected,
+			Usable: t.state.Usable, Evacuated: t.evacuated, Pace: t.state.Pace, Millicores: t.state.Millicores, Used: used, Attempts: len(t.attempts),
 			Failures: t.failures,
 		})
 	}
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -10,6 +10,7 @@
 // TargetState is the state of a target as reported by its agent.
 type TargetState struct {
 	Service        string
+	DataCentre     string // that the target announces; empty if that of its agent counts
 	Millicores     uint64
 	MemoryMB       uint64
 	UsedMillicores uint64
@@ -29,6 +30,7 @@
 	dataCentre  string
 	state       TargetState
 	connected   bool
+	evacuated   bool      // its data centre is
 	expiresAt   time.Time // if disconnected: from when on no attempt of this entry can be running there
 	attempts    map[uint64]*attempt
 	// The capacity taken by attempts that were sent after state.Seen.
--- a/core/sched/targets.go
+++ b/core/sched/targets.go
@@ -36,6 +36,7 @@
 	t.incarnation, t.dataCentre, t.state, t.connected = incarnation, dataCentre, st, true
 	t.state.Seen = 0
 	t.recountSent()
+	t.evacuated = s.evacuations.Holds(t.location())
 	open := t.attemptIDs()
 	for _, id := range open {
 		if t.attempts[id].stopping {
@@ -54,6 +55,7 @@
 	}
 	t.state = st
 	t.recountSent()
+	t.evacuated = s.evacuations.Holds(t.location())
 	s.place(now)
 }
 
--- a/io/runsd/daemon.go
+++ b/io/runsd/daemon.go
@@ -12,6 +12,7 @@
 
 	"persimmonstage/core/claims"
 	"persimmonstage/core/crash"
+	"persimmonstage/core/evac"
 	"persimmonstage/core/fetch"
 	"persimmonstage/core/flight"
 	"persimmonstage/core/gossip"
@@ -119,6 +120,8 @@
 	cancelled gossip.Gossip[string] // jobs that callers have cancelled lately, for the other entries
 	claims    claims.Claims         // of entries on jobs, for the other entries
 
+	evacuations evac.Table
+
 	documentRequests flight.Flight[*documentRequest]
 }
 
@@ -143,6 +146,7 @@
 	}
 	docmet.Register(reg, doc)
 	d.runs = runs.New(effects{d})
+	d.runs.SetEvacuations(&d.evacuations, cfg.DataCentre)
 	d.control = ctrl.New(feed.New(d.loop, d.opened, d.received, d.closed), log)
 	return d
 }
--- a/io/runsd/effects.go
+++ b/io/runsd/effects.go
@@ -203,7 +203,8 @@
 
 // sameTarget reports whether two states agree in the target's own properties.
 func sameTarget(a, b *wire.TargetState) bool {
-	return a.Service == b.Service && a.Process == b.Process && a.Millicores == b.Millicores && a.MemoryMb == b.MemoryMb && slices.Equal(a.Labels, b.Labels)
+	return a.Service == b.Service && a.DataCentre == b.DataCentre && a.Process == b.Process && a.Millicores == b.Millicores &&
+		a.MemoryMb == b.MemoryMb && slices.Equal(a.Labels, b.Labels)
 }
 
 // sameState reports whether two states are equal; a is nil if none was sent.
@@ -218,7 +219,7 @@
 func (d *Daemon) stateFor(l *link, offered bool) *wire.TargetState {
 	s := d.runs.State(uptime.Now(), l.owner)
 	return &wire.TargetState{
-		Service: s.Service, Millicores: s.Millicores, MemoryMb: s.MemoryMB,
+		Service: s.Service, DataCentre: s.DataCentre, Millicores: s.Millicores, MemoryMb: s.MemoryMB,
 		UsedMillicores: s.UsedMillicores, UsedMemoryMb: s.UsedMemoryMB, Usable: s.Usable && l.surplusSince.IsZero(),
 		PacePermille: uint32(s.Pace * permille), Labels: s.Labels, Process: s.Process, Seen: s.Seen,
 		Held: s.Scarce && (s.Slots == 0 || !offered),
--- a/io/runsd/links.go
+++ b/io/runsd/links.go
@@ -43,6 +43,7 @@
 	sentDoc       int64
 	cancelledPos  uint64    // up to which the entry has been told of cancelled jobs
 	claimsPos     uint64    // the same of claims
+	evacuatedPos  uint64    // the same of evacuations
 	surplusSince  time.Time // when the entry was sent that it can't use the target any more; zero if it can
 }
 
@@ -98,6 +99,7 @@
 	b.Cancelled, l.cancelledPos = d.cancelled.After(now, l.cancelledPos)
 	list, pos := d.claims.After(now, l.claimsPos)
 	b.Claims, l.claimsPos = wire.NewClaims(now, list), pos
+	b.Evacuations = d.evacuationsFor(l)
 	if s := d.state(l); !sameState(l.sentState, s) {
 		b.State = l.shorten(s)
 	}
@@ -139,11 +141,12 @@
 	l.cancelledPos = pos
 	list, claimsPos := d.claims.After(now, 0)
 	l.claimsPos = claimsPos
+	l.evacuatedPos = 0
 	l.helloSent = d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_TargetHello{TargetHello: &wire.TargetHello{
 		Version: wire.Version, Agent: &wire.Ident{Name: d.self.Name, Incarnation: []byte(d.self.Incarnation)},
 		DataCentre: d.cfg.DataCentre, State: d.state(l), DocumentVersion: d.doc.Version(),
 		TenureMs: uint32(runs.Tenure.Milliseconds()), Stamp: now.UnixNano(),
-		Cancelled: cancelled, Claims: wire.NewClaims(now, list),
+		Cancelled: cancelled, Claims: wire.NewClaims(now, list), Evacuations: d.evacuationsFor(l),
 	}}})
 }
 
@@ -233,6 +236,7 @@
 // helloAnswered processes the entry's answer to the hello, which counts as the first echo of a heartbeat.
 func (d *Daemon) helloAnswered(l *link, a *wire.TargetHelloAnswer) {
 	l.entry, l.owner = a.Entry.GetName(), string(a.Entry.GetIncarnation())
+	d.takeEvacuations(wire.Marks(a.Evacuations), l.entry)
 	d.owners[l.owner] = l
 	d.subset.Up(l.addr)
 	d.logOwner("entry joined", l)
@@ -261,6 +265,7 @@
 }
 
 func (d *Daemon) heartbeatAnswered(l *link, a *wire.TargetBeatAnswer) {
+	d.takeEvacuations(wire.Marks(a.Evacuations), l.entry) // before the echo, with which orders are accepted again after a stall
 	d.recordEcho(l.owner, a.Stamp)
 	d.addLinks(a.Entries)
 	now := uptime.Now()
--- a/io/runsd/state.go
+++ b/io/runsd/state.go
@@ -17,6 +17,7 @@
 	Self          ident.Ident    `json:"self"`
 	Configuration int64          `json:"configuration"`
 	Entries       []entryState   `json:"entries"`
+	Evacuated     []string       `json:"evacuated"`
 	Runs          *runs.Snapshot `json:"runs"`
 }
 
@@ -30,7 +31,7 @@
 func (d *Daemon) State(ctx context.Context) ([]byte, error) {
 	st := &state{Self: d.self, Configuration: d.doc.Version()}
 	if !d.loop.Call(ctx, func(time.Time) {
-		st.Runs = d.runs.Snapshot()
+		st.Runs, st.Evacuated = d.runs.Snapshot(), d.evacuations.Evacuated()
 		for addr, l := range d.links {
 			st.Entries = append(st.Entries, entryState{Address: addr, Name: l.entry, Incarnation: l.owner})
 		}
--- a/io/schedd/daemon.go
+++ b/io/schedd/daemon.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"persimmonstage/core/claims"
+	"persimmonstage/core/evac"
 	"persimmonstage/core/gossip"
 	"persimmonstage/core/ident"
 	"persimmonstage/core/newest"
@@ -70,6 +71,7 @@
 	claims      claims.Claims         // on jobs that entries still work on when another may be handed them
 	holder      uint64                // of this process's claims
 	claimSerial uint64
+	evacuations evac.Table
 }
 
 // New returns a daemon; doc is the operators' document, which the daemon exchanges with agents.
@@ -88,6 +90,7 @@
 	rng := rand.New(rand.NewPCG(binary.BigEndian.Uint64(inc[:8]), binary.BigEndian.Uint64(inc[8:])))
 	docmet.Register(reg, doc)
 	d.sched = sched.New(effects{d}, rng)
+	d.sched.SetEvacuations(&d.evacuations)
 	d.sched.Tick(uptime.Now()) // so that a stall before the first turn of the loop is noticed
 	d.relay = relay.New(rng)
 	d.control = ctrl.New(feed.New(d.loop, d.opened, d.received, d.closed), log)
--- a/io/schedd/links.go
+++ b/io/schedd/links.go
@@ -23,6 +23,7 @@
 	heartbeats    int
 	cancelledPos  uint64            // up to which the agent has been told of cancelled jobs
 	claimsPos     uint64            // the same of claims
+	evacuatedPos  uint64            // the same of evacuations
 	helloStamp    int64             // the agent's time of its hello
 	lastFullState *wire.TargetState // the last one that wasn't brief
 }
@@ -99,11 +100,13 @@
 	d.targets.Store(int64(len(d.byName)))
 	d.withdraw(now, h.Cancelled)
 	d.receiveClaims(now, h.Claims)
+	d.takeEvacuations(now, wire.Marks(h.Evacuations), name)
+	l.evacuatedPos = 0
 	inc := string(h.Agent.GetIncarnation())
 	open := d.sched.Join(now, name, inc, h.DataCentre, l.targetState(h.State))
 	d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_TargetHelloAnswer{TargetHelloAnswer: &wire.TargetHelloAnswer{
 		Entry: &wire.Ident{Name: d.self.Name, Incarnation: []byte(d.self.Incarnation)}, Open: open, DocumentVersion: d.doc.Version(),
-		Stamp: h.Stamp,
+		Stamp: h.Stamp, Evacuations: d.evacuationsFor(l),
 	}}})
 	d.log.Info("agent joined", zap.String("agent", name), zap.String("incarnation", inc), zap.Int("open", len(open)),
 		zap.Bool("usable", h.State.Usable), zap.Int("agents", len(d.byName)))
@@ -133,6 +136,7 @@
 
 // heartbeat answers an agent's heartbeat with its stamp.
 func (d *Daemon) heartbeat(now time.Time, l *link, b *wire.TargetBeat) {
+	d.takeEvacuations(now, wire.Marks(b.Evacuations), l.name) // before the state, with which tasks may be placed
 	if b.State != nil && l.name != "" {
 		d.sched.UpdateTarget(now, l.name, l.targetState(b.State))
 	}
@@ -146,6 +150,7 @@
 	answer.Cancelled, l.cancelledPos = d.cancelled.After(now, l.cancelledPos)
 	list, pos := d.claims.After(now, l.claimsPos)
 	answer.Claims, l.claimsPos = wire.NewClaims(now, list), pos
+	answer.Evacuations = d.evacuationsFor(l)
 	for _, c := range list {
 		if c.Holder == d.holder {
 			d.sched.ClaimSent(c.Job)
@@ -217,7 +222,7 @@
 	}
 	full := l.lastFullState
 	return sched.TargetState{
-		Service: full.GetService(), Labels: full.GetLabels(), Process: full.GetProcess(),
+		Service: full.GetService(), DataCentre: full.GetDataCentre(), Labels: full.GetLabels(), Process: full.GetProcess(),
 		Millicores: min(full.GetMillicores(), maxCapacity), MemoryMB: min(full.GetMemoryMb(), maxCapacity),
 		UsedMillicores: min(s.UsedMillicores, maxCapacity), UsedMemoryMB: min(s.UsedMemoryMb, maxCapacity),
 		Usable: s.Usable, Held: s.Held, Pace: float64(max(1, s.PacePermille)) / permille, Seen: s.Seen,
--- a/io/schedd/metrics.go
+++ b/io/schedd/metrics.go
@@ -21,6 +21,7 @@
 	// documentRequests counts requests to agents to read the operators' document, and documentAnswers those that were answered.
 	documentRequests prometheus.Counter
 	documentAnswers  prometheus.Counter
+	evacuated        prometheus.Gauge
 }
 
 const (
@@ -72,8 +73,11 @@
 		documentAnswers: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "persimmonstage_configuration_answers_total", Help: "Answers of agents that confirm a configuration as the newest.",
 		}),
+		evacuated: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "persimmonstage_evacuated_data_centres", Help: "Data centres that this process knows to be evacuated.",
+		}),
 	}
 	reg.MustRegister(m.jobs, m.ends, m.starts, m.stops, m.moves, m.outlasted, m.claims, m.claimed, m.confinements, m.waited, m.response,
-		m.documentRequests, m.documentAnswers)
+		m.documentRequests, m.documentAnswers, m.evacuated)
 	return m
 }
--- a/io/schedd/state.go
+++ b/io/schedd/state.go
@@ -15,6 +15,7 @@
 	Self          ident.Ident     `json:"self"`
 	Configuration int64           `json:"configuration"`
 	Entries       []string        `json:"entries"`
+	Evacuated     []string        `json:"evacuated"`
 	Connections   int             `json:"connections"`
 	Scheduler     *sched.Snapshot `json:"scheduler"`
 }
@@ -24,6 +25,7 @@
 	st := call(ctx, d, func() *state {
 		return &state{
 			Self: d.self, Configuration: d.doc.Version(), Entries: d.entryAddresses(), Connections: len(d.links),
+			Evacuated: d.evacuations.Evacuated(),
 			Scheduler: d.sched.Snapshot(),
 		}
 	})
