Search for starts in evacuated data centres

Cause: the search of repeatable jobs knew no evacuations. Change: operators evacuate data centres and take that back while processes are frozen, killed, cut off, slow or turned away by the store; a start more than 5 s after the request, or later than a lease after the agent's process was told, fails.

--- a/core/proof/repeat_entry_test.go
+++ b/core/proof/repeat_entry_test.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"persimmonstage/core/claims"
+	"persimmonstage/core/evac"
 	"persimmonstage/core/gossip"
 	"persimmonstage/core/runs"
 	"persimmonstage/core/sched"
@@ -28,6 +29,7 @@
 	cancelled       gossip.Gossip[string]
 	claims          claims.Claims
 	claimSerial     uint64
+	evacuations     evac.Table
 }
 
 // repeatOrders is what an entry gathers for an agent while it processes the steps that are already posted, and sends in one frame.
--- a/core/proof/repeat_link_test.go
+++ b/core/proof/repeat_link_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"persimmonstage/core/claims"
+	"persimmonstage/core/evac"
 	"persimmonstage/core/gossip"
 	"persimmonstage/core/runs"
 	"persimmonstage/core/sched"
@@ -27,6 +28,9 @@
 	// The same of claims.
 	agentClaimsPos uint64
 	entryClaimsPos uint64
+	// The same of evacuations.
+	agentEvacuatedPos uint64
+	entryEvacuatedPos uint64
 }
 
 // maintainLink connects an agent and an entry, exchanges heartbeats, and closes a link after repeatLinkTimeout without any.
@@ -54,14 +58,20 @@
 	ids, l.entryToldPos = a.cancelled.After(w.now, 0)
 	list, pos := a.claims.After(w.now, 0)
 	l.entryClaimsPos = pos
+	marks, pos := a.evacuations.After(0)
+	l.entryEvacuatedPos = pos
 	life, state, stamp := a.life, a.state(e), w.now
 	a.sendOver(l, func() {
 		e.links[a.name] = l
 		e.withdraw(ids)
 		e.receiveClaims(list)
+		e.take(marks)
 		open := e.sched.Join(w.now, a.name, fmt.Sprint(life), "z", state)
+		marks, pos := e.evacuations.After(0)
+		l.agentEvacuatedPos = pos
 		e.sendOver(l, func() {
 			l.answered = true
+			a.take(marks)
 			a.runs.RecordEcho(l.owner, stamp)
 			a.runs.Reconnected(w.now, l.owner, open)
 			a.Changed()
@@ -76,8 +86,11 @@
 	ids, l.entryToldPos = a.cancelled.After(w.now, l.entryToldPos)
 	list, pos := a.claims.After(w.now, l.entryClaimsPos)
 	l.entryClaimsPos = pos
+	marks, pos := a.evacuations.After(l.entryEvacuatedPos)
+	l.entryEvacuatedPos = pos
 	a.sendOver(l, func() {
 		e := l.entry
+		e.take(marks)
 		e.withdraw(ids)
 		e.receiveClaims(list)
 		var answer []string
@@ -89,7 +102,10 @@
 				e.sched.ClaimSent(c.Job)
 			}
 		}
+		marks, pos := e.evacuations.After(l.agentEvacuatedPos)
+		l.agentEvacuatedPos = pos
 		e.sendOver(l, func() {
+			a.take(marks)
 			a.runs.RecordEcho(l.owner, stamp)
 			for _, id := range answer {
 				a.cancelled.Add(w.now, id)
@@ -131,6 +147,8 @@
 	a.life++
 	a.thaw()
 	a.runs, a.fences, a.cancelled, a.claims = runs.New(a), 0, gossip.Gossip[string]{}, claims.Claims{}
+	a.evacuations = evac.Table{}
+	a.runs.SetEvacuations(&a.evacuations, a.target.self.DataCentre)
 	if a.kept != nil {
 		recalled := *a.kept
 		a.runs.Announced(w.now, &recalled)
@@ -148,6 +166,9 @@
 	e.thaw()
 	e.sched = sched.New(e, rand.New(rand.NewPCG(w.seed, uint64(e.life))))
 	e.sched.Tick(w.now)
+	e.evacuations = evac.Table{}
+	e.sched.SetEvacuations(&e.evacuations)
+	w.operators.read(e) // with the configuration, before which it gets no jobs
 	e.cancelled, e.claims = gossip.Gossip[string]{}, claims.Claims{}
 	for _, a := range w.agents {
 		if l := a.links[e]; l != nil {
--- a/core/proof/repeat_target_test.go
+++ b/core/proof/repeat_target_test.go
@@ -89,6 +89,9 @@
 	if since, ok := t.w.cancelled[id]; ok && !late && t.agent.knowsCancelled(id) {
 		require.LessOrEqual(t.w.t, t.w.now.Sub(since), cancelTime, "seed %d: UNASKED: %s starts at %s", t.w.seed, k.Task, at)
 	}
+	if !late {
+		t.w.checkEvacuation(t.agent, t.self.DataCentre, k.Task)
+	}
 	if !late && !t.drainedAt.IsZero() {
 		require.LessOrEqual(t.w.t, t.w.now.Sub(t.drainedAt), drainGrace, "seed %d: DRAIN: %s starts at %s", t.w.seed, k.Task, at)
 	}
