Evacuate a data centre through the administration API

Cause: the product's own jobs had drains of targets and hosts, and none of a data centre. Change: drain.data-centres of the configuration, and persimmonstage evacuate, which publishes it on top of what others publish and rejects a data centre without a known target. targets shows evacuated. Agents don't refuse on this side yet.

--- a/core/rules/rules.go
+++ b/core/rules/rules.go
@@ -271,17 +271,23 @@
 	return DefaultRetryShare
 }
 
-// Drained reports whether the target or its host is drained, so that the target gets no new work.
-func (r *Rules) Drained(target, host string) bool {
-	return r.drained[drain{"targets", target}] || r.drained[drain{"hosts", host}]
+// Drained reports whether the target or its host is drained or its data centre is evacuated, so that the target gets no new work.
+func (r *Rules) Drained(target, host, dataCentre string) bool {
+	return r.drained[drain{"targets", target}] || r.drained[drain{"hosts", host}] || r.Evacuated(dataCentre)
 }
 
-// DrainChanges returns the targets and hosts drained in r but not in before, and those drained in before but not in r.
+// Evacuated reports whether a data centre is evacuated, so that its targets get no new work.
+func (r *Rules) Evacuated(dataCentre string) bool {
+	return r.drained[drain{"data-centres", dataCentre}]
+}
+
+// DrainChanges returns the targets, hosts and data centres drained in r but not in before, and those drained in before but not in r.
 func (r *Rules) DrainChanges(before *Rules) (begun, ended []string) {
 	return r.drainsMissingFrom(before), before.drainsMissingFrom(r)
 }
 
-// drainsMissingFrom returns the names drained in r but not in other, sorted; a host has the prefix "host ".
+// drainsMissingFrom returns the names drained in r but not in other, sorted; a host has the prefix "host ", a data centre
+// "data centre ".
 func (r *Rules) drainsMissingFrom(other *Rules) []string {
 	var names []string
 	for d := range r.drained {
@@ -289,8 +295,11 @@
 			continue
 		}
 		name := d.name
-		if d.list == "hosts" {
+		switch d.list {
+		case "hosts":
 			name = "host " + name
+		case "data-centres":
+			name = "data centre " + name
 		}
 		names = append(names, name)
 	}
--- a/core/rules/rules_test.go
+++ b/core/rules/rules_test.go
@@ -79,14 +79,23 @@
 		r.BodyBytes(), r.HeaderBytes(), r.PayloadBytes(), r.TasksPerJob(),
 	})
 	require.InDelta(t, 1, r.RetryShare(), 0)
-	require.True(t, r.Drained("saw-2", "10.0.0.9"))
-	require.True(t, r.Drained("saw-3", "10.0.0.7"))
-	require.False(t, r.Drained("10.0.0.7", "saw-2"))
+	require.True(t, r.Drained("saw-2", "10.0.0.9", "north"))
+	require.True(t, r.Drained("saw-3", "10.0.0.7", "north"))
+	require.False(t, r.Drained("10.0.0.7", "saw-2", "saw-2"))
 	begun, ended := r.DrainChanges(parseRules(t, "drain.targets = [\"saw-2\", \"saw-9\"]"))
 	require.Equal(t, []string{"host 10.0.0.7"}, begun)
 	require.Equal(t, []string{"saw-9"}, ended)
 }
 
+func TestTheTargetsOfAnEvacuatedDataCentreAreDrained(t *testing.T) {
+	r := parseRules(t, "drain.data-centres = [\"north\"]")
+	require.True(t, r.Drained("saw-2", "10.0.0.9", "north"))
+	require.False(t, r.Drained("north", "north", "south"))
+	begun, ended := r.DrainChanges(parseRules(t, "drain.hosts = [\"north\"]"))
+	require.Equal(t, []string{"data centre north"}, begun)
+	require.Equal(t, []string{"host north"}, ended)
+}
+
 func TestUnknownAndInvalidValuesGetDefaults(t *testing.T) {
 	r := parseRules(t, "new = 1\n[teams.a]\nweight = \"x\"\nlater = 2\n[teams.a.kinds]\nb = 3\n[limits]\nbody-bytes = -1\n[retries]\nshare = 7\n")
 	require.Equal(t, 1, r.TeamWeight("a"))
--- a/core/schema/operators.go
+++ b/core/schema/operators.go
@@ -46,6 +46,7 @@
 	return Table{rows: []row{
 		accessRow("access.callers", `"tokens"`, "`tokens`: a caller needs a token of its team; `open`: any team name and no token"),
 		accessRow("access.operators", `"tokens"`, "`tokens`: the administration API needs an operator's token; `open`: none"),
+		hostListRow("drain.data-centres", "data centres (as in the agents' settings) whose targets get no new work"),
 		hostListRow("drain.hosts", "hosts (by the name or the IP number in the agent's settings) that get no new work"),
 		hostListRow("drain.targets", "targets (by the agent's name) that get no new work"),
 		intRow("limits.body-bytes", 1024, 64<<20, "16777216", "the largest request body, in bytes"),
--- a/io/entryd/admin.go
+++ b/io/entryd/admin.go
@@ -123,7 +123,10 @@
 	if l.leaving {
 		return "leaving"
 	}
-	if l.drained {
+	switch {
+	case l.drained && d.rules.Load().Evacuated(l.hello.DataCentre):
+		return "evacuated"
+	case l.drained:
 		return "drained"
 	}
 	reason, _ := d.detector.Out(id)
--- a/io/entryd/config.go
+++ b/io/entryd/config.go
@@ -104,9 +104,9 @@
 	}
 }
 
-// applyDrain takes a target out of placement while the configuration drains it or its host.
+// applyDrain takes a target out of placement while the configuration drains it or its host, or evacuates its data centre.
 func (d *Daemon) applyDrain(l *agentLink) {
-	drained := d.rules.Load().Drained(l.who.Name, l.hello.Host)
+	drained := d.rules.Load().Drained(l.who.Name, l.hello.Host, l.hello.DataCentre)
 	if drained != l.drained {
 		l.drained = drained
 		d.roster.Drain(l.id, drained)
--- a/io/verb/drain.go
+++ b/io/verb/drain.go
@@ -49,10 +49,14 @@
 }
 
 func drainOrUndo(ctx context.Context, c *cli.Command, undo bool) error {
-	result, err := changeDrains(ctx, c, undo)
+	doc, version, err := changeDrains(ctx, c, map[string][]string{
+		"targets": append(c.StringSlice("target"), c.Args().Slice()...),
+		"hosts":   c.StringSlice("host"),
+	}, undo)
 	if err != nil {
 		return prefixError(c, err)
 	}
+	result := newDrainResult(doc, version)
 	w := c.Root().Writer
 	if c.Bool("json") {
 		return printJSON(w, result)
@@ -69,25 +73,25 @@
 	return strings.Join(names, ", ")
 }
 
-// changeDrains publishes the changed lists; if another operator publishes first, it retries on the new version, up to
-// drainAttempts times.
-func changeDrains(ctx context.Context, c *cli.Command, undo bool) (drainResult, error) {
+// changeDrains adds names to the lists under [drain], or removes them for undo, and publishes that; if another operator publishes
+// first, it retries on the new version, up to drainAttempts times.
+func changeDrains(ctx context.Context, c *cli.Command, lists map[string][]string, undo bool) (fold.Document, int64, error) {
 	a := newAdminClient(c)
 	for range drainAttempts {
 		before, version, err := a.document(-1)
 		if err != nil {
-			return drainResult{}, err
+			return before, 0, err
 		}
-		doc, err := applyDrains(before, c, undo)
+		doc, err := applyDrains(before, lists, undo)
 		if err != nil || doc.Sum() == before.Sum() {
-			return newDrainResult(doc, version), err
+			return doc, version, err
 		}
 		next, conflicted, err := a.tryPublish(ctx, version, doc)
 		if !conflicted {
-			return newDrainResult(doc, next), err
+			return doc, next, err
 		}
 	}
-	return drainResult{}, errors.Newf("other operators published first %d times", drainAttempts)
+	return fold.Document{}, 0, errors.Newf("other operators published first %d times", drainAttempts)
 }
 
 // tryPublish publishes doc on base and reports whether another operator published first.
@@ -98,12 +102,9 @@
 	return version, errors.As(err, &conflict), err
 }
 
-// applyDrains adds the command's targets and hosts to the drain lists, or removes them for undo.
-func applyDrains(doc fold.Document, c *cli.Command, undo bool) (fold.Document, error) {
-	for key, names := range map[string][]string{
-		"targets": append(c.StringSlice("target"), c.Args().Slice()...),
-		"hosts":   c.StringSlice("host"),
-	} {
+// applyDrains adds names to the lists under [drain], or removes them for undo.
+func applyDrains(doc fold.Document, lists map[string][]string, undo bool) (fold.Document, error) {
+	for key, names := range lists {
 		if len(names) == 0 {
 			continue
 		}
--- a/io/verb/table.go
+++ b/io/verb/table.go
@@ -17,6 +17,7 @@
 		teams(),
 		drain(),
 		undrain(),
+		evacuate(),
 		retire(),
 		report(),
 		explain(),
--- a/io/verb/targets_test.go
+++ b/io/verb/targets_test.go
@@ -39,6 +39,24 @@
 	return ""
 }
 
+func TestEvacuateADataCentre(t *testing.T) {
+	startInstallation(t)
+	t.Setenv("PERSIMMONSTAGE_OPERATOR_TOKEN", "ana-token")
+	list := runUntil(t, "targets", "2 of 2 usable")
+	name := strings.Fields(strings.Split(list, "\n")[2])[1]
+	rejected := session{t: t}
+	rejected.run("evacuate nowhere")
+	require.Contains(t, rejected.text.String(), `persimmonstage: evacuate: DATA-CENTRE: "nowhere": no target there; known are `+name)
+	rejected.run("evacuate --undo")
+	require.Contains(t, rejected.text.String(), "DATA-CENTRE: missing, at least 1")
+	runUntil(t, "evacuate", "evacuated data centres: none")
+	runUntil(t, "evacuate "+name, "evacuated data centres: "+name)
+	runUntil(t, "targets", "evacuated\n")
+	runUntil(t, "drain", "drained targets: none")
+	runUntil(t, "evacuate --undo "+name, "evacuated data centres: none")
+	runUntil(t, "targets", "2 of 2 usable")
+}
+
 func TestDrainAndUndrainTarget(t *testing.T) {
 	startInstallation(t)
 	refused := session{t: t}
