--- a/core/runs/runs.go
+++ b/core/runs/runs.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"persimmonstage/core/evac"
 )
 
 const (
@@ -118,6 +120,9 @@
 	pace         pace
 	failing      failing
 	meanNeed     float64 // mean millicores that an order needs
+	// Which data centres are evacuated, and the agent's own one.
+	evacuations   *evac.Table
+	ownDataCentre string
 }
 
 // New returns an empty table whose decisions are executed by out.
