Tell long jobs from slow targets by other runs

A task that was forecast to take more than 2.2 times as long as usual was taken for one on a slow target and moved.

Now the job's tasks on other targets, forecast, done or on time for 200 ms, and the pace of the target, which its agent learns from all entries' runs, tell which of the two it is; while they don't tell yet, the entry waits. A long job's objective follows from its work, so its waiting tasks are no longer put behind all others. For a job without other tasks the route's distribution of run times is asked (core/span: ratios to the estimate and run times, two generations, bounded); its median also stands for a job that declares nothing.

--- a/core/sched/forecast.go
+++ b/core/sched/forecast.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// slowTargetFactor is the ratio of forecast to expected run time above which the target is considered slow: estimates are off
-	// by about 30 %, so a task alone hardly accounts for more.
+	// slowTargetFactor is the ratio of forecast to expected run time above which an attempt is far behind: estimates are off by
+	// about 30 %, so that either the job is long or the target slow.
 	slowTargetFactor = 2.2
 	// stopTime is about the time from a stop order to the report of the attempt's end.
 	stopTime = 40 * time.Millisecond
@@ -41,9 +41,9 @@
 
 // Forecast handles an agent's report that an attempt will take unusually long.
 //
-// If the target seems slow, the task is moved to another target once, provided that its caller gains time; if it is slow there as
-// well, the task itself is long. A task that is too long for its target is moved to a faster one, and runs on until there is room
-// for it. If no target could end it before the deadline, the job is ended now, which frees its capacity for other jobs.
+// If the target is slow, the task is moved to another target once, provided that its caller gains time. A task that is too long for
+// its target is moved to a faster one, and runs on until there is room for it. If no target could end it before the deadline, the
+// job is ended now, which frees its capacity for other jobs.
 func (s *Sched) Forecast(now time.Time, name string, id uint64, left time.Duration) {
 	t := s.byName[name]
 	if t == nil || t.attempts[id] == nil {
@@ -57,13 +57,13 @@
 	whole := now.Add(left).Sub(a.sent)
 	a.forecast = forecast{end: now.Add(left), work: time.Duration(float64(whole) / t.state.Pace)}
 	usual := time.Duration(float64(a.expected) * min(t.state.Pace, s.medianPace()))
-	if task := &j.tasks[a.index]; float64(whole) > slowTargetFactor*float64(usual) && !task.moved {
-		task.moved = s.moveIfBetter(now, a)
-		return
+	switch {
+	case j.long || j.tasks[a.index].moved || float64(whole) <= slowTargetFactor*float64(usual):
+		s.foundLong(now, a)
+	case !slices.Contains(s.suspects, a):
+		s.suspects = append(s.suspects, a)
 	}
-	j.expected = max(j.expected, a.forecast.work)
-	s.setRisky(a, now.Add(time.Duration(riskyMargin*float64(left))).After(j.batch.Deadline))
-	if len(s.risky) > 0 {
+	if len(s.risky) > 0 || len(s.suspects) > 0 {
 		s.place(now)
 	}
 }
--- a/core/sched/order.go
+++ b/core/sched/order.go
@@ -137,6 +137,7 @@
 		return
 	}
 	s.reservedPace = 0
+	s.moveSuspects(now)
 	s.moveRisky(now)
 	if len(s.queue) == 0 {
 		return
--- a/core/sched/overload_test.go
+++ b/core/sched/overload_test.go
@@ -76,6 +76,9 @@
 	ends         [][]jobEnd
 	pendingStops []pendingStop
 	onSubmit     func(id string, j *overloadJob) // called before a job is submitted, unless nil
+	onStart      func(r *overloadRun)            // called when an attempt starts, unless nil
+	onEnd        func(st *JobSummary)            // called when a job ends, unless nil
+	longShare    float64                         // of the jobs, which have longFactor times the work
 }
 
 // pendingStop is a stopped attempt whose end wasn't reported yet.
@@ -98,7 +101,11 @@
 	}
 	for _, t := range sim.targets {
 		if t.name == target {
-			t.runs = append(t.runs, &overloadRun{start: s, target: t, job: sim.jobs[id], index: index, startTime: sim.now})
+			r := &overloadRun{start: s, target: t, job: sim.jobs[id], index: index, startTime: sim.now}
+			t.runs = append(t.runs, r)
+			if sim.onStart != nil {
+				sim.onStart(r)
+			}
 		}
 	}
 }
@@ -126,13 +133,18 @@
 
 func (sim *overloadSim) RouteConfined(string, bool, []string) {}
 
-func (sim *overloadSim) JobEnded(*JobSummary) {}
+func (sim *overloadSim) JobEnded(st *JobSummary) {
+	if sim.onEnd != nil {
+		sim.onEnd(st)
+	}
+}
 
 const (
 	overloadSpan  = 20 * time.Second
 	overloadFrom  = 5 * time.Second
 	overloadUntil = 11 * time.Second
 	simStep       = time.Millisecond
+	longFactor    = 7
 )
 
 func usualKinds() []overloadKind {
@@ -191,6 +203,9 @@
 	id := fmt.Sprintf("%016x", len(sim.jobs))
 	tasks := max(1, int(kind.tasks*sim.logNormal(0.4)+0.5))
 	work := time.Duration(float64(kind.work) * sim.logNormal(0.4))
+	if sim.longShare > 0 && sim.rng.Float64() < sim.longShare {
+		work *= longFactor
+	}
 	j := &overloadJob{kind: k, arrived: sim.now}
 	longest := time.Duration(0)
 	for range tasks {
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -10,6 +10,7 @@
 	"persimmonstage/core/batch"
 	"persimmonstage/core/blame"
 	"persimmonstage/core/jobend"
+	"persimmonstage/core/span"
 	"persimmonstage/core/times"
 )
 
@@ -60,11 +61,13 @@
 	live         []*job // the same jobs by arrival
 	queue        []*job
 	risky        []*attempt          // expected to miss the deadline on their target
+	suspects     []*attempt          // far behind for a reason that isn't known yet
 	openByTask   map[string]*attempt // by task name
 	lastAttempt  uint64
 	lastCaller   uint64
 	endedJobs    map[string]endedJob
 	meanLogs     map[string]float64 // mean logarithm of the declared run times, by route
+	spans        span.Spans
 	lastTick     time.Time
 	stallBegin   time.Time // the last tick before the last stall
 	stallEnd     time.Time // when the last stall was noticed
@@ -160,6 +163,7 @@
 		j.tasks[i].number = number
 	}
 	j.expected = s.estimateRunTime(b)
+	j.estimate = j.expected
 	objective := b.Route.Objective(j.expected)
 	j.objective = now.Add(objective)
 	wasActive := s.isActive(b.Route.Name)
@@ -187,6 +191,9 @@
 func (s *Sched) estimateRunTime(b *batch.Batch) time.Duration {
 	mean, known := s.meanLogs[b.Route.Name]
 	if b.Declared <= 0 {
+		if run, learned := s.spans.Run(b.Route.Name, median); learned {
+			return run
+		}
 		if !known {
 			return defaultRunTime
 		}
@@ -200,6 +207,9 @@
 	return time.Duration(math.Exp((mean + declared) / 2))
 }
 
+// median is the quantile of the run times that is expected of a job that declares nothing.
+const median = 0.5
+
 // refusalReason returns the reason for refusing a new job, empty if it can be queued.
 func (s *Sched) refusalReason(now time.Time, j *job) string {
 	if j.isClaimedTooLong() {
@@ -311,6 +321,7 @@
 func (s *Sched) endJob(now time.Time, j *job, f jobend.Outcome) {
 	j.ended = true
 	delete(s.jobs, j.batch.ID)
+	s.learnSpan(now, j, f)
 	s.out.JobEnded(s.summarize(now, j, f))
 	number := 0
 	for i := range j.tasks {
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -60,6 +60,8 @@
 	number   int
 	avoid    *target
 	moved    bool // away from a slow target
+	ranAt    *target
+	ratio    float64 // of its run time to the expected one, at the pace of ranAt; zero until it is done
 }
 
 // job is a repeatable job; it exists from its submission until it has an outcome and no open attempt.
@@ -70,6 +72,9 @@
 	startDeadline time.Time // the job is refused if no task was started by then
 	objective     time.Time
 	expected      time.Duration
+	estimate      time.Duration // the expected run time at its arrival
+	longest       time.Duration // of its tasks that are done, at a pace of 1
+	long          bool          // found under way to take longer than expected
 	tasks         []task
 	left          int // unfinished tasks
 	waiting       int // unfinished tasks without an attempt
--- a/core/sched/targets.go
+++ b/core/sched/targets.go
@@ -120,6 +120,7 @@
 	switch how {
 	case EndDone:
 		t.done = true
+		t.learnEnd(now, a)
 		j.left--
 		if j.left == 0 {
 			s.endJob(now, j, jobend.Outcome{Kind: jobend.Done})
