Count the errors of giving up long jobs, from the logs

Nobody saw how many jobs are given up though they would have ended, nor how many are kept until their deadline in vain. The second is counted from the logs. The first can't be seen of a job that was ended, but the same forecasts are made of attempts that go on: an attempt that ends before its earliest possible end by forecast is one that giving up would have taken wrongly. Entries log for each job how many attempts ended well after a forecast and how many of them before that time (forecasts, early); regret prints both errors below its table if the logs have them.

--- a/core/regret/jobs.go
+++ b/core/regret/jobs.go
@@ -26,6 +26,10 @@
 	earned    float64
 	reason    string // why it earned less than 1
 	moved     bool
+	givenUp   bool // as none of its targets could end it before its deadline
+	kept      bool // until its deadline, in vain
+	forecasts int  // attempts that ended well after a forecast
+	early     int  // those of them that ended before their earliest possible end by forecast
 	lost      bool // an attempt ended with its target
 }
 
@@ -60,6 +64,10 @@
 	if j == nil || j.earned == 1 {
 		return
 	}
+	j.forecasts, j.early = j.forecasts+l.Int("forecasts"), j.early+l.Int("early")
+	reason := l.Text("reason")
+	j.givenUp = reason == "too-long" || reason == "no-time-left"
+	j.kept = reason == "deadline"
 	switch l.Text("fate") {
 	case "done":
 		j.done(l.At)
--- a/core/regret/report.go
+++ b/core/regret/report.go
@@ -27,6 +27,7 @@
 	Earned float64
 	Bound  float64            // no dispatcher could have earned more
 	Lost   map[string]float64 // what the jobs earned less than owed, by reason
+	Errors Errors
 }
 
 // Report works out the rows from log lines; create it with New.
@@ -116,6 +117,7 @@
 
 func (w *Row) add(j *job, bound, weight float64) {
 	w.Jobs++
+	w.Errors.add(j)
 	w.Owed += weight
 	w.Earned += weight * j.earned
 	w.Bound += weight * bound
--- a/core/regret/report_test.go
+++ b/core/regret/report_test.go
@@ -101,3 +101,20 @@
 	}
 	require.Equal(t, 200, total)
 }
+
+func TestErrorsWithLongJobsAreCounted(t *testing.T) {
+	l := logs{regret.New(nil)}
+	l.target(0, 10_000)
+	for n, end := range []string{
+		`"fate":"unfinished","reason":"too-long"`, `"fate":"refused","reason":"too-long"`, `"fate":"unfinished","reason":"no-time-left"`,
+		`"fate":"unfinished","reason":"deadline"`, `"fate":"refused","reason":"overload"`,
+		`"fate":"done","reason":"","forecasts":3,"early":1`, `"fate":"done","reason":"","forecasts":3,"early":0`,
+	} {
+		l.taken(10, n)
+		l.line(110, "entry", "e-1", "job ended", fmt.Sprintf(`"id":"%016x","agents":1,%s`, n, end))
+	}
+	rows := l.report.Rows()
+	require.Equal(t, regret.Errors{GivenUp: 3, Kept: 1, Forecasts: 6, Early: 1}, rows[0].Errors)
+	require.InDelta(t, 0.5, rows[0].Errors.Wrongly(), 1e-9)
+	require.Zero(t, regret.Errors{GivenUp: 3}.Wrongly())
+}
--- a/core/sched/effects.go
+++ b/core/sched/effects.go
@@ -71,4 +71,6 @@
 	Load      float64       // fraction of the targets' cores in use at the last placement
 	Targets   int           // connected targets
 	Open      []string      // targets of the open attempts, with their pace
+	Forecasts int           // attempts that ended well after a forecast
+	Early     int           // those of them that ended before their earliest possible end by forecast
 }
--- a/core/sched/forecast.go
+++ b/core/sched/forecast.go
@@ -56,6 +56,7 @@
 	}
 	whole := now.Add(left).Sub(a.sent)
 	a.forecast = forecast{end: now.Add(left), work: time.Duration(float64(whole) / t.state.Pace)}
+	a.floor = times.Later(a.floor, a.earliestEnd(now))
 	usual := time.Duration(float64(a.expected) * min(t.state.Pace, s.medianPace()))
 	switch {
 	case j.long || j.tasks[a.index].moved || float64(whole) <= slowTargetFactor*float64(usual):
--- a/core/sched/late.go
+++ b/core/sched/late.go
@@ -137,11 +137,20 @@
 	s.setRisky(a, now.Add(time.Duration(riskyMargin*left)).After(j.batch.Deadline))
 }
 
-// learnEnd records how long an attempt that ended well took compared with its estimate.
+// learnEnd records how long an attempt that ended well took compared with its estimate, and whether its forecasts held: a job is given
+// up by the earliest possible end, so each early one stands for a job that would be given up wrongly.
 func (t *task) learnEnd(now time.Time, a *attempt) {
+	j := a.job
 	run := float64(now.Sub(a.sent)) / a.target.state.Pace
 	t.ranAt, t.ratio = a.target, run/float64(max(1, a.expected))
-	a.job.longest = max(a.job.longest, time.Duration(run))
+	j.longest = max(j.longest, time.Duration(run))
+	if a.floor.IsZero() {
+		return
+	}
+	j.forecasts++
+	if now.Before(a.floor) {
+		j.early++
+	}
 }
 
 // learnSpan learns the run time of a job that is done, or that was given up with a forecast, for later jobs of its route.
--- a/core/sched/late_test.go
+++ b/core/sched/late_test.go
@@ -86,6 +86,21 @@
 	require.Equal(t, testRoute.Objective(1000*ms), h.sched.jobs["j"].objective.Sub(h.sched.jobs["j"].arrived))
 }
 
+// TestAnAttemptThatEndsBeforeItsForecastIsCounted covers what the errors of giving up are estimated from.
+func TestAnAttemptThatEndsBeforeItsForecastIsCounted(t *testing.T) {
+	h := newHarness()
+	submitLate(h, 2)
+	h.run(100 * ms)
+	h.forecast(0, 900*ms)
+	h.forecast(1, 900*ms)
+	h.run(740 * ms)
+	h.endAttempt(h.startTargets[0], EndDone, 0)
+	h.run(160 * ms)
+	h.endAttempt(h.startTargets[1], EndDone, 1)
+	require.Equal(t, 2, h.summaries[0].Forecasts)
+	require.Equal(t, 1, h.summaries[0].Early, "the earliest possible end of both was 750 ms after the forecast")
+}
+
 // givenUp counts errors with jobs that take longer than expected.
 type givenUp struct {
 	jobs, wrongly, kept int
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -343,6 +343,7 @@
 	st := &JobSummary{
 		ID: j.batch.ID, Route: j.batch.Route.Name, Outcome: f, Tasks: j.batch.Tasks, Done: j.batch.Tasks - j.left, Starts: j.starts,
 		Expected: j.expected, Objective: j.objective.Sub(j.arrived), Waited: j.waited, Took: now.Sub(j.arrived), Load: s.load, Targets: s.connected(),
+		Forecasts: j.forecasts, Early: j.early,
 	}
 	if !j.started {
 		st.Waited = st.Took
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -50,7 +50,8 @@
 	expected time.Duration // at a pace of 1
 	sent     time.Time
 	stopping bool
-	forecast forecast // zero as long as it is expected to end on time
+	forecast forecast  // zero as long as it is expected to end on time
+	floor    time.Time // the latest of its earliest possible ends by forecast
 }
 
 type task struct {
@@ -75,6 +76,8 @@
 	estimate      time.Duration // the expected run time at its arrival
 	longest       time.Duration // of its tasks that are done, at a pace of 1
 	long          bool          // found under way to take longer than expected
+	forecasts     int           // attempts that ended well after a forecast
+	early         int           // those of them that ended before their earliest possible end by forecast
 	tasks         []task
 	left          int // unfinished tasks
 	waiting       int // unfinished tasks without an attempt
--- a/io/schedd/effects.go
+++ b/io/schedd/effects.go
@@ -86,11 +86,15 @@
 // JobEnded counts and logs the outcome of a job.
 func (e effects) JobEnded(st *sched.JobSummary) {
 	e.d.metrics.jobs.WithLabelValues(st.Outcome.Kind.String()).Inc()
+	forecasts, early := zap.Skip(), zap.Skip()
+	if st.Forecasts > 0 {
+		forecasts, early = zap.Int("forecasts", st.Forecasts), zap.Int("early", st.Early)
+	}
 	e.d.log.Info("job ended", zap.String("id", st.ID), zap.String("route", st.Route), zap.String("fate", st.Outcome.Kind.String()),
 		zap.String("reason", st.Outcome.Reason), zap.Int("tasks", st.Tasks), zap.Int("done", st.Done), zap.Int("starts", st.Starts),
 		zap.Int64("expected-ms", st.Expected.Milliseconds()), zap.Int64("objective-ms", st.Objective.Milliseconds()), zap.Int64("waited-ms", st.Waited.Milliseconds()),
 		zap.Int64("took-ms", st.Took.Milliseconds()), zap.Int("load-percent", int(percent*st.Load)),
-		zap.Int("agents", st.Targets), zap.Strings("open", st.Open), zap.Int64("configuration", e.d.doc.Version()))
+		forecasts, early, zap.Int("agents", st.Targets), zap.Strings("open", st.Open), zap.Int64("configuration", e.d.doc.Version()))
 }
 
 const percent = 100
--- a/io/verb/regret.go
+++ b/io/verb/regret.go
@@ -26,7 +26,8 @@
 		Description: "Reads log files (- for standard input), each in order of time, and prints for each window of two seconds what the jobs that\n" +
 			"arrived in it earned: 1 for an answer within the objective, 0.2 for a later one that is of use. The bound is the most that a\n" +
 			"dispatcher could have earned that knew all jobs, sizes and losses beforehand. Where earned is near the bound, the load was the\n" +
-			"cause of what was lost; the other columns say for what reason jobs earned less than owed.\n\n" +
+			"cause of what was lost; the other columns say for what reason jobs earned less than owed. Below: how many jobs were\n" +
+			"given up before their deadline, and about how many of them wrongly, and how many were kept until it in vain.\n\n" +
 			"Example: persimmonstage regret --plot day.svg entry-*.log agent-*.log",
 		Flags: []cli.Flag{
 			&cli.StringSliceFlag{Name: "weight", Usage: "QUEUE=WEIGHT: how much a job of a queue counts; 1 for others"},
@@ -77,6 +78,7 @@
 	sum := regret.Row{Lost: map[string]float64{}}
 	for i := range rows {
 		r := &rows[i]
+		sum.Errors.Add(r.Errors)
 		sum.Jobs, sum.Owed, sum.Earned, sum.Bound = sum.Jobs+r.Jobs, sum.Owed+r.Owed, sum.Earned+r.Earned, sum.Bound+r.Bound
 		for reason, v := range r.Lost {
 			reasons[reason] = true
@@ -90,7 +92,20 @@
 		writeRegretRow(w, fmt.Sprintf("%.0f", rows[i].At.Seconds()), &rows[i], columns)
 	}
 	writeRegretRow(w, "all", &sum, columns)
-	return w.Flush()
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	return writeErrors(out, sum.Jobs, sum.Errors)
+}
+
+// writeErrors writes the errors with jobs that took longer than expected; logs of entries that don't count forecasts have none.
+func writeErrors(out io.Writer, jobs int, e regret.Errors) error {
+	if e.Forecasts == 0 {
+		return nil
+	}
+	_, err := fmt.Fprintf(out, "given up before the deadline: %d of %d jobs, about %.1f wrongly (%d of %d forecasts were too late)\n"+
+		"kept until the deadline in vain: %d of %d jobs\n", e.GivenUp, jobs, e.Wrongly(), e.Early, e.Forecasts, e.Kept, jobs)
+	return err
 }
 
 func writeRegretRow(w io.Writer, name string, r *regret.Row, columns []string) {
