--- a/core/sched/order.go
+++ b/core/sched/order.go
@@ -138,6 +138,7 @@
 		return
 	}
 	s.reservedPace = 0
+	s.moveSuspects(now)
 	s.moveRisky(now)
 	s.queue = slices.DeleteFunc(s.queue, func(j *job) bool { return j.ended || j.waiting == 0 })
 	if len(s.queue) == 0 {
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -11,6 +11,7 @@
 	"persimmonstage/core/blame"
 	"persimmonstage/core/evac"
 	"persimmonstage/core/jobend"
+	"persimmonstage/core/span"
 	"persimmonstage/core/times"
 )
 
@@ -62,11 +63,13 @@
 	live         []*job // the same jobs by arrival
 	queue        []*job
 	risky        []*attempt          // expected to miss the deadline on their target
+	suspects     []*attempt          // far behind for a reason that isn't known yet
 	openByTask   map[string]*attempt // by task name
 	lastAttempt  uint64
 	lastCaller   uint64
 	endedJobs    map[string]endedJob
 	meanLogs     map[string]float64 // mean logarithm of the declared run times, by route
+	spans        span.Spans
 	lastTick     time.Time
 	stallBegin   time.Time // the last tick before the last stall
 	stallEnd     time.Time // when the last stall was noticed
@@ -164,6 +167,7 @@
 		j.tasks[i].number = number
 	}
 	j.expected = s.estimateRunTime(b)
+	j.estimate = j.expected
 	objective := b.Route.Objective(j.expected)
 	j.objective = now.Add(objective)
 	wasActive := s.isActive(b.Route.Name)
@@ -191,6 +195,9 @@
 func (s *Sched) estimateRunTime(b *batch.Batch) time.Duration {
 	mean, known := s.meanLogs[b.Route.Name]
 	if b.Declared <= 0 {
+		if run, learned := s.spans.Run(b.Route.Name, median); learned {
+			return run
+		}
 		if !known {
 			return defaultRunTime
 		}
@@ -204,6 +211,9 @@
 	return time.Duration(math.Exp((mean + declared) / 2))
 }
 
+// median is the quantile of the run times that is expected of a job that declares nothing.
+const median = 0.5
+
 // refusalReason returns the reason for refusing a new job, empty if it can be queued.
 func (s *Sched) refusalReason(now time.Time, j *job) string {
 	if j.isClaimedTooLong() {
@@ -324,6 +334,7 @@
 func (s *Sched) endJob(now time.Time, j *job, f jobend.Outcome) {
 	j.ended = true
 	delete(s.jobs, j.batch.ID)
+	s.learnSpan(now, j, f)
 	s.out.JobEnded(s.summarize(now, j, f))
 	number := 0
 	for i := range j.tasks {
@@ -345,6 +356,7 @@
 	st := &JobSummary{
 		ID: j.batch.ID, Route: j.batch.Route.Name, Outcome: f, Tasks: j.batch.Tasks, Done: j.batch.Tasks - j.left, Starts: j.starts,
 		Expected: j.expected, Objective: j.objective.Sub(j.arrived), Waited: j.waited, Took: now.Sub(j.arrived), Load: s.load, Targets: s.connected(),
+		Forecasts: j.forecasts, Early: j.early,
 	}
 	if !j.started {
 		st.Waited = st.Took
