Estimate which routes slow each other down, and keep them apart where there is room

Cause: tasks on one target may slow each other down, and nothing noticed it. Change: agents report with each end what ran beside; the entry compares the tasks of a job and estimates by pairs of routes how much one slows the other (core/pairs). A term of the ranking prefers targets without a conflicting run.

--- a/core/runs/order.go
+++ b/core/runs/order.go
@@ -42,7 +42,7 @@
 			r.waiting = append(r.waiting, w)
 			continue
 		}
-		r.reportEnd(now, w.key(), stopped, 0)
+		r.reportEnd(now, w.key(), attemptEnd{how: stopped})
 		r.out.Changed()
 	}
 	for _, u := range r.sorted() {
@@ -91,7 +91,7 @@
 	case how == "":
 		r.start(now, name, o)
 	case how != NoRoom || !r.enqueue(now, name, o):
-		r.reportEnd(now, ak, how, 0)
+		r.reportEnd(now, ak, attemptEnd{how: how})
 	}
 }
 
@@ -150,7 +150,7 @@
 	}
 	if i := r.waitingIndex(k); i >= 0 {
 		r.waiting = slices.Delete(r.waiting, i, i+1)
-		r.reportEnd(now, k, stopped, 0)
+		r.reportEnd(now, k, attemptEnd{how: stopped})
 		return
 	}
 	r.resendEnd(now, k)
--- a/core/runs/runs.go
+++ b/core/runs/runs.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"persimmonstage/core/pairs"
 )
 
 const (
@@ -75,6 +77,7 @@
 	how     string
 	ranMS   uint32
 	expires time.Time
+	beside  []pairs.Share
 }
 
 type attemptKey struct {
@@ -117,6 +120,8 @@
 	ack          int64
 	pace         pace
 	meanNeed     float64 // mean millicores that an order needs
+	recording    bool    // what runs beside each run is recorded
+	recent       []recentRun
 }
 
 // New returns an empty table whose decisions are executed by out.
@@ -216,12 +221,15 @@
 	delete(r.attempts, ak)
 	ranMS := uint32(now.Sub(u.began).Milliseconds())
 	r.out.Closed(u.key, u.owner, u.order.Attempt, u.how, ranMS)
-	r.reportEnd(now, ak, u.how, ranMS)
+	r.reportEnd(now, ak, attemptEnd{how: u.how, ranMS: ranMS, beside: r.besideRun(now, u)})
+	r.keepRecent(now, u)
 	r.startWaiting(now)
 	r.out.Changed()
 }
 
-func (r *Runs) reportEnd(now time.Time, k attemptKey, how string, ranMS uint32) {
-	r.ends[k] = attemptEnd{how: how, ranMS: ranMS, expires: now.Add(endRetention)}
-	r.out.Ended(k.owner, k.attempt, how, ranMS)
+// reportEnd keeps the end of an attempt and reports it to its owner.
+func (r *Runs) reportEnd(now time.Time, k attemptKey, e attemptEnd) {
+	e.expires = now.Add(endRetention)
+	r.ends[k] = e
+	r.out.Ended(k.owner, k.attempt, e.how, e.ranMS)
 }
--- a/core/runs/wait.go
+++ b/core/runs/wait.go
@@ -43,9 +43,9 @@
 			full = true
 			r.waiting = append(r.waiting, w)
 		case how == "":
-			r.reportEnd(now, w.key(), NoRoom, 0)
+			r.reportEnd(now, w.key(), attemptEnd{how: NoRoom})
 		default:
-			r.reportEnd(now, w.key(), how, 0)
+			r.reportEnd(now, w.key(), attemptEnd{how: how})
 		}
 	}
 }
@@ -60,7 +60,7 @@
 // dropWaiting refuses all waiting orders.
 func (r *Runs) dropWaiting(now time.Time) {
 	for _, w := range r.takeWaiting() {
-		r.reportEnd(now, w.key(), Refused, 0)
+		r.reportEnd(now, w.key(), attemptEnd{how: Refused})
 	}
 }
 
--- a/core/sched/choose.go
+++ b/core/sched/choose.go
@@ -30,6 +30,7 @@
 	safe, tight := j.maxPaces(now)
 	s.safe, s.tight, s.rest = s.safe[:0], s.tight[:0], s.rest[:0]
 	safeSomewhere, tightSomewhere := false, false
+	partners := s.partners(j)
 	for _, to := range s.targets {
 		if !s.serves(j, to) {
 			continue
@@ -42,7 +43,7 @@
 		}
 		c := candidate{
 			target: to, run: time.Duration(float64(j.expected) * pace), freeFraction: to.freeFraction(),
-			lastSlot: to.freeMillicores() < 2*j.batch.Millicores,
+			lastSlot: to.freeMillicores() < 2*j.batch.Millicores, slowdown: to.slowdown(partners),
 		}
 		switch {
 		case pace <= safe:
--- a/core/sched/rank.go
+++ b/core/sched/rank.go
@@ -16,6 +16,7 @@
 	run          time.Duration
 	freeFraction float64 // of its cores
 	lastSlot     bool    // no second task would fit
+	slowdown     float64 // logarithm of the factors by which the task and the runs there slow each other down, added up
 }
 
 // term is one criterion by which targets that can run a task in time are ranked.
@@ -39,16 +40,18 @@
 		}
 		return 0
 	}, 1}
-	slowTerm = term{"slow", func(c *candidate) float64 { return 1 / float64(max(1, c.run)) }, similarPaceRatio}
-	fastTerm = term{"fast", func(c *candidate) float64 { return float64(max(1, c.run)) }, similarPaceRatio}
-	freeTerm = term{"free", func(c *candidate) float64 { return -c.freeFraction }, 1}
+	// apartTerm avoids targets with runs that the task slows down or is slowed down by.
+	apartTerm = term{"apart", func(c *candidate) float64 { return c.slowdown }, 1}
+	slowTerm  = term{"slow", func(c *candidate) float64 { return 1 / float64(max(1, c.run)) }, similarPaceRatio}
+	fastTerm  = term{"fast", func(c *candidate) float64 { return float64(max(1, c.run)) }, similarPaceRatio}
+	freeTerm  = term{"free", func(c *candidate) float64 { return -c.freeFraction }, 1}
 )
 
 var (
 	// economical ranks targets that end a task well before its deadline: fast ones stay free for long tasks.
-	economical = ranking{roomTerm, slowTerm, freeTerm}
+	economical = ranking{roomTerm, apartTerm, slowTerm, freeTerm}
 	// urgent ranks targets that end a task shortly before its deadline.
-	urgent = ranking{roomTerm, fastTerm, freeTerm}
+	urgent = ranking{roomTerm, fastTerm, apartTerm, freeTerm}
 )
 
 // prefers reports whether a is preferred to b, and the name of the term that decides.
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -10,6 +10,7 @@
 	"persimmonstage/core/batch"
 	"persimmonstage/core/blame"
 	"persimmonstage/core/jobend"
+	"persimmonstage/core/pairs"
 	"persimmonstage/core/times"
 )
 
@@ -80,6 +81,8 @@
 	safe         []candidate       // reused by choose
 	tight        []candidate
 	rest         []candidate
+	pairs        *pairs.Pairs // nil unless routes are kept apart
+	pairChanged  func(c pairs.Change)
 	paces        []float64          // reused by medianPace
 	fastest      map[string]float64 // reused by markLate: the least pace by service
 }
@@ -311,6 +314,7 @@
 func (s *Sched) endJob(now time.Time, j *job, f jobend.Outcome) {
 	j.ended = true
 	delete(s.jobs, j.batch.ID)
+	s.learnPairs(j)
 	s.out.JobEnded(s.summarize(now, j, f))
 	number := 0
 	for i := range j.tasks {
@@ -362,6 +366,7 @@
 		s.hadTargetAt = now
 	}
 	s.expireTargets(now)
+	s.forgetPairs(now)
 	s.isolateTargets(now)
 	for _, j := range s.live {
 		s.claim(now, j)
--- a/core/sched/snapshot.go
+++ b/core/sched/snapshot.go
@@ -9,6 +9,7 @@
 	Waiting int           `json:"jobs-waiting"`
 	Open    int           `json:"attempts-open"`
 	Load    float64       `json:"load"`
+	Pairs   []pairState   `json:"pairs-apart,omitempty"`
 }
 
 type jobState struct {
@@ -22,6 +23,15 @@
 	Waiting   int       `json:"waiting"`
 }
 
+// pairState is a pair of routes that is kept apart.
+type pairState struct {
+	Slowed   string  `json:"slowed"`
+	By       string  `json:"by"`
+	Factor   float64 `json:"factor"`
+	Error    float64 `json:"log-error"`
+	Evidence float64 `json:"evidence"`
+}
+
 type targetState struct {
 	Agent       string  `json:"agent"`
 	Incarnation string  `json:"incarnation"`
@@ -48,6 +58,11 @@
 			Tasks: j.batch.Tasks, Left: j.left, Waiting: j.waiting,
 		})
 	}
+	if s.pairs != nil {
+		for _, c := range s.pairs.Estimates() {
+			out.Pairs = append(out.Pairs, pairState{Slowed: c.Slowed, By: c.By, Factor: c.Factor, Error: c.Error, Evidence: c.Evidence})
+		}
+	}
 	for _, t := range s.targets {
 		used, _ := t.used()
 		out.Targets = append(out.Targets, targetState{
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -5,6 +5,7 @@
 
 	"persimmonstage/core/batch"
 	"persimmonstage/core/jobend"
+	"persimmonstage/core/pairs"
 )
 
 // TargetState is the state of a target as reported by its agent.
@@ -18,8 +19,9 @@
 	Held           bool    // its free capacity is offered to other entries first
 	Pace           float64 // run times relative to the expected ones
 	Labels         []string
-	Process        uint64 // identifies the target's process
-	Seen           uint64 // the highest attempt of this entry that the used amounts include
+	Process        uint64       // identifies the target's process
+	Seen           uint64       // the highest attempt of this entry that the used amounts include
+	Beside         []pairs.Kind // the kind of each run there that is one of ApartKinds
 }
 
 // target is a target with its open attempts, which are kept when the connection to its agent is lost.
@@ -64,26 +66,28 @@
 
 // job is a repeatable job; it exists from its submission until it has an outcome and no open attempt.
 type job struct {
-	batch         *batch.Batch
-	arrived       time.Time
-	ready         time.Time // no task is started before
-	startDeadline time.Time // the job is refused if no task was started by then
-	objective     time.Time
-	expected      time.Duration
-	tasks         []task
-	left          int // unfinished tasks
-	waiting       int // unfinished tasks without an attempt
-	started       bool
-	late          bool          // would miss the objective even if started now
-	overShare     bool          // its route is above its share in an overload
-	waited        time.Duration // until the first start
-	starts        int
-	ended         bool
-	claimMade     bool
-	claimSent     bool      // to an agent
-	covered       time.Time // by the claim
-	resubmitAt    time.Time // when another entry may be handed the job, or start it as the last claim has ended; zero if unknown
-	waiters       []waiter
+	batch            *batch.Batch
+	arrived          time.Time
+	ready            time.Time // no task is started before
+	startDeadline    time.Time // the job is refused if no task was started by then
+	objective        time.Time
+	expected         time.Duration
+	tasks            []task
+	left             int // unfinished tasks
+	waiting          int // unfinished tasks without an attempt
+	started          bool
+	late             bool          // would miss the objective even if started now
+	overShare        bool          // its route is above its share in an overload
+	waited           time.Duration // until the first start
+	starts           int
+	ended            bool
+	claimMade        bool
+	claimSent        bool      // to an agent
+	covered          time.Time // by the claim
+	resubmitAt       time.Time // when another entry may be handed the job, or start it as the last claim has ended; zero if unknown
+	waiters          []waiter
+	measured         []pairs.Sample // tasks that have run to their end
+	measuredExpected time.Duration  // expected when the first of them was sent
 }
 
 // waiter is a caller waiting for a job's outcome.
--- a/io/runsd/effects.go
+++ b/io/runsd/effects.go
@@ -36,7 +36,11 @@
 		e.d.log.Warn("attempt unknown", zap.Uint64("attempt", attempt), zap.String("entry", e.d.entryName(owner)))
 	}
 	if l := e.d.queueReport(owner); l != nil {
-		l.report.Ends = append(l.report.Ends, &wire.RunEnd{Attempt: attempt, How: how, RanMs: ranMS})
+		end := &wire.RunEnd{Attempt: attempt, How: how, RanMs: ranMS}
+		if l.wantsBeside {
+			addBeside(end, e.d.runs.Beside(owner, attempt))
+		}
+		l.report.Ends = append(l.report.Ends, end)
 	}
 }
 
@@ -197,7 +201,7 @@
 	}
 	return &wire.TargetState{
 		Brief: true, UsedMillicores: s.UsedMillicores, UsedMemoryMb: s.UsedMemoryMb, Usable: s.Usable, PacePermille: s.PacePermille,
-		Seen: s.Seen, Held: s.Held,
+		Seen: s.Seen, Held: s.Held, Beside: s.Beside,
 	}
 }
 
@@ -209,7 +213,7 @@
 // sameState reports whether two states are equal; a is nil if none was sent.
 func sameState(a, b *wire.TargetState) bool {
 	return a != nil && sameTarget(a, b) && a.Held == b.Held && a.Usable == b.Usable && a.PacePermille == b.PacePermille &&
-		a.UsedMillicores == b.UsedMillicores && a.UsedMemoryMb == b.UsedMemoryMb && a.Seen == b.Seen
+		a.UsedMillicores == b.UsedMillicores && a.UsedMemoryMb == b.UsedMemoryMb && a.Seen == b.Seen && slices.Equal(a.Beside, b.Beside)
 }
 
 func (d *Daemon) state(l *link) *wire.TargetState { return d.stateFor(l, d.offer.Offered(l.owner)) }
@@ -221,7 +225,7 @@
 		Service: s.Service, Millicores: s.Millicores, MemoryMb: s.MemoryMB,
 		UsedMillicores: s.UsedMillicores, UsedMemoryMb: s.UsedMemoryMB, Usable: s.Usable && l.surplusSince.IsZero(),
 		PacePermille: uint32(s.Pace * permille), Labels: s.Labels, Process: s.Process, Seen: s.Seen,
-		Held: s.Scarce && (s.Slots == 0 || !offered),
+		Held: s.Scarce && (s.Slots == 0 || !offered), Beside: d.kindsFor(l),
 	}
 }
 
--- a/io/runsd/links.go
+++ b/io/runsd/links.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"persimmonstage/core/pairs"
 	"persimmonstage/core/runs"
 	"persimmonstage/core/times"
 	"persimmonstage/io/addr"
@@ -40,6 +41,8 @@
 	report        *wire.RunReport
 	flushing      bool
 	sentState     *wire.TargetState
+	wantsBeside   bool // the entry asked for what ran beside each run
+	apartKinds    []pairs.Kind
 	sentDoc       int64
 	cancelledPos  uint64    // up to which the entry has been told of cancelled jobs
 	claimsPos     uint64    // the same of claims
@@ -240,6 +243,10 @@
 	d.sendCrashes(l)
 	d.runs.Reconnected(uptime.Now(), l.owner, a.Open)
 	d.spread.SetVersion(uptime.Now(), l.addr, a.DocumentVersion, d.doc.Version())
+	if l.wantsBeside = a.Beside; l.wantsBeside {
+		d.runs.RecordNeighbours()
+	}
+	l.setApartKinds(nil)
 	effects{d}.Changed()
 }
 
@@ -263,6 +270,7 @@
 func (d *Daemon) heartbeatAnswered(l *link, a *wire.TargetBeatAnswer) {
 	d.recordEcho(l.owner, a.Stamp)
 	d.addLinks(a.Entries)
+	l.setApartKinds(a.ApartKinds)
 	now := uptime.Now()
 	for _, id := range a.Cancelled {
 		d.cancelled.Add(now, id)
--- a/io/schedd/daemon.go
+++ b/io/schedd/daemon.go
@@ -64,6 +64,7 @@
 	flushPosted bool
 	entries     map[string]time.Time // until when each entry's address is sent to agents
 	targets     atomic.Int64
+	keepsApart  bool // routes that slow each other down
 	unconfirmed bool // the document has to be read by agents
 	packer      pack.Packer
 	cancelled   gossip.Gossip[string] // jobs that callers have cancelled lately
--- a/io/schedd/links.go
+++ b/io/schedd/links.go
@@ -103,7 +103,7 @@
 	open := d.sched.Join(now, name, inc, h.DataCentre, l.targetState(h.State))
 	d.control.Send(l.conn, &wire.Frame{Body: &wire.Frame_TargetHelloAnswer{TargetHelloAnswer: &wire.TargetHelloAnswer{
 		Entry: &wire.Ident{Name: d.self.Name, Incarnation: []byte(d.self.Incarnation)}, Open: open, DocumentVersion: d.doc.Version(),
-		Stamp: h.Stamp,
+		Stamp: h.Stamp, Beside: d.keepsApart,
 	}}})
 	d.log.Info("agent joined", zap.String("agent", name), zap.String("incarnation", inc), zap.Int("open", len(open)),
 		zap.Bool("usable", h.State.Usable), zap.Int("agents", len(d.byName)))
@@ -143,6 +143,7 @@
 		answer.Entries = d.entryAddresses()
 	}
 	l.heartbeats++
+	answer.ApartKinds = d.apartKinds()
 	answer.Cancelled, l.cancelledPos = d.cancelled.After(now, l.cancelledPos)
 	list, pos := d.claims.After(now, l.claimsPos)
 	answer.Claims, l.claimsPos = wire.NewClaims(now, list), pos
@@ -178,6 +179,9 @@
 	}
 	for _, e := range r.Ends {
 		d.metrics.ends.WithLabelValues(endLabel(e.How)).Inc()
+		if d.keepsApart && e.How == sched.EndDone {
+			d.sched.Measured(l.name, e.Attempt, time.Duration(e.RanMs)*time.Millisecond, shares(e))
+		}
 		d.sched.Ended(now, l.name, e.Attempt, e.How)
 	}
 	for _, f := range r.Forecasts {
@@ -221,5 +225,6 @@
 		Millicores: min(full.GetMillicores(), maxCapacity), MemoryMB: min(full.GetMemoryMb(), maxCapacity),
 		UsedMillicores: min(s.UsedMillicores, maxCapacity), UsedMemoryMB: min(s.UsedMemoryMb, maxCapacity),
 		Usable: s.Usable, Held: s.Held, Pace: float64(max(1, s.PacePermille)) / permille, Seen: s.Seen,
+		Beside: kinds(s.Beside),
 	}
 }
--- a/io/schedd/metrics.go
+++ b/io/schedd/metrics.go
@@ -16,8 +16,11 @@
 	claimed prometheus.Counter
 	// confinements counts both confinements and releases of routes.
 	confinements prometheus.Counter
-	waited       prometheus.Histogram
-	response     *prometheus.HistogramVec
+	// pairs is the number of pairs of routes that are kept apart, and pairsFound counts those that began to be.
+	pairs      prometheus.Gauge
+	pairsFound prometheus.Counter
+	waited     prometheus.Histogram
+	response   *prometheus.HistogramVec
 	// documentRequests counts requests to agents to read the operators' document, and documentAnswers those that were answered.
 	documentRequests prometheus.Counter
 	documentAnswers  prometheus.Counter
@@ -60,6 +63,12 @@
 		confinements: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "persimmonstage_route_confinements_total", Help: "Routes confined to isolated targets because they crash targets, or released.",
 		}),
+		pairs: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "persimmonstage_route_pairs_apart", Help: "Pairs of routes that are kept apart, as one slows the other down.",
+		}),
+		pairsFound: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "persimmonstage_route_pairs_found_total", Help: "Times that a pair of routes began to be kept apart.",
+		}),
 		waited: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "persimmonstage_repeatable_wait_seconds", Help: "Time from a job's arrival to its first start.", Buckets: bounds,
 		}),
@@ -73,7 +82,7 @@
 			Name: "persimmonstage_configuration_answers_total", Help: "Answers of agents that confirm a configuration as the newest.",
 		}),
 	}
-	reg.MustRegister(m.jobs, m.ends, m.starts, m.stops, m.moves, m.outlasted, m.claims, m.claimed, m.confinements, m.waited, m.response,
+	reg.MustRegister(m.jobs, m.ends, m.starts, m.stops, m.moves, m.outlasted, m.claims, m.claimed, m.confinements, m.pairs, m.pairsFound, m.waited, m.response,
 		m.documentRequests, m.documentAnswers)
 	return m
 }
