--- a/core/sched/rank.go
+++ b/core/sched/rank.go
@@ -8,6 +8,8 @@
 	// sampleSize is the number of random targets of which the best is taken. If every entry took the best of all targets, they
 	// would all choose the same one, which would refuse most of the attempts.
 	sampleSize = 3
+	// apartSampleSize is the same as long as each of these would slow the task down or be slowed down.
+	apartSampleSize = 9
 )
 
 // candidate is a target with free capacity for a task, and the expected run time there.
@@ -72,7 +74,7 @@
 // pick returns the best of a random sample of list by a ranking. It reorders list.
 func (s *Sched) pick(list []candidate, r ranking) *target {
 	best := s.sample(list, 0)
-	for i := 1; i < min(sampleSize, len(list)); i++ {
+	for i := 1; i < min(apartSampleSize, len(list)) && (i < sampleSize || best.slowdown > 0); i++ {
 		c := s.sample(list, i)
 		if better, _ := r.prefers(c, best); better {
 			best = c
--- a/core/sched/rank_test.go
+++ b/core/sched/rank_test.go
@@ -22,6 +22,10 @@
 		{"a slow target is taken if it is in time", economical, candidate{run: 200 * ms, freeFraction: 0.1}, true, "slow"},
 		{"a fast target is taken if time is short", urgent, candidate{run: 70 * ms, freeFraction: 0.1}, true, "fast"},
 		{"similar paces leave the choice to the free room", urgent, candidate{run: 110 * ms, freeFraction: 0.6}, true, "free"},
+		{"a conflict counts more than the pace if there is time", economical, candidate{run: 200 * ms, freeFraction: 0.5, slowdown: 0.2}, false, "apart"},
+		{"room counts more than a conflict", economical, candidate{run: 100 * ms, freeFraction: 0.5, lastSlot: true}, false, "room"},
+		{"the pace counts more than a conflict if time is short", urgent, candidate{run: 70 * ms, freeFraction: 0.1, slowdown: 0.2}, true, "fast"},
+		{"a conflict counts more than the free room", urgent, candidate{run: 100 * ms, freeFraction: 0.9, slowdown: 0.2}, false, "apart"},
 		{"equal targets", urgent, base, false, ""},
 	}
 	for _, c := range cases {
