--- a/io/verb/table.go
+++ b/io/verb/table.go
@@ -20,6 +20,7 @@
 		retire(),
 		report(),
 		explain(),
+		where(),
 		regretCommand(),
 		loadCommand(),
 		onPlatform(),
