--- a/core/pairs/pairs_test.go
+++ b/core/pairs/pairs_test.go
@@ -39,15 +39,24 @@
 	}
 }
 
-func kindName(k int) string { return fmt.Sprint("kind-", k) }
+// standInNames are the names of kinds and targets, and standInIDs the kinds.
+var standInNames, standInIDs = func() (names []string, ids []Kind) {
+	for i := range max(standInKinds, standInTargets) {
+		names = append(names, fmt.Sprint("kind-", i))
+		ids = append(ids, KindOf(names[i]))
+	}
+	return names, ids
+}()
+
+func kindName(k int) string { return standInNames[k] }
 
 // job ends a job of n tasks of kind k; a long job runs beside more, and for longer.
 func (s *standIn) job(k, n int) {
 	long := s.rng.NormFloat64() * jobError
-	var samples []Sample
+	samples := make([]Sample, 0, n)
 	for range n {
 		target := s.rng.IntN(standInTargets)
-		v := Sample{Target: kindName(target), Log: long + s.bias[target] + s.rng.NormFloat64()*taskError}
+		v := Sample{Target: kindName(target), Beside: make([]Share, 0, standInKinds), Log: long + s.bias[target] + s.rng.NormFloat64()*taskError}
 		for other := range standInKinds {
 			if at, ok := s.only[other]; ok && at != target {
 				continue
@@ -56,7 +65,7 @@
 			if runs == 0 {
 				continue
 			}
-			v.Beside = append(v.Beside, Share{KindOf(kindName(other)), runs})
+			v.Beside = append(v.Beside, Share{standInIDs[other], runs})
 			if f := s.factors[[2]int{k, other}]; f > 0 {
 				v.Log += math.Log(f) * runs
 			}
@@ -173,9 +182,9 @@
 	for range 50_000 {
 		var samples []Sample
 		for range 2 {
-			samples = append(samples, Sample{Target: fmt.Sprint(rng.IntN(3000)), Beside: []Share{{KindOf(kindName(rng.IntN(1000))), rng.Float64()}}})
+			samples = append(samples, Sample{Target: fmt.Sprint(rng.IntN(3000)), Beside: []Share{{Kind(rng.Uint32N(1000)), rng.Float64()}}})
 		}
-		p.Learn(kindName(rng.IntN(1000)), samples)
+		p.Learn(fmt.Sprint(rng.IntN(1000)), samples)
 		require.LessOrEqual(t, p.count, maxPairs)
 	}
 	count := 0
