--- a/core/sched/choose.go
+++ b/core/sched/choose.go
@@ -29,6 +29,7 @@
 func (s *Sched) choose(now time.Time, j *job, t *task) *target {
 	safe, tight := j.maxPaces(now)
 	s.safe, s.tight, s.rest = s.safe[:0], s.tight[:0], s.rest[:0]
+	partners := s.partners(j)
 	for _, to := range s.open {
 		if !s.serves(j, to) || !s.hasRoom(now, j, t, to) {
 			continue
@@ -36,7 +37,7 @@
 		pace := to.state.Pace
 		c := candidate{
 			target: to, run: time.Duration(float64(j.expected) * pace), freeFraction: to.freeFraction(),
-			lastSlot: to.freeMillicores() < 2*j.batch.Millicores,
+			lastSlot: to.freeMillicores() < 2*j.batch.Millicores, slowdown: to.slowdown(partners),
 		}
 		switch {
 		case pace <= safe:
--- a/core/sched/order.go
+++ b/core/sched/order.go
@@ -147,7 +147,7 @@
 	s.shares.update(now)
 	s.markLate(now)
 	s.load = s.utilisation()
-	if s.findOpen(now); len(s.open) == 0 {
+	if s.findOpen(s.leastWaiting(now)); len(s.open) == 0 {
 		return
 	}
 	slices.SortStableFunc(s.queue, compareUrgency)
@@ -157,26 +157,32 @@
 	s.queue = slices.DeleteFunc(s.queue, func(j *job) bool { return j.ended || j.waiting == 0 })
 }
 
-// findOpen finds the targets with room for the smallest waiting task. In an overload most states that come are of full targets, thousands a
-// second, and going through all waiting jobs for each would take more processor time than an entry has.
-func (s *Sched) findOpen(now time.Time) {
-	s.open = s.open[:0]
-	least, waiting := uint64(math.MaxUint64), false
+// leastWaiting returns the least need of the waiting tasks that may be started now, in thousandths of a core; the highest value if there is
+// none.
+func (s *Sched) leastWaiting(now time.Time) uint64 {
+	least := uint64(math.MaxUint64)
 	for _, j := range s.queue {
 		if !j.ended && j.waiting > 0 && !now.Before(j.ready) {
-			least, waiting = min(least, j.batch.Millicores), true
+			least = min(least, j.batch.Millicores)
 		}
 	}
-	if !waiting {
-		return
-	}
+	return least
+}
+
+// findOpen finds the targets with room for a task of the given need. In an overload most states that come are of full targets, thousands a
+// second, and going through all waiting jobs for each would take more processor time than an entry has.
+func (s *Sched) findOpen(millicores uint64) {
+	s.open = s.open[:0]
 	for _, t := range s.targets {
-		if used, _ := t.used(); t.available() && !t.state.Held && t.state.Millicores >= used && t.state.Millicores-used >= least {
+		if used, _ := t.used(); t.available() && !t.state.Held && !exceeds(used, millicores, t.state.Millicores) {
 			s.open = append(s.open, t)
 		}
 	}
 }
 
+// exceeds reports whether used and more together are above a capacity; their sum may overflow.
+func exceeds(used, more, capacity uint64) bool { return used > capacity || more > capacity-used }
+
 func (s *Sched) placeJob(now time.Time, j *job) {
 	if j.ended || now.Before(j.ready) {
 		return
--- a/core/sched/rank.go
+++ b/core/sched/rank.go
@@ -8,6 +8,8 @@
 	// sampleSize is the number of random targets of which the best is taken. If every entry took the best of all targets, they
 	// would all choose the same one, which would refuse most of the attempts.
 	sampleSize = 3
+	// apartSampleSize is the same as long as each of these would slow the task down or be slowed down.
+	apartSampleSize = 9
 )
 
 // candidate is a target with free capacity for a task, and the expected run time there.
@@ -16,6 +18,7 @@
 	run          time.Duration
 	freeFraction float64 // of its cores
 	lastSlot     bool    // no second task would fit
+	slowdown     float64 // logarithm of the factors by which the task and the runs there slow each other down, added up
 }
 
 // term is one criterion by which targets that can run a task in time are ranked.
@@ -41,16 +44,18 @@
 		}
 		return 0
 	}, 1}
-	slowTerm = term{"slow", func(c *candidate) float64 { return 1 / float64(max(1, c.run)) }, similarPaceRatio}
-	fastTerm = term{"fast", func(c *candidate) float64 { return float64(max(1, c.run)) }, similarPaceRatio}
-	freeTerm = term{"free", func(c *candidate) float64 { return -c.freeFraction }, 1}
+	// apartTerm avoids targets with runs that the task slows down or is slowed down by.
+	apartTerm = term{"apart", func(c *candidate) float64 { return c.slowdown }, 1}
+	slowTerm  = term{"slow", func(c *candidate) float64 { return 1 / float64(max(1, c.run)) }, similarPaceRatio}
+	fastTerm  = term{"fast", func(c *candidate) float64 { return float64(max(1, c.run)) }, similarPaceRatio}
+	freeTerm  = term{"free", func(c *candidate) float64 { return -c.freeFraction }, 1}
 )
 
 var (
 	// economical ranks targets that end a task well before its deadline: fast ones stay free for long tasks.
-	economical = ranking{soundTerm, roomTerm, slowTerm, freeTerm}
+	economical = ranking{soundTerm, roomTerm, apartTerm, slowTerm, freeTerm}
 	// urgent ranks targets that end a task shortly before its deadline.
-	urgent = ranking{soundTerm, roomTerm, fastTerm, freeTerm}
+	urgent = ranking{soundTerm, roomTerm, fastTerm, apartTerm, freeTerm}
 )
 
 // prefers reports whether a is preferred to b, and the name of the term that decides.
@@ -71,7 +76,7 @@
 // pick returns the best of a random sample of list by a ranking. It reorders list.
 func (s *Sched) pick(list []candidate, r ranking) *target {
 	best := s.sample(list, 0)
-	for i := 1; i < min(sampleSize, len(list)); i++ {
+	for i := 1; i < min(apartSampleSize, len(list)) && (i < sampleSize || best.slowdown > 0); i++ {
 		c := s.sample(list, i)
 		if better, _ := r.prefers(c, best); better {
 			best = c
--- a/core/sched/rank_test.go
+++ b/core/sched/rank_test.go
@@ -23,6 +23,10 @@
 		{"a fast target is taken if time is short", urgent, candidate{target: &target{}, run: 70 * ms, freeFraction: 0.1}, true, "fast"},
 		{"similar paces leave the choice to the free room", urgent, candidate{target: &target{}, run: 110 * ms, freeFraction: 0.6}, true, "free"},
 		{"a target that fails a part of what it runs goes last", urgent, candidate{target: &target{state: TargetState{Failing: 0.125}}, run: 50 * ms, freeFraction: 0.9}, false, "sound"},
+		{"a conflict counts more than the pace if there is time", economical, candidate{target: &target{}, run: 200 * ms, freeFraction: 0.5, slowdown: 0.2}, false, "apart"},
+		{"room counts more than a conflict", economical, candidate{target: &target{}, run: 100 * ms, freeFraction: 0.5, lastSlot: true}, false, "room"},
+		{"the pace counts more than a conflict if time is short", urgent, candidate{target: &target{}, run: 70 * ms, freeFraction: 0.1, slowdown: 0.2}, true, "fast"},
+		{"a conflict counts more than the free room", urgent, candidate{target: &target{}, run: 100 * ms, freeFraction: 0.9, slowdown: 0.2}, false, "apart"},
 		{"equal targets", urgent, base, false, ""},
 	}
 	for _, c := range cases {
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -11,6 +11,7 @@
 	"persimmonstage/core/blame"
 	"persimmonstage/core/evac"
 	"persimmonstage/core/jobend"
+	"persimmonstage/core/pairs"
 	"persimmonstage/core/span"
 	"persimmonstage/core/times"
 )
@@ -87,6 +88,8 @@
 	safe         []candidate // reused by choose
 	tight        []candidate
 	rest         []candidate
+	pairs        *pairs.Pairs // nil unless routes are kept apart
+	pairChanged  func(c pairs.Change)
 	paces        []float64          // reused by medianPace
 	fastest      map[string]float64 // reused by markLate: the least pace by service
 }
@@ -335,6 +338,7 @@
 	j.ended = true
 	delete(s.jobs, j.batch.ID)
 	s.learnSpan(now, j, f)
+	s.learnPairs(j)
 	s.out.JobEnded(s.summarize(now, j, f))
 	number := 0
 	for i := range j.tasks {
@@ -387,6 +391,7 @@
 		s.hadTargetAt = now
 	}
 	s.expireTargets(now)
+	s.forgetPairs(now)
 	s.isolateTargets(now)
 	for _, j := range s.live {
 		s.claim(now, j)
--- a/io/schedd/metrics.go
+++ b/io/schedd/metrics.go
@@ -16,8 +16,11 @@
 	claimed prometheus.Counter
 	// confinements counts both confinements and releases of routes.
 	confinements prometheus.Counter
-	waited       prometheus.Histogram
-	response     *prometheus.HistogramVec
+	// pairs is the number of pairs of routes that are kept apart, and pairsFound counts those that began to be.
+	pairs      prometheus.Gauge
+	pairsFound prometheus.Counter
+	waited     prometheus.Histogram
+	response   *prometheus.HistogramVec
 	// documentRequests counts requests to agents to read the operators' document, and documentAnswers those that were answered.
 	documentRequests prometheus.Counter
 	// strained counts jobs refused as this process was late, and callersMoved connections closed for it.
@@ -70,6 +73,12 @@
 		confinements: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "persimmonstage_route_confinements_total", Help: "Routes confined to isolated targets because they crash targets, or released.",
 		}),
+		pairs: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "persimmonstage_route_pairs_apart", Help: "Pairs of routes that are kept apart, as one slows the other down.",
+		}),
+		pairsFound: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "persimmonstage_route_pairs_found_total", Help: "Times that a pair of routes began to be kept apart.",
+		}),
 		waited: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "persimmonstage_repeatable_wait_seconds", Help: "Time from a job's arrival to its first start.", Buckets: bounds,
 		}),
@@ -86,7 +95,7 @@
 			Name: "persimmonstage_evacuated_data_centres", Help: "Data centres that this process knows to be evacuated.",
 		}),
 	}
-	reg.MustRegister(m.jobs, m.ends, m.starts, m.stops, m.moves, m.outlasted, m.claims, m.claimed, m.confinements, m.strained, m.callersMoved, m.waited, m.response,
-		m.documentRequests, m.documentAnswers, m.evacuated)
+	reg.MustRegister(m.jobs, m.ends, m.starts, m.stops, m.moves, m.outlasted, m.claims, m.claimed, m.confinements, m.pairs, m.pairsFound, m.strained, m.callersMoved,
+		m.waited, m.response, m.documentRequests, m.documentAnswers, m.evacuated)
 	return m
 }
--- a/io/verb/table.go
+++ b/io/verb/table.go
@@ -21,6 +21,7 @@
 		retire(),
 		report(),
 		explain(),
+		where(),
 		regretCommand(),
 		loadCommand(),
 		onPlatform(),
