Refuse orders of cancelled jobs at the agent

Change: an agent that was told of a job's cancelling refuses orders of its tasks, for the 10 s that it keeps that.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	"persimmonstage/core/route"
@@ -35,3 +36,9 @@
 func (b *Batch) TaskName(index int) string {
 	return b.ID + ".0.0." + strconv.Itoa(index)
 }
+
+// JobOf returns the id of the job of a task by its name.
+func JobOf(task string) string {
+	id, _, _ := strings.Cut(task, ".")
+	return id
+}
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -39,6 +39,12 @@
 	return true
 }
 
+// Known reports whether a notice is kept.
+func (g *Gossip[T]) Known(now time.Time, id T) bool {
+	g.expire(now)
+	return g.known[id]
+}
+
 // After returns the notices from a position on, at most maxBatch, and the position after them. A new connection begins at position 0.
 func (g *Gossip[T]) After(now time.Time, pos uint64) ([]T, uint64) {
 	g.expire(now)
--- a/core/proof/repeat_entry_test.go
+++ b/core/proof/repeat_entry_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"persimmonstage/core/batch"
 	"persimmonstage/core/claims"
 	"persimmonstage/core/evac"
 	"persimmonstage/core/gossip"
@@ -87,7 +88,12 @@
 	for _, l := range e.dirty {
 		o := l.orders
 		l.orders = nil
-		e.sendOver(l, func() { l.agent.runs.Orders(e.w.now, owner, o.starts, o.stops) })
+		e.sendOver(l, func() {
+			for _, s := range o.starts {
+				s.Cancelled = l.agent.cancelled.Known(e.w.now, batch.JobOf(s.Task))
+			}
+			l.agent.runs.Orders(e.w.now, owner, o.starts, o.stops)
+		})
 	}
 	e.dirty = nil
 }
--- a/core/runs/effects.go
+++ b/core/runs/effects.go
@@ -45,6 +45,7 @@
 	Payload    []byte
 	Process    uint64    // the target's process that the owner chose, as in State; 0 is any
 	StopBy     time.Time // when the run is stopped although its owner hasn't said so; zero if never
+	Cancelled  bool      // the agent has been told that the job was cancelled
 }
 
 // Instance is a target's announcement of itself; it is plain data.
--- a/core/runs/order.go
+++ b/core/runs/order.go
@@ -112,7 +112,7 @@
 
 // refusal returns the reason why an order can't be started now, or an empty string.
 func (r *Runs) refusal(now time.Time, w *owner, o *Order) string {
-	if !r.usable(now) || now.Sub(w.lastEcho) > Tenure || o.isOver(now) || o.Process != 0 && o.Process != r.process {
+	if !r.usable(now) || now.Sub(w.lastEcho) > Tenure || o.isOver(now) || o.Cancelled || o.Process != 0 && o.Process != r.process {
 		return Refused
 	}
 	for _, u := range r.runs {
--- a/io/runsd/links.go
+++ b/io/runsd/links.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"persimmonstage/core/batch"
 	"persimmonstage/core/runs"
 	"persimmonstage/core/times"
 	"persimmonstage/io/addr"
@@ -293,7 +294,7 @@
 		starts = append(starts, &runs.Order{
 			Attempt: s.Attempt, Task: s.Task, Route: s.Route, Number: int(s.Number), Millicores: s.Millicores, MemoryMB: s.MemoryMb,
 			Expected: time.Duration(s.ExpectedMs) * time.Millisecond, Payload: s.Payload, Process: s.Process,
-			StopBy: wire.EndOf(now, s.LeftMs),
+			StopBy: wire.EndOf(now, s.LeftMs), Cancelled: d.cancelled.Known(now, batch.JobOf(s.Task)),
 		})
 	}
 	d.runs.Orders(now, l.owner, starts, o.Stops)
