--- a/core/sched/apart_test.go
+++ b/core/sched/apart_test.go
@@ -28,6 +28,9 @@
 	done    map[string]int // jobs in time, by route
 	jobs    map[string]int
 	sent    int
+	counts  map[string]*[len(apartRoutes)]int // runs by target and route
+
+	lastTick time.Time
 }
 
 type apartRun struct {
@@ -59,7 +62,7 @@
 func newApartSim(seed uint64, on bool, slowing func(slowed, by string) float64) *apartSim {
 	s := &apartSim{
 		harness: newHarness(), rng: rand.New(rand.NewPCG(seed, 1)), slowing: slowing, seen: map[string]uint64{},
-		done: map[string]int{}, jobs: map[string]int{},
+		done: map[string]int{}, jobs: map[string]int{}, counts: map[string]*[len(apartRoutes)]int{},
 	}
 	if on {
 		s.sched.KeepApart(func(c pairs.Change) { s.changes = append(s.changes, c) })
@@ -67,6 +70,7 @@
 	for i := range apartTargets {
 		name := fmt.Sprint("t", i)
 		s.targets = append(s.targets, name)
+		s.counts[name] = new([len(apartRoutes)]int)
 		s.sched.Join(s.now, name, "i", "z", s.state(name))
 	}
 	return s
@@ -74,12 +78,13 @@
 
 func (s *apartSim) state(target string) TargetState {
 	st := TargetState{Service: "s", Millicores: apartRoom, MemoryMB: 1 << 20, Usable: true, Pace: 1, Seen: s.seen[target]}
+	asked := s.sched.ApartKinds()
 	for _, r := range s.runs {
 		if r.target != target {
 			continue
 		}
 		st.UsedMillicores += apartTask
-		if k := pairs.KindOf(apartRoutes[r.route].name); slices.Contains(s.sched.ApartKinds(), k) {
+		if k := pairs.KindOf(apartRoutes[r.route].name); slices.Contains(asked, k) {
 			st.Beside = append(st.Beside, k)
 		}
 	}
@@ -118,21 +123,20 @@
 	}
 	s.starts, s.startTargets = nil, nil
 	s.now = s.now.Add(apartStep)
-	counts := map[string]*[len(apartRoutes)]int{}
+	for _, c := range s.counts {
+		*c = [len(apartRoutes)]int{}
+	}
 	for _, r := range s.runs {
-		if counts[r.target] == nil {
-			counts[r.target] = new([len(apartRoutes)]int)
-		}
-		counts[r.target][r.route]++
+		s.counts[r.target][r.route]++
 	}
 	for _, r := range s.runs {
 		speed := 1.0
-		for other, n := range counts[r.target] {
+		for other, n := range s.counts[r.target] {
 			if other == r.route {
 				n--
 			}
 			r.beside[other] += n
-			if f := s.slowing(apartRoutes[r.route].name, apartRoutes[other].name); f > 1 {
+			if f := s.slowing(apartRoutes[r.route].name, apartRoutes[other].name); f > 1 && n > 0 {
 				speed /= math.Pow(f, float64(n))
 			}
 		}
@@ -158,7 +162,10 @@
 		s.sched.Ended(s.now, r.target, r.attempt, EndDone)
 		s.sched.UpdateTarget(s.now, r.target, s.state(r.target))
 	}
-	s.sched.Tick(s.now)
+	if s.now.Sub(s.lastTick) >= tickPeriod {
+		s.sched.Tick(s.now)
+		s.lastTick = s.now
+	}
 }
 
 // play submits jobs at a rate that uses about the given fraction of the targets while nothing is slowed down.
