Add tests of callers that exceed an entry's memory and descriptors

Callers who keep each limit of one request ended a process: it ran out of memory.

Change: tests that start an entry and an agent as processes, each with 64 MB and 320 descriptors in its settings (200 of these for files), and send to them on loopback with 88 connections (22 of large heartbeats, 140 where descriptors are at stake). Checked: the process lives, its peak memory (VmHWM) and its sockets stay within the settings, an ordinary question and an ordinary job are answered afterwards. Crowd and bounds are fixed by this commit; the product is unchanged.

--- /dev/null
+++ b/test/callers/callers_test.go
@@ -0,0 +1,281 @@
+package callers
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	// crowd is the callers' connections, for which the descriptors of the settings suffice; they don't for those of largeCrowd.
+	crowd      = 88
+	largeCrowd = 140
+	// headerBytes is the size of a request's header that net/http still reads.
+	headerBytes = 20_000
+	writeTime   = 15 * time.Second
+	pieceBytes  = 4 << 10
+	// heartbeatBytes is the largest heartbeat that the pages allow.
+	heartbeatBytes = 4 << 20
+)
+
+// send sends to an address on n connections at once what request returns for each, a piece at a time, and leaves the connections open
+// until the test ends. The process may close them.
+func send(t *testing.T, addr string, n, piece int, request func(i int) []byte) {
+	t.Helper()
+	requests := make([][]byte, n)
+	for i := range requests {
+		requests[i] = request(i)
+	}
+	var done sync.WaitGroup
+	for _, rest := range requests {
+		conn, err := net.Dial("tcp", addr)
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		_ = conn.SetWriteDeadline(time.Now().Add(writeTime))
+		done.Go(func() {
+			for len(rest) > 0 {
+				size := min(piece, len(rest))
+				if _, err := conn.Write(rest[:size]); err != nil {
+					return
+				}
+				rest = rest[size:]
+			}
+		})
+	}
+	done.Wait()
+}
+
+// head returns the begin of a job's header.
+func head(i int) []byte {
+	return fmt.Appendf(nil, "POST /q/%016x HTTP/1.1\r\nHost: h.example\r\nX-Persimmonstage-Deadline-Ms: 60000\r\n", i+1)
+}
+
+// fill appends lines until the header's size is limit.
+func fill(header []byte, limit int, line func(i int) string) []byte {
+	for i := 0; ; i++ {
+		l := line(i)
+		if len(header)+len(l) > limit {
+			return header
+		}
+		header = append(header, l...)
+	}
+}
+
+// Characters of the names of header lines.
+const (
+	letters = "abcdefghijklmnopqrstuvwxyz0123456789"
+	signs   = "!#$%&'*+-.^_`|~0123456789"
+)
+
+// name returns a short name of the i-th header line, which no other one has.
+func name(i int, chars string) string {
+	n := len(chars)
+	return string([]byte{chars[i%n], chars[i/n%n], chars[i/n/n]})
+}
+
+// shortLine returns the shortest header line with a name of its own.
+func shortLine(i int) string { return name(i, letters) + ":\n" }
+
+// oddLine returns a header line with an odd name and no value; some are folded.
+func oddLine(i int) string {
+	const folded, blank = 16, 8
+	switch {
+	case i%folded == 0:
+		return name(i, signs) + ":\n \n"
+	case i%blank == 0:
+		return name(i, signs) + ": \t\n"
+	}
+	return name(i, signs) + ":\n"
+}
+
+// job returns a body of the size of the limit which holds a job.
+func job() []byte {
+	body := []byte(`{"best-effort":true,"phases":[{"count":4,"cpu":500,"mem-mb":256,"estimate-ms":900}],"spec":"x"}`)
+	return append(body, bytes.Repeat([]byte{' '}, bodyBytes-len(body))...)
+}
+
+func withLength(i int, body []byte) []byte {
+	return append(fmt.Appendf(head(i), "Content-Length: %d\r\n\r\n", len(body)), body...)
+}
+
+// chunked returns a request whose body comes in chunks of a size.
+func chunked(i int, body []byte, size int) []byte {
+	out := append(head(i), "Transfer-Encoding: chunked\r\n\r\n"...)
+	for ; len(body) > 0; body = body[min(size, len(body)):] {
+		chunk := body[:min(size, len(body))]
+		out = fmt.Appendf(out, "%x\r\n%s\r\n", len(chunk), chunk)
+	}
+	return append(out, "0\r\n\r\n"...)
+}
+
+// short cuts off the end of all requests but each eighth.
+func short(i int, request []byte) []byte {
+	const whole, missing = 8, 7
+	if i%whole == 0 {
+		return request
+	}
+	return request[:len(request)-missing]
+}
+
+// TestManyShortHeaderLines guards against headers that cost much more memory than their bytes: net/http keeps an entry of a map for
+// each of thousands of lines.
+func TestManyShortHeaderLines(t *testing.T) {
+	s := startSystem(t)
+	send(t, s.front, crowd, pieceBytes, func(i int) []byte {
+		return short(i, append(fill(head(i), headerBytes, shortLine), "\r\n\r\n"...))
+	})
+	s.requireBounds()
+}
+
+// TestManyShortHeaderLinesBeforeABody guards against such headers that are kept while a body is awaited.
+func TestManyShortHeaderLinesBeforeABody(t *testing.T) {
+	s := startSystem(t)
+	send(t, s.front, crowd, pieceBytes, func(i int) []byte {
+		return append(fill(append(head(i), "Content-Length: 900\r\n"...), headerBytes, shortLine), "\r\n{"...)
+	})
+	s.requireBounds()
+}
+
+// TestOddHeaderLines guards against lines without a value, odd names and folded lines.
+func TestOddHeaderLines(t *testing.T) {
+	s := startSystem(t)
+	send(t, s.front, crowd, pieceBytes, func(i int) []byte {
+		header := append(head(i), "Content-Length: 900\r\n"...)
+		return append(fill(header, headerBytes, oddLine), "\r\n{"...)
+	})
+	s.requireBounds()
+}
+
+// TestHeaderLinesOfTheNextRequest guards against header lines that come together with the request before.
+func TestHeaderLinesOfTheNextRequest(t *testing.T) {
+	s := startSystem(t)
+	send(t, s.front, crowd, headerBytes, func(i int) []byte {
+		first := "GET /q/ HTTP/1.1\r\nHost: h.example\r\n\r\n"
+		return append([]byte(first), fill(append(head(i), "Content-Length: 900\r\n"...), headerBytes-len(first), shortLine)...)
+	})
+	s.requireBounds()
+}
+
+// TestLargeBodiesAtOnce guards against bodies whose buffers together exceed the memory, of callers that wait for an answer.
+func TestLargeBodiesAtOnce(t *testing.T) {
+	s := startSystem(t)
+	send(t, s.front, crowd, bodyBytes, func(i int) []byte { return withLength(i, job()) })
+	s.requireBounds()
+}
+
+// TestLargeBodiesShortOfTheirEnd guards against bodies that come piece by piece and never end.
+func TestLargeBodiesShortOfTheirEnd(t *testing.T) {
+	s := startSystem(t)
+	send(t, s.front, crowd, pieceBytes, func(i int) []byte { return short(i, withLength(i, job())) })
+	s.requireBounds()
+}
+
+// TestLargeChunksShortOfTheirEnd guards against the same with a length that isn't declared.
+func TestLargeChunksShortOfTheirEnd(t *testing.T) {
+	s := startSystem(t)
+	send(t, s.front, crowd, pieceBytes, func(i int) []byte { return short(i, chunked(i, job(), bodyBytes/4)) })
+	s.requireBounds()
+}
+
+// TestSmallChunksShortOfTheirEnd guards against the same in chunks of four bytes.
+func TestSmallChunksShortOfTheirEnd(t *testing.T) {
+	s := startSystem(t)
+	send(t, s.front, crowd, pieceBytes, func(i int) []byte { return short(i, chunked(i, job(), 4)) })
+	s.requireBounds()
+}
+
+// TestBodiesOfManySteps guards against bodies that cost much more memory than their bytes once they are decoded.
+func TestBodiesOfManySteps(t *testing.T) {
+	s := startSystem(t)
+	const begin, end = `{"best-effort":true,"spec":"x","phases":[{"count":1}`, `]}`
+	body := begin + strings.Repeat(",{}", (bodyBytes-len(begin)-len(end))/3) + end
+	send(t, s.front, crowd, bodyBytes, func(i int) []byte { return withLength(i, []byte(body)) })
+	s.requireBounds()
+}
+
+// TestMoreConnectionsThanDescriptors guards against callers who use up the descriptors, which agents and the store need too.
+func TestMoreConnectionsThanDescriptors(t *testing.T) {
+	s := startSystem(t)
+	send(t, s.front, largeCrowd, pieceBytes, func(i int) []byte { return head(i) })
+	s.requireBounds()
+}
+
+// TestMoreChecksThanDescriptors guards against the same at the port for readiness checks.
+func TestMoreChecksThanDescriptors(t *testing.T) {
+	s := startSystem(t)
+	send(t, s.ready, largeCrowd, pieceBytes, func(int) []byte { return []byte("GET /api/ready HTTP/1.1\r\nHost: h\r\n\r\n") })
+	s.requireBounds()
+	requireOK(t, "http://"+s.ready+"/api/ready")
+}
+
+// TestMoreReadersOfMetricsThanDescriptors guards against the same at the ports for metrics.
+func TestMoreReadersOfMetricsThanDescriptors(t *testing.T) {
+	s := startSystem(t)
+	for _, addr := range []string{s.entryMetrics, s.agentMetrics} {
+		send(t, addr, largeCrowd, pieceBytes, func(int) []byte { return []byte("GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n") })
+	}
+	s.requireBounds()
+	s.agent.requireBounds(s.requireServed)
+	requireOK(t, "http://"+s.entryMetrics+"/metrics")
+	requireOK(t, "http://"+s.agentMetrics+"/metrics")
+}
+
+func requireOK(t *testing.T, url string) {
+	t.Helper()
+	client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Get(url)
+	require.NoError(t, err)
+	_ = resp.Body.Close()
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+}
+
+// TestLargeHeartbeatsShortOfTheirEnd guards against heartbeats of legal size that never end, at an agent.
+func TestLargeHeartbeatsShortOfTheirEnd(t *testing.T) {
+	s := startSystem(t)
+	send(t, s.control, crowd/4, pieceBytes, func(i int) []byte {
+		body := append([]byte("{}"), bytes.Repeat([]byte{' '}, heartbeatBytes-2)...)
+		head := fmt.Appendf(nil, "POST /api/instances/i-%d/heartbeat HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", i+1, len(body))
+		return short(i, append(head, body...))
+	})
+	s.agent.requireBounds(func() {
+		require.NoError(t, s.announce(), "the target's heartbeat isn't answered")
+		s.requireServed()
+	})
+}
+
+// TestMoreHeartbeatsThanDescriptors guards against connections at an agent's address that use up its descriptors.
+func TestMoreHeartbeatsThanDescriptors(t *testing.T) {
+	s := startSystem(t)
+	send(t, s.control, largeCrowd, pieceBytes, func(int) []byte { return []byte("POST /api/instances/i-1/heartbeat HTTP/1.1\r\nHost: h\r\n") })
+	s.agent.requireBounds(func() {
+		require.NoError(t, s.announce(), "the target's heartbeat isn't answered")
+		s.requireServed()
+	})
+}
+
+// TestALargestRequestIsServedInCalm checks that a single request inside the limits is served, with and without a declared length.
+func TestALargestRequestIsServedInCalm(t *testing.T) {
+	s := startSystem(t)
+	require.NoError(t, s.call(http.MethodPost, "/q/00000000000000aa", string(job())))
+	for i, size := range []int{bodyBytes, 2} {
+		conn, err := net.Dial("tcp", s.front)
+		require.NoError(t, err)
+		_ = conn.SetDeadline(time.Now().Add(callTimeout))
+		_, err = conn.Write(chunked(i, job(), size))
+		require.NoError(t, err)
+		answer := make([]byte, 1000)
+		n, err := conn.Read(answer)
+		require.NoError(t, err)
+		require.Contains(t, string(answer[:n]), " 200 ")
+		require.Contains(t, string(answer[:n]), `{"state":"done"}`)
+		_ = conn.Close()
+	}
+	s.requireBounds()
+}
