Bound what callers' requests hold together at an entry and an agent

Change: core/intake (no I/O) decides which connections are closed; io/guard accepts connections, counts the lines of a header before they are parsed, reads bodies into buffers that grow with what has arrived, and logs and counts what was closed. The limits follow from limits.memory-mb and limits.max-fds of the settings, which are checked at the start; without them only lines (128), decoded steps (160) and the time for a body (the request's deadline, 30 s at most) are bounded. A request that is given up or late is answered 503, not run, with Retry-After. docs/design/callers.md says what was weighed and what remains open.

Not measured yet: processor time.

--- /dev/null
+++ b/core/intake/intake.go
@@ -0,0 +1,151 @@
+package intake
+
+import "time"
+
+// Intake keeps account of connections and of the bytes that their large requests hold; create it with New.
+type Intake struct {
+	limits Limits
+	conns  map[uint64]*conn
+	addrs  map[string]int // connections of each address
+	last   uint64
+	bytes  int64
+}
+
+// conn is an open connection.
+type conn struct {
+	addr    string
+	serving bool
+	since   time.Time // when it was opened or its last answer was sent
+	bytes   int64
+	held    time.Time // since when it holds bytes
+	expired bool      // it was chosen to be closed for its bytes
+}
+
+// New returns an Intake without connections.
+func New(l Limits) *Intake {
+	return &Intake{limits: l, conns: make(map[uint64]*conn), addrs: make(map[string]int)}
+}
+
+// Open records a new connection from an address and returns its number. If there are too many, it returns in victim another one that has
+// to be closed, or false if each serves a request, and then the new one has to be closed.
+func (i *Intake) Open(now time.Time, addr string) (id, victim uint64, ok bool) {
+	if i.limits.Conns > 0 && len(i.conns) >= i.limits.Conns {
+		victim = i.dispensable()
+		if victim == 0 {
+			return 0, 0, false
+		}
+		i.Close(victim)
+	}
+	i.last++
+	i.conns[i.last] = &conn{addr: addr, since: now}
+	i.addrs[addr]++
+	return i.last, victim, true
+}
+
+// dispensable returns the connection to be closed in favour of a new one, 0 if there is none: of the address with most connections, the
+// one that has waited longest for a request that was read.
+func (i *Intake) dispensable() uint64 {
+	var victim uint64
+	for id, c := range i.conns {
+		if !c.serving && (victim == 0 || i.before(id, victim)) {
+			victim = id
+		}
+	}
+	return victim
+}
+
+// before reports whether connection a is closed before b.
+func (i *Intake) before(a, b uint64) bool {
+	x, y := i.conns[a], i.conns[b]
+	if n, m := i.addrs[x.addr], i.addrs[y.addr]; n != m {
+		return n > m
+	}
+	if !x.since.Equal(y.since) {
+		return x.since.Before(y.since)
+	}
+	return a < b
+}
+
+// Close records the end of a connection; it does nothing if that is known.
+func (i *Intake) Close(id uint64) {
+	c := i.conns[id]
+	if c == nil {
+		return
+	}
+	i.bytes -= c.bytes
+	delete(i.conns, id)
+	if i.addrs[c.addr]--; i.addrs[c.addr] == 0 {
+		delete(i.addrs, c.addr)
+	}
+}
+
+// Serve records that the request of a connection has been read, so that the connection isn't closed before the answer. It returns false
+// if the connection or its request was given up.
+func (i *Intake) Serve(id uint64) bool {
+	c := i.conns[id]
+	if c == nil || c.expired {
+		return false
+	}
+	c.serving = true
+	return true
+}
+
+// Await records that a connection's answer was sent and that its next request is awaited, which holds no bytes yet.
+func (i *Intake) Await(now time.Time, id uint64) {
+	c := i.conns[id]
+	if c == nil {
+		return
+	}
+	i.bytes -= c.bytes
+	*c = conn{addr: c.addr, since: now}
+}
+
+// Hold records how many bytes the request of a connection holds, and returns the connections whose requests have to be given up as all
+// hold too many. The request may be among them. One that is alone is never given up.
+func (i *Intake) Hold(now time.Time, id uint64, bytes int64) []uint64 {
+	c := i.conns[id]
+	switch {
+	case c == nil || c.expired:
+		return []uint64{id}
+	case c.bytes == 0:
+		c.held = now
+	}
+	grows := bytes > c.bytes
+	i.bytes += bytes - c.bytes
+	c.bytes = bytes
+	var victims []uint64
+	for grows && i.limits.Bytes > 0 && i.bytes > i.limits.Bytes && i.bytes > c.bytes && !c.expired {
+		victim := i.costliest(now, id)
+		v := i.conns[victim]
+		i.bytes -= v.bytes
+		v.bytes, v.expired = 0, true
+		victims = append(victims, victim)
+	}
+	return victims
+}
+
+// costliest returns the connection whose request has held most bytes for the longest time, by their product, which is the largest
+// and the slowest at once. It is id if the others with bytes are served.
+func (i *Intake) costliest(now time.Time, id uint64) uint64 {
+	victim, most := id, i.conns[id].cost(now)
+	for other, c := range i.conns {
+		if c.serving || c.bytes == 0 {
+			continue
+		}
+		if cost := c.cost(now); cost > most || cost == most && other < victim {
+			victim, most = other, cost
+		}
+	}
+	return victim
+}
+
+// cost returns the product of the bytes and of the time for which they were held.
+func (c *conn) cost(now time.Time) float64 {
+	return float64(c.bytes) * float64(now.Sub(c.held)+time.Millisecond)
+}
+
+// Bytes returns how many bytes the requests hold.
+func (i *Intake) Bytes() int64 { return i.bytes }
+
+// Conns returns the number of connections.
+func (i *Intake) Conns() int { return len(i.conns) }
--- /dev/null
+++ b/core/intake/intake_test.go
@@ -0,0 +1,102 @@
+package intake_test
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"persimmonstage/core/intake"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func TestLimitsFollowFromTheSettings(t *testing.T) {
+	require.Equal(t, intake.Limits{}, intake.LimitsOf(0, 0))
+	require.Equal(t, intake.Limits{Conns: 90, Bytes: 4 << 20}, intake.LimitsOf(64<<20, 320))
+	require.Equal(t, intake.Limits{Conns: 2016, Bytes: 252 << 17}, intake.LimitsOf(284<<20, 4100))
+	require.Equal(t, 8, intake.LimitsOf(0, 100).Conns)
+}
+
+// TestTheAddressWithMostConnectionsLosesItsOldestIdleOne guards against a crowd that closes the connections of other callers.
+func TestTheAddressWithMostConnectionsLosesItsOldestIdleOne(t *testing.T) {
+	i := intake.New(intake.Limits{Conns: 3})
+	other, _, _ := i.Open(start, "other")
+	served, _, _ := i.Open(start, "crowd")
+	idle, _, _ := i.Open(start.Add(time.Second), "crowd")
+	i.Serve(served)
+	next, victim, ok := i.Open(start.Add(time.Minute), "third")
+	require.True(t, ok)
+	require.Equal(t, idle, victim)
+	i.Serve(other)
+	i.Serve(next)
+	_, _, ok = i.Open(start, "third")
+	require.False(t, ok, "each connection serves a request")
+	i.Await(start.Add(time.Minute), served)
+	_, victim, ok = i.Open(start, "third")
+	require.True(t, ok)
+	require.Equal(t, served, victim)
+}
+
+func TestTheLargestAndSlowestRequestIsGivenUp(t *testing.T) {
+	i := intake.New(intake.Limits{Bytes: 100})
+	slow, _, _ := i.Open(start, "a")
+	large, _, _ := i.Open(start, "b")
+	require.Empty(t, i.Hold(start, slow, 40))
+	require.Empty(t, i.Hold(start.Add(time.Second), large, 60))
+	require.Equal(t, []uint64{slow}, i.Hold(start.Add(time.Second), large, 70))
+	require.Equal(t, []uint64{slow}, i.Hold(start.Add(time.Second), slow, 50), "a request that was given up stays so")
+	require.Empty(t, i.Hold(start.Add(time.Second), large, 1000), "a request that is alone is read")
+}
+
+// TestBytesStayWithinTheBudget plays random connections: what is held exceeds the budget only by a request that is alone, and the account
+// is empty at the end.
+func TestBytesStayWithinTheBudget(t *testing.T) {
+	const budget, conns, steps = 1000, 20, 5000
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		i, now := intake.New(intake.Limits{Conns: conns, Bytes: budget}), start
+		var open []uint64
+		held := map[uint64]int64{}
+		for range steps {
+			now = now.Add(time.Duration(rng.IntN(100)) * time.Millisecond)
+			id, victim, ok := uint64(0), uint64(0), false
+			if rng.IntN(3) == 0 {
+				if id, victim, ok = i.Open(now, string(rune('a'+rng.IntN(3)))); ok {
+					open = append(open, id)
+				}
+				if victim != 0 {
+					open = slices.DeleteFunc(open, func(o uint64) bool { return o == victim })
+					delete(held, victim)
+				}
+			}
+			require.LessOrEqual(t, i.Conns(), conns)
+			if len(open) == 0 {
+				continue
+			}
+			id = open[rng.IntN(len(open))]
+			switch rng.IntN(4) {
+			case 0:
+				i.Close(id)
+				delete(held, id)
+				open = slices.DeleteFunc(open, func(o uint64) bool { return o == id })
+			case 1:
+				i.Await(now, id)
+				delete(held, id)
+			default:
+				held[id] = held[id]*2 + 10
+				for _, v := range i.Hold(now, id, held[id]) {
+					delete(held, v)
+				}
+			}
+			require.True(t, i.Bytes() <= budget || len(held) == 1, "seed %d: %d bytes of %d requests", seed, i.Bytes(), len(held))
+		}
+		for _, id := range open {
+			i.Close(id)
+		}
+		require.Zero(t, i.Bytes())
+		require.Zero(t, i.Conns())
+	}
+}
--- /dev/null
+++ b/core/intake/limits.go
@@ -0,0 +1,41 @@
+package intake
+
+const (
+	// fileDescriptors is how many of a process's descriptors are set aside for files.
+	fileDescriptors = 200
+	// minConns is how many connections are served however few descriptors or how little memory the settings give.
+	minConns = 8
+	// reservedShare is the part of the sockets, as a divisor, that is kept for agents, the store and the platform.
+	reservedShare = 4
+	// ConnBytes is the memory of a connection whose request isn't large: stacks, buffers of net/http, a header and a body of up to 8 KB.
+	ConnBytes = 32 << 10
+	// ownBytes is the memory that a process takes without callers: half of it is the program itself.
+	ownBytes = 32 << 20
+	// connShare and byteShare are the parts of the remaining memory, as divisors, for connections and for what large requests hold. The garbage
+	// collector lets the heap grow to twice what is in use.
+	connShare = 4
+	byteShare = 8
+)
+
+// Limits bounds what callers may hold together; 0 stands for no limit.
+type Limits struct {
+	Conns int   // connections
+	Bytes int64 // of large requests that are being read
+}
+
+// LimitsOf returns the limits of a process with the given memory and descriptors; 0 stands for unknown.
+func LimitsOf(memoryBytes int64, descriptors int) Limits {
+	var l Limits
+	if memoryBytes > 0 {
+		free := max(memoryBytes/connShare, memoryBytes-ownBytes)
+		l = Limits{Conns: max(minConns, int(free/connShare/ConnBytes)), Bytes: free / byteShare}
+	}
+	if descriptors > 0 {
+		sockets := descriptors - fileDescriptors
+		conns := max(minConns, sockets-sockets/reservedShare)
+		if l.Conns == 0 || conns < l.Conns {
+			l.Conns = conns
+		}
+	}
+	return l
+}
--- /dev/null
+++ b/io/guard/guard.go
@@ -0,0 +1,154 @@
+package guard
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"persimmonstage/core/intake"
+	"persimmonstage/io/uptime"
+)
+
+// reason is why a connection was closed or its request given up.
+type reason string
+
+const (
+	tooManyConns reason = "connections"
+	tooManyBytes reason = "bytes"
+	tooManyLines reason = "header-lines"
+	tooLate      reason = "body-time"
+)
+
+// logInterval is the least time between two log lines.
+const logInterval = time.Second
+
+// Guard keeps account of the connections to one port; create it with New.
+type Guard struct {
+	port   string
+	log    *zap.Logger
+	mu     sync.Mutex
+	intake *intake.Intake
+	conns  map[uint64]*Conn
+	counts map[reason]int // since the last log line
+	logged time.Time
+	closed *prometheus.CounterVec
+}
+
+// New returns a guard of a port with a name for logs and metrics.
+func New(port string, l intake.Limits, log *zap.Logger) *Guard {
+	return &Guard{
+		port: port, log: log, intake: intake.New(l), conns: make(map[uint64]*Conn), counts: make(map[reason]int),
+		closed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "persimmonstage_connections_closed_total", Help: "Connections closed, or whose request was given up, by the limit that was met.",
+			ConstLabels: prometheus.Labels{"port": port},
+		}, []string{"limit"}),
+	}
+}
+
+// Register registers the guard's metrics.
+func (g *Guard) Register(reg prometheus.Registerer) {
+	gauge := func(name, help string, value func() float64) prometheus.Collector {
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help, ConstLabels: prometheus.Labels{"port": g.port}}, func() float64 {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			return value()
+		})
+	}
+	reg.MustRegister(g.closed,
+		gauge("persimmonstage_connections", "Open connections.", func() float64 { return float64(g.intake.Conns()) }),
+		gauge("persimmonstage_request_bytes", "Bytes that large requests hold.", func() float64 { return float64(g.intake.Bytes()) }))
+}
+
+// Listener returns a listener whose connections are the guard's.
+func (g *Guard) Listener(ln net.Listener) net.Listener { return &listener{ln, g} }
+
+type listener struct {
+	net.Listener
+	guard *Guard
+}
+
+// Accept waits for the next connection that the limits admit.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if out := l.guard.open(c); out != nil {
+			return out, nil
+		}
+		_ = c.Close()
+	}
+}
+
+// open returns the guarded connection, nil if there are too many.
+func (g *Guard) open(c net.Conn) *Conn {
+	host, _, err := net.SplitHostPort(c.RemoteAddr().String())
+	if err != nil {
+		host = c.RemoteAddr().String()
+	}
+	g.mu.Lock()
+	id, victim, ok := g.intake.Open(uptime.Now(), host)
+	closing := g.conns[victim]
+	delete(g.conns, victim)
+	var out *Conn
+	if ok {
+		out = &Conn{Conn: c, guard: g, id: id, inHeader: true}
+		g.conns[id] = out
+	}
+	g.mu.Unlock()
+	if closing != nil {
+		_ = closing.Conn.Close()
+	}
+	if closing != nil || !ok {
+		g.report(tooManyConns)
+	}
+	return out
+}
+
+// hold records the bytes that a connection's request holds, and returns false if the request has to be given up.
+func (g *Guard) hold(c *Conn, bytes int64) bool {
+	g.mu.Lock()
+	var victims []*Conn
+	kept := true
+	for _, id := range g.intake.Hold(uptime.Now(), c.id, bytes) {
+		if id == c.id {
+			kept = false
+		} else if v := g.conns[id]; v != nil {
+			victims = append(victims, v)
+		}
+	}
+	g.mu.Unlock()
+	for _, v := range victims {
+		v.giveUp()
+		g.report(tooManyBytes)
+	}
+	if !kept && !c.givenUp.Swap(true) {
+		g.report(tooManyBytes)
+	}
+	return kept
+}
+
+// report counts a closed connection and writes a log line a second at most.
+func (g *Guard) report(why reason) {
+	g.closed.WithLabelValues(string(why)).Inc()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.counts[why]++
+	now := uptime.Now()
+	if now.Sub(g.logged) < logInterval {
+		return
+	}
+	g.logged = now
+	fields := []zap.Field{zap.String("port", g.port), zap.Int("open", g.intake.Conns()), zap.Int64("bytes", g.intake.Bytes())}
+	for _, r := range []reason{tooManyConns, tooManyBytes, tooManyLines, tooLate} {
+		if n := g.counts[r]; n > 0 {
+			fields = append(fields, zap.Int(string(r), n))
+		}
+	}
+	clear(g.counts)
+	g.log.Warn("connections over the limits closed", fields...)
+}
--- a/test/docs/settings_test.go
+++ b/test/docs/settings_test.go
@@ -11,6 +11,7 @@
 	"persimmonstage/io/agtset"
 	"persimmonstage/io/entset"
 	"persimmonstage/io/strict"
+	"persimmonstage/platform/boot"
 )
 
 // settingsPage renders docs/SETTINGS.md from the code.
@@ -24,7 +25,11 @@
 		"\n## The settings of an entry\n\nOne TOML file per process, read at its start (`entry --settings FILE`).\n\n" +
 		strict.Reference(entset.Settings{}) +
 		"\n## The settings of an agent\n\nOne TOML file per process, read at its start (`agent --settings FILE`).\n\n" +
-		strict.Reference(agtset.Settings{})
+		strict.Reference(agtset.Settings{}) +
+		"\n## The limits on the users' platform\n\nThe platform writes the settings file of its processes; docs/design/callers.md says what follows from these.\n\n" +
+		strict.Reference(struct {
+			Limits boot.Limits `toml:"limits"`
+		}{})
 }
 
 func TestSettingsPageIsCurrent(t *testing.T) {
