Refuse half of the new jobs at first, and move callers by the recent share of overload

Change: every other job is refused in the first window; callers are moved once a quarter of the recent windows are overloaded; the delay that counts is 50 ms instead of 30.

--- a/core/strain/strain.go
+++ b/core/strain/strain.go
@@ -3,14 +3,16 @@
 import "time"
 
 const (
-	// highDelay is the queueing delay above which an entry is overloaded: half of the fixed part of a usual response-time objective.
-	highDelay = 30 * time.Millisecond
+	// highDelay is the queueing delay above which an entry is overloaded: most of the fixed part of a usual response-time objective, and a
+	// tenth of the delay from which on agents refuse its orders.
+	highDelay = 50 * time.Millisecond
 	// lowDelay is the delay below which an overload has ended.
 	lowDelay = 10 * time.Millisecond
 	// window is the time over which the least delay counts: a queue that is empty once within it is a burst, not an overload.
 	window = 100 * time.Millisecond
-	// reliefAfter is the number of consecutive windows of overload before callers are moved.
-	reliefAfter = 3
+	// reliefShare is the recent share of windows with an overload from which on callers are moved, and shareWeight the weight of one window.
+	reliefShare = 0.25
+	shareWeight = 0.1
 	// noticeTime is how long an entry isn't ready until the balancer has noticed; connections that are closed before come back.
 	noticeTime = 2200 * time.Millisecond
 	// moveTime is how long connections are then closed, and restTime the least time until callers are moved again.
@@ -26,7 +28,9 @@
 	least      time.Duration // in the present window
 	sampled    bool          // the present window has a sample
 	overloaded bool
-	streak     int       // consecutive windows of overload
+	streak     int     // consecutive windows of overload
+	share      float64 // recent share of windows with an overload
+	refused    int
 	reliefFrom time.Time // since when the entry hasn't been ready, or was last
 	answers    int
 }
@@ -51,19 +55,30 @@
 			s.overloaded = false
 		}
 		s.streak++
+		overloaded := 1.0
 		if !s.overloaded {
-			s.streak = 0
+			s.streak, overloaded = 0, 0
 		}
+		s.share += shareWeight * (overloaded - s.share)
 	}
-	if s.streak >= reliefAfter && (s.reliefFrom.IsZero() || now.Sub(s.reliefFrom) > noticeTime+moveTime+restTime) {
+	if s.share >= reliefShare && (s.reliefFrom.IsZero() || now.Sub(s.reliefFrom) > noticeTime+moveTime+restTime) {
 		s.reliefFrom = now
 	}
 	s.windowEnd, s.sampled = now.Add(window), false
 }
 
-// Overloaded reports whether a new job should be refused at once.
+// Overloaded reports whether new jobs are refused.
 func (s *Strain) Overloaded() bool { return s.overloaded }
 
+// Refuses reports whether the new job that has come should be refused at once: every other one at first, and all when that wasn't enough.
+func (s *Strain) Refuses() bool {
+	if !s.overloaded {
+		return false
+	}
+	s.refused++
+	return s.streak > 1 || s.refused%2 == 0
+}
+
 // Relieving reports whether the balancer should use other entries for new connections.
 func (s *Strain) Relieving(now time.Time) bool {
 	return !s.reliefFrom.IsZero() && now.Sub(s.reliefFrom) < noticeTime+moveTime
--- a/io/schedd/strain.go
+++ b/io/schedd/strain.go
@@ -28,6 +28,13 @@
 	return q.strain.Overloaded(), q.strain.Overloaded() != before
 }
 
+// refuses reports whether a new job should be refused.
+func (q *delays) refuses() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.strain.Refuses()
+}
+
 // swapProbing sets whether a probe is in the queue and reports whether one was.
 func (q *delays) swapProbing(on bool) bool {
 	q.mu.Lock()
@@ -60,7 +67,7 @@
 // submit hands a job to the scheduler unless this process is overloaded; w is called as by Sched.Submit. A job that is known already is
 // never refused, as it may have run. It is called on the loop.
 func (d *Daemon) submit(now, came time.Time, b *batch.Batch, w func(jobend.Outcome)) uint64 {
-	if d.isOverloaded(now, came) && !d.sched.Knows(b.ID) {
+	if d.isOverloaded(now, came) && !d.sched.Knows(b.ID) && d.delays.refuses() {
 		d.metrics.strained.Inc()
 		w(jobend.Outcome{Kind: jobend.Refused, Reason: "overloaded", RetryAfter: time.Second})
 		return 0
