Divide scarce room by the entries' demand

Cause: agents offered scarce room to entries in random order, each entry judged by its own rate of starts and its own shares, and counted a task again as started each time that its target had no room. On a fleet of unequal traffic the callers of the busiest entry were refused most.

Change: entries report arrived and started work by route in heartbeat answers; an agent weighs its offers by it, more for entries of which less is served, and returns the sum of its entries in heartbeats while its room is scarce. Entries divide shares by the sum, correct the wait that they expect, and refuse jobs of a kind that is served better here than at the others while jobs wait. A job that a target has room for isn't refused any more because jobs wait for other targets.

--- a/core/offer/offer_test.go
+++ b/core/offer/offer_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"persimmonstage/core/demand"
 )
 
 func entries(n int) []string {
@@ -81,3 +83,59 @@
 	require.True(t, o.Offered("e2"))
 	require.True(t, o.Done())
 }
+
+// work returns a demand of one route.
+func work(arrived, started float64) demand.Demand {
+	var d demand.Demand
+	d.AddRoute(1, demand.Work{Arrived: arrived, Started: started})
+	return d
+}
+
+// countFirst returns how often each entry is offered the room first.
+func countFirst(now time.Time, o *Offer, n int) map[string]int {
+	first := map[string]int{}
+	for range n {
+		o.Restart(now, entries(4))
+		o.Extend(1)
+		for _, e := range entries(4) {
+			if o.Offered(e) {
+				first[e]++
+			}
+		}
+	}
+	return first
+}
+
+func TestRoomFollowsDemand(t *testing.T) {
+	now := time.Unix(1000, 0)
+	o := New(rand.New(rand.NewPCG(1, 2)))
+	for _, e := range entries(4) {
+		o.RecordOrder(now, e)
+		o.RecordDemand(now, e, work(1, 0.8))
+	}
+	o.RecordDemand(now, "e3", work(3, 2.4))
+	first := countFirst(now, o, 6000)
+	require.InDelta(t, 3000, first["e3"], 200)
+	require.InDelta(t, 1000, first["e0"], 150)
+	o.RecordDemand(now, "e0", work(1, 0.6))
+	require.Greater(t, countFirst(now, o, 6000)["e0"], 3000, "an entry of which less is served goes first")
+}
+
+// TestAnEntryWithoutRecentReportHasTheUsualWeight covers entries that have just started, and reports that no longer arrive.
+func TestAnEntryWithoutRecentReportHasTheUsualWeight(t *testing.T) {
+	now := time.Unix(1000, 0)
+	o := New(rand.New(rand.NewPCG(1, 2)))
+	for _, e := range entries(4) {
+		o.RecordOrder(now, e)
+		o.RecordDemand(now, e, work(2, 1.6))
+	}
+	o.Remove("e1")
+	o.RecordOrder(now, "e1")
+	o.RecordDemand(now.Add(-2*demand.TTL), "e2", work(100, 10))
+	first := countFirst(now, o, 4000)
+	for _, e := range entries(4) {
+		require.InDelta(t, 1000, first[e], 150, e)
+	}
+	total := o.Total(now)
+	require.InDelta(t, 4, total.All.Arrived, 1e-9)
+}
--- a/core/sched/contention_test.go
+++ b/core/sched/contention_test.go
@@ -17,18 +17,20 @@
 	"persimmonstage/core/subset"
 )
 
-// fleet is the size of a simulated fleet of several entries.
-type fleet struct {
+// fleetSize is the size of a simulated fleet of several entries.
+type fleetSize struct {
 	entries, targets int
-	taskMillicores   uint64 // CPU per task
-	clients          int    // connections of callers, each to a random entry
-	atOnce           bool   // targets offer scarce room to all entries at once
+	taskMillicores   uint64        // CPU per task
+	clients          int           // connections of callers, each to a random entry
+	atOnce           bool          // targets offer scarce room to all entries at once
+	silent           bool          // no demand is reported
+	reportAge        time.Duration // of reports of demand beyond the network's delay
 }
 
 // contentionSim simulates several entries that share the same targets; an entry learns of the others' tasks only from the
 // targets' delayed state updates.
 type contentionSim struct {
-	fleet     fleet
+	fleet     fleetSize
 	rng       *rand.Rand
 	now       time.Time
 	entries   []*contendingEntry
@@ -41,6 +43,7 @@
 	inTime    int
 	jobs      int
 	tasks     int
+	ended     func(e *contendingEntry, kind string, end jobend.Outcome) // may be nil
 }
 
 type contendingEntry struct {
@@ -50,15 +53,16 @@
 }
 
 type contendedTarget struct {
-	name      string
-	pace      float64
-	used      uint64
-	seen      map[*contendingEntry]uint64
-	reported  map[*contendingEntry]TargetState
-	entries   []*contendingEntry // to which it is offered
-	offer     *offer.Offer
-	waiting   []*contendedOrder
-	changedAt time.Time // time of the first unreported change; zero if there is none
+	name           string
+	taskMillicores uint64
+	pace           float64
+	used           uint64
+	seen           map[*contendingEntry]uint64
+	reported       map[*contendingEntry]TargetState
+	entries        []*contendingEntry // to which it is offered
+	offer          *offer.Offer
+	waiting        []*contendedOrder
+	changedAt      time.Time // time of the first unreported change; zero if there is none
 }
 
 const (
@@ -170,6 +174,11 @@
 	}
 }
 
+// slots returns how many more tasks fit.
+func (t *contendedTarget) slots() int {
+	return int((targetMillicores - min(targetMillicores, t.committed())) / t.taskMillicores)
+}
+
 // committed returns the CPU of running and waiting orders.
 func (t *contendedTarget) committed() uint64 {
 	used := t.used
@@ -184,7 +193,7 @@
 	c.scheduled[at] = append(c.scheduled[at], do)
 }
 
-func newContentionSim(seed uint64, f fleet) *contentionSim {
+func newContentionSim(seed uint64, f fleetSize) *contentionSim {
 	c := &contentionSim{fleet: f, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), scheduled: map[time.Duration][]func(){}}
 	c.startTime = c.now
 	for i := range f.entries {
@@ -193,7 +202,7 @@
 		c.entries = append(c.entries, e)
 	}
 	for i := range f.targets {
-		t := &contendedTarget{name: fmt.Sprint("t", i), pace: 1.2, seen: map[*contendingEntry]uint64{}, reported: map[*contendingEntry]TargetState{}, offer: offer.New(c.rng)}
+		t := &contendedTarget{name: fmt.Sprint("t", i), taskMillicores: f.taskMillicores, pace: 1.2, seen: map[*contendingEntry]uint64{}, reported: map[*contendingEntry]TargetState{}, offer: offer.New(c.rng)}
 		if i%4 == 0 {
 			t.pace = 0.55
 		}
@@ -234,6 +243,9 @@
 			do()
 		}
 		delete(c.scheduled, due)
+		if !c.fleet.silent {
+			c.heartbeats(at)
+		}
 		if at%scarceInterval == 0 {
 			for _, t := range c.targets {
 				c.report(t)
@@ -249,7 +261,7 @@
 
 // report sends a changed state of a target to its entries, or continues with the offer of its room.
 func (c *contentionSim) report(t *contendedTarget) {
-	slots := int((targetMillicores - min(targetMillicores, t.committed())) / c.fleet.taskMillicores)
+	slots := t.slots()
 	scarce := slots < scarceSlots
 	switch {
 	case t.changedAt.IsZero() && t.offer.Done(), !scarce && c.now.Sub(t.changedAt) < ampleInterval:
@@ -295,6 +307,9 @@
 		ID: fmt.Sprintf("%016x", c.jobs), Route: r, Tasks: n,
 		Millicores: c.fleet.taskMillicores, MemoryMB: 64, Declared: declared, Deadline: c.now.Add(1490 * time.Millisecond),
 	}, func(end jobend.Outcome) {
+		if c.ended != nil {
+			c.ended(e, r.Name, end)
+		}
 		if end.Kind != jobend.Done {
 			return
 		}
@@ -321,17 +336,17 @@
 
 // fleets returns the fleet sizes to test, with the multiple of the usual rate that is the targets' full load.
 func fleets() map[string]struct {
-	fleet    fleet
+	fleet    fleetSize
 	fullRate float64
 } {
 	type sized = struct {
-		fleet    fleet
+		fleet    fleetSize
 		fullRate float64
 	}
 	return map[string]sized{
-		"3-entries-11-targets":   {fleet{entries: 3, targets: 11, taskMillicores: smallTaskMillicores, clients: 12}, 1.9},
-		"14-entries-77-targets":  {fleet{entries: 14, targets: 77, taskMillicores: smallTaskMillicores, clients: 56}, 1.9},
-		"55-entries-240-targets": {fleet{entries: 55, targets: 240, taskMillicores: largeTaskMillicores, clients: 58}, 0.6},
+		"3-entries-11-targets":   {fleetSize{entries: 3, targets: 11, taskMillicores: smallTaskMillicores, clients: 12}, 1.9},
+		"14-entries-77-targets":  {fleetSize{entries: 14, targets: 77, taskMillicores: smallTaskMillicores, clients: 56}, 1.9},
+		"55-entries-240-targets": {fleetSize{entries: 55, targets: 240, taskMillicores: largeTaskMillicores, clients: 58}, 0.6},
 	}
 }
 
--- a/core/sched/order.go
+++ b/core/sched/order.go
@@ -96,6 +96,9 @@
 // as it becomes free, so the wait follows from the tasks ahead and the rate of starts. Refusing now is better for the caller than
 // refusing later.
 func (s *Sched) wouldWaitTooLong(now time.Time, j *job) bool {
+	if s.canStart(now, j) {
+		return false
+	}
 	ahead, backlog := 1, false
 	for _, o := range s.queue {
 		if o.ended || o.waiting == 0 || now.Before(o.ready) || !o.precedes(j) || !s.sameTargets(o, j) {
@@ -109,7 +112,23 @@
 	if j.overShare {
 		rate = &s.overRate
 	}
-	return backlog && float64(rate.timeFor(now, ahead)) > waitMargin*float64(j.startDeadline.Sub(now))
+	fairness := s.fairness(now, j)
+	if ahead > 1 && s.yields(now, j) {
+		return true
+	}
+	return backlog && float64(rate.timeFor(now, ahead)) > fairness*waitMargin*float64(j.startDeadline.Sub(now))
+}
+
+// canStart reports whether a target has room for a task of a new job that the jobs ahead have not taken and that is not reserved: they
+// wait for other targets.
+func (s *Sched) canStart(now time.Time, j *job) bool {
+	_, tight := j.maxPaces(now)
+	for _, to := range s.targets {
+		if to.state.Pace <= tight && s.serves(j, to) && s.hasRoom(now, j, &j.tasks[0], to) {
+			return true
+		}
+	}
+	return false
 }
 
 // sameTargets reports whether two jobs of a service may use the same targets.
@@ -141,7 +160,7 @@
 	if len(s.queue) == 0 {
 		return
 	}
-	s.shares.update(now)
+	s.shares.update(now, &s.fleet)
 	s.markLate(now)
 	slices.SortStableFunc(s.queue, compareUrgency)
 	s.load = s.utilisation()
@@ -197,7 +216,7 @@
 	if j.overShare {
 		s.overRate.add(now)
 	}
-	s.shares.started(now, j.taskWork())
+	s.shares.started(now, j.batch.Route.Name, j.taskWork())
 	if !j.started {
 		j.started = true
 		j.waited = now.Sub(j.arrived)
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -73,6 +73,7 @@
 	startRate    startRate
 	overRate     startRate // of the jobs of routes above their share
 	shares       shares
+	fleet        fleet
 	blame        *blame.Blame
 	confined     map[string]bool   // the routes that are confined to isolated targets
 	services     map[string]string // by route
@@ -165,7 +166,7 @@
 	wasActive := s.isActive(b.Route.Name)
 	s.services[b.Route.Name] = b.Route.Service
 	s.shares.arrived(now, b.Route.Name, float64(b.Tasks)*j.taskWork())
-	s.shares.update(now)
+	s.shares.update(now, &s.fleet)
 	if !wasActive {
 		s.isolateTargets(now)
 	}
@@ -361,6 +362,7 @@
 	if s.hadTargetAt.IsZero() || len(s.targets) > 0 {
 		s.hadTargetAt = now
 	}
+	s.fleet.update(now)
 	s.expireTargets(now)
 	s.isolateTargets(now)
 	for _, j := range s.live {
--- a/core/sched/share.go
+++ b/core/sched/share.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"persimmonstage/core/demand"
 )
 
 const (
@@ -35,10 +37,22 @@
 // shares measures what work each route asks for and gets, and decides which routes are above their share. The load pattern is a
 // flood of one or all kinds of work: without shares every kind loses about the same part, also one that takes little.
 type shares struct {
-	demand map[string]*decayingSum // core-seconds of arriving jobs, by route
-	used   decayingSum             // core-seconds of started tasks
-	over   map[string]bool         // the routes above their share
-	list   []routeDemand           // reused by update
+	demand map[string]*routeSum // by route
+	used   decayingSum          // core-seconds of sent tasks, also of those that their target had no room for
+	sum    demand.Demand        // reused by own
+	over   map[string]bool      // the routes above their share
+	list   []routeDemand        // reused by update
+}
+
+// routeSum is the work of a route, in core-seconds.
+type routeSum struct {
+	arrived decayingSum // of jobs
+	started decayingSum // of tasks
+	hash    uint32      // identifies the route in reports
+}
+
+func (r *routeSum) work(now time.Time) demand.Work {
+	return demand.Work{Arrived: r.arrived.value(now, shareSpan), Started: max(0, r.started.value(now, shareSpan))}
 }
 
 type routeDemand struct {
@@ -47,37 +61,67 @@
 }
 
 func newShares() shares {
-	return shares{demand: make(map[string]*decayingSum), over: make(map[string]bool)}
+	return shares{demand: make(map[string]*routeSum), over: make(map[string]bool)}
 }
 
 func (s *shares) arrived(now time.Time, route string, work float64) {
 	d := s.demand[route]
 	if d == nil {
-		d = &decayingSum{}
+		d = &routeSum{hash: routeHash(route)}
 		s.demand[route] = d
 	}
-	d.add(now, shareSpan, work)
+	d.arrived.add(now, shareSpan, work)
+}
+
+func (s *shares) started(now time.Time, route string, work float64) {
+	s.used.add(now, shareSpan, work)
+	s.addStarted(now, route, work)
+}
+
+func (s *shares) addStarted(now time.Time, route string, work float64) {
+	if d := s.demand[route]; d != nil {
+		d.started.add(now, shareSpan, work)
+	}
 }
 
-func (s *shares) started(now time.Time, work float64) { s.used.add(now, shareSpan, work) }
+// rejected takes back the work of a task that its target had no room for.
+func (s *shares) rejected(now time.Time, route string, work float64) { s.addStarted(now, route, -work) }
+
+// own returns the work at this entry; the next call overwrites it.
+func (s *shares) own(now time.Time) *demand.Demand {
+	s.sum.Reset()
+	for _, d := range s.demand {
+		s.sum.AddRoute(d.hash, d.work(now))
+	}
+	return &s.sum
+}
 
 // update works out the routes above their share: the capacity in use is divided so that no route gets less than another that asks
-// for more.
-func (s *shares) update(now time.Time) {
+// for more. If agents report the demand at all entries, it is divided among that, so that all entries find the same routes.
+func (s *shares) update(now time.Time, f *fleet) {
 	s.list = s.list[:0]
+	used, started := s.used.value(now, shareSpan), 0.0
 	for route, d := range s.demand {
-		work := d.value(now, shareSpan)
-		if work < minDemand {
+		w := d.work(now)
+		if w.Arrived < minDemand {
 			delete(s.demand, route)
 			continue
 		}
-		s.list = append(s.list, routeDemand{route, work})
+		started += w.Started
+		if f.known() {
+			w = f.sum.Routes[d.hash]
+		}
+		s.list = append(s.list, routeDemand{route, w.Arrived})
+	}
+	if f.known() {
+		used *= f.sum.All.Started / max(minDemand, started)
+		s.addOthers(f)
 	}
 	slices.SortFunc(s.list, func(a, b routeDemand) int {
 		return cmp.Or(cmp.Compare(a.work, b.work), cmp.Compare(a.route, b.route))
 	})
 	clear(s.over)
-	left := sharedFraction * s.used.value(now, shareSpan)
+	left := sharedFraction * used
 	for i, d := range s.list {
 		share := left / float64(len(s.list)-i)
 		s.over[d.route] = d.work > share
@@ -85,6 +129,15 @@
 	}
 }
 
+// addOthers adds the routes that only other entries are asked for, as one route each without a name.
+func (s *shares) addOthers(f *fleet) {
+	for hash, w := range f.sum.Routes {
+		if !slices.ContainsFunc(s.list, func(d routeDemand) bool { return s.demand[d.route] != nil && s.demand[d.route].hash == hash }) {
+			s.list = append(s.list, routeDemand{work: w.Arrived})
+		}
+	}
+}
+
 // taskWork returns the expected work of one task in core-seconds.
 func (j *job) taskWork() float64 {
 	const milli = 1000
--- a/core/sched/share_test.go
+++ b/core/sched/share_test.go
@@ -30,14 +30,14 @@
 func TestRouteIsAboveItsShareOnlyIfOthersAskForLess(t *testing.T) {
 	h := newHarness()
 	s := newShares()
-	s.started(h.now, 100)
 	s.arrived(h.now, "small", 10)
 	s.arrived(h.now, "middle", 25)
 	s.arrived(h.now, "large", 90)
-	s.update(h.now)
+	s.started(h.now, "large", 100)
+	s.update(h.now, &fleet{})
 	require.Equal(t, map[string]bool{"small": false, "middle": false, "large": true}, s.over)
 	s.arrived(h.now, "small", 80)
-	s.update(h.now)
+	s.update(h.now, &fleet{})
 	require.True(t, s.over["small"], "a flood of the smallest kind is limited itself")
 	require.False(t, s.over["middle"])
 }
--- a/core/sched/targets.go
+++ b/core/sched/targets.go
@@ -109,6 +109,9 @@
 		s.out.AttemptEnded(a.name, a.number, a.target.name, how, now.Sub(a.sent))
 	}
 	j := a.job
+	if how == EndNoRoom {
+		s.shares.rejected(now, j.batch.Route.Name, j.taskWork())
+	}
 	if by := now.Sub(j.batch.ResubmitAt); by > 0 && !j.batch.ResubmitAt.IsZero() {
 		s.out.AttemptOutlasted(a.name, a.number, a.target.name, how, by)
 	}
--- a/io/runsd/links.go
+++ b/io/runsd/links.go
@@ -98,6 +98,10 @@
 	b.Cancelled, l.cancelledPos = d.cancelled.After(now, l.cancelledPos)
 	list, pos := d.claims.After(now, l.claimsPos)
 	b.Claims, l.claimsPos = wire.NewClaims(now, list), pos
+	if d.sentScarce {
+		total := d.offer.Total(now)
+		b.Demand = wire.NewDemand(&total)
+	}
 	if s := d.state(l); !sameState(l.sentState, s) {
 		b.State = l.shorten(s)
 	}
@@ -270,6 +274,9 @@
 	for _, m := range a.Claims {
 		d.claims.Receive(now, m.Claim(now))
 	}
+	if l.owner != "" && a.Demand != nil {
+		d.offer.RecordDemand(now, l.owner, a.Demand.Demand())
+	}
 	version, data := d.doc.Get()
 	d.spread.SetVersion(now, l.addr, a.DocumentVersion, version)
 	if a.DocumentVersion < version && l.sentDoc < version {
--- a/io/schedd/links.go
+++ b/io/schedd/links.go
@@ -143,6 +143,10 @@
 		answer.Entries = d.entryAddresses()
 	}
 	l.heartbeats++
+	if b.Demand != nil && l.name != "" {
+		d.sched.FleetDemand(now, l.name, b.Demand.Demand())
+	}
+	answer.Demand = wire.NewDemand(d.sched.Demand(now))
 	answer.Cancelled, l.cancelledPos = d.cancelled.After(now, l.cancelledPos)
 	list, pos := d.claims.After(now, l.claimsPos)
 	answer.Claims, l.claimsPos = wire.NewClaims(now, list), pos
