--- a/core/sched/fleet.go
+++ b/core/sched/fleet.go
@@ -100,10 +100,17 @@
 	return math.Min(maxFairness, math.Max(1/float64(maxFairness), math.Pow(elsewhere/here, fairnessExponent)))
 }
 
+// Yielded returns how many jobs were refused for the benefit of other entries.
+func (s *Sched) Yielded() uint64 { return s.yielded }
+
 // yields reports whether a new job is refused for the benefit of the other entries, of which less is served.
 func (s *Sched) yields(now time.Time, j *job) bool {
 	here, elsewhere := s.served(now, j)
-	return elsewhere < maxYield && here > elsewhere && s.rng.Float64() < yieldGain*(here-elsewhere)
+	if elsewhere >= maxYield || here <= elsewhere || s.rng.Float64() >= yieldGain*(here-elsewhere) {
+		return false
+	}
+	s.yielded++
+	return true
 }
 
 // routeHash identifies a route in reports of demand.
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -74,6 +74,7 @@
 	overRate     startRate // of the jobs of routes above their share
 	shares       shares
 	fleet        fleet
+	yielded      uint64 // jobs refused for the benefit of other entries
 	blame        *blame.Blame
 	confined     map[string]bool   // the routes that are confined to isolated targets
 	services     map[string]string // by route
--- a/io/schedd/daemon.go
+++ b/io/schedd/daemon.go
@@ -70,6 +70,7 @@
 	claims      claims.Claims         // on jobs that entries still work on when another may be handed them
 	holder      uint64                // of this process's claims
 	claimSerial uint64
+	yielded     uint64 // jobs refused for other entries, as counted in the metrics
 }
 
 // New returns a daemon; doc is the operators' document, which the daemon exchanges with agents.
@@ -130,6 +131,10 @@
 func (d *Daemon) tick(time.Time) {
 	now := uptime.Now()
 	d.sched.Tick(now)
+	if n := d.sched.Yielded(); n > d.yielded {
+		d.metrics.yielded.Add(float64(n - d.yielded))
+		d.yielded = n
+	}
 	d.claims.Expire(now)
 	d.requestDocument(now)
 	for _, l := range d.links {
--- a/io/schedd/metrics.go
+++ b/io/schedd/metrics.go
@@ -16,8 +16,10 @@
 	claimed prometheus.Counter
 	// confinements counts both confinements and releases of routes.
 	confinements prometheus.Counter
-	waited       prometheus.Histogram
-	response     *prometheus.HistogramVec
+	// yielded counts jobs that were refused because less of their kind is served at other entries.
+	yielded  prometheus.Counter
+	waited   prometheus.Histogram
+	response *prometheus.HistogramVec
 	// documentRequests counts requests to agents to read the operators' document, and documentAnswers those that were answered.
 	documentRequests prometheus.Counter
 	documentAnswers  prometheus.Counter
@@ -60,6 +62,9 @@
 		confinements: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "persimmonstage_route_confinements_total", Help: "Routes confined to isolated targets because they crash targets, or released.",
 		}),
+		yielded: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "persimmonstage_jobs_yielded_total", Help: "Jobs refused because less of their kind is served at other entries.",
+		}),
 		waited: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "persimmonstage_repeatable_wait_seconds", Help: "Time from a job's arrival to its first start.", Buckets: bounds,
 		}),
@@ -73,7 +78,7 @@
 			Name: "persimmonstage_configuration_answers_total", Help: "Answers of agents that confirm a configuration as the newest.",
 		}),
 	}
-	reg.MustRegister(m.jobs, m.ends, m.starts, m.stops, m.moves, m.outlasted, m.claims, m.claimed, m.confinements, m.waited, m.response,
+	reg.MustRegister(m.jobs, m.ends, m.starts, m.stops, m.moves, m.outlasted, m.claims, m.claimed, m.confinements, m.yielded, m.waited, m.response,
 		m.documentRequests, m.documentAnswers)
 	return m
 }
