--- a/io/schedd/daemon.go
+++ b/io/schedd/daemon.go
@@ -74,6 +74,7 @@
 	holder      uint64                // of this process's claims
 	claimSerial uint64
 	evacuations evac.Table
+	yielded     uint64 // jobs refused for other entries, as counted in the metrics
 }
 
 // New returns a daemon; doc is the operators' document, which the daemon exchanges with agents.
@@ -136,6 +137,10 @@
 	now := uptime.Now()
 	d.sched.Tick(now)
 	d.probe(now)
+	if n := d.sched.Yielded(); n > d.yielded {
+		d.metrics.yielded.Add(float64(n - d.yielded))
+		d.yielded = n
+	}
 	d.claims.Expire(now)
 	d.requestDocument(now)
 	for _, l := range d.links {
--- a/io/schedd/metrics.go
+++ b/io/schedd/metrics.go
@@ -16,6 +16,8 @@
 	claimed prometheus.Counter
 	// confinements counts both confinements and releases of routes.
 	confinements prometheus.Counter
+	// yielded counts jobs that were refused because less of their kind is served at other entries.
+	yielded prometheus.Counter
 	// pairs is the number of pairs of routes that are kept apart, and pairsFound counts those that began to be.
 	pairs      prometheus.Gauge
 	pairsFound prometheus.Counter
@@ -73,6 +75,9 @@
 		confinements: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "persimmonstage_route_confinements_total", Help: "Routes confined to isolated targets because they crash targets, or released.",
 		}),
+		yielded: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "persimmonstage_jobs_yielded_total", Help: "Jobs refused because less of their kind is served at other entries.",
+		}),
 		pairs: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "persimmonstage_route_pairs_apart", Help: "Pairs of routes that are kept apart, as one slows the other down.",
 		}),
@@ -95,7 +100,7 @@
 			Name: "persimmonstage_evacuated_data_centres", Help: "Data centres that this process knows to be evacuated.",
 		}),
 	}
-	reg.MustRegister(m.jobs, m.ends, m.starts, m.stops, m.moves, m.outlasted, m.claims, m.claimed, m.confinements, m.pairs, m.pairsFound, m.strained, m.callersMoved,
+	reg.MustRegister(m.jobs, m.ends, m.starts, m.stops, m.moves, m.outlasted, m.claims, m.claimed, m.confinements, m.yielded, m.pairs, m.pairsFound, m.strained, m.callersMoved,
 		m.waited, m.response, m.documentRequests, m.documentAnswers, m.evacuated)
 	return m
 }
