--- a/core/pairs/pairs.go
+++ b/core/pairs/pairs.go
@@ -115,6 +115,7 @@
 			}
 		}
 	}
+	slices.SortFunc(changes, compareChanges)
 	p.refresh(changes)
 	return changes
 }
@@ -142,12 +143,15 @@
 			}
 		}
 	}
-	slices.SortFunc(list, func(a, b Change) int {
-		return cmp.Or(cmp.Compare(b.Factor, a.Factor), cmp.Compare(a.Slowed, b.Slowed), cmp.Compare(a.By, b.By))
-	})
+	slices.SortFunc(list, compareChanges)
 	return list
 }
 
+// compareChanges sorts the largest factor first.
+func compareChanges(a, b Change) int {
+	return cmp.Or(cmp.Compare(b.Factor, a.Factor), cmp.Compare(a.Slowed, b.Slowed), cmp.Compare(a.By, b.By))
+}
+
 func (p *Pairs) kind(route string) *kind {
 	id := KindOf(route)
 	k := p.kinds[id]
@@ -328,6 +332,9 @@
 			}
 		}
 	}
+	for _, list := range p.partners { // in an order that doesn't depend on the maps, as slowdowns are added up
+		slices.SortFunc(list, func(a, b Partner) int { return cmp.Compare(a.Kind, b.Kind) })
+	}
 }
 
 func (p *Pairs) addPartner(k, other Kind, slowdown float64) {
