Let tasks of a pressed job take a target that just ends them

Of a job expected to take 1.3 s of its caller's 1.5 s three of six tasks ran, and the others waited for targets whose measured pace was within the margin of 1.1, though there were targets with room that would have ended them. After a while no target could, and the job ended as no-time-left, its finished tasks thrown away. Measured paces differ by more than that margin on targets that are equally fast.

If the deadline rather than the objective limits which targets can serve a job, it now takes the fastest with room that ends it, and waits only if there is none.

--- a/core/sched/choose.go
+++ b/core/sched/choose.go
@@ -62,6 +62,11 @@
 	case len(s.tight) > 0:
 		return s.pick(s.tight, urgent)
 	case tightSomewhere:
+		if j.isPressed(now) {
+			if to := s.chooseLate(now, j); to != nil {
+				return to
+			}
+		}
 		s.reservePace(j, tight)
 		return nil
 	}
--- a/core/sched/late.go
+++ b/core/sched/late.go
@@ -137,6 +137,12 @@
 	s.setRisky(a, now.Add(time.Duration(riskyMargin*left)).After(j.batch.Deadline))
 }
 
+// isPressed reports whether a job's deadline rather than its objective limits which targets can serve it. If it waited for a target
+// within tightMargin, which is hardly more than the error of measured paces, those that could just end it now would be lost as well.
+func (j *job) isPressed(now time.Time) bool {
+	return float64(j.batch.Deadline.Sub(now))/tightMargin < float64(j.objective.Sub(now))/objectiveMargin
+}
+
 // learnEnd records how long an attempt that ended well took compared with its estimate, and whether its forecasts held: a job is given
 // up by the earliest possible end, so each early one stands for a job that would be given up wrongly.
 func (t *task) learnEnd(now time.Time, a *attempt) {
--- a/core/sched/late_test.go
+++ b/core/sched/late_test.go
@@ -187,3 +187,30 @@
 	require.Less(t, 1000*total.wrongly, total.jobs)
 	require.Less(t, 100*total.kept, total.jobs)
 }
+
+// TestATaskOfAPressedJobTakesATargetThatJustEndsIt replays jobs of kovacsreti, trouble-1, of which three of six tasks ran, while the others
+// waited at 87 % load for targets whose measured pace was a little better than that of those with room, until none could end them.
+func TestATaskOfAPressedJobTakesATargetThatJustEndsIt(t *testing.T) {
+	h := newHarness()
+	h.join("fast", 0.9)
+	fast := usedState(7, 0)
+	fast.Pace = 0.9
+	h.sched.UpdateTarget(h.now, "fast", fast)
+	h.join("usual", 1.1)
+	b := h.batch("j", 6, 1300*ms)
+	b.Deadline = h.now.Add(1489 * ms)
+	h.submit(b)
+	require.Equal(t, []string{"fast", "fast", "fast", "usual", "usual", "usual"}, h.startTargets)
+}
+
+// TestAJobThatIsNotPressedWaitsForItsObjective is the same for a job that would miss its objective, not its deadline.
+func TestAJobThatIsNotPressedWaitsForItsObjective(t *testing.T) {
+	h := newHarness()
+	h.join("fast", 0.9)
+	fast := usedState(10, 0)
+	fast.Pace = 0.9
+	h.sched.UpdateTarget(h.now, "fast", fast)
+	h.join("slow", 3)
+	h.submit(h.batch("j", 1, 200*ms))
+	require.Empty(t, h.starts)
+}
