Don't refuse a job as overload that has room now

A long job whose tasks waited for a fast target counted as a backlog: jobs behind it were refused at once, as too many tasks were ahead for the rate of starts, at loads from 37 % on, although targets with room would have served them.

A job that would be refused for its expected wait isn't if a target has room for it now.

--- a/core/sched/late_test.go
+++ b/core/sched/late_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -214,3 +215,26 @@
 	h.submit(h.batch("j", 1, 200*ms))
 	require.Empty(t, h.starts)
 }
+
+// TestAJobThatWaitsForAFastTargetIsNoBacklog guards against jobs that are refused as overload, at loads of 37 % and more, behind a long job
+// whose tasks wait for a fast target, though there is room for them (kovacsreti, trouble-1).
+func TestAJobThatWaitsForAFastTargetIsNoBacklog(t *testing.T) {
+	h := newHarness()
+	h.join("fast", 0.6)
+	fast := usedState(9, 0)
+	fast.Pace = 0.6
+	h.sched.UpdateTarget(h.now, "fast", fast)
+	h.join("slow", 1.3)
+	long := h.batch("long", 2, 1500*ms)
+	long.Deadline = h.now.Add(1489 * ms)
+	h.submit(long)
+	require.Len(t, h.starts, 1, "there is room for one task at the fast target")
+	fast.UsedMillicores, fast.Seen = capacity, h.sched.lastAttempt
+	h.sched.UpdateTarget(h.now, "fast", fast)
+	h.run(400 * ms)
+	for i := range 5 {
+		h.submit(h.batch(fmt.Sprint("short", i), 1, 100*ms))
+	}
+	require.Len(t, h.starts, 6)
+	require.Empty(t, h.outcomes)
+}
--- a/core/sched/order.go
+++ b/core/sched/order.go
@@ -109,7 +109,11 @@
 	if j.overShare {
 		rate = &s.overRate
 	}
-	return backlog && float64(rate.timeFor(now, ahead)) > waitMargin*float64(j.startDeadline.Sub(now))
+	if !backlog || float64(rate.timeFor(now, ahead)) <= waitMargin*float64(j.startDeadline.Sub(now)) {
+		return false
+	}
+	// The jobs ahead may wait for fast targets only, and leave others with room that this one can use at once.
+	return s.choose(now, j, &j.tasks[0]) == nil
 }
 
 // sameTargets reports whether two jobs of a service may use the same targets.
