Refuse every other job until the queueing delay is severe, and log each such refusal

Cause: 468 of 4,069 jobs were refused in six overloads of 0.2 s, in which all new jobs were refused after the first 0.1 s though the delay was 50 to 100 ms; the refusals weren't logged. Change: all are refused only above 200 ms (agents refuse orders after 500 ms).

--- a/core/strain/strain.go
+++ b/core/strain/strain.go
@@ -6,6 +6,8 @@
 	// highDelay is the queueing delay above which an entry is overloaded: most of the fixed part of a usual response-time objective, and a
 	// tenth of the delay from which on agents refuse its orders.
 	highDelay = 50 * time.Millisecond
+	// severeDelay is the delay above which all new jobs are refused instead of every other one: agents refuse orders after 500 ms.
+	severeDelay = 200 * time.Millisecond
 	// lowDelay is the delay below which an overload has ended.
 	lowDelay = 10 * time.Millisecond
 	// window is the time over which the least delay counts: a queue that is empty once within it is a burst, not an overload.
@@ -28,8 +30,8 @@
 	least      time.Duration // in the present window
 	sampled    bool          // the present window has a sample
 	overloaded bool
-	streak     int     // consecutive windows of overload
-	share      float64 // recent share of windows with an overload
+	delay      time.Duration // the least of the last window
+	share      float64       // recent share of windows with an overload
 	refused    int
 	reliefFrom time.Time // since when the entry hasn't been ready, or was last
 	answers    int
@@ -48,16 +50,16 @@
 // closeWindow judges the window that has ended. One without a sample says nothing.
 func (s *Strain) closeWindow(now time.Time) {
 	if s.sampled {
+		s.delay = s.least
 		switch {
 		case s.least > highDelay:
 			s.overloaded = true
 		case s.least < lowDelay:
 			s.overloaded = false
 		}
-		s.streak++
 		overloaded := 1.0
 		if !s.overloaded {
-			s.streak, overloaded = 0, 0
+			overloaded = 0
 		}
 		s.share += shareWeight * (overloaded - s.share)
 	}
@@ -70,13 +72,13 @@
 // Overloaded reports whether new jobs are refused.
 func (s *Strain) Overloaded() bool { return s.overloaded }
 
-// Refuses reports whether the new job that has come should be refused at once: every other one at first, and all when that wasn't enough.
+// Refuses reports whether the new job that has come should be refused at once: every other one, and all while the delay is severe.
 func (s *Strain) Refuses() bool {
 	if !s.overloaded {
 		return false
 	}
 	s.refused++
-	return s.streak > 1 || s.refused%2 == 0
+	return s.delay > severeDelay || s.refused%2 == 0
 }
 
 // Relieving reports whether the balancer should use other entries for new connections.
--- a/io/schedd/strain.go
+++ b/io/schedd/strain.go
@@ -69,6 +69,7 @@
 func (d *Daemon) submit(now, came time.Time, b *batch.Batch, w func(jobend.Outcome)) uint64 {
 	if d.isOverloaded(now, came) && !d.sched.Knows(b.ID) && d.delays.refuses() {
 		d.metrics.strained.Inc()
+		d.log.Info("job refused by overload of this process", zap.String("id", b.ID), zap.Int64("delay-ms", now.Sub(came).Milliseconds()))
 		w(jobend.Outcome{Kind: jobend.Refused, Reason: "overloaded", RetryAfter: time.Second})
 		return 0
 	}
