Mend what the review of the joined parts found

A task's last attempt waited for a target that fails nothing though that one was barred for the task or too slow, and reserved it meanwhile; a target that failed a few runs and got no more work stayed failing; an entry that is overloaded refused its jobs without counting them as asked for, exempted the retries of refused jobs, and could take its own probes for idle time; a factor without a bound marked all routes, or none, as above their share; an entry that goes shifted the offer. Change: as named; each in its place. Left (found, not mended): canStart after a stall or a zeroed reservation, moves that are decided when the request comes, the weight of an entry over all services in core/offer.

--- a/core/offer/offer.go
+++ b/core/offer/offer.go
@@ -74,7 +74,9 @@
 	delete(o.reports, entry)
 	if i := slices.Index(o.order, entry); i >= 0 {
 		o.order = slices.Delete(o.order, i, i+1)
-		o.offered = min(o.offered, len(o.order))
+		if i < o.offered {
+			o.offered--
+		}
 	}
 }
 
--- a/core/pairs/pairs.go
+++ b/core/pairs/pairs.go
@@ -24,8 +24,8 @@
 	// halfLife is the time in which evidence loses half of its weight. Kinds that are kept apart yield little of it, so they are tried
 	// together again after a few such times.
 	halfLife = 5 * time.Minute
-	// forgetPeriod is the time between two reductions of the evidence.
-	forgetPeriod = 10 * time.Second
+	// decayPeriod is the time between two reductions of the evidence.
+	decayPeriod = 10 * time.Second
 )
 
 // Pairs estimates by pairs of kinds how much a run slows another one down that runs beside it; create it with New.
@@ -33,13 +33,13 @@
 // Run times are compared within a job, as its tasks share the error of its expected run time, and relative to the bias of each target.
 // So neither a long job nor a slow target looks like a pair.
 type Pairs struct {
-	kinds    map[Kind]*kind
-	targets  map[string]*mean
-	count    int
-	partners map[Kind][]Partner
-	forgetAt time.Time
-	logs     []float64 // reused by Learn
-	kindList []Kind
+	kinds     map[Kind]*kind
+	targets   map[string]*mean
+	count     int
+	partners  map[Kind][]Partner
+	nextDecay time.Time
+	logs      []float64 // reused by Learn
+	kindList  []Kind
 }
 
 // kind is a kind whose runs have ended here.
@@ -93,18 +93,18 @@
 	return changes
 }
 
-// Forget reduces the weight of old evidence and returns the pairs that are no longer kept apart for lack of it.
-func (p *Pairs) Forget(now time.Time) []Change {
-	if now.Before(p.forgetAt) {
+// Decay reduces the weight of old evidence and returns the pairs that are no longer kept apart for lack of it.
+func (p *Pairs) Decay(now time.Time) []Change {
+	if now.Before(p.nextDecay) {
 		return nil
 	}
-	elapsed := forgetPeriod
-	if p.forgetAt.IsZero() {
+	elapsed := decayPeriod
+	if p.nextDecay.IsZero() {
 		elapsed = 0
 	} else {
-		elapsed += now.Sub(p.forgetAt)
+		elapsed += now.Sub(p.nextDecay)
 	}
-	p.forgetAt = now.Add(forgetPeriod)
+	p.nextDecay = now.Add(decayPeriod)
 	factor := math.Exp2(-float64(elapsed) / float64(halfLife))
 	var changes []Change
 	for _, k := range p.kinds {
--- a/core/pairs/pairs_test.go
+++ b/core/pairs/pairs_test.go
@@ -169,8 +169,8 @@
 	require.Equal(t, []Partner{{KindOf(kindName(1)), s.model.Partners(KindOf(kindName(0)))[0].Slowdown}}, s.model.Partners(KindOf(kindName(0))))
 	require.Len(t, s.model.Partners(KindOf(kindName(1))), 1)
 	for range 24 * 60 * 6 {
-		s.now = s.now.Add(forgetPeriod)
-		s.note(s.model.Forget(s.now))
+		s.now = s.now.Add(decayPeriod)
+		s.note(s.model.Decay(s.now))
 	}
 	require.Empty(t, s.model.Estimates())
 	require.Empty(t, s.model.Apart())
--- a/core/runs/failing_test.go
+++ b/core/runs/failing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -20,12 +21,28 @@
 		{"stops say nothing", "fsssssssss", 2, 2},
 	}
 	hows := map[rune]string{'d': done, 'f': failed, 's': stopped}
+	now := time.Unix(1000, 0)
 	for _, c := range cases {
 		f := failing{}
 		for _, end := range c.ends {
-			f.count(hows[end])
+			f.count(now, hows[end])
 		}
 		require.GreaterOrEqual(t, f.eighths(), c.min, c.name)
 		require.LessOrEqual(t, f.eighths(), c.max, c.name)
 	}
 }
+
+// TestATargetThatGetsNoWorkIsTriedAgain guards against a target that failed a few runs and is left out for good, as nothing runs there that
+// could show that it works again.
+func TestATargetThatGetsNoWorkIsTriedAgain(t *testing.T) {
+	f, now := failing{}, time.Unix(1000, 0)
+	for range 10 {
+		f.count(now, failed)
+	}
+	require.False(t, f.decay(now.Add(decayPeriod/2)))
+	for range 15 {
+		now = now.Add(decayPeriod)
+		f.decay(now)
+	}
+	require.Zero(t, f.eighths())
+}
--- a/core/runs/listed.go
+++ b/core/runs/listed.go
@@ -140,7 +140,7 @@
 
 func (r *Runs) finished(now time.Time, u *run, how string) {
 	u.how = how
-	r.failing.count(how)
+	r.failing.count(now, how)
 	if how == done {
 		r.pace.learn(now, now.Sub(u.began), u.order.Expected)
 	}
--- a/core/runs/runs.go
+++ b/core/runs/runs.go
@@ -189,6 +189,9 @@
 		clear(r.lastNumbers)
 	}
 	r.pace.decay(now)
+	if r.failing.decay(now) {
+		r.out.Changed()
+	}
 }
 
 // maxNumbers bounds the number of tasks whose last run number is kept. If a forgotten number is used again, the target refuses
--- a/core/sched/apart.go
+++ b/core/sched/apart.go
@@ -43,10 +43,10 @@
 	}
 }
 
-// forgetPairs forgets old evidence on pairs.
-func (s *Sched) forgetPairs(now time.Time) {
+// decayPairs reduces the weight of old evidence on pairs.
+func (s *Sched) decayPairs(now time.Time) {
 	if s.pairs != nil {
-		s.reportPairs(s.pairs.Forget(now))
+		s.reportPairs(s.pairs.Decay(now))
 	}
 }
 
--- a/core/sched/choose.go
+++ b/core/sched/choose.go
@@ -51,12 +51,12 @@
 	switch {
 	case len(s.safe) > 0:
 		return s.pick(s.safe, economical)
-	case s.mayWaitForSafe(now, j) && s.servesAt(j, safe):
+	case s.mayWaitForSafe(now, j) && s.servesAt(now, j, t, safe):
 		s.reservePace(j, safe)
 		return nil
 	case len(s.tight) > 0:
 		return s.pick(s.tight, urgent)
-	case s.servesAt(j, tight):
+	case s.servesAt(now, j, t, tight):
 		if j.isPressed(now) {
 			if to := s.chooseLate(now, j); to != nil {
 				return to
@@ -68,9 +68,11 @@
 	return s.chooseLate(now, j)
 }
 
-// servesAt reports whether a target of at most the given pace, full or not, serves the job.
-func (s *Sched) servesAt(j *job, pace float64) bool {
-	return slices.ContainsFunc(s.targets, func(to *target) bool { return to.state.Pace <= pace && s.serves(j, to) })
+// servesAt reports whether a target of at most the given pace, full or not, may be used for a task.
+func (s *Sched) servesAt(now time.Time, j *job, t *task, pace float64) bool {
+	return slices.ContainsFunc(s.targets, func(to *target) bool {
+		return to.state.Pace <= pace && s.serves(j, to) && !s.forbids(now, j, t, to)
+	})
 }
 
 // maxPaces returns the highest paces at which a target meets the objective and satisfies safeMargin or tightMargin.
@@ -125,10 +127,7 @@
 
 // hasRoom reports whether a target that serves the job can start the task now.
 func (s *Sched) hasRoom(now time.Time, j *job, t *task, to *target) bool {
-	if to.state.Held || to.state.Pace <= s.reservedPace && to.isolatedFor == "" || t.avoid == to && len(s.targets) > 1 {
-		return false
-	}
-	if to.state.Failing > 0 && s.isLastAttempt(j, t) && s.hasSound(j) {
+	if to.state.Held || to.state.Pace <= s.reservedPace && to.isolatedFor == "" || s.forbids(now, j, t, to) {
 		return false
 	}
 	if to.failures >= probeFailures && (len(to.attempts) > 0 || now.Before(to.pausedUntil)) {
@@ -146,9 +145,17 @@
 	return t.failures > 0 && t.failures+1 >= j.batch.Route.MaxAttempts
 }
 
-// hasSound reports whether a target that fails nothing serves the job, full or not.
-func (s *Sched) hasSound(j *job) bool {
-	return slices.ContainsFunc(s.targets, func(to *target) bool { return to.state.Failing == 0 && s.serves(j, to) })
+// hasSound reports whether a target that fails nothing would end the task before the deadline, full or not.
+func (s *Sched) hasSound(now time.Time, j *job, t *task) bool {
+	return slices.ContainsFunc(s.targets, func(to *target) bool {
+		run := time.Duration(to.state.Pace * float64(j.expected))
+		return to.state.Failing == 0 && to != t.avoid && s.serves(j, to) && !now.Add(run).After(j.batch.Deadline)
+	})
+}
+
+// forbids reports whether a task must not be attempted at a target that serves its job, also once that has room.
+func (s *Sched) forbids(now time.Time, j *job, t *task, to *target) bool {
+	return t.avoid == to && len(s.targets) > 1 || to.state.Failing > 0 && s.isLastAttempt(j, t) && s.hasSound(now, j, t)
 }
 
 // tasksAt returns the number of the job's tasks with an attempt on a target.
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -318,10 +318,25 @@
 // Running reports whether a job exists and hasn't ended.
 func (s *Sched) Running(id string) bool { return s.jobs[id] != nil }
 
-// Knows reports whether a job was handed in before and hasn't ended, or has an outcome that is kept.
-func (s *Sched) Knows(id string) bool {
-	_, ended := s.endedJobs[id]
-	return ended || s.Running(id)
+// Knows reports whether tasks of a job may have been started here: it hasn't ended, its outcome is kept and isn't a refusal before any
+// start, or one of its attempts is still open.
+func (s *Sched) Knows(b *batch.Batch) bool {
+	m, ended := s.endedJobs[b.ID]
+	if s.Running(b.ID) || ended && (m.outcome.Kind != jobend.Refused || m.number > 0) {
+		return true
+	}
+	for i := range b.Tasks {
+		if s.openByTask[b.TaskName(i)] != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// RecordRefused counts a job that was refused without Submit as work that callers have asked for.
+func (s *Sched) RecordRefused(now time.Time, b *batch.Batch) {
+	j := &job{batch: b, expected: s.estimateRunTime(b)}
+	s.shares.arrived(now, b.Route.Name, float64(b.Tasks)*j.taskWork())
 }
 
 // Waiting returns the number of jobs of a route of which no task was started yet.
@@ -394,7 +409,7 @@
 	}
 	s.fleet.update(now)
 	s.expireTargets(now)
-	s.forgetPairs(now)
+	s.decayPairs(now)
 	s.isolateTargets(now)
 	for _, j := range s.live {
 		s.claim(now, j)
--- a/core/sched/share.go
+++ b/core/sched/share.go
@@ -15,6 +15,8 @@
 	// sharedFraction is the fraction of the capacity in use that is divided. Below 1, the largest route is above its share before
 	// jobs of the others have to wait long.
 	sharedFraction = 0.9
+	// maxRejected bounds the ratio of the work of all attempts to that of those that found room.
+	maxRejected = 2
 	// minDemand is the demand, in core-seconds, below which a route is no longer kept.
 	minDemand = 1e-4
 )
@@ -114,7 +116,8 @@
 		s.list = append(s.list, routeDemand{route, w.Arrived})
 	}
 	if f.known() {
-		used *= f.sum.All.Started / max(minDemand, started)
+		// Attempts that had no room are in used and taken back in started, which may leave little of it.
+		used = f.sum.All.Started * min(maxRejected, max(1, used/max(minDemand, started)))
 		s.addOthers(f)
 	}
 	slices.SortFunc(s.list, func(a, b routeDemand) int {
--- a/core/sched/sound_test.go
+++ b/core/sched/sound_test.go
@@ -67,3 +67,22 @@
 	require.Len(t, h.starts, 3)
 	require.Equal(t, other, h.startTargets[2])
 }
+
+// TestALastAttemptIsMadeWhereItCanBe covers a target that fails nothing and must not be used again for the task, as its agent has refused
+// it: the task waited for that target until its deadline, and kept others from the idle ones.
+func TestALastAttemptIsMadeWhereItCanBe(t *testing.T) {
+	h := newHarness()
+	h.join("a", 1)
+	h.join("b", 1)
+	h.submit(h.batch("1", 1, 60*time.Millisecond))
+	failing := h.startTargets[0]
+	st := idleState(1)
+	st.Failing = 0.25
+	h.sched.UpdateTarget(h.now, failing, st)
+	h.endAttempt(failing, EndFailed, 0)
+	require.Len(t, h.starts, 2)
+	require.NotEqual(t, failing, h.startTargets[1])
+	h.endAttempt(h.startTargets[1], EndRefused, 1)
+	require.Len(t, h.starts, 3)
+	require.Equal(t, failing, h.startTargets[2])
+}
--- a/core/sched/where.go
+++ b/core/sched/where.go
@@ -149,9 +149,11 @@
 
 // restore returns a function that undoes what a probe changes in the scheduler.
 func (s *Sched) restore() func() {
-	reserved, rng, last, load := s.reservedPace, s.rng, s.lastAttempt, s.load
+	reserved, rng, last, load, yielded := s.reservedPace, s.rng, s.lastAttempt, s.load, s.yielded
 	s.rng, s.load = rand.New(rand.NewPCG(last, 0)), s.utilisation()
-	return func() { s.reservedPace, s.rng, s.lastAttempt, s.load = reserved, rng, last, load }
+	return func() {
+		s.reservedPace, s.rng, s.lastAttempt, s.load, s.yielded = reserved, rng, last, load, yielded
+	}
 }
 
 // probe returns a job like addJob, without adding it.
--- a/core/strain/strain.go
+++ b/core/strain/strain.go
@@ -12,6 +12,10 @@
 	lowDelay = 10 * time.Millisecond
 	// window is the time over which the least delay counts: a queue that is empty once within it is a burst, not an overload.
 	window = 100 * time.Millisecond
+	// minSamples is the least number of events by which a window is judged: a single one may have been late by itself.
+	minSamples = 3
+	// staleAfter is the time without events after which earlier windows don't count.
+	staleAfter = time.Second
 	// reliefShare is the recent share of windows with an overload from which on callers are moved, and shareWeight the weight of one window.
 	reliefShare = 0.25
 	shareWeight = 0.1
@@ -28,7 +32,9 @@
 type Strain struct {
 	windowEnd  time.Time
 	least      time.Duration // in the present window
-	sampled    bool          // the present window has a sample
+	samples    int           // in the present window
+	probe      time.Duration // the least delay of a probe in the present window
+	probed     bool          // the present window has a probe
 	overloaded bool
 	delay      time.Duration // the least of the last window
 	share      float64       // recent share of windows with an overload
@@ -42,14 +48,33 @@
 	if now.After(s.windowEnd) {
 		s.closeWindow(now)
 	}
-	if !s.sampled || delay < s.least {
-		s.least, s.sampled = delay, true
+	if s.samples == 0 || delay < s.least {
+		s.least = delay
 	}
+	s.samples++
 }
 
-// closeWindow judges the window that has ended. One without a sample says nothing.
+// Probe is Observe for an event that the process has sent itself; it counts only in a window with few others, as it waits in one of the
+// queues only.
+func (s *Strain) Probe(now time.Time, delay time.Duration) {
+	if now.After(s.windowEnd) {
+		s.closeWindow(now)
+	}
+	if !s.probed || delay < s.probe {
+		s.probe, s.probed = delay, true
+	}
+}
+
+// closeWindow judges the window that has ended. One with too few events says nothing.
 func (s *Strain) closeWindow(now time.Time) {
-	if s.sampled {
+	if s.samples < minSamples && s.probed {
+		s.least, s.samples = s.probe, minSamples
+	}
+	if now.Sub(s.windowEnd) > staleAfter {
+		s.share = 0
+	}
+	judged := s.samples >= minSamples
+	if judged {
 		s.delay = s.least
 		switch {
 		case s.least > highDelay:
@@ -63,10 +88,10 @@
 		}
 		s.share += shareWeight * (overloaded - s.share)
 	}
-	if s.share >= reliefShare && (s.reliefFrom.IsZero() || now.Sub(s.reliefFrom) > noticeTime+moveTime+restTime) {
+	if judged && s.overloaded && s.share >= reliefShare && (s.reliefFrom.IsZero() || now.Sub(s.reliefFrom) > noticeTime+moveTime+restTime) {
 		s.reliefFrom = now
 	}
-	s.windowEnd, s.sampled = now.Add(window), false
+	s.windowEnd, s.samples, s.probed = now.Add(window), 0, false
 }
 
 // Overloaded reports whether new jobs are refused.
--- a/core/strain/strain_test.go
+++ b/core/strain/strain_test.go
@@ -72,3 +72,19 @@
 	now = play(s, now, restTime/2+time.Second, 80*ms)
 	require.True(t, s.Relieving(now))
 }
+
+// TestAProbeCountsOnlyWithoutRequests guards against an overload that isn't seen: the process' own probes wait in one of its queues only.
+func TestAProbeCountsOnlyWithoutRequests(t *testing.T) {
+	s, now := &Strain{}, time.Unix(1000, 0)
+	for range 30 {
+		now = now.Add(10 * ms)
+		s.Observe(now, 300*ms)
+		s.Probe(now, ms)
+	}
+	require.True(t, s.Overloaded())
+	for range 30 {
+		now = now.Add(10 * ms)
+		s.Probe(now, ms)
+	}
+	require.False(t, s.Overloaded())
+}
--- a/io/schedd/strain.go
+++ b/io/schedd/strain.go
@@ -20,11 +20,11 @@
 }
 
 // observe takes an event that came at a time and is handled now, and reports whether the process is overloaded and that has changed.
-func (q *delays) observe(now, came time.Time) (overloaded, changed bool) {
+func (q *delays) observe(now, came time.Time, observe func(s *strain.Strain, now time.Time, delay time.Duration)) (overloaded, changed bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	before := q.strain.Overloaded()
-	q.strain.Observe(now, max(0, now.Sub(came)))
+	observe(&q.strain, now, max(0, now.Sub(came)))
 	return q.strain.Overloaded(), q.strain.Overloaded() != before
 }
 
@@ -51,13 +51,13 @@
 	}
 	go d.loop.Post(func(time.Time) {
 		d.delays.swapProbing(false)
-		d.isOverloaded(uptime.Now(), now)
+		d.isOverloaded(uptime.Now(), now, (*strain.Strain).Probe)
 	})
 }
 
 // isOverloaded judges an event that came at a time, and reports whether this process has too little processor time for its callers.
-func (d *Daemon) isOverloaded(now, came time.Time) bool {
-	overloaded, changed := d.delays.observe(now, came)
+func (d *Daemon) isOverloaded(now, came time.Time, observe func(s *strain.Strain, now time.Time, delay time.Duration)) bool {
+	overloaded, changed := d.delays.observe(now, came, observe)
 	if changed {
 		d.log.Warn("overload of this process", zap.Bool("overloaded", overloaded), zap.Int64("delay-ms", now.Sub(came).Milliseconds()))
 	}
@@ -67,8 +67,9 @@
 // submit hands a job to the scheduler unless this process is overloaded; w is called as by Sched.Submit. A job that is known already is
 // never refused, as it may have run. It is called on the loop.
 func (d *Daemon) submit(now, came time.Time, b *batch.Batch, w func(jobend.Outcome)) uint64 {
-	if d.isOverloaded(now, came) && !d.sched.Knows(b.ID) && d.delays.refuses() {
+	if d.isOverloaded(now, came, (*strain.Strain).Observe) && !d.sched.Knows(b) && d.delays.refuses() {
 		d.metrics.strained.Inc()
+		d.sched.RecordRefused(now, b)
 		d.log.Info("job refused by overload of this process", zap.String("id", b.ID), zap.Int64("delay-ms", now.Sub(came).Milliseconds()))
 		w(jobend.Outcome{Kind: jobend.Refused, Reason: "overloaded", RetryAfter: time.Second})
 		return 0
--- a/io/schedd/strain_test.go
+++ b/io/schedd/strain_test.go
@@ -12,6 +12,7 @@
 	"persimmonstage/core/jobend"
 	"persimmonstage/core/newest"
 	"persimmonstage/core/route"
+	"persimmonstage/core/strain"
 	"persimmonstage/io/uptime"
 )
 
@@ -30,7 +31,7 @@
 	require.NotContains(t, outcomes, "known")
 	for range 50 {
 		now = now.Add(10 * time.Millisecond)
-		d.isOverloaded(now, now.Add(-300*time.Millisecond))
+		d.isOverloaded(now, now.Add(-300*time.Millisecond), (*strain.Strain).Observe)
 	}
 	submit("new", 80*time.Millisecond)
 	require.Equal(t, jobend.Refused, outcomes["new"].Kind)
