Play callers outside the limits to the project's own interface, and read its processes' memory and descriptors

Cause, by reading: fasthttp reads a whole body before a handler runs, and nothing bounds the sum of bodies, headers, payloads of waiting jobs, frames or connections.

Change: the tests, and limits.memory-mb and limits.max-fds in the settings of entries and agents, by default what the operating system gives. Nothing follows from them yet. No decision of the product changes.

--- a/io/agtset/settings.go
+++ b/io/agtset/settings.go
@@ -6,6 +6,7 @@
 
 	"persimmonstage/core/needs"
 	"persimmonstage/io/addr"
+	"persimmonstage/io/rlimit"
 	"persimmonstage/io/strict"
 )
 
@@ -25,6 +26,7 @@
 		GraceMS     int `toml:"grace-ms" doc:"how long an answered heartbeat is trusted, at least two heartbeats and the same at every entry and agent; default 2000"`
 		DrainMS     int `toml:"drain-ms" doc:"the longest time from SIGTERM to the end; default 30000"`
 	} `toml:"timing"`
+	Limits rlimit.Limits `toml:"limits"`
 }
 
 // Bounds and defaults of the settings.
@@ -114,5 +116,12 @@
 	case t.DrainMS > maxTimingMS:
 		return "timing.drain-ms", tooLong
 	}
-	return "", ""
+	return s.checkLimits()
+}
+
+func (s *Settings) checkLimits() (key, reason string) {
+	if key, reason = s.Limits.Check(); key != "" {
+		key = "limits." + key
+	}
+	return key, reason
 }
--- a/io/entset/settings.go
+++ b/io/entset/settings.go
@@ -7,6 +7,7 @@
 
 	"persimmonstage/core/place"
 	"persimmonstage/io/addr"
+	"persimmonstage/io/rlimit"
 	"persimmonstage/io/strict"
 )
 
@@ -40,6 +41,7 @@
 		ConfigMinutes int `toml:"config-minutes" doc:"how long the log keeps a record of the configuration's stream, 10 to 525600; default 1440"`
 		AccountDays   int `toml:"account-days" doc:"how many local days of the owner's account, today included, the log keeps and an entry holds in memory, 1 to 31; default 8"`
 	} `toml:"retention"`
+	Limits rlimit.Limits `toml:"limits"`
 }
 
 // Bounds and defaults of the settings.
@@ -190,5 +192,12 @@
 			return "retention." + v.key, "too many, at most " + strconv.Itoa(v.most)
 		}
 	}
-	return "", ""
+	return s.checkLimits()
+}
+
+func (s *Settings) checkLimits() (key, reason string) {
+	if key, reason = s.Limits.Check(); key != "" {
+		key = "limits." + key
+	}
+	return key, reason
 }
--- a/io/entset/settings_test.go
+++ b/io/entset/settings_test.go
@@ -44,6 +44,7 @@
 		{"few records", validSettings + "[retention]\nconfig-records = 99\n", "entry.toml:8: retention.config-records: too few, at least 100"},
 		{"short retention", validSettings + "[retention]\nconfig-minutes = 0\n", "entry.toml:8: retention.config-minutes: too few, at least 10"},
 		{"many days", validSettings + "[retention]\naccount-days = 32\n", "entry.toml:8: retention.account-days: too many, at most 31"},
+		{"no memory", validSettings + "[limits]\nmemory-mb = -1\n", "entry.toml:8: limits.memory-mb: negative, at least 0"},
 		{"overflow", validSettings + "[timing]\ndrain-ms = 9223372036854775\n", "entry.toml:8: timing.drain-ms: too long, at most 3600000"},
 	}
 	for _, c := range cases {
--- a/test/callers/callers_test.go
+++ b/test/callers/callers_test.go
@@ -260,22 +260,29 @@
 	})
 }
 
+// exchange sends a request on a connection of its own and returns the begin of the answer.
+func exchange(t *testing.T, addr string, request []byte) string {
+	t.Helper()
+	conn, err := net.Dial("tcp", addr)
+	require.NoError(t, err)
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(callTimeout))
+	_, err = conn.Write(request)
+	require.NoError(t, err)
+	answer := make([]byte, 1000)
+	n, err := conn.Read(answer)
+	require.NoError(t, err)
+	return string(answer[:n])
+}
+
 // TestALargestRequestIsServedInCalm checks that a single request inside the limits is served, with and without a declared length.
 func TestALargestRequestIsServedInCalm(t *testing.T) {
 	s := startSystem(t)
 	require.NoError(t, s.call(http.MethodPost, "/q/00000000000000aa", string(job())))
 	for i, size := range []int{bodyBytes, 2} {
-		conn, err := net.Dial("tcp", s.front)
-		require.NoError(t, err)
-		_ = conn.SetDeadline(time.Now().Add(callTimeout))
-		_, err = conn.Write(chunked(i, job(), size))
-		require.NoError(t, err)
-		answer := make([]byte, 1000)
-		n, err := conn.Read(answer)
-		require.NoError(t, err)
-		require.Contains(t, string(answer[:n]), " 200 ")
-		require.Contains(t, string(answer[:n]), `{"state":"done"}`)
-		_ = conn.Close()
+		answer := exchange(t, s.front, chunked(i, job(), size))
+		require.Contains(t, answer, " 200 ")
+		require.Contains(t, answer, `{"state":"done"}`)
 	}
 	s.requireBounds()
 }
--- a/test/callers/process_test.go
+++ b/test/callers/process_test.go
@@ -40,6 +40,9 @@
 	ended atomic.Bool
 }
 
+// settingsFile in a process's arguments stands for the path of its settings.
+const settingsFile = "SETTINGS"
+
 // startProcess starts the program with a settings file.
 func startProcess(t *testing.T, settings []byte, args ...string) *process {
 	t.Helper()
@@ -50,6 +53,9 @@
 	require.NoError(t, os.WriteFile(file, settings, 0o600))
 	log, err := os.Create(filepath.Join(dir, "log"))
 	require.NoError(t, err)
+	for i, arg := range args {
+		args[i] = strings.ReplaceAll(arg, settingsFile, file)
+	}
 	p := &process{t: t, cmd: exec.Command(program, args...)}
 	p.cmd.Env = append(os.Environ(), "PERSIMMONSTAGE_BOOT="+file)
 	p.cmd.Stdout, p.cmd.Stderr = log, log
