Keep what callers hold at an entry of the own interface within its memory and descriptors

What callers saw: an entry's memory grew with the number of its callers until it ended, and connections used up its descriptors.

Cause: fasthttp read whole bodies, of up to 64 MB whatever the operators' limit, before a handler ran, kept an entry for each header line, and nothing bounded the sum of bodies, of the payloads of jobs being served, or of connections. Answers had no time to be read in.

Change: the account that the platform's entries have (core/intake, io/guard) also serves the own interface. Bodies are streamed into the guard's buffers, and refused at once if they declare more than the limit. A job's payloads stay in the account until its answer. A connection takes 128 KB, as its buffer holds the largest header that operators can allow. A refused connection discards for half a second what still arrives, so that its caller reads the answer: closing it with unread bytes resets it. An answer has 30 s to be read.

A single job of the largest size is served, also in chunks of one byte.

--- a/core/intake/limits.go
+++ b/core/intake/limits.go
@@ -7,8 +7,6 @@
 	minConns = 8
 	// reservedShare is the part of the sockets, as a divisor, that is kept for agents, the store and the platform.
 	reservedShare = 4
-	// ConnBytes is the memory of a connection whose request isn't large: stacks, buffers of net/http, a header and a body of up to 8 KB.
-	ConnBytes = 32 << 10
 	// ownBytes is the memory that a process takes without callers: half of it is the program itself.
 	ownBytes = 32 << 20
 	// connShare and byteShare are the parts of the remaining memory, as divisors, for connections and for what large requests hold. The garbage
@@ -23,12 +21,13 @@
 	Bytes int64 // of large requests that are being read
 }
 
-// LimitsOf returns the limits of a process with the given memory and descriptors; 0 stands for unknown.
-func LimitsOf(memoryBytes int64, descriptors int) Limits {
+// LimitsOf returns the limits of a process with the given memory and descriptors, 0 for unknown, in which a connection whose request
+// isn't large takes connBytes.
+func LimitsOf(memoryBytes int64, descriptors int, connBytes int64) Limits {
 	var l Limits
 	if memoryBytes > 0 {
 		free := max(memoryBytes/connShare, memoryBytes-ownBytes)
-		l = Limits{Conns: max(minConns, int(free/connShare/ConnBytes)), Bytes: free / byteShare}
+		l = Limits{Conns: max(minConns, int(free/connShare/connBytes)), Bytes: free / byteShare}
 	}
 	if descriptors > 0 {
 		sockets := descriptors - fileDescriptors
--- a/core/job/job.go
+++ b/core/job/job.go
@@ -26,6 +26,15 @@
 	cached bool
 }
 
+// PayloadBytes returns the size of all payloads.
+func (j *Job) PayloadBytes() int64 {
+	n := 0
+	for i := range j.Tasks {
+		n += len(j.Tasks[i].Payload)
+	}
+	return int64(n)
+}
+
 // CacheDigest computes the digest once, so that Digest costs nothing on the owner's goroutine; the content must not change
 // afterwards.
 func (j *Job) CacheDigest() {
--- a/io/entryd/config.go
+++ b/io/entryd/config.go
@@ -158,9 +158,13 @@
 		d.refuse(ctx, fasthttp.StatusBadRequest, "query: "+err.Error())
 		return
 	}
+	document, ok := d.body(ctx, confap.MaxBodyBytes)
+	if !ok {
+		return
+	}
 	bounded, cancel := context.WithTimeout(context.Background(), publishTimeout)
 	defer cancel()
-	status, body := confap.New(publisher{d.config, d}, bootstrap).Serve(bounded, string(ctx.Method()), query, bearer(ctx), ctx.PostBody())
+	status, body := confap.New(publisher{d.config, d}, bootstrap).Serve(bounded, string(ctx.Method()), query, bearer(ctx), document)
 	ctx.SetStatusCode(status)
 	ctx.SetContentType(jsonType)
 	ctx.SetBody(body)
--- a/io/entryd/daemon.go
+++ b/io/entryd/daemon.go
@@ -210,8 +210,9 @@
 	go d.loop.Run(inner, tickPeriod, d.tick)
 	go bulk.Serve(d.bulk, d.log, d.serve)
 	d.http = d.server()
+	callers := d.newGuard()
 	go func() {
-		if err := d.http.Serve(d.web); err != nil {
+		if err := d.http.Serve(callers.Listener(d.web)); err != nil {
 			d.log.Error("http ended", zap.Error(err))
 		}
 	}()
--- a/io/entryd/http.go
+++ b/io/entryd/http.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -11,8 +12,10 @@
 	"go.uber.org/zap"
 
 	"persimmonstage/core/answer"
+	"persimmonstage/core/intake"
 	"persimmonstage/core/jobkey"
 	"persimmonstage/io/days"
+	"persimmonstage/io/guard"
 	"persimmonstage/io/submit"
 )
 
@@ -20,11 +23,17 @@
 	jsonType    = "application/json"
 	idleTimeout = 75 * time.Second
 	readTimeout = 30 * time.Second
+	// writeTimeout bounds the time in which a caller reads an answer.
+	writeTimeout = 30 * time.Second
+	// connBytes is the memory of a connection: a buffer for the largest header, a body of up to 8 KB, an answer, stacks.
+	connBytes = 128 << 10
+	// retryAfter is when a request may come again that was given up since requests hold too much together or came too slowly.
+	retryAfter = time.Second
 )
 
-// server creates the HTTP server for callers and operators; bodies and headers over the limits never reach a handler.
+// server creates the HTTP server for callers and operators; headers over the limit never reach a handler.
 func (d *Daemon) server() *fasthttp.Server {
-	return &fasthttp.Server{
+	s := &fasthttp.Server{
 		Handler:               d.route,
 		ErrorHandler:          d.refuseRequest,
 		Logger:                zap.NewStdLog(d.log),
@@ -33,10 +42,21 @@
 		ReduceMemoryUsage:     true,
 		IdleTimeout:           idleTimeout,
 		ReadTimeout:           readTimeout,
+		WriteTimeout:          writeTimeout,
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
 		Concurrency:           maxConnections,
 	}
+	guard.Attach(s)
+	return s
+}
+
+// newGuard returns the guard of the connections of callers and operators.
+func (d *Daemon) newGuard() *guard.Guard {
+	limits := &d.set.Limits
+	g := guard.New("http", intake.LimitsOf(limits.Memory(), limits.Descriptors(), connBytes), d.log)
+	g.Register(d.metrics.registry)
+	return g
 }
 
 const (
@@ -51,16 +71,42 @@
 func (d *Daemon) refuseRequest(ctx *fasthttp.RequestCtx, err error) {
 	lim := d.limits.Load()
 	var small *fasthttp.ErrSmallBuffer
-	switch {
+	switch err = guard.RequestError(ctx, err); {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		d.refuse(ctx, fasthttp.StatusRequestEntityTooLarge, fmt.Sprintf("body: too large, limit %d bytes", lim.BodyBytes))
 	case errors.As(err, &small):
 		d.refuse(ctx, fasthttp.StatusRequestEntityTooLarge, fmt.Sprintf("header: too large, limit %d bytes", lim.HeaderBytes))
 	default:
-		d.refuse(ctx, fasthttp.StatusBadRequest, "request: "+err.Error())
+		d.refuseUnread(ctx, err)
 	}
 }
 
+// refuseUnread answers a request that was given up, came too slowly or could not be read.
+func (d *Daemon) refuseUnread(ctx *fasthttp.RequestCtx, err error) {
+	if errors.Is(err, guard.ErrGivenUp) || errors.Is(err, guard.ErrLate) {
+		send(ctx, replyOf(answer.Refusal(answer.StatusUnavailable, "", "request: "+err.Error(), "", retryAfter)))
+		return
+	}
+	d.refuse(ctx, fasthttp.StatusBadRequest, "request: "+err.Error())
+}
+
+// body reads the body of a request. If that isn't possible or the body is too large, it answers that nothing was run and returns false.
+func (d *Daemon) body(ctx *fasthttp.RequestCtx, limit int) ([]byte, bool) {
+	body, err := guard.Body(ctx, int64(limit))
+	var large *http.MaxBytesError
+	switch {
+	case err == nil:
+		return body, true
+	case !errors.As(err, &large):
+		d.refuseUnread(ctx, err)
+	case ctx.Request.Header.ContentLength() > limit:
+		d.refuse(ctx, fasthttp.StatusRequestEntityTooLarge, fmt.Sprintf("body: %d bytes, limit %d", ctx.Request.Header.ContentLength(), limit))
+	default:
+		d.refuse(ctx, fasthttp.StatusRequestEntityTooLarge, fmt.Sprintf("body: too large, limit %d bytes", limit))
+	}
+	return nil, false
+}
+
 func (d *Daemon) refuse(ctx *fasthttp.RequestCtx, status int, reason string) {
 	send(ctx, replyOf(answer.Refusal(status, "", reason, "", 0)))
 }
@@ -114,7 +160,12 @@
 		d.refuse(ctx, fasthttp.StatusMethodNotAllowed, "method: "+string(ctx.Method())+" is not allowed, limit POST")
 		return
 	}
-	j, err := submit.Decode(ctx.PostBody(), *d.limits.Load(), time.Now())
+	lim := d.limits.Load()
+	body, ok := d.body(ctx, lim.BodyBytes)
+	if !ok {
+		return
+	}
+	j, err := submit.Decode(body, *lim, time.Now())
 	if err != nil {
 		d.metrics.malformed.Inc()
 		send(ctx, malformed(err))
@@ -126,6 +177,11 @@
 		return
 	}
 	j.DataCentre = d.set.DataCentre
+	// The payloads are held until the answer. From here on the request isn't given up in favour of others.
+	if conn := guard.ConnOf(ctx); !conn.Keep(j.PayloadBytes()) || !conn.Serve() {
+		d.refuseUnread(ctx, guard.ErrGivenUp)
+		return
+	}
 	send(ctx, d.submit(j))
 }
 
--- a/io/entryd/metrics.go
+++ b/io/entryd/metrics.go
@@ -9,6 +9,7 @@
 
 // metrics holds the entry's metrics.
 type metrics struct {
+	registry       *prometheus.Registry
 	handler        fasthttp.RequestHandler
 	jobs           *prometheus.CounterVec
 	response       prometheus.Histogram
@@ -27,7 +28,8 @@
 func newMetrics(d *Daemon) *metrics {
 	r := prometheus.NewRegistry()
 	m := &metrics{
-		handler: fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(r, promhttp.HandlerOpts{})),
+		registry: r,
+		handler:  fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(r, promhttp.HandlerOpts{})),
 		jobs: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "persimmonstage_entry_jobs_total", Help: "Jobs ended, by outcome.",
 		}, []string{"outcome"}),
--- a/io/entryd/retire.go
+++ b/io/entryd/retire.go
@@ -30,7 +30,11 @@
 		d.refuse(ctx, fasthttp.StatusMethodNotAllowed, "method: "+string(ctx.Method())+" is not allowed, limit POST")
 		return
 	}
-	r, fault := readRetirement(ctx.PostBody())
+	body, ok := d.body(ctx, maxRetireBytes)
+	if !ok {
+		return
+	}
+	r, fault := readRetirement(body)
 	if fault != "" {
 		d.refuse(ctx, fasthttp.StatusBadRequest, fault)
 		return
--- a/io/guard/conn.go
+++ b/io/guard/conn.go
@@ -25,6 +25,8 @@
 	// maxOvershoot bounds a read of a body of unknown length, whose last one may reach into the header of the next request.
 	maxOvershoot = 512
 	unknown      = -1
+	// lingerTime is how long a refused connection stays open for the caller to read the answer.
+	lingerTime = 500 * time.Millisecond
 )
 
 // ErrGivenUp is returned for requests that are given up since requests hold too many bytes together.
@@ -47,8 +49,10 @@
 	header   int   // its bytes
 	blank    int   // bytes of its current line that aren't part of the line's end
 	body     int64 // bytes of the body not yet read, or unknown
+	passed   int64 // bytes read since the header
 	held     int64 // bytes that the body's buffer holds beyond freeBody
 	timed    bool  // the time for the body is bounded
+	unread   bool  // the request was refused before its body was read
 	ahead    []byte
 }
 
@@ -79,7 +83,7 @@
 		if passed, wrong = c.scan(p[:n]); wrong != nil {
 			return 0, wrong
 		}
-	} else if c.body > 0 {
+	} else if c.passed += int64(n); c.body > 0 {
 		c.body -= int64(n)
 	}
 	switch {
@@ -112,7 +116,7 @@
 		case '\r':
 		case '\n':
 			if c.lines++; c.blank == 0 {
-				c.inHeader, c.body = false, unknown
+				c.inHeader, c.body, c.passed = false, unknown, 0
 				return i + 1, c.admitHeader(i + 1)
 			}
 			c.blank = 0
@@ -135,8 +139,21 @@
 	return nil
 }
 
-// Close closes the connection.
+// Close closes the connection. If a body is unread, it first discards for a while what arrives, since the caller might not receive the
+// answer otherwise: closing a connection with unread bytes resets it.
 func (c *Conn) Close() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && c.unread && half.CloseWrite() == nil {
+		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
+		go func() {
+			_, _ = io.Copy(io.Discard, c.Conn)
+			_ = c.close()
+		}()
+		return nil
+	}
+	return c.close()
+}
+
+func (c *Conn) close() error {
 	c.guard.mu.Lock()
 	c.guard.intake.Close(c.id)
 	delete(c.guard.conns, c.id)
@@ -249,10 +266,12 @@
 // bodyError returns the error of a body that wasn't read for err.
 func (c *Conn) bodyError(err error) error {
 	switch {
-	case c == nil || !errors.Is(err, os.ErrDeadlineExceeded):
+	case c == nil:
 		return err
 	case c.givenUp.Load():
 		return ErrGivenUp
+	case !errors.Is(err, os.ErrDeadlineExceeded):
+		return err
 	}
 	c.guard.report(tooLate)
 	return ErrLate
@@ -270,6 +289,14 @@
 	return c.guard.hold(c, bytes)
 }
 
+// Keep records that of the body only the given bytes are still used. It returns false if the request has to be given up.
+func (c *Conn) Keep(bytes int64) bool {
+	if bytes <= freeBody {
+		bytes = 0
+	}
+	return c == nil || c.held == 0 && bytes == 0 || c.hold(bytes)
+}
+
 // Release records that the body is no longer used.
 func (c *Conn) Release() {
 	if c != nil && c.held > 0 {
--- a/io/verb/entry.go
+++ b/io/verb/entry.go
@@ -9,6 +9,7 @@
 	"persimmonstage/io/entryd"
 	"persimmonstage/io/entset"
 	"persimmonstage/io/logger"
+	"persimmonstage/io/rlimit"
 )
 
 // entry runs an entry process.
@@ -36,6 +37,7 @@
 	if err != nil {
 		return prefixError(c, err)
 	}
+	rlimit.LimitHeap(set.Limits.Memory())
 	d, err := entryd.New(set, logger.New(c.Root().ErrWriter, "entry", set.Name))
 	if err != nil {
 		return prefixError(c, err)
--- a/test/callers/callers_test.go
+++ b/test/callers/callers_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -107,10 +108,16 @@
 
 // chunked returns a request whose body comes in chunks of a size.
 func chunked(i int, body []byte, size int) []byte {
-	out := append(head(i), "Transfer-Encoding: chunked\r\n\r\n"...)
+	return inChunks(head(i), body, size)
+}
+
+// inChunks returns a request with the begin of its header and a body in chunks of a size.
+func inChunks(header, body []byte, size int) []byte {
+	out := append(header, "Transfer-Encoding: chunked\r\n\r\n"...)
 	for ; len(body) > 0; body = body[min(size, len(body)):] {
 		chunk := body[:min(size, len(body))]
-		out = fmt.Appendf(out, "%x\r\n%s\r\n", len(chunk), chunk)
+		out = append(strconv.AppendInt(out, int64(len(chunk)), 16), "\r\n"...)
+		out = append(append(out, chunk...), "\r\n"...)
 	}
 	return append(out, "0\r\n\r\n"...)
 }
--- a/test/callers/installation_test.go
+++ b/test/callers/installation_test.go
@@ -116,14 +116,7 @@
 }
 
 // ownChunked returns a request of a job whose body comes in chunks of a size.
-func ownChunked(body []byte, size int) []byte {
-	out := append(postHead(), "Transfer-Encoding: chunked\r\n\r\n"...)
-	for ; len(body) > 0; body = body[min(size, len(body)):] {
-		chunk := body[:min(size, len(body))]
-		out = fmt.Appendf(out, "%x\r\n%s\r\n", len(chunk), chunk)
-	}
-	return append(out, "0\r\n\r\n"...)
-}
+func ownChunked(body []byte, size int) []byte { return inChunks(postHead(), body, size) }
 
 // largeJob returns a job with the largest body.
 func largeJob(i int) []byte { return jobBody(fmt.Sprintf("large-%d", i), bodyBytes) }
