Keep what requests hold at an agent's port for probes and operators within its memory and descriptors

What operators saw: an agent's memory and descriptors grew with the number of connections to the port for readiness, state and metrics.

Cause: fasthttp read bodies that no request there has, and neither the connections nor the time for a request or its answer had a bound.

Change: 16 connections, of which the oldest that waits for a request is closed for a new one; 5 s for a request and its answer; no body is read. The runtime keeps the heap below the memory of the settings.

--- a/io/agentd/state.go
+++ b/io/agentd/state.go
@@ -13,6 +13,8 @@
 	"go.uber.org/zap"
 
 	"persimmonstage/core/agent"
+	"persimmonstage/core/intake"
+	"persimmonstage/io/guard"
 	"persimmonstage/io/uptime"
 )
 
@@ -91,9 +93,21 @@
 	return json.MarshalIndent(s, "", "  ")
 }
 
+const (
+	// requestTimeout bounds the time for a request, which has no body, and the time in which its answer is read.
+	requestTimeout = 5 * time.Second
+	idleTimeout    = 75 * time.Second
+	// maxConns bounds the connections of probes and operators. The oldest that waits for a request is closed for a new one.
+	maxConns = 16
+)
+
 func (d *Daemon) serveHTTP() {
 	prom := fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(d.metrics.registry, promhttp.HandlerOpts{}))
-	server := &fasthttp.Server{NoDefaultServerHeader: true, Logger: zap.NewStdLog(d.log), Handler: func(ctx *fasthttp.RequestCtx) {
+	server := &fasthttp.Server{
+		NoDefaultServerHeader: true, Logger: zap.NewStdLog(d.log),
+		ReadTimeout: requestTimeout, WriteTimeout: requestTimeout, IdleTimeout: idleTimeout,
+	}
+	server.Handler = func(ctx *fasthttp.RequestCtx) {
 		switch string(ctx.Path()) {
 		case "/healthz":
 			ctx.SetBodyString("ok\n")
@@ -106,8 +120,11 @@
 		default:
 			ctx.Error("no such path\n", fasthttp.StatusNotFound)
 		}
-	}}
-	if err := server.Serve(d.web); err != nil {
+	}
+	guard.Attach(server)
+	g := guard.New("http", intake.Limits{Conns: maxConns}, d.log)
+	g.Register(d.metrics.registry)
+	if err := server.Serve(g.Listener(d.web)); err != nil {
 		d.log.Info("http ended", zap.Error(err))
 	}
 }
--- a/io/verb/agent.go
+++ b/io/verb/agent.go
@@ -9,6 +9,7 @@
 	"persimmonstage/io/agtset"
 	"persimmonstage/io/dump"
 	"persimmonstage/io/logger"
+	"persimmonstage/io/rlimit"
 )
 
 // agent runs an agent process, which serves one target.
@@ -36,6 +37,7 @@
 	if err != nil {
 		return prefixError(c, err)
 	}
+	rlimit.LimitHeap(set.Limits.Memory())
 	d, err := agentd.New(set, logger.New(c.Root().ErrWriter, "agent", set.Name))
 	if err != nil {
 		return prefixError(c, err)
