Bound the connections at control ports that haven't sent a frame, and their unfinished frames

What callers saw: an entry's descriptors and memory grew with connections to the port for control frames, and with frames that never end.

Cause: nothing bounded either; a frame may take 256 KB.

Evidence, on the code before: 140 idle connections and 88 with an unfinished frame at the own interface's entry: 245 sockets of 120, 119 MB of 64.

Change: io/hello keeps the account of core/intake for connections until their first frame. They take half of the descriptors kept for the system's own traffic, and their frames a 16th of the memory, divided among the ports. The oldest is closed for a new one, the largest and slowest frame for another. Processes that have sent a frame leave the account: agents and entries are never closed for others.

--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -21,6 +21,12 @@
 	require.Equal(t, 8, intake.LimitsOf(0, 100, 32<<10).Conns)
 }
 
+func TestLimitsOfUnidentifiedConnectionsFollowFromTheSettings(t *testing.T) {
+	require.Equal(t, intake.Limits{}, intake.UnidentifiedLimits(0, 0, 1))
+	require.Equal(t, intake.Limits{Conns: 15, Bytes: 2 << 20}, intake.UnidentifiedLimits(64<<20, 320, 1))
+	require.Equal(t, intake.Limits{Conns: 8, Bytes: 1 << 20}, intake.UnidentifiedLimits(64<<20, 320, 2))
+}
+
 // TestTheAddressWithMostConnectionsLosesItsOldestIdleOne guards against a crowd that closes the connections of other callers.
 func TestTheAddressWithMostConnectionsLosesItsOldestIdleOne(t *testing.T) {
 	i := intake.New(intake.Limits{Conns: 3})
--- a/core/intake/limits.go
+++ b/core/intake/limits.go
@@ -13,6 +13,10 @@
 	// collector lets the heap grow to twice what is in use.
 	connShare = 4
 	byteShare = 8
+	// unidentifiedByteShare and unidentifiedConnShare are the parts, as divisors, of that memory and of the reserved sockets that processes
+	// may hold which haven't identified themselves.
+	unidentifiedByteShare = 16
+	unidentifiedConnShare = 2
 )
 
 // Limits bounds what callers may hold together; 0 stands for no limit.
@@ -21,12 +25,28 @@
 	Bytes int64 // of large requests that are being read
 }
 
+// UnidentifiedLimits returns the limits of connections of processes that haven't identified themselves, at one of the given number of
+// ports for the system's own traffic.
+func UnidentifiedLimits(memoryBytes int64, descriptors, ports int) Limits {
+	var l Limits
+	if memoryBytes > 0 {
+		l.Bytes = freeMemory(memoryBytes) / unidentifiedByteShare / int64(ports)
+	}
+	if descriptors > 0 {
+		l.Conns = max(minConns, (descriptors-fileDescriptors)/reservedShare/unidentifiedConnShare/ports)
+	}
+	return l
+}
+
+// freeMemory returns the memory that is left for callers and other processes.
+func freeMemory(memoryBytes int64) int64 { return max(memoryBytes/connShare, memoryBytes-ownBytes) }
+
 // LimitsOf returns the limits of a process with the given memory and descriptors, 0 for unknown, in which a connection whose request
 // isn't large takes connBytes.
 func LimitsOf(memoryBytes int64, descriptors int, connBytes int64) Limits {
 	var l Limits
 	if memoryBytes > 0 {
-		free := max(memoryBytes/connShare, memoryBytes-ownBytes)
+		free := freeMemory(memoryBytes)
 		l = Limits{Conns: max(minConns, int(free/connShare/connBytes)), Bytes: free / byteShare}
 	}
 	if descriptors > 0 {
--- a/io/ctrl/engine.go
+++ b/io/ctrl/engine.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"persimmonstage/io/frame"
+	"persimmonstage/io/hello"
 	"persimmonstage/io/wire"
 )
 
@@ -26,6 +27,13 @@
 	Closed(conn uint64, cause error)
 }
 
+// peer is the context of a gnet connection; only the connection's event loop uses its account.
+type peer struct {
+	id      uint64
+	account uint64 // at the bound, until the first frame of an accepted connection
+	unknown bool   // no frame of an accepted connection was received yet
+}
+
 // Engine holds the control connections of a process, both accepted and dialled ones.
 //
 // Both kinds share one event handler, so frames are decoded, counted and refused in one place.
@@ -40,6 +48,7 @@
 	server    gnet.Engine
 	client    *gnet.Client
 	listening chan string
+	bound     *hello.Bound
 	bytesIn   atomic.Uint64
 	bytesOut  atomic.Uint64
 }
@@ -49,6 +58,9 @@
 	return &Engine{handler: h, log: log, conns: make(map[uint64]gnet.Conn), listening: make(chan string, 1)}
 }
 
+// SetBound bounds what accepted connections hold until their first frame; it is called before Listen.
+func (e *Engine) SetBound(b *hello.Bound) { e.bound = b }
+
 // Listen accepts connections on addr (IP:port, port 0 for any) and returns the bound address.
 func (e *Engine) Listen(addr string) (string, error) {
 	failed := make(chan error, 1)
@@ -77,7 +89,7 @@
 		return 0, err
 	}
 	id := e.lastID.Add(1)
-	if _, err := client.EnrollContext(raw, id); err != nil {
+	if _, err := client.EnrollContext(raw, &peer{id: id}); err != nil {
 		return 0, errors.Wrapf(err, "control connection to %s", addr)
 	}
 	return id, nil
@@ -188,21 +200,25 @@
 
 // OnOpen is called by gnet for every new connection.
 func (e *Engine) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
-	id, ok := c.Context().(uint64)
-	if !ok {
-		id = e.lastID.Add(1)
-		c.SetContext(id)
+	p, dialled := c.Context().(*peer)
+	if !dialled {
+		account, ok := e.bound.Open(c, c.RemoteAddr())
+		if !ok {
+			return nil, gnet.Close
+		}
+		p = &peer{id: e.lastID.Add(1), account: account, unknown: true}
+		c.SetContext(p)
 	}
 	e.mu.Lock()
-	e.conns[id] = c
+	e.conns[p.id] = c
 	e.mu.Unlock()
-	e.handler.Opened(id)
+	e.handler.Opened(p.id)
 	return nil, gnet.None
 }
 
 // OnTraffic is called by gnet when bytes have arrived; a frame that cannot be decoded ends the connection.
 func (e *Engine) OnTraffic(c gnet.Conn) gnet.Action {
-	id := c.Context().(uint64)
+	p := c.Context().(*peer)
 	for {
 		buf, _ := c.Peek(-1)
 		var f wire.Frame
@@ -212,6 +228,9 @@
 			return gnet.Close
 		}
 		if n == 0 {
+			if p.unknown && !e.bound.Hold(p.account, int64(len(buf))) {
+				return gnet.Close
+			}
 			return gnet.None
 		}
 		_, _ = c.Discard(n)
@@ -220,20 +239,27 @@
 			e.log.Warn("control connection refused", zap.String("peer", c.RemoteAddr().String()), zap.String("reason", "unknown frame"))
 			return gnet.Close
 		}
-		e.handler.Received(id, &f)
+		if p.unknown {
+			p.unknown = false
+			e.bound.Done(p.account)
+		}
+		e.handler.Received(p.id, &f)
 	}
 }
 
 // OnClose is called by gnet when a connection has ended.
 func (e *Engine) OnClose(c gnet.Conn, err error) gnet.Action {
-	id, ok := c.Context().(uint64)
+	p, ok := c.Context().(*peer)
 	if !ok {
 		return gnet.None
 	}
+	if p.unknown {
+		e.bound.Done(p.account)
+	}
 	e.mu.Lock()
-	delete(e.conns, id)
+	delete(e.conns, p.id)
 	e.mu.Unlock()
-	e.handler.Closed(id, err)
+	e.handler.Closed(p.id, err)
 	return gnet.None
 }
 
--- a/io/entryd/daemon.go
+++ b/io/entryd/daemon.go
@@ -20,6 +20,7 @@
 	"persimmonstage/core/fold"
 	"persimmonstage/core/group"
 	"persimmonstage/core/ident"
+	"persimmonstage/core/intake"
 	"persimmonstage/core/limits"
 	"persimmonstage/core/member"
 	"persimmonstage/core/outage"
@@ -38,6 +39,7 @@
 	"persimmonstage/io/ctrl"
 	"persimmonstage/io/days"
 	"persimmonstage/io/entset"
+	"persimmonstage/io/hello"
 	"persimmonstage/io/logcl"
 	"persimmonstage/io/loop"
 	"persimmonstage/io/roll"
@@ -49,6 +51,8 @@
 	// recordLifetime is the longest time from a task's start to the expiry of its record: the longest deadline that a
 	// configuration can allow plus the margin by which records outlive it.
 	recordLifetime = 24*time.Hour + time.Minute
+	// internalPorts are those for control frames and for bulk messages.
+	internalPorts = 2
 	// mapRefresh is the age at which the map is appended to the log again, so that retention never removes it.
 	mapRefresh = time.Hour
 )
@@ -69,6 +73,8 @@
 	web     net.Listener
 	bulk    net.Listener
 	http    *fasthttp.Server
+	// unidentified bounds other processes at each internal port.
+	unidentified intake.Limits
 
 	// view is the newest shard map, for the goroutines that serve callers.
 	view atomic.Pointer[view]
@@ -126,6 +132,8 @@
 	d.limits.Store(&lim)
 	d.view.Store(&view{changed: make(chan struct{})})
 	d.control = ctrl.New(frames{d}, log)
+	d.unidentified = intake.UnidentifiedLimits(set.Limits.Memory(), set.Limits.Descriptors(), internalPorts)
+	d.control.SetBound(hello.New("control", d.unidentified, log))
 	if err := d.bind(); err != nil {
 		return nil, err
 	}
--- a/io/schedd/daemon.go
+++ b/io/schedd/daemon.go
@@ -14,6 +14,7 @@
 	"persimmonstage/core/claims"
 	"persimmonstage/core/gossip"
 	"persimmonstage/core/ident"
+	"persimmonstage/core/intake"
 	"persimmonstage/core/newest"
 	"persimmonstage/core/relay"
 	"persimmonstage/core/runs"
@@ -21,6 +22,7 @@
 	"persimmonstage/io/ctrl"
 	"persimmonstage/io/docmet"
 	"persimmonstage/io/feed"
+	"persimmonstage/io/hello"
 	"persimmonstage/io/loop"
 	"persimmonstage/io/marks"
 	"persimmonstage/io/pack"
@@ -45,6 +47,8 @@
 type Config struct {
 	Name    string
 	Address string // IP:port on which it listens for agents
+	// Unidentified bounds the connections to Address of processes that haven't sent a frame yet; 0 stands for no bound.
+	Unidentified intake.Limits
 }
 
 // Daemon serves repeatable jobs; create it with New.
@@ -103,6 +107,7 @@
 
 // Run serves until ctx ends.
 func (d *Daemon) Run(ctx context.Context) error {
+	d.control.SetBound(hello.New("control", d.cfg.Unidentified, d.log))
 	if _, err := d.control.Listen(d.cfg.Address); err != nil {
 		return err
 	}
--- a/test/callers/callers_test.go
+++ b/test/callers/callers_test.go
@@ -222,6 +222,13 @@
 	requireOK(t, "http://"+s.ready+"/api/ready")
 }
 
+// TestMoreConnectionsThanDescriptorsAtTheInternalPort guards against the same at the port for agents and other entries.
+func TestMoreConnectionsThanDescriptorsAtTheInternalPort(t *testing.T) {
+	s := startSystem(t)
+	send(t, s.internalOfBoth[0], largeCrowd, pieceBytes, func(int) []byte { return []byte{0} })
+	s.requireBounds()
+}
+
 // TestMoreReadersOfMetricsThanDescriptors guards against the same at the ports for metrics.
 func TestMoreReadersOfMetricsThanDescriptors(t *testing.T) {
 	s := startSystem(t)
