Bound the connections at bulk ports that haven't sent a message, and the first messages of streams

What callers saw: an entry's memory grew with streams at the port for bulk messages, each with a message that never ends, until the process ended.

Cause: a message may take 64 MB, a stream buffers up to 1 MB more, and nothing bounded the connections, the streams or their sum.

If all hold too much, the connection of the largest and slowest is closed, or only its stream if the connection has sent a message before, so a peer's other requests go on. The sender of a forwarded job asks again, and the job starts at most once by its key.

--- a/io/bulk/mux.go
+++ b/io/bulk/mux.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -12,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"persimmonstage/io/frame"
+	"persimmonstage/io/hello"
 	"persimmonstage/io/wire"
 )
 
@@ -27,11 +29,26 @@
 // streamHandler handles an accepted stream and its first message; it must close the stream.
 type streamHandler func(m *Mux, first *wire.Bulk, s net.Conn)
 
+// errOverBytes is returned for a stream whose unfinished message was given up.
+var errOverBytes = errors.New("too many bytes of unfinished messages at once")
+
+// streamBytes is what a stream holds before its first message.
+const streamBytes = 16 << 10
+
 // Mux is one bulk connection to another process; either side can open streams on it.
 type Mux struct {
 	session *yamux.Session
 	log     *zap.Logger
 	handler streamHandler
+	// bounds apply to accepted connections, and account is the connection's there until its first message.
+	bounds  Bounds
+	account uint64
+	known   atomic.Bool
+}
+
+// Bounds bound what accepted connections hold: the connections until their first message, and the first messages of streams.
+type Bounds struct {
+	Conns, Messages *hello.Bound
 }
 
 func yamuxConfig() *yamux.Config {
@@ -61,8 +78,8 @@
 	return m, nil
 }
 
-// Serve accepts connections from l until l is closed; f handles the streams that the other sides open.
-func Serve(l net.Listener, log *zap.Logger, f func(m *Mux, first *wire.Bulk, s net.Conn)) {
+// Serve accepts connections from l within bounds until l is closed; f handles the streams that the other sides open.
+func Serve(l net.Listener, b Bounds, log *zap.Logger, f func(m *Mux, first *wire.Bulk, s net.Conn)) {
 	var mu sync.Mutex
 	open := make(map[*Mux]bool)
 	for {
@@ -70,17 +87,24 @@
 		if err != nil {
 			break
 		}
+		account, ok := b.Conns.Open(conn, conn.RemoteAddr())
+		if !ok {
+			_ = conn.Close()
+			continue
+		}
 		session, err := yamux.Server(conn, yamuxConfig())
 		if err != nil {
+			b.Conns.Done(account)
 			_ = conn.Close()
 			continue
 		}
-		m := &Mux{session: session, log: log, handler: f}
+		m := &Mux{session: session, log: log, handler: f, bounds: b, account: account}
 		mu.Lock()
 		open[m] = true
 		mu.Unlock()
 		go func() {
 			m.accept()
+			b.Conns.Done(account)
 			mu.Lock()
 			delete(open, m)
 			mu.Unlock()
@@ -116,7 +140,7 @@
 func (m *Mux) handleStream(s net.Conn) {
 	_ = s.SetReadDeadline(time.Now().Add(firstMessageTimeout))
 	var b wire.Bulk
-	err := frame.Read(s, frame.BulkLimit, &b)
+	err := m.readFirst(s, &b)
 	if err == nil && b.Body == nil {
 		err = errors.New("unknown message")
 	}
@@ -128,8 +152,46 @@
 	m.handler(m, &b, s)
 }
 
+// readFirst reads the first message of a stream.
+func (m *Mux) readFirst(s net.Conn, b *wire.Bulk) error {
+	messages := m.bounds.Messages
+	id, ok := messages.Open(offender{m, s}, s.RemoteAddr())
+	defer messages.Done(id)
+	if !ok || !messages.Hold(id, streamBytes) {
+		return errOverBytes
+	}
+	err := frame.ReadHeld(s, frame.BulkLimit, b, func(bytes int64) error {
+		if !messages.Hold(id, streamBytes+bytes) {
+			return errOverBytes
+		}
+		return nil
+	})
+	if err == nil && !m.known.Swap(true) {
+		m.bounds.Conns.Done(m.account)
+	}
+	return err
+}
+
+// offender is a stream whose unfinished message holds too much.
+type offender struct {
+	mux    *Mux
+	stream net.Conn
+}
+
+// Close ends the stream, and the whole connection unless a message of it was read before.
+func (o offender) Close() error {
+	if !o.mux.known.Load() {
+		return o.mux.session.Close()
+	}
+	return o.stream.SetReadDeadline(time.Unix(1, 0))
+}
+
 func (m *Mux) refuse(s net.Conn, err error) {
 	var framing *frame.Error
+	if errors.Is(err, errOverBytes) && !m.known.Load() {
+		_ = m.session.Close() // the bound has logged it
+		return
+	}
 	_ = s.Close()
 	if m.session.IsClosed() {
 		return
--- a/io/entryd/daemon.go
+++ b/io/entryd/daemon.go
@@ -216,7 +216,10 @@
 	inner, stop := context.WithCancel(context.Background())
 	defer stop()
 	go d.loop.Run(inner, tickPeriod, d.tick)
-	go bulk.Serve(d.bulk, d.log, d.serve)
+	go bulk.Serve(d.bulk, bulk.Bounds{
+		Conns:    hello.New("bulk", intake.Limits{Conns: d.unidentified.Conns}, d.log),
+		Messages: hello.New("bulk-messages", intake.Limits{Bytes: d.unidentified.Bytes}, d.log),
+	}, d.log, d.serve)
 	d.http = d.server()
 	callers := d.newGuard()
 	go func() {
--- a/io/frame/frame.go
+++ b/io/frame/frame.go
@@ -1,7 +1,6 @@
 package frame
 
 import (
-	"bytes"
 	"encoding/binary"
 	"fmt"
 	"io"
@@ -68,6 +67,11 @@
 
 // Read reads one frame of at most limit bytes from r into m; errors are those of r or an *Error.
 func Read(r io.Reader, limit int, m proto.Message) error {
+	return ReadHeld(r, limit, m, func(int64) error { return nil })
+}
+
+// ReadHeld is Read with a function that is told how many bytes the frame takes, before they are allocated, and whose error ends it.
+func ReadHeld(r io.Reader, limit int, m proto.Message, hold func(bytes int64) error) error {
 	var prefix [prefixBytes]byte
 	if _, err := io.ReadFull(r, prefix[:]); err != nil {
 		return err
@@ -76,7 +80,7 @@
 	if size > limit {
 		return &Error{reason: "too large", size: size, limit: limit}
 	}
-	body, err := readBody(r, size)
+	body, err := readBody(r, size, hold)
 	if err != nil {
 		return err
 	}
@@ -86,15 +90,28 @@
 	return nil
 }
 
+// copies is how often the bytes of a frame are in memory at once: while a buffer grows, and when the message is decoded.
+const copies = 2
+
 // readBody reads size bytes into a buffer that grows as they arrive, since a peer can send any size without the bytes.
-func readBody(r io.Reader, size int) ([]byte, error) {
-	var body bytes.Buffer
-	body.Grow(min(size, initialBytes))
-	_, err := io.CopyN(&body, r, int64(size))
-	if err == io.EOF {
-		err = io.ErrUnexpectedEOF
+func readBody(r io.Reader, size int, hold func(bytes int64) error) ([]byte, error) {
+	var body []byte
+	for len(body) < size {
+		n := min(size-len(body), max(len(body), initialBytes))
+		if err := hold(copies * int64(len(body)+n)); err != nil {
+			return nil, err
+		}
+		grown := make([]byte, len(body)+n)
+		copy(grown, body)
+		if _, err := io.ReadFull(r, grown[len(body):]); err != nil {
+			if err == io.EOF {
+				err = io.ErrUnexpectedEOF
+			}
+			return nil, err
+		}
+		body = grown
 	}
-	return body.Bytes(), err
+	return body, nil
 }
 
 // Write writes m with its length prefix to w in a single call.
