Leave more memory outside the heap, and count what yamux receives of streams before their first message

What was seen: TestUnfinishedMessages reached 66 MB of 64 in one run of two with -race on, while a compiler ran beside it; other peaks were 53 to 59 MB, all set by the collector's limit, not by what is in use.

Cause: the heap could grow to the memory less 24 MB, of which the program itself takes some 20, and it overshoots while the collector runs. Streams of unidentified processes counted 16 KB each, though yamux receives 256 KB of a stream before anybody reads it.

Change: 32 MB are left outside the heap. Such a stream counts what yamux may receive of it; those of processes that have sent a message don't.

--- a/io/bulk/mux.go
+++ b/io/bulk/mux.go
@@ -32,8 +32,12 @@
 // errOverBytes is returned for a stream whose unfinished message was given up.
 var errOverBytes = errors.New("too many bytes of unfinished messages at once")
 
-// streamBytes is what a stream holds before its first message.
-const streamBytes = 16 << 10
+const (
+	// streamBytes is what a stream holds besides its first message.
+	streamBytes = 16 << 10
+	// unreadBytes is what yamux receives of a stream before it is read.
+	unreadBytes = 256 << 10
+)
 
 // Mux is one bulk connection to another process; either side can open streams on it.
 type Mux struct {
@@ -157,11 +161,16 @@
 	messages := m.bounds.Messages
 	id, ok := messages.Open(offender{m, s}, s.RemoteAddr())
 	defer messages.Done(id)
-	if !ok || !messages.Hold(id, streamBytes) {
+	own := int64(streamBytes)
+	if !m.known.Load() {
+		// Of a process that has identified itself, nothing is unread for long.
+		own += unreadBytes
+	}
+	if !ok || !messages.Hold(id, own) {
 		return errOverBytes
 	}
 	err := frame.ReadHeld(s, frame.BulkLimit, b, func(bytes int64) error {
-		if !messages.Hold(id, streamBytes+bytes) {
+		if !messages.Hold(id, own+bytes) {
 			return errOverBytes
 		}
 		return nil
--- a/io/rlimit/rlimit.go
+++ b/io/rlimit/rlimit.go
@@ -114,12 +114,12 @@
 	return n
 }
 
-// programBytes is the memory of the program itself, which the runtime doesn't count.
-const programBytes = 24 << 20
+// outsideHeap is the memory of the program itself, which the runtime doesn't count, and what is allocated while the collector runs.
+const outsideHeap = 32 << 20
 
 // LimitHeap makes the garbage collector run more often near the given memory of the process. It bounds nothing that is in use.
 func LimitHeap(memory int64) {
 	if memory > 0 {
-		debug.SetMemoryLimit(max(memory/2, memory-programBytes))
+		debug.SetMemoryLimit(max(memory/2, memory-outsideHeap))
 	}
 }
