Limit the bytes of a connection that the kernel keeps until they are read

What callers saw: a host's memory grew with bytes that callers send behind a request which is being served; the kernel grows what it keeps of a connection on which much was read, to 32 MB here. Those bytes count as the process's.

Cause: no listener set the size of its receive buffers.

--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -28,6 +29,8 @@
 	// waitInterval and maxWaits bound the wait of a request for the bytes of others that were given up.
 	waitInterval = 2 * time.Millisecond
 	maxWaits     = 100
+	// minUnread is the least limit of unread bytes of a connection: the windows of a usual network need it.
+	minUnread = 32 << 10
 )
 
 // Guard keeps account of the connections to one port; create it with New.
@@ -40,12 +43,13 @@
 	counts map[reason]int // since the last log line
 	logged time.Time
 	closed *prometheus.CounterVec
+	unread int64
 }
 
 // New returns a guard of a port with a name for logs and metrics.
 func New(port string, l intake.Limits, log *zap.Logger) *Guard {
 	return &Guard{
-		port: port, log: log, intake: intake.New(l), conns: make(map[uint64]*Conn), counts: make(map[reason]int),
+		port: port, log: log, intake: intake.New(l), conns: make(map[uint64]*Conn), counts: make(map[reason]int), unread: l.Unread,
 		closed: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "persimmonstage_connections_closed_total", Help: "Connections closed, or whose request was given up, by the limit that was met.",
 			ConstLabels: prometheus.Labels{"port": port},
@@ -68,7 +72,33 @@
 }
 
 // Listener returns a listener whose connections are the guard's.
-func (g *Guard) Listener(ln net.Listener) net.Listener { return &listener{ln, g} }
+func (g *Guard) Listener(ln net.Listener) net.Listener {
+	if err := limitUnread(ln, max(minUnread, int(g.unread))); err != nil {
+		g.log.Warn("unread bytes not limited", zap.String("port", g.port), zap.Error(err))
+	}
+	return &listener{ln, g}
+}
+
+// limitUnread limits the bytes that the kernel keeps of each connection until they are read. Without that it may grow them to megabytes.
+// Accepted connections take the size from their listener, which saves a call for each.
+func limitUnread(ln net.Listener, bytes int) error {
+	sc, ok := ln.(syscall.Conn)
+	if !ok {
+		return nil // not a socket
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	const kernelFactor = 2 // the kernel doubles the size, for its own bookkeeping
+	var setErr error
+	if err := raw.Control(func(fd uintptr) {
+		setErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bytes/kernelFactor)
+	}); err != nil {
+		return err
+	}
+	return setErr
+}
 
 type listener struct {
 	net.Listener
--- a/test/callers/installation_test.go
+++ b/test/callers/installation_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -20,6 +21,8 @@
 	// frameBytes and messageBytes are the largest frame and message that processes of the system send each other.
 	frameBytes   = 256 << 10
 	messageBytes = 64 << 20
+	// unreadTime is how long the jobs last behind which callers send bytes that aren't read.
+	unreadTime = 6 * settleTime
 	// pipelined is how many requests a caller sends who doesn't read the answers.
 	pipelined = 2000
 )
@@ -32,25 +35,26 @@
 	http          string // the entry's address for callers
 	control, bulk string // the entry's addresses for agents and entries
 	agentHTTP     string
+	target        string
 	jobs          int
 }
 
 func startInstallation(t *testing.T) *installation {
 	t.Helper()
 	s := &installation{t: t}
-	var log, target string
-	for _, addr := range []*string{&s.http, &s.control, &s.bulk, &s.agentHTTP, &log, &target} {
+	var log string
+	for _, addr := range []*string{&s.http, &s.control, &s.bulk, &s.agentHTTP, &s.target, &log} {
 		var err error
 		*addr, err = allocator.Free()
 		require.NoError(t, err)
 	}
 	startProcess(t, nil, "stand-in", "log", "--listen", log)
-	startProcess(t, nil, "stand-in", "target", "--listen", target)
+	startProcess(t, nil, "stand-in", "target", "--listen", s.target)
 	limits := fmt.Sprintf("[limits]\nmemory-mb = %d\nmax-fds = %d\n", memoryMB, maxFDs)
 	s.entry = startProcess(t, fmt.Appendf(nil, "name = \"e\"\ndata-centre = \"d\"\naccess = \"open\"\nhttp = %q\ncontrol = %q\nbulk = %q\nlog = %q\n%s",
 		s.http, s.control, s.bulk, log, limits), "entry", "--settings", settingsFile)
 	s.agent = startProcess(t, fmt.Appendf(nil, "name = \"a\"\ndata-centre = \"d\"\ntarget = \"http://%s\"\nhttp = %q\nentries = [%q]\n"+
-		"[capacity]\nslots = 8\ncores = 64\nmemory-mb = 131072\n%s", target, s.agentHTTP, s.bulk, limits), "agent", "--settings", settingsFile)
+		"[capacity]\nslots = 8\ncores = 64\nmemory-mb = 131072\n%s", s.target, s.agentHTTP, s.bulk, limits), "agent", "--settings", settingsFile)
 	document := fmt.Sprintf("[access]\ncallers = \"open\"\noperators = \"open\"\n[limits]\nbody-bytes = %d\n", bodyBytes)
 	body, err := json.Marshal(map[string]any{"base": 0, "author": "test", "document": document})
 	require.NoError(t, err)
@@ -79,10 +83,13 @@
 }
 
 // jobBody returns a job of one task whose body has the given size.
-func jobBody(id string, size int) []byte {
+func jobBody(id string, size int) []byte { return jobFor(id, size, time.Minute, "x") }
+
+// jobFor is jobBody with the time until its deadline and a payload.
+func jobFor(id string, size int, wait time.Duration, payload string) []byte {
 	now := time.Now()
 	head := fmt.Sprintf(`{"id":%q,"team":"t","kind":"hash","issued":%q,"deadline":%q,"tasks":[{"payload":%q,"needs":{"slots":1}}]}`,
-		id, now.Format(time.RFC3339Nano), now.Add(time.Minute).Format(time.RFC3339Nano), base64.StdEncoding.EncodeToString([]byte("x")))
+		id, now.Format(time.RFC3339Nano), now.Add(wait).Format(time.RFC3339Nano), base64.StdEncoding.EncodeToString([]byte(payload)))
 	return append([]byte(head), strings.Repeat(" ", max(0, size-len(head)))...)
 }
 
@@ -177,6 +184,29 @@
 	s.requireBounds()
 }
 
+// TestUnreadBytes guards against bytes that the kernel has received and the entry doesn't read, since it serves the request before, the
+// lookup of a job that runs: the kernel grows what it keeps of a connection on which much was read.
+func TestUnreadBytes(t *testing.T) {
+	s := startInstallation(t)
+	payload := fmt.Sprintf(`{"work-ms":%d}`, unreadTime.Milliseconds())
+	send(t, s.http, 1, bodyBytes, func(int) []byte { return withOwnLength(jobFor("runs", 0, time.Minute, payload)) })
+	for range crowd {
+		conn, err := net.Dial("tcp", s.http)
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		request := append(withOwnLength(make([]byte, bodyBytes)), "GET /v1/jobs/t/runs HTTP/1.1\r\nHost: h\r\n\r\n"...)
+		if _, err = conn.Write(request); err != nil {
+			continue // the connection was closed for a new one
+		}
+		go func() { _, _ = conn.Write(withOwnLength(make([]byte, 8*bodyBytes))) }() // blocks until the connection is closed
+	}
+	s.entry.settle()
+	unread := unreadMB(t, s.http)
+	t.Logf("unread %d MB", unread)
+	require.LessOrEqual(t, s.entry.peakMB()+unread, memoryMB, "memory at its peak and unread bytes, in MB")
+	s.requireBounds()
+}
+
 // TestBodiesForOperators guards against bodies that are read before the operators' token is checked.
 func TestBodiesForOperators(t *testing.T) {
 	s := startInstallation(t)
--- a/test/callers/process_test.go
+++ b/test/callers/process_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"fmt"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -118,6 +120,43 @@
 	return 0
 }
 
+// processorTime returns the process's processor time, which no test bounds.
+func (p *process) processorTime() time.Duration {
+	const user, system, ticksPerSecond = 11, 12, 100 // fields after the name, which is in parentheses
+	data, err := os.ReadFile(p.proc("stat"))
+	require.NoError(p.t, err, "the process has ended")
+	_, rest, _ := strings.Cut(string(data), ") ")
+	var ticks int
+	for _, field := range []int{user, system} {
+		n, err := strconv.Atoi(strings.Fields(rest)[field])
+		require.NoError(p.t, err)
+		ticks += n
+	}
+	return time.Duration(ticks) * time.Second / ticksPerSecond
+}
+
+// unreadMB returns what the kernel has received at an address and the process not yet read.
+func unreadMB(t *testing.T, addr string) int {
+	t.Helper()
+	const local, queues, hexadecimal = 1, 4, 16 // columns of the file
+	f, err := os.Open("/proc/net/tcp")
+	require.NoError(t, err)
+	defer f.Close()
+	own := fmt.Sprintf(":%04X", netip.MustParseAddrPort(addr).Port())
+	sum := int64(0)
+	for lines := bufio.NewScanner(f); lines.Scan(); {
+		fields := strings.Fields(lines.Text())
+		if len(fields) <= queues || !strings.HasSuffix(fields[local], own) {
+			continue
+		}
+		_, received, _ := strings.Cut(fields[queues], ":")
+		n, err := strconv.ParseInt(received, hexadecimal, 64)
+		require.NoError(t, err)
+		sum += n
+	}
+	return int(sum >> 20)
+}
+
 // sockets returns the number of the process's open descriptors that aren't files.
 func (p *process) sockets() int {
 	entries, err := os.ReadDir(p.proc("fd"))
