Bound the processor time of bodies in very small chunks

Cause: framing of five bytes for each byte of the body, some 22 ns each, and nothing counted it. The budget of bytes holds back the bodies, not what is read of them before they are given up.

Change: framing that exceeds its body, beyond 64 KB, is paced by an account of core/intake: about a fifth of the processor of the settings. The framing of one body of the largest size is free after a calm time, so that a single request inside the limits is served as before. A request that can't be read before its deadline at that pace is refused at once. The rest waits for its turn. Closing such callers was weighed: one of them alone is within the limits.

Evidence: TestFramingIsPaced and TestChunksOfOneByteAreBounded. The tests now log the processor time, and bound none.

--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -105,6 +105,31 @@
 	require.False(t, i.Serve(next))
 }
 
+// TestFramingIsPaced guards against bodies in chunks of one byte that take the processor from ordinary callers.
+func TestFramingIsPaced(t *testing.T) {
+	const rate, body, step = 1000, 500, 100
+	i, until := intake.New(intake.Limits{Framing: rate}), start.Add(10*time.Second)
+	for range 6 * body / step {
+		wait, ok := i.Pace(start, until, step, body)
+		require.True(t, ok)
+		require.Zero(t, wait, "the framing of one body of the largest size is free in calm")
+	}
+	for n := range 100 {
+		wait, ok := i.Pace(start, until, step, body)
+		require.True(t, ok)
+		require.Equal(t, time.Duration(n+1)*step*time.Second/rate, wait)
+	}
+	_, ok := i.Pace(start, until, step, body)
+	require.False(t, ok, "what couldn't be read in time is refused at once")
+	wait, ok := i.Pace(start.Add(time.Minute), start.Add(time.Hour), step, body)
+	require.True(t, ok)
+	require.Zero(t, wait)
+	var l intake.Limits
+	wait, ok = intake.New(l).Pace(start, start, 1<<40, 1)
+	require.True(t, ok, "no limit")
+	require.Zero(t, wait)
+}
+
 // TestBytesStayWithinTheBudget plays random connections: what is held exceeds the budget only by a request that is alone, and the account
 // is empty at the end.
 func TestBytesStayWithinTheBudget(t *testing.T) {
--- a/io/entryd/http.go
+++ b/io/entryd/http.go
@@ -27,6 +27,8 @@
 	writeTimeout = 30 * time.Second
 	// connBytes is the memory of a connection: a buffer for the largest header, a body of up to 8 KB, an answer, stacks.
 	connBytes = 128 << 10
+	// ownCores are the cores by which the processor time for framing is reckoned.
+	ownCores = 1
 	// retryAfter is when a request may come again that was given up since requests hold too much together or came too slowly.
 	retryAfter = time.Second
 )
@@ -53,8 +55,9 @@
 
 // newGuard returns the guard of the connections of callers and operators.
 func (d *Daemon) newGuard() *guard.Guard {
-	limits := &d.set.Limits
-	g := guard.New("http", intake.LimitsOf(limits.Memory(), limits.Descriptors(), connBytes), d.log)
+	l := intake.LimitsOf(d.set.Limits.Memory(), d.set.Limits.Descriptors(), connBytes)
+	l.Framing = intake.FramingRate(ownCores)
+	g := guard.New("http", l, d.log)
 	g.Register(d.metrics.registry)
 	return g
 }
--- a/io/guard/conn.go
+++ b/io/guard/conn.go
@@ -25,6 +25,10 @@
 	// maxOvershoot bounds a read of a body of unknown length, whose last one may reach into the header of the next request.
 	maxOvershoot = 512
 	unknown      = -1
+	// freeFraming are the bytes of a body's framing beyond the body's own that no account is kept of, and framingStep those between two
+	// entries in the account.
+	freeFraming = 64 << 10
+	framingStep = 4 << 10
 	// lingerTime is how long a refused connection stays open for the caller to read the answer.
 	lingerTime = 500 * time.Millisecond
 )
@@ -35,6 +39,9 @@
 // ErrLate is returned for a body that didn't arrive in its time.
 var ErrLate = errors.New("the body didn't arrive in time")
 
+// errFraming is returned for bodies whose framing is too much for the process, as all together.
+var errFraming = errors.Wrap(ErrGivenUp, "chunks too small")
+
 var errLines = errors.Newf("header: more than %d lines", maxHeaderLines)
 
 // Conn is a connection that counts the lines of headers before they are parsed. Reads end with the header, so that what follows it is
@@ -46,14 +53,16 @@
 	givenUp  atomic.Bool
 	gone     chan struct{} // closed when the connection is closed in favour of a new one
 	inHeader bool
-	lines    int   // of the header
-	header   int   // its bytes
-	blank    int   // bytes of its current line that aren't part of the line's end
-	body     int64 // bytes of the body not yet read, or unknown
-	passed   int64 // bytes read since the header
-	held     int64 // bytes that the body's buffer holds beyond freeBody
-	timed    bool  // the time for the body is bounded
-	unread   bool  // the request was refused before its body was read
+	lines    int       // of the header
+	header   int       // its bytes
+	blank    int       // bytes of its current line that aren't part of the line's end
+	body     int64     // bytes of the body not yet read, or unknown
+	passed   int64     // bytes read since the header
+	held     int64     // bytes that the body's buffer holds beyond freeBody
+	timed    bool      // the time for the body is bounded
+	unread   bool      // the request was refused before its body was read
+	framed   int64     // bytes of excessive framing for which processor time was reserved
+	until    time.Time // when the body has to be read
 	ahead    []byte
 }
 
@@ -186,7 +195,7 @@
 	if c == nil {
 		return
 	}
-	c.inHeader, c.lines, c.header, c.blank, c.held, c.timed = true, 0, 0, 0, 0, false
+	c.inHeader, c.lines, c.header, c.blank, c.held, c.timed, c.framed = true, 0, 0, 0, 0, false, 0
 	c.guard.mu.Lock()
 	defer c.guard.mu.Unlock()
 	c.guard.intake.Await(uptime.Now(), c.id)
@@ -198,7 +207,7 @@
 	if c == nil {
 		return
 	}
-	c.body = max(unknown, length)
+	c.body, c.until = max(unknown, length), until
 	if c.timed = length < 0 || length > int64(len(c.ahead)); c.timed {
 		_ = c.SetReadDeadline(time.Now().Add(until.Sub(uptime.Now())))
 	}
@@ -217,10 +226,10 @@
 	}
 	size = min(size, most)
 	var before [][]byte // full buffers
-	last, held := make([]byte, 0, size), size
+	last, held, read := make([]byte, 0, size), size, int64(0)
 	for {
 		n, err := r.Read(last[len(last):cap(last)])
-		last = last[:len(last)+n]
+		last, read = last[:len(last)+n], read+int64(n)
 		switch {
 		case held-int64(cap(last)-len(last)) > limit:
 			c.Release()
@@ -231,6 +240,9 @@
 		case err != nil:
 			c.Release()
 			return nil, c.bodyError(err)
+		case !c.pace(read, limit):
+			c.Release()
+			return nil, errFraming
 		}
 		if len(last) < cap(last) {
 			continue
@@ -265,6 +277,24 @@
 	return body, nil
 }
 
+// pace waits for the processor time of framing that exceeds the bytes of the body read so far, and returns false if there won't be any
+// in time.
+func (c *Conn) pace(read, limit int64) bool {
+	if c == nil {
+		return true
+	}
+	excess := c.passed - 2*read - freeFraming
+	if excess-c.framed < framingStep {
+		return true
+	}
+	wait, ok := c.guard.pace(c.until, excess-c.framed, limit)
+	if c.framed = excess; !ok {
+		c.guard.report(tooMuchFraming)
+	}
+	time.Sleep(wait)
+	return ok
+}
+
 // endTime ends the time for the body.
 func (c *Conn) endTime() {
 	if c != nil && c.timed {
--- a/io/guard/fast.go
+++ b/io/guard/fast.go
@@ -2,10 +2,16 @@
 
 import (
 	"net"
+	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"persimmonstage/io/uptime"
 )
 
+// bodyTime bounds the time for a body, besides that of the server's settings.
+const bodyTime = 30 * time.Second
+
 // Attach lets a server read bodies with Body, and tells the connections when their next request is awaited.
 func Attach(s *fasthttp.Server) {
 	s.StreamRequestBody, s.DisablePreParseMultipartForm = true, true
@@ -30,7 +36,7 @@
 		return ctx.PostBody(), nil
 	}
 	conn, length := ConnOf(ctx), max(unknown, int64(ctx.Request.Header.ContentLength()))
-	conn.expect(length)
+	conn.expect(length, uptime.Now().Add(bodyTime))
 	body, err := conn.ReadBody(stream, length, limit)
 	if err != nil {
 		ctx.SetConnectionClose()
@@ -46,9 +52,12 @@
 	return conn.bodyError(err)
 }
 
-// expect records the length of the body, of which the server may have read the begin.
-func (c *Conn) expect(length int64) {
-	if c != nil && length >= 0 {
+// expect records the length of the body, of which the server may have read the begin, and until when it has to be read.
+func (c *Conn) expect(length int64, until time.Time) {
+	if c == nil {
+		return
+	}
+	if c.until = until; length >= 0 {
 		c.body = max(0, length-c.passed)
 	}
 }
--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -21,6 +21,8 @@
 	tooManyBytes reason = "bytes"
 	tooManyLines reason = "header-lines"
 	tooLate      reason = "body-time"
+	// tooMuchFraming stands for bodies in chunks so small that reading them takes too much processor time.
+	tooMuchFraming reason = "framing"
 )
 
 const (
@@ -174,6 +176,13 @@
 	}
 }
 
+// pace reserves processor time for framing, and returns how long to wait for it, or false if there is none in time.
+func (g *Guard) pace(until time.Time, bytes, bodyLimit int64) (time.Duration, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.intake.Pace(uptime.Now(), until, bytes, bodyLimit)
+}
+
 // report counts a closed connection and writes a log line a second at most.
 func (g *Guard) report(why reason) {
 	g.closed.WithLabelValues(string(why)).Inc()
@@ -186,7 +195,7 @@
 	}
 	g.logged = now
 	fields := []zap.Field{zap.String("port", g.port), zap.Int("open", g.intake.Conns()), zap.Int64("bytes", g.intake.Bytes())}
-	for _, r := range []reason{tooManyConns, tooManyBytes, tooManyLines, tooLate} {
+	for _, r := range []reason{tooManyConns, tooManyBytes, tooManyLines, tooLate, tooMuchFraming} {
 		if n := g.counts[r]; n > 0 {
 			fields = append(fields, zap.Int(string(r), n))
 		}
--- a/io/guard/guard_test.go
+++ b/io/guard/guard_test.go
@@ -168,6 +168,19 @@
 	require.Contains(t, reason, guard.ErrGivenUp.Error())
 }
 
+// TestChunksOfOneByteAreBounded guards against bodies whose framing takes the processor: one of the largest size is read, and the next one
+// is refused at once if its framing can't be read in time.
+func TestChunksOfOneByteAreBounded(t *testing.T) {
+	addr := serve(t, intake.Limits{Framing: 1}, testTime)
+	request := []byte("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1\r\nx\r\n", bodyLimit) + "0\r\n\r\n")
+	for _, want := range []string{string(summary(bytes.Repeat([]byte("x"), bodyLimit))), "chunks too small"} {
+		conn := dial(t, addr)
+		go func() { _, _ = conn.Write(request) }() // fails if the request is refused
+		_, body := answer(t, bufio.NewReader(conn))
+		require.Contains(t, body, want)
+	}
+}
+
 func TestANewConnectionClosesTheOldestIdleOne(t *testing.T) {
 	for len(idle) > 0 {
 		<-idle
--- a/test/callers/process_test.go
+++ b/test/callers/process_test.go
@@ -86,7 +86,7 @@
 	p.t.Helper()
 	p.settle()
 	open := p.sockets()
-	p.t.Logf("memory at its peak %d MB of %d, sockets %d of %d", p.peakMB(), memoryMB, open, sockets)
+	p.t.Logf("memory at its peak %d MB of %d, sockets %d of %d, processor time %s", p.peakMB(), memoryMB, open, sockets, p.processorTime())
 	require.False(p.t, p.ended.Load(), "the process has ended")
 	serves()
 	require.LessOrEqual(p.t, p.peakMB(), memoryMB, "memory at its peak, in MB")
