Keep connections for requests that are answered at once

What callers saw: jobs that wait for long took every connection of an entry; new ones were closed without an answer, also those of probes, operators and other addresses, for as long as the jobs waited.

Cause: a connection whose request is served isn't closed for a new one, and requests that are served had no bound below that of connections.

Change: of the address with most connections, requests may be served on seven eighths of the connections; a further one is refused at once, with Retry-After and "not run". The rest answers probes, operators, lookups and callers from other addresses. The text of such refusals names what was met.

--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -4,12 +4,13 @@
 
 // Intake keeps account of connections and of the bytes that their large requests hold; create it with New.
 type Intake struct {
-	limits Limits
-	conns  map[uint64]*conn
-	addrs  map[string]int // connections of each address
-	last   uint64
-	bytes  int64
-	ending int64 // held by requests that were given up and haven't released them yet
+	limits  Limits
+	conns   map[uint64]*conn
+	addrs   map[string]int // connections of each address
+	last    uint64
+	bytes   int64
+	ending  int64 // held by requests that were given up and haven't released them yet
+	serving int   // connections whose request is served
 	// closing is the number of connections that were closed for new ones and that the process hasn't released yet.
 	closing int
 	// framedUntil is when the processor time that was reserved for framing ends.
@@ -85,6 +86,7 @@
 		return
 	}
 	i.release(c)
+	i.endService(c)
 	delete(i.conns, id)
 	if c.closing {
 		i.closing--
@@ -95,16 +97,41 @@
 }
 
 // Serve records that the request of a connection has been read, so that the connection isn't closed before the answer. It returns false
-// if the connection or its request was given up.
-func (i *Intake) Serve(id uint64) bool {
+// if the connection or its request was given up. If full is true, the request can't be served since too many are: some connections are
+// kept for requests that are answered at once, and for callers other than the one with most connections.
+func (i *Intake) Serve(id uint64) (ok, full bool) {
 	c := i.conns[id]
-	if c == nil || c.expired {
-		return false
+	switch {
+	case c == nil || c.expired:
+		return false, false
+	case c.serving:
+		return true, false
+	case i.limits.Conns > 0 && i.serving >= i.limits.Conns-i.limits.Conns/unservedShare && i.hasMost(c.addr):
+		return false, true
 	}
 	c.serving = true
+	i.serving++
+	return true, false
+}
+
+// hasMost reports whether no address has more connections than the given one.
+func (i *Intake) hasMost(addr string) bool {
+	own := i.addrs[addr]
+	for _, n := range i.addrs {
+		if n > own {
+			return false
+		}
+	}
 	return true
 }
 
+// endService records that the request of a connection was answered or has lost its connection.
+func (i *Intake) endService(c *conn) {
+	if c.serving {
+		i.serving--
+	}
+}
+
 // Await records that a connection's answer was sent and that its next request is awaited, which holds no bytes yet.
 func (i *Intake) Await(now time.Time, id uint64) {
 	c := i.conns[id]
@@ -112,6 +139,7 @@
 		return
 	}
 	i.release(c)
+	i.endService(c)
 	*c = conn{addr: c.addr, since: now}
 }
 
--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -33,12 +33,12 @@
 	other, _, _ := i.Open(start, "other")
 	served, _, _ := i.Open(start, "crowd")
 	idle, _, _ := i.Open(start.Add(time.Second), "crowd")
-	i.Serve(served)
+	serve(t, i, served)
 	next, victim, ok := i.Open(start.Add(time.Minute), "third")
 	require.True(t, ok)
 	require.Equal(t, idle, victim)
-	i.Serve(other)
-	i.Serve(next)
+	serve(t, i, other)
+	serve(t, i, next)
 	_, _, ok = i.Open(start, "third")
 	require.False(t, ok, "each connection serves a request")
 	i.Await(start.Add(time.Minute), served)
@@ -58,7 +58,8 @@
 	require.Equal(t, first, victim)
 	require.Equal(t, 1, i.Conns())
 	require.EqualValues(t, 80, i.Bytes())
-	require.False(t, i.Serve(first))
+	ok, _ = i.Serve(first)
+	require.False(t, ok)
 	_, _, ok = i.Open(start, "a")
 	require.False(t, ok, "as many as are admitted haven't been released")
 	i.Close(first)
@@ -68,6 +69,38 @@
 	require.Equal(t, second, victim)
 }
 
+// serve calls Serve, which must admit the request.
+func serve(t *testing.T, i *intake.Intake, id uint64) {
+	t.Helper()
+	ok, full := i.Serve(id)
+	require.True(t, ok)
+	require.False(t, full)
+}
+
+// TestSomeConnectionsAreKeptFromRequestsThatTakeLong guards against callers whose requests take all connections, so that no other one is
+// answered.
+func TestSomeConnectionsAreKeptFromRequestsThatTakeLong(t *testing.T) {
+	const conns, kept = 16, 2
+	i := intake.New(intake.Limits{Conns: conns})
+	var ids []uint64
+	for range conns - 1 {
+		id, _, _ := i.Open(start, "crowd")
+		ids = append(ids, id)
+	}
+	for _, id := range ids[:conns-kept] {
+		serve(t, i, id)
+	}
+	ok, full := i.Serve(ids[conns-kept])
+	require.False(t, ok)
+	require.True(t, full)
+	other, _, ok := i.Open(start, "other")
+	require.True(t, ok)
+	serve(t, i, other) // of an address with fewer connections
+	i.Await(start, ids[0])
+	i.Close(ids[1])
+	serve(t, i, ids[conns-kept])
+}
+
 // hold calls Hold, which must not tell to wait.
 func hold(t *testing.T, i *intake.Intake, now time.Time, id uint64, bytes int64) []uint64 {
 	t.Helper()
@@ -102,7 +135,8 @@
 	require.EqualValues(t, 60, i.Bytes())
 	require.Empty(t, hold(t, i, later, next, 101))
 	i.GiveUp(next)
-	require.False(t, i.Serve(next))
+	ok, _ := i.Serve(next)
+	require.False(t, ok)
 }
 
 // TestFramingIsPaced guards against bodies in chunks of one byte that take the processor from ordinary callers.
--- a/core/intake/limits.go
+++ b/core/intake/limits.go
@@ -13,6 +13,8 @@
 	// collector lets the heap grow to twice what is in use.
 	connShare = 4
 	byteShare = 8
+	// unservedShare is the part of the connections, as a divisor, that is kept from requests that take long.
+	unservedShare = 8
 	// unidentifiedByteShare and unidentifiedConnShare are the parts, as divisors, of that memory and of the reserved sockets that processes
 	// may hold which haven't identified themselves.
 	unidentifiedByteShare = 16
--- a/io/entryd/http.go
+++ b/io/entryd/http.go
@@ -84,8 +84,9 @@
 	}
 }
 
-// refuseUnread answers a request that was given up, came too slowly or could not be read.
+// refuseUnread answers a request that was given up, came too slowly or could not be read, and closes its connection.
 func (d *Daemon) refuseUnread(ctx *fasthttp.RequestCtx, err error) {
+	ctx.SetConnectionClose()
 	if errors.Is(err, guard.ErrGivenUp) || errors.Is(err, guard.ErrLate) {
 		send(ctx, replyOf(answer.Refusal(answer.StatusUnavailable, "", "request: "+err.Error(), "", retryAfter)))
 		return
@@ -181,8 +182,14 @@
 	}
 	j.DataCentre = d.set.DataCentre
 	// The payloads are held until the answer. From here on the request isn't given up in favour of others.
-	if conn := guard.ConnOf(ctx); !conn.Keep(j.PayloadBytes()) || !conn.Serve() {
-		d.refuseUnread(ctx, guard.ErrGivenUp)
+	conn := guard.ConnOf(ctx)
+	if !conn.Keep(j.PayloadBytes()) {
+		err = guard.ErrGivenUp
+	} else {
+		err = conn.Serve()
+	}
+	if err != nil {
+		d.refuseUnread(ctx, err)
 		return
 	}
 	send(ctx, d.submit(j))
--- a/io/guard/conn.go
+++ b/io/guard/conn.go
@@ -33,8 +33,8 @@
 	lingerTime = 500 * time.Millisecond
 )
 
-// ErrGivenUp is returned for requests that are given up since requests hold too many bytes together.
-var ErrGivenUp = errors.New("too many bytes of requests at once")
+// ErrGivenUp is returned for requests that are given up since callers together hold more than the process has.
+var ErrGivenUp = errors.New("callers hold too much at once")
 
 // ErrLate is returned for a body that didn't arrive in its time.
 var ErrLate = errors.New("the body didn't arrive in time")
@@ -42,6 +42,8 @@
 // errFraming is returned for bodies whose framing is too much for the process, as all together.
 var errFraming = errors.Wrap(ErrGivenUp, "chunks too small")
 
+var errServed = errors.Wrap(ErrGivenUp, "too many requests are being served")
+
 var errLines = errors.Newf("header: more than %d lines", maxHeaderLines)
 
 // Conn is a connection that counts the lines of headers before they are parsed. Reads end with the header, so that what follows it is
@@ -179,15 +181,23 @@
 	return c.gone
 }
 
-// Serve records that the connection's request has been read, so that the connection isn't closed in favour of others. It returns false
-// if it was given up before. A nil Conn serves everything.
-func (c *Conn) Serve() bool {
+// Serve records that the connection's request has been read, so that the connection isn't closed in favour of others. It returns an
+// ErrGivenUp if it was given up before or too many others are being served. A nil Conn serves everything.
+func (c *Conn) Serve() error {
 	if c == nil {
-		return true
+		return nil
 	}
 	c.guard.mu.Lock()
-	defer c.guard.mu.Unlock()
-	return c.guard.intake.Serve(c.id)
+	ok, full := c.guard.intake.Serve(c.id)
+	c.guard.mu.Unlock()
+	switch {
+	case full:
+		c.guard.report(tooManyServed)
+		return errServed
+	case !ok:
+		return ErrGivenUp
+	}
+	return nil
 }
 
 // Await records that the connection's next request is awaited.
--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -17,10 +17,11 @@
 type reason string
 
 const (
-	tooManyConns reason = "connections"
-	tooManyBytes reason = "bytes"
-	tooManyLines reason = "header-lines"
-	tooLate      reason = "body-time"
+	tooManyConns  reason = "connections"
+	tooManyServed reason = "served"
+	tooManyBytes  reason = "bytes"
+	tooManyLines  reason = "header-lines"
+	tooLate       reason = "body-time"
 	// tooMuchFraming stands for bodies in chunks so small that reading them takes too much processor time.
 	tooMuchFraming reason = "framing"
 )
@@ -195,7 +196,7 @@
 	}
 	g.logged = now
 	fields := []zap.Field{zap.String("port", g.port), zap.Int("open", g.intake.Conns()), zap.Int64("bytes", g.intake.Bytes())}
-	for _, r := range []reason{tooManyConns, tooManyBytes, tooManyLines, tooLate, tooMuchFraming} {
+	for _, r := range []reason{tooManyConns, tooManyServed, tooManyBytes, tooManyLines, tooLate, tooMuchFraming} {
 		if n := g.counts[r]; n > 0 {
 			fields = append(fields, zap.Int(string(r), n))
 		}
--- a/io/guard/guard_test.go
+++ b/io/guard/guard_test.go
@@ -46,7 +46,10 @@
 			}
 			body, err := c.ReadBody(r.Body, r.ContentLength, bodyLimit)
 			defer c.Release()
-			if err != nil || !c.Serve() {
+			if err == nil {
+				err = c.Serve()
+			}
+			if err != nil {
 				w.Header().Set("Connection", "close")
 				http.Error(w, fmt.Sprint("error: ", err), http.StatusServiceUnavailable)
 				return
--- a/test/callers/callers_test.go
+++ b/test/callers/callers_test.go
@@ -1,10 +1,12 @@
 package callers
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httputil"
 	"strconv"
 	"strings"
 	"sync"
@@ -274,6 +276,49 @@
 	})
 }
 
+// TestRefusals checks that callers whose requests are given up are told that nothing has run and when to come back.
+func TestRefusals(t *testing.T) {
+	s := startSystem(t)
+	refused := answers(t, s.entry, s.front, func(i int) []byte { return short(1, withLength(i, job())) })
+	for _, a := range refused {
+		require.Contains(t, a, " 503 ")
+		require.Contains(t, a, "Retry-After: 1")
+		require.Contains(t, a, "not run")
+	}
+	s.requireBounds()
+}
+
+// answers sends what request returns on the connections of a crowd, and returns the answers to those that the process refuses, of which
+// there are some.
+func answers(t *testing.T, p *process, addr string, request func(i int) []byte) []string {
+	t.Helper()
+	var mu sync.Mutex
+	var refused []string
+	var conns []net.Conn
+	var done sync.WaitGroup
+	for i := range crowd {
+		conn, err := net.Dial("tcp", addr)
+		require.NoError(t, err)
+		conns = append(conns, conn)
+		done.Go(func() { _, _ = conn.Write(request(i)) }) // fails if the request is refused before its end
+		done.Go(func() {
+			if resp, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil {
+				data, _ := httputil.DumpResponse(resp, true)
+				mu.Lock()
+				defer mu.Unlock()
+				refused = append(refused, string(data))
+			}
+		})
+	}
+	p.settle()
+	for _, conn := range conns {
+		_ = conn.Close()
+	}
+	done.Wait()
+	require.NotEmpty(t, refused)
+	return refused
+}
+
 // exchange sends a request on a connection of its own and returns the begin of the answer.
 func exchange(t *testing.T, addr string, request []byte) string {
 	t.Helper()
--- a/test/callers/installation_test.go
+++ b/test/callers/installation_test.go
@@ -1,6 +1,7 @@
 package callers
 
 import (
+	"bytes"
 	"encoding/base64"
 	"encoding/binary"
 	"encoding/json"
@@ -244,6 +245,26 @@
 	s.agent.requireBounds(func() { require.NoError(t, s.call(http.MethodGet, s.agentHTTP, "/readyz", nil)) })
 }
 
+// TestMoreServedRequestsThanConnections guards against callers whose jobs wait for long and take all connections, so that nobody else gets
+// an answer: operators and probes from the same address, and a caller from another one.
+func TestMoreServedRequestsThanConnections(t *testing.T) {
+	s := startInstallation(t)
+	payload := fmt.Sprintf(`{"work-ms":%d}`, unreadTime.Milliseconds())
+	send(t, s.http, largeCrowd, pieceBytes, func(i int) []byte {
+		return withOwnLength(jobFor(fmt.Sprintf("waits-%d", i), 0, time.Minute, payload))
+	})
+	s.entry.requireBounds(func() {
+		for _, path := range []string{"/readyz", "/metrics", "/v1/admin/state"} {
+			require.NoError(t, s.call(http.MethodGet, s.http, path, nil), "%s isn't answered", path)
+		}
+		dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, 2)}}
+		client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true, DialContext: dialer.DialContext}}
+		resp, err := client.Post("http://"+s.http+"/v1/jobs", "application/json", bytes.NewReader(jobFor("another-address", 0, callTimeout/4, "x")))
+		require.NoError(t, err, "a job from another address isn't answered") // it may wait behind the others until its deadline
+		_ = resp.Body.Close()
+	})
+}
+
 // TestLargeRequestsToAnAgent guards against bodies at the agent's port, of which no request has one.
 func TestLargeRequestsToAnAgent(t *testing.T) {
 	s := startInstallation(t)
@@ -298,6 +319,18 @@
 	s.requireBounds()
 }
 
+// TestRefusalsOfTheOwnInterface checks that callers whose requests are given up are told that nothing has run and when to come back.
+func TestRefusalsOfTheOwnInterface(t *testing.T) {
+	s := startInstallation(t)
+	refused := answers(t, s.entry, s.http, func(i int) []byte { return short(1, withOwnLength(largeJob(i))) })
+	for _, a := range refused {
+		require.Contains(t, a, " 503 ")
+		require.Contains(t, a, "Retry-After: 1")
+		require.Contains(t, a, `"not-run":true`)
+	}
+	s.requireBounds()
+}
+
 // TestALargestJobIsServedInCalm checks that a single job inside the limits is served, with and without a declared length.
 func TestALargestJobIsServedInCalm(t *testing.T) {
 	s := startInstallation(t)
