--- a/test/docs/fields_test.go
+++ b/test/docs/fields_test.go
@@ -18,7 +18,7 @@
 )
 
 // logged are the folders whose lines docs/OPERATIONS.md explains: those of repeatable jobs on the users' platform.
-var logged = []string{"io/schedd", "io/runsd", "io/ctrl", "io/dump", "io/logger", "platform", "io/skip", "io/marks", "io/guard"}
+var logged = []string{"io/schedd", "io/runsd", "io/ctrl", "io/dump", "io/logger", "platform", "io/skip", "io/marks", "io/guard", "io/hello"}
 
 // encoded are the fields that the logger's encoder adds to every line.
 var encoded = []string{"time", "level", "message"}
