Bound the time and the kernel's memory of answers that aren't read

What callers saw: nothing yet; docs/design/callers.md lists it as open. A caller who sends requests and doesn't read the answers has the kernel keep megabytes for it, and once its buffers are full, holds a connection that is being answered, which isn't closed for others, without an end.

Cause: no write at the platform's callers' port had an end, and no listener set the size of its send buffers.

TestEachWriteHasAnEnd panics on a write without an end.

Change: each write has 30 s to be read, which replaces the servers' own times; listeners limit both buffers of the connections that they accept.

--- a/core/intake/limits.go
+++ b/core/intake/limits.go
@@ -27,7 +27,7 @@
 	Bytes int64 // of large requests that are being read
 	// Framing is the rate, in bytes a second, at which framing is read that exceeds the bodies of its requests by far.
 	Framing int64
-	Unread  int64 // bytes of a connection that the kernel may have received and the process not yet read
+	Unread  int64 // bytes of a connection that the kernel may keep in each direction until they are read
 }
 
 // UnidentifiedLimits returns the limits of connections of processes that haven't identified themselves, at one of the given number of
--- a/io/agentd/state.go
+++ b/io/agentd/state.go
@@ -94,7 +94,7 @@
 }
 
 const (
-	// requestTimeout bounds the time for a request, which has no body, and the time in which its answer is read.
+	// requestTimeout bounds the time for a request, which has no body.
 	requestTimeout = 5 * time.Second
 	idleTimeout    = 75 * time.Second
 	// maxConns bounds the connections of probes and operators. The oldest that waits for a request is closed for a new one.
@@ -105,7 +105,7 @@
 	prom := fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(d.metrics.registry, promhttp.HandlerOpts{}))
 	server := &fasthttp.Server{
 		NoDefaultServerHeader: true, Logger: zap.NewStdLog(d.log),
-		ReadTimeout: requestTimeout, WriteTimeout: requestTimeout, IdleTimeout: idleTimeout,
+		ReadTimeout: requestTimeout, IdleTimeout: idleTimeout,
 	}
 	server.Handler = func(ctx *fasthttp.RequestCtx) {
 		switch string(ctx.Path()) {
--- a/io/entryd/http.go
+++ b/io/entryd/http.go
@@ -23,8 +23,6 @@
 	jsonType    = "application/json"
 	idleTimeout = 75 * time.Second
 	readTimeout = 30 * time.Second
-	// writeTimeout bounds the time in which a caller reads an answer.
-	writeTimeout = 30 * time.Second
 	// connBytes is the memory of a connection: a buffer for the largest header, a body of up to 8 KB, an answer, stacks.
 	connBytes = 128 << 10
 	// ownCores are the cores by which the processor time for framing is reckoned.
@@ -44,7 +42,6 @@
 		ReduceMemoryUsage:     true,
 		IdleTimeout:           idleTimeout,
 		ReadTimeout:           readTimeout,
-		WriteTimeout:          writeTimeout,
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
 		Concurrency:           maxConnections,
--- a/io/guard/conn.go
+++ b/io/guard/conn.go
@@ -29,6 +29,8 @@
 	// entries in the account.
 	freeFraming = 64 << 10
 	framingStep = 4 << 10
+	// writeTime is how long a caller may take to read what is written at once. A request that is answered can't be closed for others.
+	writeTime = 30 * time.Second
 	// lingerTime is how long a refused connection stays open for the caller to read the answer.
 	lingerTime = 500 * time.Millisecond
 )
@@ -151,6 +153,14 @@
 	return nil
 }
 
+// Write writes to the connection, within the time that a caller has to read.
+func (c *Conn) Write(p []byte) (int, error) {
+	if err := c.Conn.SetWriteDeadline(time.Now().Add(writeTime)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
 // Close closes the connection. If a body is unread, it first discards for a while what arrives, since the caller might not receive the
 // answer otherwise: closing a connection with unread bytes resets it.
 func (c *Conn) Close() error {
--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
@@ -76,15 +77,15 @@
 
 // Listener returns a listener whose connections are the guard's.
 func (g *Guard) Listener(ln net.Listener) net.Listener {
-	if err := limitUnread(ln, max(minUnread, int(g.unread))); err != nil {
-		g.log.Warn("unread bytes not limited", zap.String("port", g.port), zap.Error(err))
+	if err := limitBuffers(ln, max(minUnread, int(g.unread))); err != nil {
+		g.log.Warn("kernel buffers not limited", zap.String("port", g.port), zap.Error(err))
 	}
 	return &listener{ln, g}
 }
 
-// limitUnread limits the bytes that the kernel keeps of each connection until they are read. Without that it may grow them to megabytes.
-// Accepted connections take the size from their listener, which saves a call for each.
-func limitUnread(ln net.Listener, bytes int) error {
+// limitBuffers limits the bytes that the kernel keeps of each connection in each direction, until the process or the caller reads them.
+// Without that it may grow them to megabytes. Accepted connections take the sizes from their listener, which saves calls for each.
+func limitBuffers(ln net.Listener, bytes int) error {
 	sc, ok := ln.(syscall.Conn)
 	if !ok {
 		return nil // not a socket
@@ -96,7 +97,9 @@
 	const kernelFactor = 2 // the kernel doubles the size, for its own bookkeeping
 	var setErr error
 	if err := raw.Control(func(fd uintptr) {
-		setErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bytes/kernelFactor)
+		for _, option := range []int{syscall.SO_RCVBUF, syscall.SO_SNDBUF} {
+			setErr = errors.CombineErrors(setErr, syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, option, bytes/kernelFactor))
+		}
 	}); err != nil {
 		return err
 	}
--- a/io/guard/guard_test.go
+++ b/io/guard/guard_test.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"testing"
@@ -171,6 +172,39 @@
 	require.Contains(t, reason, guard.ErrGivenUp.Error())
 }
 
+// silentConn is a connection whose other side reads nothing until the time for a write is over.
+type silentConn struct {
+	net.Conn
+	until time.Time
+}
+
+func (c *silentConn) RemoteAddr() net.Addr { return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)} }
+
+func (c *silentConn) SetWriteDeadline(t time.Time) error { c.until = t; return nil }
+
+func (c *silentConn) Write([]byte) (int, error) {
+	if c.until.IsZero() {
+		panic("a write without an end")
+	}
+	c.until = time.Time{}
+	return 0, os.ErrDeadlineExceeded
+}
+
+// silentListener accepts a silentConn.
+type silentListener struct{ net.Listener }
+
+func (silentListener) Accept() (net.Conn, error) { return &silentConn{}, nil }
+
+// TestEachWriteHasAnEnd guards against callers who don't read and keep connections that can't be closed for others.
+func TestEachWriteHasAnEnd(t *testing.T) {
+	conn, err := guard.New("test", intake.Limits{}, zap.NewNop()).Listener(silentListener{}).Accept()
+	require.NoError(t, err)
+	for range 2 {
+		_, err = conn.Write([]byte("x"))
+		require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	}
+}
+
 // TestChunksOfOneByteAreBounded guards against bodies whose framing takes the processor: one of the largest size is read, and the next one
 // is refused at once if its framing can't be read in time.
 func TestChunksOfOneByteAreBounded(t *testing.T) {
--- a/test/callers/callers_test.go
+++ b/test/callers/callers_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httputil"
@@ -24,6 +25,8 @@
 	headerBytes = 20_000
 	writeTime   = 15 * time.Second
 	pieceBytes  = 4 << 10
+	// unreadAnswers is how many requests a caller sends without reading the answers.
+	unreadAnswers = 40_000
 	// heartbeatBytes is the largest heartbeat that the pages allow.
 	heartbeatBytes = 4 << 20
 )
@@ -209,6 +212,25 @@
 	s.requireBounds()
 }
 
+// TestAnswersThatAreNotRead guards against answers that pile up in the kernel for callers who send requests and read nothing.
+func TestAnswersThatAreNotRead(t *testing.T) {
+	s := startSystem(t)
+	requests := strings.Repeat("GET /q/ HTTP/1.1\r\nHost: h.example\r\n\r\n", unreadAnswers)
+	var sent sync.WaitGroup
+	t.Cleanup(sent.Wait) // after the connections were closed
+	for range crowd {
+		conn, err := net.Dial("tcp", s.front)
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		sent.Go(func() { _, _ = io.WriteString(conn, requests) }) // blocks until the connection is closed, unless all is read
+	}
+	s.entry.settle()
+	unread, unsent := kernelMB(t, s.front)
+	t.Logf("unread %d MB, unsent %d MB", unread, unsent)
+	require.LessOrEqual(t, s.entry.peakMB()+unread+unsent, memoryMB, "memory at its peak and in the kernel, in MB")
+	s.requireBounds()
+}
+
 // TestMoreConnectionsThanDescriptors guards against callers who use up the descriptors, which agents and the store need too.
 func TestMoreConnectionsThanDescriptors(t *testing.T) {
 	s := startSystem(t)
--- a/test/callers/installation_test.go
+++ b/test/callers/installation_test.go
@@ -202,7 +202,7 @@
 		go func() { _, _ = conn.Write(withOwnLength(make([]byte, 8*bodyBytes))) }() // blocks until the connection is closed
 	}
 	s.entry.settle()
-	unread := unreadMB(t, s.http)
+	unread, _ := kernelMB(t, s.http)
 	t.Logf("unread %d MB", unread)
 	require.LessOrEqual(t, s.entry.peakMB()+unread, memoryMB, "memory at its peak and unread bytes, in MB")
 	s.requireBounds()
--- a/test/callers/process_test.go
+++ b/test/callers/process_test.go
@@ -135,26 +135,28 @@
 	return time.Duration(ticks) * time.Second / ticksPerSecond
 }
 
-// unreadMB returns what the kernel has received at an address and the process not yet read.
-func unreadMB(t *testing.T, addr string) int {
+// kernelMB returns what the kernel has received at an address and the process not yet read, and what the process has written there and
+// nobody acknowledged.
+func kernelMB(t *testing.T, addr string) (unread, unsent int) {
 	t.Helper()
 	const local, queues, hexadecimal = 1, 4, 16 // columns of the file
 	f, err := os.Open("/proc/net/tcp")
 	require.NoError(t, err)
 	defer f.Close()
 	own := fmt.Sprintf(":%04X", netip.MustParseAddrPort(addr).Port())
-	sum := int64(0)
+	var bytes [2]int64 // unsent, unread
 	for lines := bufio.NewScanner(f); lines.Scan(); {
 		fields := strings.Fields(lines.Text())
 		if len(fields) <= queues || !strings.HasSuffix(fields[local], own) {
 			continue
 		}
-		_, received, _ := strings.Cut(fields[queues], ":")
-		n, err := strconv.ParseInt(received, hexadecimal, 64)
-		require.NoError(t, err)
-		sum += n
+		for i, queue := range strings.Split(fields[queues], ":") {
+			n, err := strconv.ParseInt(queue, hexadecimal, 64)
+			require.NoError(t, err)
+			bytes[i] += n
+		}
 	}
-	return int(sum >> 20)
+	return int(bytes[1] >> 20), int(bytes[0] >> 20)
 }
 
 // sockets returns the number of the process's open descriptors that aren't files.
