Share the tests' request that has to be answered 200, and name late requests for what they are

From reading the change as a whole: two copies of one call in test/callers, and ErrLate named a body where a header may be late too. No check changes.

--- a/io/guard/conn.go
+++ b/io/guard/conn.go
@@ -38,8 +38,8 @@
 // ErrGivenUp is returned for requests that are given up since callers together hold more than the process has.
 var ErrGivenUp = errors.New("callers hold too much at once")
 
-// ErrLate is returned for a body that didn't arrive in its time.
-var ErrLate = errors.New("the body didn't arrive in time")
+// ErrLate is returned for a request that didn't arrive in its time.
+var ErrLate = errors.New("the request didn't arrive in time")
 
 // errFraming is returned for bodies whose framing is too much for the process, as all together.
 var errFraming = errors.Wrap(ErrGivenUp, "chunks too small")
--- a/test/callers/entry_test.go
+++ b/test/callers/entry_test.go
@@ -143,13 +143,18 @@
 
 // call sends an ordinary request to the entry on a connection of its own.
 func (s *system) call(method, path, body string) error {
-	client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	req, err := http.NewRequest(method, "http://"+s.front+path, strings.NewReader(body))
 	if err != nil {
 		return err
 	}
 	req.Host = "h.example"
 	req.Header.Set("X-Persimmonstage-Deadline-Ms", "10000")
+	return requestOK(req)
+}
+
+// requestOK sends a request on a connection of its own and returns an error unless the answer's status is 200.
+func requestOK(req *http.Request) error {
+	client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Do(req)
 	if err != nil {
 		return err
--- a/test/callers/installation_test.go
+++ b/test/callers/installation_test.go
@@ -6,7 +6,6 @@
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -66,21 +65,11 @@
 
 // call sends an ordinary request on a connection of its own.
 func (s *installation) call(method, addr, path string, body []byte) error {
-	client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-	req, err := http.NewRequest(method, "http://"+addr+path, strings.NewReader(string(body)))
+	req, err := http.NewRequest(method, "http://"+addr+path, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
-	resp, err := client.Do(req)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(resp.Body)
-	if err == nil && resp.StatusCode != http.StatusOK {
-		err = fmt.Errorf("%s: %s", resp.Status, data)
-	}
-	return err
+	return requestOK(req)
 }
 
 // jobBody returns a job of one task whose body has the given size.
