--- a/io/agtset/settings.go
+++ b/io/agtset/settings.go
@@ -116,12 +116,5 @@
 	case t.DrainMS > maxTimingMS:
 		return "timing.drain-ms", tooLong
 	}
-	return s.checkLimits()
-}
-
-func (s *Settings) checkLimits() (key, reason string) {
-	if key, reason = s.Limits.Check(); key != "" {
-		key = "limits." + key
-	}
-	return key, reason
+	return s.Limits.Check()
 }
--- a/io/entset/settings.go
+++ b/io/entset/settings.go
@@ -192,12 +192,5 @@
 			return "retention." + v.key, "too many, at most " + strconv.Itoa(v.most)
 		}
 	}
-	return s.checkLimits()
-}
-
-func (s *Settings) checkLimits() (key, reason string) {
-	if key, reason = s.Limits.Check(); key != "" {
-		key = "limits." + key
-	}
-	return key, reason
+	return s.Limits.Check()
 }
--- a/io/rlimit/rlimit.go
+++ b/io/rlimit/rlimit.go
@@ -23,12 +23,12 @@
 	groupFolder = "/sys/fs/cgroup"
 )
 
-// Check returns the key of a limit that is out of range and the reason, or empty strings.
+// Check returns the key of a limit that is out of range, in a settings file's table limits, and the reason, or empty strings.
 func (l *Limits) Check() (key, reason string) {
 	for _, f := range []struct {
 		key   string
 		value int
-	}{{"memory-mb", l.MemoryMB}, {"max-fds", l.MaxFDs}} {
+	}{{"limits.memory-mb", l.MemoryMB}, {"limits.max-fds", l.MaxFDs}} {
 		switch {
 		case f.value < 0:
 			return f.key, "negative, at least 0"
--- a/io/rlimit/rlimit_test.go
+++ b/io/rlimit/rlimit_test.go
@@ -26,8 +26,8 @@
 		key, reason string
 	}{
 		{rlimit.Limits{MemoryMB: 64, MaxFDs: 320}, "", ""},
-		{rlimit.Limits{MemoryMB: -1}, "memory-mb", "negative, at least 0"},
-		{rlimit.Limits{MaxFDs: 1<<24 + 1}, "max-fds", "too large, at most 16777216"},
+		{rlimit.Limits{MemoryMB: -1}, "limits.memory-mb", "negative, at least 0"},
+		{rlimit.Limits{MaxFDs: 1<<24 + 1}, "limits.max-fds", "too large, at most 16777216"},
 	} {
 		key, reason := c.limits.Check()
 		require.Equal(t, c.key, key)
