Say each thing once in the account of callers and its tests

From reading the whole change once more; behaviour, bounds and checks are as they were.

Cause: "unread" named both socket buffers and a body that wasn't read; the comment on maxHeaderBytes said that idle connections hold no buffer, which is no longer true since bodies are streamed; io/guard and io/hello both took the host from an address; hello.Hold went through the victims twice. In test/callers three requests, a loop over probes and the framing of a body stood twice.

Change: Limits.Buffer, addr.Host, one loop, requireProbes, inOnePiece, and requireOK calls requestOK, which also reads the answer.

--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -15,9 +15,9 @@
 
 func TestLimitsFollowFromTheSettings(t *testing.T) {
 	require.Equal(t, intake.Limits{}, intake.LimitsOf(0, 0, 32<<10))
-	require.Equal(t, intake.Limits{Conns: 90, Bytes: 4 << 20, Unread: 32 << 10}, intake.LimitsOf(64<<20, 320, 32<<10))
-	require.Equal(t, intake.Limits{Conns: 2016, Bytes: 252 << 17, Unread: 32 << 10}, intake.LimitsOf(284<<20, 4100, 32<<10))
-	require.Equal(t, intake.Limits{Conns: 64, Bytes: 4 << 20, Unread: 128 << 10}, intake.LimitsOf(64<<20, 320, 128<<10))
+	require.Equal(t, intake.Limits{Conns: 90, Bytes: 4 << 20, Buffer: 32 << 10}, intake.LimitsOf(64<<20, 320, 32<<10))
+	require.Equal(t, intake.Limits{Conns: 2016, Bytes: 252 << 17, Buffer: 32 << 10}, intake.LimitsOf(284<<20, 4100, 32<<10))
+	require.Equal(t, intake.Limits{Conns: 64, Bytes: 4 << 20, Buffer: 128 << 10}, intake.LimitsOf(64<<20, 320, 128<<10))
 	require.Equal(t, 8, intake.LimitsOf(0, 100, 32<<10).Conns)
 }
 
--- a/core/intake/limits.go
+++ b/core/intake/limits.go
@@ -27,7 +27,7 @@
 	Bytes int64 // of large requests that are being read
 	// Framing is the rate, in bytes a second, at which framing is read that exceeds the bodies of its requests by far.
 	Framing int64
-	Unread  int64 // bytes of a connection that the kernel may keep in each direction until they are read
+	Buffer  int64 // bytes that the kernel may keep of a connection in each direction until they are read
 }
 
 // UnidentifiedLimits returns the limits of connections of processes that haven't identified themselves, at one of the given number of
@@ -52,7 +52,7 @@
 	var l Limits
 	if memoryBytes > 0 {
 		free := freeMemory(memoryBytes)
-		l = Limits{Conns: max(minConns, int(free/connShare/connBytes)), Bytes: free / byteShare, Unread: connBytes}
+		l = Limits{Conns: max(minConns, int(free/connShare/connBytes)), Bytes: free / byteShare, Buffer: connBytes}
 	}
 	if descriptors > 0 {
 		sockets := descriptors - fileDescriptors
--- a/io/addr/addr.go
+++ b/io/addr/addr.go
@@ -1,6 +1,7 @@
 package addr
 
 import (
+	"net"
 	"net/netip"
 	"net/url"
 )
@@ -22,3 +23,12 @@
 	u, err := url.Parse(s)
 	return err == nil && u.Scheme == "http" && Valid(u.Host) && u.Path == ""
 }
+
+// Host returns the host of an address of the form IP:PORT, or the whole of another one.
+func Host(a net.Addr) string {
+	host, _, err := net.SplitHostPort(a.String())
+	if err != nil {
+		return a.String()
+	}
+	return host
+}
--- a/io/addr/addr_test.go
+++ b/io/addr/addr_test.go
@@ -1,6 +1,7 @@
 package addr_test
 
 import (
+	"net"
 	"strings"
 	"testing"
 
@@ -23,3 +24,8 @@
 		require.False(t, addr.Dialable(s), "%.80q", s)
 	}
 }
+
+func TestHostIsTheAddressWithoutItsPort(t *testing.T) {
+	require.Equal(t, "10.0.0.1", addr.Host(&net.TCPAddr{IP: net.IPv4(10, 0, 0, 1), Port: 80}))
+	require.Equal(t, "/run/socket", addr.Host(&net.UnixAddr{Name: "/run/socket"}))
+}
--- a/io/entryd/http.go
+++ b/io/entryd/http.go
@@ -61,9 +61,9 @@
 
 const (
 	maxConnections = 100_000
-	// maxBodyBytes is the largest limit that a configuration can set; the limit in force is checked before decoding.
+	// maxBodyBytes is the largest limit that a configuration can set; the limit in force is checked while a body is read.
 	maxBodyBytes = 64 << 20
-	// maxHeaderBytes is the largest limit that a configuration can set; an idle connection holds no buffer.
+	// maxHeaderBytes is the largest limit that a configuration can set; a connection keeps a buffer of this size from its first request on.
 	maxHeaderBytes = 64 << 10
 )
 
--- a/io/guard/conn.go
+++ b/io/guard/conn.go
@@ -41,9 +41,10 @@
 // ErrLate is returned for a request that didn't arrive in its time.
 var ErrLate = errors.New("the request didn't arrive in time")
 
-// errFraming is returned for bodies whose framing is too much for the process, as all together.
+// errFraming is returned for bodies whose framing, together with that of others, takes too much processor time.
 var errFraming = errors.Wrap(ErrGivenUp, "chunks too small")
 
+// errServed is returned for requests that can't be served beside those that are.
 var errServed = errors.Wrap(ErrGivenUp, "too many requests are being served")
 
 var errLines = errors.Newf("header: more than %d lines", maxHeaderLines)
--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"persimmonstage/core/intake"
+	"persimmonstage/io/addr"
 	"persimmonstage/io/uptime"
 )
 
@@ -33,8 +34,8 @@
 	// waitInterval and maxWaits bound the wait of a request for the bytes of others that were given up.
 	waitInterval = 2 * time.Millisecond
 	maxWaits     = 100
-	// minUnread is the least limit of unread bytes of a connection: the windows of a usual network need it.
-	minUnread = 32 << 10
+	// minBuffer is the least size of a connection's socket buffers: the windows of a usual network need it.
+	minBuffer = 32 << 10
 )
 
 // Guard keeps account of the connections to one port; create it with New.
@@ -47,13 +48,13 @@
 	counts map[reason]int // since the last log line
 	logged time.Time
 	closed *prometheus.CounterVec
-	unread int64
+	buffer int64 // as in the limits
 }
 
 // New returns a guard of a port with a name for logs and metrics.
 func New(port string, l intake.Limits, log *zap.Logger) *Guard {
 	return &Guard{
-		port: port, log: log, intake: intake.New(l), conns: make(map[uint64]*Conn), counts: make(map[reason]int), unread: l.Unread,
+		port: port, log: log, intake: intake.New(l), conns: make(map[uint64]*Conn), counts: make(map[reason]int), buffer: l.Buffer,
 		closed: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "persimmonstage_connections_closed_total", Help: "Connections closed, or whose request was given up, by the limit that was met.",
 			ConstLabels: prometheus.Labels{"port": port},
@@ -77,7 +78,7 @@
 
 // Listener returns a listener whose connections are the guard's.
 func (g *Guard) Listener(ln net.Listener) net.Listener {
-	if err := limitBuffers(ln, max(minUnread, int(g.unread))); err != nil {
+	if err := limitBuffers(ln, max(minBuffer, int(g.buffer))); err != nil {
 		g.log.Warn("kernel buffers not limited", zap.String("port", g.port), zap.Error(err))
 	}
 	return &listener{ln, g}
@@ -127,12 +128,9 @@
 
 // open returns the guarded connection, nil if there are too many.
 func (g *Guard) open(c net.Conn) *Conn {
-	host, _, err := net.SplitHostPort(c.RemoteAddr().String())
-	if err != nil {
-		host = c.RemoteAddr().String()
-	}
+	from := addr.Host(c.RemoteAddr())
 	g.mu.Lock()
-	id, victim, ok := g.intake.Open(uptime.Now(), host)
+	id, victim, ok := g.intake.Open(uptime.Now(), from)
 	closing := g.conns[victim]
 	delete(g.conns, victim)
 	var out *Conn
--- a/io/hello/hello.go
+++ b/io/hello/hello.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"persimmonstage/core/intake"
+	"persimmonstage/io/addr"
 	"persimmonstage/io/uptime"
 )
 
@@ -37,10 +38,7 @@
 	if b == nil {
 		return 0, true
 	}
-	host, _, err := net.SplitHostPort(from.String())
-	if err != nil {
-		host = from.String()
-	}
+	host := addr.Host(from)
 	b.mu.Lock()
 	id, victim, ok := b.intake.Open(uptime.Now(), host)
 	closing := b.conns[victim]
@@ -66,15 +64,14 @@
 	b.mu.Lock()
 	victims, wait := b.intake.Hold(uptime.Now(), id, bytes)
 	var closing []io.Closer
+	_, held := b.conns[id]
 	for _, v := range victims {
-		if c := b.conns[v]; c != nil && v != id {
+		if v == id {
+			held = false
+		} else if c := b.conns[v]; c != nil {
 			closing = append(closing, c)
 		}
 	}
-	_, held := b.conns[id]
-	for _, v := range victims {
-		held = held && v != id
-	}
 	b.mu.Unlock()
 	for _, c := range closing {
 		_ = c.Close()
--- a/test/callers/callers_test.go
+++ b/test/callers/callers_test.go
@@ -108,7 +108,12 @@
 }
 
 func withLength(i int, body []byte) []byte {
-	return append(fmt.Appendf(head(i), "Content-Length: %d\r\n\r\n", len(body)), body...)
+	return inOnePiece(head(i), body)
+}
+
+// inOnePiece returns a request with the begin of its header and a body of declared length.
+func inOnePiece(header, body []byte) []byte {
+	return append(fmt.Appendf(header, "Content-Length: %d\r\n\r\n", len(body)), body...)
 }
 
 // chunked returns a request whose body comes in chunks of a size.
@@ -267,11 +272,9 @@
 
 func requireOK(t *testing.T, url string) {
 	t.Helper()
-	client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := client.Get(url)
+	req, err := http.NewRequest(http.MethodGet, url, nil)
 	require.NoError(t, err)
-	_ = resp.Body.Close()
-	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.NoError(t, requestOK(req))
 }
 
 // TestLargeHeartbeatsShortOfTheirEnd guards against heartbeats of legal size that never end, at an agent.
--- a/test/callers/installation_test.go
+++ b/test/callers/installation_test.go
@@ -89,13 +89,19 @@
 	return s.call(http.MethodPost, s.http, "/v1/jobs", jobBody(fmt.Sprintf("ordinary-%d", s.jobs), 0))
 }
 
-// requireServed checks that the entry serves an ordinary job and answers the owner and the operators.
+// requireServed checks that the entry serves an ordinary job and answers probes and operators.
 func (s *installation) requireServed() {
+	s.t.Helper()
+	s.requireProbes()
+	require.NoError(s.t, s.job(), "an ordinary job isn't served")
+}
+
+// requireProbes checks that the entry answers probes and operators.
+func (s *installation) requireProbes() {
 	s.t.Helper()
 	for _, path := range []string{"/readyz", "/metrics", "/v1/admin/state"} {
 		require.NoError(s.t, s.call(http.MethodGet, s.http, path, nil), "%s isn't answered", path)
 	}
-	require.NoError(s.t, s.job(), "an ordinary job isn't served")
 }
 
 // requireBounds checks the bounds of the entry's process.
@@ -108,9 +114,7 @@
 func postHead() []byte { return []byte("POST /v1/jobs HTTP/1.1\r\nHost: h\r\n") }
 
 // withOwnLength returns a request of a job with a body of declared length.
-func withOwnLength(body []byte) []byte {
-	return append(fmt.Appendf(postHead(), "Content-Length: %d\r\n\r\n", len(body)), body...)
-}
+func withOwnLength(body []byte) []byte { return inOnePiece(postHead(), body) }
 
 // ownChunked returns a request of a job whose body comes in chunks of a size.
 func ownChunked(body []byte, size int) []byte { return inChunks(postHead(), body, size) }
@@ -243,9 +247,7 @@
 		return withOwnLength(jobFor(fmt.Sprintf("waits-%d", i), 0, time.Minute, payload))
 	})
 	s.entry.requireBounds(func() {
-		for _, path := range []string{"/readyz", "/metrics", "/v1/admin/state"} {
-			require.NoError(t, s.call(http.MethodGet, s.http, path, nil), "%s isn't answered", path)
-		}
+		s.requireProbes()
 		dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, 2)}}
 		client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true, DialContext: dialer.DialContext}}
 		resp, err := client.Post("http://"+s.http+"/v1/jobs", "application/json", bytes.NewReader(jobFor("another-address", 0, callTimeout/4, "x")))
@@ -267,9 +269,7 @@
 // TestUnfinishedFrames guards against connections at the port of the system's own small frames, each with a frame that never ends.
 func TestUnfinishedFrames(t *testing.T) {
 	s := startInstallation(t)
-	send(t, s.control, largeCrowd, pieceBytes, func(int) []byte {
-		return binary.BigEndian.AppendUint32(nil, frameBytes)[:4:4]
-	})
+	send(t, s.control, largeCrowd, pieceBytes, func(int) []byte { return binary.BigEndian.AppendUint32(nil, frameBytes) })
 	send(t, s.control, crowd, pieceBytes, func(int) []byte {
 		return append(binary.BigEndian.AppendUint32(nil, frameBytes), make([]byte, frameBytes-1)...)
 	})
